Lay out the workspace, the frame of the decision core and the contracts between modules

Cause: work on request path, control and samples can only go side by side once the borders between modules stand. Change: Maven workspace with formatter, Error Prone and Javadoc checks that fail the build; DecisionCore with ticks, events, effects and tables; settings records; events and effects of platform, peers, requests, endpoints. No behaviour yet. Conclusion: modules can be filled in independently.

--- /dev/null
+++ b/yuccaswitch-command/src/main/java/io/yuccaswitch/command/package-info.java
@@ -0,0 +1,2 @@
+/** The command that operators use. */
+package io.yuccaswitch.command;
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/decision/Tick.java
@@ -0,0 +1,109 @@
+package io.yuccaswitch.core.decision;
+
+import io.yuccaswitch.core.time.MonotonicTime;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/** One tick of the decision core: the time, the events to consider, and a place for effects and decisions. */
+public final class Tick {
+
+    /** The monotonic time at which this tick runs. */
+    private final MonotonicTime now;
+
+    /** The events of this tick, growing as systems raise further ones. */
+    private final List<Event> events;
+
+    /** The seeded source of randomness. */
+    private final SplittableRandom random;
+
+    /** The effects that were emitted so far. */
+    private final List<Effect> effects = new ArrayList<>();
+
+    /** The decisions that were explained so far. */
+    private final List<Decision> decisions = new ArrayList<>();
+
+    /**
+     * Creates a new tick.
+     *
+     * @param now The monotonic time at which the tick runs.
+     * @param events The events that arrived since the tick before.
+     * @param random The seeded source of randomness that systems use.
+     */
+    public Tick(MonotonicTime now, List<? extends Event> events, SplittableRandom random) {
+        this.now = now;
+        this.events = new ArrayList<>(events);
+        this.random = random;
+    }
+
+    /**
+     * Returns the monotonic time of this tick.
+     *
+     * @return The monotonic time of this tick.
+     */
+    public MonotonicTime now() {
+        return now;
+    }
+
+    /**
+     * Returns the seeded source of randomness.
+     *
+     * @return The seeded source of randomness.
+     */
+    public SplittableRandom random() {
+        return random;
+    }
+
+    /**
+     * Returns the events of a type, in the order of their arrival.
+     *
+     * @param type The type of the events to return.
+     * @param <T> The type of the events to return.
+     * @return A copy of the events of this type.
+     */
+    public <T extends Event> List<T> events(Class<T> type) {
+        List<T> matching = new ArrayList<>();
+        for (Event event : events) {
+            if (type.isInstance(event)) {
+                matching.add(type.cast(event));
+            }
+        }
+        return matching;
+    }
+
+    /**
+     * Raises an event for the systems that run after this one in the same tick.
+     *
+     * @param event The event to raise.
+     */
+    public void raise(Event event) {
+        events.add(event);
+    }
+
+    /**
+     * Emits an effect for the shell to carry out.
+     *
+     * @param effect The effect to emit.
+     */
+    public void emit(Effect effect) {
+        effects.add(effect);
+    }
+
+    /**
+     * Records a decision together with its reasons.
+     *
+     * @param decision The decision to record.
+     */
+    public void decide(Decision decision) {
+        decisions.add(decision);
+    }
+
+    /**
+     * Returns what this tick has brought about so far.
+     *
+     * @return The effects and decisions of this tick.
+     */
+    public TickResult result() {
+        return new TickResult(effects, decisions);
+    }
+}
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/MembershipView.java
@@ -0,0 +1,31 @@
+package io.yuccaswitch.core.membership;
+
+import io.yuccaswitch.core.identity.NodeName;
+import java.util.Collection;
+import java.util.Optional;
+
+/** What other systems may ask of the table of members. */
+public interface MembershipView {
+
+    /**
+     * Returns this node's own row.
+     *
+     * @return This node's own row.
+     */
+    Member self();
+
+    /**
+     * Returns all members that may be given new work, this node included, ordered by name.
+     *
+     * @return The members that may be given new work.
+     */
+    Collection<Member> working();
+
+    /**
+     * Finds a member in its latest known incarnation, in whatever condition.
+     *
+     * @param name The member's name.
+     * @return The member, or empty if it is not known.
+     */
+    Optional<Member> find(NodeName name);
+}
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/RendezvousRanking.java
@@ -0,0 +1,70 @@
+package io.yuccaswitch.core.membership;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * Ranks members for a key by rendezvous hashing: all nodes with the same view agree on the ranking, and a member that
+ * comes or goes changes only the keys that it ranks highest for.
+ */
+public final class RendezvousRanking {
+
+    /** This class has no instances. */
+    private RendezvousRanking() {}
+
+    /**
+     * Ranks members for a key.
+     *
+     * @param key The key, such as the name of a trainer.
+     * @param members The members to rank.
+     * @return The members from the highest to the lowest rank.
+     */
+    public static List<Member> rank(String key, Collection<Member> members) {
+        List<Member> ranked = new ArrayList<>(members);
+        ranked.sort(Comparator.comparingLong((Member member) -> weight(key, member))
+                .reversed()
+                .thenComparing(Member::identity));
+        return ranked;
+    }
+
+    /**
+     * Picks the highest ranked member for a key, and the highest ranked one after it that lies in another availability
+     * zone, or the next one if there is no such zone.
+     *
+     * @param key The key.
+     * @param members The members to pick from.
+     * @return At most two members, the first being the key's primary.
+     */
+    public static List<Member> pair(String key, Collection<Member> members) {
+        List<Member> ranked = rank(key, members);
+        if (ranked.size() < 2) {
+            return ranked;
+        }
+        Member primary = ranked.get(0);
+        List<Member> others = ranked.subList(1, ranked.size());
+        Member secondary = others.stream()
+                .filter(member -> !member.availabilityZone().equals(primary.availabilityZone()))
+                .findFirst()
+                .orElseGet(() -> others.get(0));
+        return List.of(primary, secondary);
+    }
+
+    /**
+     * Computes the weight of a member for a key.
+     *
+     * @param key The key.
+     * @param member The member.
+     * @return The weight, where the highest one wins.
+     */
+    private static long weight(String key, Member member) {
+        String text = key + '\n' + member.identity().name();
+        return Hashing.farmHashFingerprint64()
+                        .hashString(text, StandardCharsets.UTF_8)
+                        .asLong()
+                >>> 1;
+    }
+}
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/Request.java
@@ -0,0 +1,53 @@
+package io.yuccaswitch.core.request;
+
+import io.yuccaswitch.core.configuration.PriorityClass;
+import io.yuccaswitch.core.identity.CallerName;
+import io.yuccaswitch.core.identity.PoolName;
+import io.yuccaswitch.core.time.MonotonicTime;
+import io.yuccaswitch.core.value.Bytes;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * A request as the decision core sees it.
+ *
+ * @param id The identifier.
+ * @param pool The pool whose endpoints may serve the request.
+ * @param caller The caller, or the trainer's name for the generation of samples.
+ * @param priority The priority class.
+ * @param idempotent {@code true} if the request may run more than once.
+ * @param streaming {@code true} if the caller reads the answer while it is produced.
+ * @param deadline The time by which the answer must be complete.
+ * @param method The HTTP method that the endpoint is called with.
+ * @param path The path and query that the endpoint is called with, beginning with a slash.
+ * @param contentType The content type of the body, or an empty text.
+ * @param body The body that is sent to the endpoint.
+ * @param model The model or adapter that must be loaded at the endpoint, or empty if any will do.
+ * @param minimumVersion The smallest weight version that the endpoint must hold, or zero if any will do.
+ * @param prefixHashes The hashes of the prompt's prefixes, from the shortest to the longest.
+ * @param promptTokens The estimated number of tokens of the prompt.
+ * @param expectedTokens The estimated number of tokens to generate.
+ */
+public record Request(
+        RequestId id,
+        PoolName pool,
+        CallerName caller,
+        PriorityClass priority,
+        boolean idempotent,
+        boolean streaming,
+        MonotonicTime deadline,
+        String method,
+        String path,
+        String contentType,
+        Bytes body,
+        Optional<String> model,
+        long minimumVersion,
+        List<Long> prefixHashes,
+        int promptTokens,
+        int expectedTokens) {
+
+    /** Copies the hashes. */
+    public Request {
+        prefixHashes = List.copyOf(prefixHashes);
+    }
+}
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/time/package-info.java
@@ -0,0 +1,2 @@
+/** Monotonic time as a value. */
+package io.yuccaswitch.core.time;
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/value/package-info.java
@@ -0,0 +1,2 @@
+/** Small immutable values shared by all concepts. */
+package io.yuccaswitch.core.value;
--- /dev/null
+++ b/yuccaswitch-endpoint/src/main/java/io/yuccaswitch/endpoint/package-info.java
@@ -0,0 +1,2 @@
+/** Clients of endpoints: model engines, plain services and scorers. */
+package io.yuccaswitch.endpoint;
--- /dev/null
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/DecisionLoop.java
@@ -0,0 +1,154 @@
+package io.yuccaswitch.node;
+
+import io.reactivex.rxjava3.core.Observable;
+import io.reactivex.rxjava3.subjects.PublishSubject;
+import io.reactivex.rxjava3.subjects.Subject;
+import io.yuccaswitch.core.decision.Decision;
+import io.yuccaswitch.core.decision.DecisionCore;
+import io.yuccaswitch.core.decision.Effect;
+import io.yuccaswitch.core.decision.Event;
+import io.yuccaswitch.core.decision.TickResult;
+import io.yuccaswitch.core.time.MonotonicTime;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.jboss.logging.Logger;
+
+/**
+ * Runs the decision core on one thread: a tick whenever events are waiting, and otherwise at a steady interval.
+ * Subscribers of effects and decisions are called on that thread and must not block.
+ */
+public final class DecisionLoop implements EventSink, AutoCloseable {
+
+    /** The longest pause between two ticks. */
+    private static final Duration TICK_INTERVAL = Duration.ofMillis(20);
+
+    /** The largest number of events of one tick. */
+    private static final int EVENTS_PER_TICK = 1024;
+
+    /** The logger. */
+    private static final Logger LOGGER = Logger.getLogger(DecisionLoop.class);
+
+    /** The decision core, confined to the loop's thread. */
+    private final DecisionCore core;
+
+    /** What to do when an invariant of the core broke. */
+    private final Runnable onBrokenInvariant;
+
+    /** The events that wait for the next tick. */
+    private final BlockingQueue<Event> waiting = new LinkedBlockingQueue<>();
+
+    /** The effects that the core emitted. */
+    private final Subject<Effect> effects = PublishSubject.create();
+
+    /** The decisions that the core explained. */
+    private final Subject<Decision> decisions = PublishSubject.create();
+
+    /** The thread that ticks. */
+    private final Thread thread;
+
+    /** Whether the loop goes on. */
+    private volatile boolean running = true;
+
+    /**
+     * Creates a new loop that does not run yet.
+     *
+     * @param core The decision core to run.
+     * @param onBrokenInvariant What to do when a tick fails, which means that an invariant is broken.
+     */
+    public DecisionLoop(DecisionCore core, Runnable onBrokenInvariant) {
+        this.core = core;
+        this.onBrokenInvariant = onBrokenInvariant;
+        thread = new Thread(this::run, "decision-loop");
+    }
+
+    /** Starts the loop, after all subscribers are there. */
+    public void start() {
+        thread.start();
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void accept(Event event) {
+        waiting.add(event);
+    }
+
+    /**
+     * Returns the effects of one type.
+     *
+     * @param type The type of the effects.
+     * @param <T> The type of the effects.
+     * @return The effects, on the loop's thread.
+     */
+    public <T extends Effect> Observable<T> effects(Class<T> type) {
+        return effects.ofType(type);
+    }
+
+    /**
+     * Returns the decisions.
+     *
+     * @return The decisions, on the loop's thread.
+     */
+    public Observable<Decision> decisions() {
+        return decisions;
+    }
+
+    /**
+     * Returns the current time as the decision core counts it.
+     *
+     * @return The current monotonic time.
+     */
+    public static MonotonicTime now() {
+        return new MonotonicTime(System.nanoTime());
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void close() {
+        running = false;
+        thread.interrupt();
+    }
+
+    /** Ticks until the loop is closed. */
+    private void run() {
+        try {
+            while (running) {
+                publish(core.tick(now(), awaitEvents()));
+            }
+        } catch (InterruptedException _exception) {
+            Thread.currentThread().interrupt();
+        } catch (RuntimeException exception) {
+            LOGGER.fatal("event=broken-invariant", exception);
+            onBrokenInvariant.run();
+        }
+    }
+
+    /**
+     * Waits for events, at most for the tick interval.
+     *
+     * @return The events of the next tick, which may be none.
+     * @throws InterruptedException If the loop is closed.
+     */
+    private List<Event> awaitEvents() throws InterruptedException {
+        List<Event> events = new ArrayList<>();
+        Event first = waiting.poll(TICK_INTERVAL.toNanos(), TimeUnit.NANOSECONDS);
+        if (first != null) {
+            events.add(first);
+            waiting.drainTo(events, EVENTS_PER_TICK - 1);
+        }
+        return events;
+    }
+
+    /**
+     * Hands the result of a tick to the subscribers.
+     *
+     * @param result The result of the tick.
+     */
+    private void publish(TickResult result) {
+        result.decisions().forEach(decisions::onNext);
+        result.effects().forEach(effects::onNext);
+    }
+}
--- /dev/null
+++ b/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/package-info.java
@@ -0,0 +1,2 @@
+/** The client of the platform object API. */
+package io.yuccaswitch.platform;
