--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/DecisionLoop.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/decision/DecisionLoop.java
@@ -1,4 +1,4 @@
-package io.yuccaswitch.node;
+package io.yuccaswitch.node.decision;
 
 import io.reactivex.rxjava3.core.Observable;
 import io.reactivex.rxjava3.subjects.PublishSubject;
@@ -13,8 +13,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.jboss.logging.Logger;
 
 /**
@@ -76,6 +78,22 @@
         waiting.add(event);
     }
 
+    /**
+     * Reads the tables of the decision core between two ticks.
+     *
+     * @param reader The reader, which is called on the loop's thread and must not block or change anything.
+     * @param <T> The type of the result.
+     * @return The result, or a failure if the loop is closed before the reader was called.
+     */
+    public <T> CompletableFuture<T> inspect(Supplier<T> reader) {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        waiting.add(new Inspection(() -> complete(result, reader)));
+        if (!running) {
+            result.completeExceptionally(new IllegalStateException("The decision loop is closed"));
+        }
+        return result;
+    }
+
     /**
      * Returns the effects of one type.
      *
@@ -116,7 +134,9 @@
     private void run() {
         try {
             while (running) {
-                publish(core.tick(now(), awaitEvents()));
+                List<Event> events = awaitEvents();
+                publish(core.tick(now(), events));
+                inspectAll(events);
             }
         } catch (InterruptedException _exception) {
             Thread.currentThread().interrupt();
@@ -126,6 +146,34 @@
         }
     }
 
+    /**
+     * Calls the readers among the events of a tick.
+     *
+     * @param events The events of the tick.
+     */
+    private static void inspectAll(List<Event> events) {
+        for (Event event : events) {
+            if (event instanceof Inspection inspection) {
+                inspection.reader().run();
+            }
+        }
+    }
+
+    /**
+     * Completes a future with the result of a reader.
+     *
+     * @param result The future to complete.
+     * @param reader The reader to call.
+     * @param <T> The type of the result.
+     */
+    private static <T> void complete(CompletableFuture<T> result, Supplier<T> reader) {
+        try {
+            result.complete(reader.get());
+        } catch (RuntimeException exception) {
+            result.completeExceptionally(exception);
+        }
+    }
+
     /**
      * Waits for events, at most for the tick interval.
      *
@@ -151,4 +199,11 @@
         result.decisions().forEach(decisions::onNext);
         result.effects().forEach(effects::onNext);
     }
+
+    /**
+     * Asks the loop to call a reader of the tables. No system of the core looks at this event.
+     *
+     * @param reader The reader to call.
+     */
+    private record Inspection(Runnable reader) implements Event {}
 }
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/EventSink.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/decision/EventSink.java
@@ -1,4 +1,4 @@
-package io.yuccaswitch.node;
+package io.yuccaswitch.node.decision;
 
 import io.yuccaswitch.core.decision.Event;
 
--- /dev/null
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/decision/package-info.java
@@ -0,0 +1,2 @@
+/** The log of decisions and their explanations. */
+package io.yuccaswitch.node.decision;
--- /dev/null
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/shutdown/package-info.java
@@ -0,0 +1,2 @@
+/** The graceful shutdown of a node. */
+package io.yuccaswitch.node.shutdown;
