Read, merge and decode folders of settings

Cause: nodes and operators need one strict reader for folders of JSON with comments, for node-local settings and for the fleet's configuration alike.

--- /dev/null
+++ b/yuccaswitch-settings/src/main/java/io/yuccaswitch/settings/SettingsValue.java
@@ -0,0 +1,144 @@
+package io.yuccaswitch.settings;
+
+import java.math.BigDecimal;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** A value as it was written in a file, with the place where it was written. */
+public sealed interface SettingsValue {
+
+    /**
+     * Returns where the value was written.
+     *
+     * @return The file and line.
+     */
+    SourcePosition position();
+
+    /**
+     * Returns what the value is, as words in a sentence.
+     *
+     * @return The kind of the value with its article.
+     */
+    String describe();
+
+    /**
+     * An object.
+     *
+     * @param entries The values by their keys.
+     * @param position The file and line in which the object was first written.
+     */
+    record ObjectValue(Map<String, SettingsValue> entries, SourcePosition position) implements SettingsValue {
+
+        /**
+         * Copies the entries in their order.
+         *
+         * @param entries The values by their keys.
+         * @param position The file and line in which the object was first written.
+         */
+        public ObjectValue {
+            entries = Collections.unmodifiableMap(new LinkedHashMap<>(entries));
+        }
+
+        /**
+         * Creates an object without entries.
+         *
+         * @param position The file and line.
+         * @return The object.
+         */
+        public static ObjectValue empty(SourcePosition position) {
+            return new ObjectValue(Map.of(), position);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public String describe() {
+            return "an object";
+        }
+    }
+
+    /**
+     * A list.
+     *
+     * @param elements The elements.
+     * @param position The file and line.
+     */
+    record ListValue(List<SettingsValue> elements, SourcePosition position) implements SettingsValue {
+
+        /**
+         * Copies the elements.
+         *
+         * @param elements The elements.
+         * @param position The file and line.
+         */
+        public ListValue {
+            elements = List.copyOf(elements);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public String describe() {
+            return "a list";
+        }
+    }
+
+    /**
+     * A text.
+     *
+     * @param text The text.
+     * @param position The file and line.
+     */
+    record TextValue(String text, SourcePosition position) implements SettingsValue {
+
+        /** {@inheritDoc} */
+        @Override
+        public String describe() {
+            return "the text \"" + text + "\"";
+        }
+    }
+
+    /**
+     * A number.
+     *
+     * @param number The number.
+     * @param position The file and line.
+     */
+    record NumberValue(BigDecimal number, SourcePosition position) implements SettingsValue {
+
+        /** {@inheritDoc} */
+        @Override
+        public String describe() {
+            return "the number " + number;
+        }
+    }
+
+    /**
+     * A truth value.
+     *
+     * @param truth The truth value.
+     * @param position The file and line.
+     */
+    record BooleanValue(boolean truth, SourcePosition position) implements SettingsValue {
+
+        /** {@inheritDoc} */
+        @Override
+        public String describe() {
+            return "the value " + truth;
+        }
+    }
+
+    /**
+     * A null, which removes the key that it is written for.
+     *
+     * @param position The file and line.
+     */
+    record NullValue(SourcePosition position) implements SettingsValue {
+
+        /** {@inheritDoc} */
+        @Override
+        public String describe() {
+            return "null";
+        }
+    }
+}
