Add a stand-in of the platform's object API

The client, the leases and the configuration need a platform to be tested against, and its faults are the reason for most of their design. 'platform' serves objects with versions, conditional writes, watches and a lagging list of VMs through Javalin, and takes orders below /control: outage (503 or silence), delay of answers after their effect, loss of the next writes before their effect or of their answers after it, a lagging replica, rate limits, forgotten changes, and counts of calls by kind and by tenths of a second. Tried by hand with curl: each call, a lost answer, an outage.

--- a/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/TestkitMain.java
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/TestkitMain.java
@@ -1,9 +1,12 @@
 package io.yuccaswitch.testkit;
 
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.ParameterException;
 import java.util.List;
 import java.util.Optional;
+import org.slf4j.LoggerFactory;
 
 /** The entry point of the testkit: it runs the subcommand that its first argument names. */
 public final class TestkitMain {
@@ -23,6 +26,7 @@
      * @param arguments The name of the subcommand, followed by its parameters.
      */
     public static void main(String[] arguments) {
+        ((Logger) LoggerFactory.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME)).setLevel(Level.WARN);
         List<TestkitCommand> commands = TestkitCommands.all();
         JCommander commander = new JCommander();
         commander.setProgramName("yuccaswitch-testkit");
--- /dev/null
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/platform/LossKind.java
@@ -0,0 +1,11 @@
+package io.yuccaswitch.testkit.platform;
+
+/** What is lost of a write. */
+public enum LossKind {
+    /** Nothing. */
+    NONE,
+    /** The connection is closed before the write takes effect. */
+    REQUEST,
+    /** The write takes effect, and the connection is closed instead of an answer. */
+    ANSWER
+}
--- /dev/null
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/platform/PlatformCommand.java
@@ -0,0 +1,44 @@
+package io.yuccaswitch.testkit.platform;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import io.yuccaswitch.testkit.TestkitCommand;
+import java.util.Optional;
+
+/** Runs the stand-in of the platform. */
+@Parameters(commandDescription = "Runs a stand-in of the platform's object API.")
+public final class PlatformCommand implements TestkitCommand {
+
+    /** The port on the loopback address. */
+    @Parameter(names = "--port", description = "The port on the loopback address; 0 takes any free one.")
+    private int port;
+
+    /** The token that calls must bear. */
+    @Parameter(names = "--token", description = "The bearer token that calls must bear; none by default.")
+    private String token = "";
+
+    /** The changing calls each second. */
+    @Parameter(names = "--writes-per-second", description = "The limit of writes each second; 0 for none.")
+    private double writesPerSecond;
+
+    /** The other calls each second. */
+    @Parameter(names = "--reads-per-second", description = "The limit of reads each second; 0 for none.")
+    private double readsPerSecond;
+
+    /** Creates the subcommand with default parameters. */
+    public PlatformCommand() {}
+
+    /** {@inheritDoc} */
+    @Override
+    public String name() {
+        return "platform";
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void run() {
+        PlatformStandIn standIn = PlatformStandIn.start(port, Optional.of(token).filter(text -> !text.isEmpty()));
+        standIn.limitRates(writesPerSecond, readsPerSecond);
+        TestkitCommand.announceListening(standIn.port());
+    }
+}
