--- a/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/TestkitCommands.java
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/TestkitCommands.java
@@ -1,5 +1,9 @@
 package io.yuccaswitch.testkit;
 
+import io.yuccaswitch.testkit.engine.EngineCommand;
+import io.yuccaswitch.testkit.scorer.ScorerCommand;
+import io.yuccaswitch.testkit.service.ServiceCommand;
+import io.yuccaswitch.testkit.weightstore.WeightStoreCommand;
 import java.util.List;
 
 /** The registry of the testkit's subcommands. */
@@ -14,6 +18,6 @@
      * @return The subcommands.
      */
     static List<TestkitCommand> all() {
-        return List.of();
+        return List.of(new EngineCommand(), new ServiceCommand(), new ScorerCommand(), new WeightStoreCommand());
     }
 }
--- /dev/null
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/engine/EngineCommand.java
@@ -0,0 +1,31 @@
+package io.yuccaswitch.testkit.engine;
+
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import io.yuccaswitch.testkit.TestkitCommand;
+
+/** The subcommand that runs the engine stand-in. */
+@Parameters(commandDescription = "Runs the engine stand-in.")
+public final class EngineCommand implements TestkitCommand {
+
+    /** The status of a process that died by an ordered fault. */
+    private static final int KILLED = 137;
+
+    /** The options of the stand-in. */
+    @ParametersDelegate
+    private final EngineOptions options = new EngineOptions();
+
+    /** {@inheritDoc} */
+    @Override
+    public String name() {
+        return "engine";
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void run() {
+        EngineStandIn standIn = new EngineStandIn(options);
+        standIn.server().onDeath(() -> Runtime.getRuntime().halt(KILLED));
+        TestkitCommand.announceListening(standIn.server().port());
+    }
+}
--- /dev/null
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/engine/EngineStandIn.java
@@ -0,0 +1,327 @@
+package io.yuccaswitch.testkit.engine;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.javalin.http.Context;
+import io.yuccaswitch.testkit.engine.LoadHistory.Load;
+import io.yuccaswitch.testkit.engine.PrefixCache.CacheEvent;
+import io.yuccaswitch.testkit.http.Answer;
+import io.yuccaswitch.testkit.http.Fault;
+import io.yuccaswitch.testkit.http.Faults;
+import io.yuccaswitch.testkit.http.Json;
+import io.yuccaswitch.testkit.http.StandInServer;
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** A stand-in of a model engine. Its protocol is described in docs/API.md. */
+public final class EngineStandIn implements AutoCloseable {
+
+    /** The status of a request for a model that is not loaded. */
+    private static final int NOT_FOUND = 404;
+
+    /** The status of a refusal. */
+    private static final int UNAVAILABLE = 503;
+
+    /** The status of success. */
+    private static final int OK = 200;
+
+    /** The prefix of the tokens that stand for an exported KV cache. */
+    private static final String KV_TOKEN = "kv-";
+
+    /** The options. */
+    private final EngineOptions options;
+
+    /** The incarnation of this process. */
+    private final String incarnation = UUID.randomUUID().toString();
+
+    /** The weight versions. */
+    private final LoadedModels models;
+
+    /** The number of tokens that prompts get. */
+    private final LengthDistribution lengths;
+
+    /** The cache of prompt prefixes. */
+    private final PrefixCache cache;
+
+    /** The batch. */
+    private final Batch batch;
+
+    /** The orders. */
+    private final Orders orders;
+
+    /** The load reports. */
+    private final LoadHistory loads;
+
+    /** The number of requests that arrived. */
+    private final AtomicLong arrivals = new AtomicLong();
+
+    /** The server. */
+    private final StandInServer server;
+
+    /**
+     * Creates and starts an engine.
+     *
+     * @param options The options.
+     */
+    public EngineStandIn(EngineOptions options) {
+        this.options = options;
+        models = new LoadedModels(options.models);
+        lengths = new LengthDistribution(options.seed, options.medianTokens, options.stragglerShare);
+        cache = new PrefixCache(options);
+        orders = new Orders(options, models, this::faults);
+        server = new StandInServer(options.port, this::addRoutes);
+        batch = new Batch(options, models, this::faults);
+        loads = new LoadHistory(options.reportLagMillis, this::load);
+    }
+
+    /**
+     * Returns the server of this engine.
+     *
+     * @return The server.
+     */
+    public StandInServer server() {
+        return server;
+    }
+
+    /**
+     * Returns the faults that are ordered.
+     *
+     * @return The faults.
+     */
+    public Faults faults() {
+        return server.faults();
+    }
+
+    /**
+     * Returns what this engine truly did.
+     *
+     * @return The records, oldest first.
+     */
+    public List<RunRecord> records() {
+        return batch.records();
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void close() {
+        server.close();
+        batch.close();
+        loads.close();
+    }
+
+    /**
+     * Adds the routes.
+     *
+     * @param routes The routes to fill.
+     */
+    private void addRoutes(StandInServer.Routes routes) {
+        routes.post("/v1/completions", (context, answer) -> complete(context, answer, false));
+        routes.post("/v1/chat/completions", (context, answer) -> complete(context, answer, true));
+        routes.delete("/v1/requests/{id}", this::cancel);
+        routes.post("/v1/kv/export", this::exportCache);
+        routes.post("/orders", orders::serve);
+        routes.report("/load", _context -> loadReport());
+        routes.report("/cache-events", this::cacheEvents);
+        routes.get("/records", _context -> records());
+        routes.get("/order-records", _context -> orders.records());
+    }
+
+    /**
+     * Serves a request for text.
+     *
+     * @param context The request.
+     * @param answer The answer to write.
+     * @param chat Whether it is a chat.
+     * @throws IOException If the connection is broken.
+     * @throws InterruptedException If the server is stopped meanwhile.
+     */
+    private void complete(Context context, Answer answer, boolean chat) throws IOException, InterruptedException {
+        faults().pause();
+        if (faults().take(Fault.RESETS_BEFORE_RUN)) {
+            answer.closeConnection();
+            return;
+        }
+        JsonNode body = Json.parse(context.bodyAsBytes());
+        String model = body.path("model").asText(models.first());
+        Optional<String> refusal = refusal(model);
+        if (refusal.isPresent()) {
+            answer.refuse(refusal.get().equals("model-not-found") ? NOT_FOUND : UNAVAILABLE, refusal.get());
+            return;
+        }
+        Run run = run(context, body, model);
+        if (!batch.add(run)) {
+            answer.refuse(UNAVAILABLE, "overloaded");
+            return;
+        }
+        if (faults().take(Fault.RESETS_AFTER_RUN)) {
+            answer.closeConnection();
+            return;
+        }
+        boolean reported = !faults().on(Fault.UNREPORTED_VERSIONS);
+        Completion completion = new Completion(run, chat, reported, bounded(body, run) ? "length" : "stop");
+        try {
+            if (Completion.streaming(body)) {
+                completion.stream(answer);
+            } else {
+                completion.whole(answer);
+            }
+        } catch (IOException exception) {
+            run.cancel();
+            throw exception;
+        }
+    }
+
+    /**
+     * Returns the reason to refuse a request.
+     *
+     * @param model The model that it asks for.
+     * @return The code, or empty to accept it.
+     */
+    private Optional<String> refusal(String model) {
+        if (faults().on(Fault.LEAVING)) {
+            return Optional.of("leaving");
+        }
+        if (faults().take(Fault.REFUSALS)) {
+            return Optional.of("refused");
+        }
+        return models.version(model).isEmpty() ? Optional.of("model-not-found") : Optional.empty();
+    }
+
+    /**
+     * Creates the run of a request.
+     *
+     * @param context The request.
+     * @param body Its body.
+     * @param model The model.
+     * @return The run.
+     */
+    private Run run(Context context, JsonNode body, String model) {
+        Prompt prompt = Prompt.of(body);
+        int cached = cache.use(prompt);
+        int resumed = body.path("resumeTokens").asInt(0);
+        boolean imported = body.path("kv").asText().startsWith(KV_TOKEN);
+        int uncached = imported ? 0 : Math.max(0, prompt.tokens() - cached) + resumed;
+        int natural = lengths.tokens(prompt.hash(), body.path("seed").asLong(0));
+        int total = Math.max(resumed, Math.min(natural, body.path("max_tokens").asInt(Integer.MAX_VALUE)));
+        return new Run(
+                Answer.requestId(context),
+                model,
+                prompt,
+                priority(context.header("X-Priority")),
+                arrivals.incrementAndGet(),
+                resumed,
+                total,
+                uncached / options.prefillTokens);
+    }
+
+    /**
+     * Returns whether the request bounds the text.
+     *
+     * @param body The body of the request.
+     * @param run The run.
+     * @return {@code true} if the text ends before its natural length.
+     */
+    private boolean bounded(JsonNode body, Run run) {
+        int natural = lengths.tokens(run.prompt().hash(), body.path("seed").asLong(0));
+        return natural > body.path("max_tokens").asInt(Integer.MAX_VALUE);
+    }
+
+    /**
+     * Reads a priority.
+     *
+     * @param header The header, or {@code null}.
+     * @return The priority, where a smaller number goes first.
+     */
+    private static int priority(String header) {
+        if ("urgent".equals(header)) {
+            return 0;
+        }
+        return "batch".equals(header) ? 2 : 1;
+    }
+
+    /**
+     * Cancels a run.
+     *
+     * @param context The request.
+     * @param answer The answer to write.
+     * @throws IOException If the connection is broken.
+     */
+    private void cancel(Context context, Answer answer) throws IOException {
+        Optional<Run> run = batch.find(context.pathParam("id"));
+        run.ifPresent(Run::cancel);
+        answer.json(OK, Json.object().put("cancelled", run.isPresent()));
+    }
+
+    /**
+     * Exports the KV cache of a run as an opaque token.
+     *
+     * @param context The request.
+     * @param answer The answer to write.
+     * @throws IOException If the connection is broken.
+     */
+    private void exportCache(Context context, Answer answer) throws IOException {
+        String id = Json.parse(context.bodyAsBytes()).path("requestId").asText();
+        Optional<Run> run = batch.find(id);
+        if (run.isEmpty()) {
+            answer.refuse(NOT_FOUND, "request-not-found");
+            return;
+        }
+        answer.json(OK, Json.object().put("kv", KV_TOKEN + run.get().prompt().hash()));
+    }
+
+    /**
+     * Returns the true state.
+     *
+     * @return The state.
+     */
+    private Load load() {
+        return new Load(
+                batch.activeCount(),
+                batch.waitingCount(),
+                cache.use(),
+                models.claimed(),
+                faults().on(Fault.LEAVING),
+                System.nanoTime());
+    }
+
+    /**
+     * Makes a load report.
+     *
+     * @return The report.
+     */
+    private ObjectNode loadReport() {
+        Load load = loads.report();
+        ObjectNode body = Json.object()
+                .put("incarnation", incarnation)
+                .put("active", load.active())
+                .put("waiting", load.waiting())
+                .put("capacity", options.capacity)
+                .put("cacheUse", load.cacheUse())
+                .put("leaving", load.leaving());
+        ObjectNode versions = body.putObject("loadedVersions");
+        load.loadedVersions().forEach(versions::put);
+        return body;
+    }
+
+    /**
+     * Reads the events of the prefix cache.
+     *
+     * @param context The request.
+     * @return The events after the one that the reader knows.
+     */
+    private ObjectNode cacheEvents(Context context) {
+        String after = context.queryParam("after");
+        List<CacheEvent> events = cache.eventsAfter(after == null ? 0 : Long.parseLong(after));
+        ObjectNode body = Json.object().put("incarnation", incarnation);
+        ArrayNode list = body.putArray("events");
+        events.forEach(event -> list.addObject()
+                .put("sequence", event.sequence())
+                .put("prefixHash", event.prefixHash())
+                .put("cached", event.cached()));
+        return body;
+    }
+}
--- /dev/null
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/scorer/ScorerCommand.java
@@ -0,0 +1,31 @@
+package io.yuccaswitch.testkit.scorer;
+
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import io.yuccaswitch.testkit.TestkitCommand;
+
+/** The subcommand that runs the scorer stand-in. */
+@Parameters(commandDescription = "Runs the scorer stand-in.")
+public final class ScorerCommand implements TestkitCommand {
+
+    /** The status of a process that died by an ordered fault. */
+    private static final int KILLED = 137;
+
+    /** The options of the stand-in. */
+    @ParametersDelegate
+    private final ScorerOptions options = new ScorerOptions();
+
+    /** {@inheritDoc} */
+    @Override
+    public String name() {
+        return "scorer";
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void run() {
+        ScorerStandIn standIn = new ScorerStandIn(options);
+        standIn.server().onDeath(() -> Runtime.getRuntime().halt(KILLED));
+        TestkitCommand.announceListening(standIn.server().port());
+    }
+}
--- /dev/null
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/service/ServiceCommand.java
@@ -0,0 +1,31 @@
+package io.yuccaswitch.testkit.service;
+
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import io.yuccaswitch.testkit.TestkitCommand;
+
+/** The subcommand that runs the service stand-in. */
+@Parameters(commandDescription = "Runs the service stand-in.")
+public final class ServiceCommand implements TestkitCommand {
+
+    /** The status of a process that died by an ordered fault. */
+    private static final int KILLED = 137;
+
+    /** The options of the stand-in. */
+    @ParametersDelegate
+    private final ServiceOptions options = new ServiceOptions();
+
+    /** {@inheritDoc} */
+    @Override
+    public String name() {
+        return "service";
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void run() {
+        ServiceStandIn standIn = new ServiceStandIn(options);
+        standIn.server().onDeath(() -> Runtime.getRuntime().halt(KILLED));
+        TestkitCommand.announceListening(standIn.server().port());
+    }
+}
--- /dev/null
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/weightstore/WeightStoreCommand.java
@@ -0,0 +1,31 @@
+package io.yuccaswitch.testkit.weightstore;
+
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import io.yuccaswitch.testkit.TestkitCommand;
+
+/** The subcommand that runs the weight-store stand-in. */
+@Parameters(commandDescription = "Runs the weight-store stand-in.")
+public final class WeightStoreCommand implements TestkitCommand {
+
+    /** The status of a process that died by an ordered fault. */
+    private static final int KILLED = 137;
+
+    /** The options of the stand-in. */
+    @ParametersDelegate
+    private final WeightStoreOptions options = new WeightStoreOptions();
+
+    /** {@inheritDoc} */
+    @Override
+    public String name() {
+        return "weight-store";
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void run() {
+        WeightStoreStandIn standIn = new WeightStoreStandIn(options);
+        standIn.server().onDeath(() -> Runtime.getRuntime().halt(KILLED));
+        TestkitCommand.announceListening(standIn.server().port());
+    }
+}
--- /dev/null
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/weightstore/package-info.java
@@ -0,0 +1,2 @@
+/** A stand-in of the rate-limited weight store. */
+package io.yuccaswitch.testkit.weightstore;
