Add the contracts of the request path: messages, settlement, streams and subsets

The request path needs messages between nodes, a way to ask an endpoint what became of a request, the text for streaming callers, and the subset of endpoints that a node routes to and probes. All are new types or new nested records; existing records keep their components.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/Request.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/Request.java
@@ -50,4 +50,30 @@
     public Request {
         prefixHashes = List.copyOf(prefixHashes);
     }
+
+    /**
+     * Returns this request with another deadline.
+     *
+     * @param changed The new deadline.
+     * @return The changed request.
+     */
+    public Request withDeadline(MonotonicTime changed) {
+        return new Request(
+                id,
+                pool,
+                caller,
+                priority,
+                idempotent,
+                streaming,
+                changed,
+                method,
+                path,
+                contentType,
+                body,
+                model,
+                minimumVersion,
+                prefixHashes,
+                promptTokens,
+                expectedTokens);
+    }
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/RequestEffect.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/RequestEffect.java
@@ -16,7 +16,9 @@
     RequestId id();
 
     /**
-     * Sends a request to an endpoint, to be answered by exactly one {@link RequestEvent.AttemptEnded}.
+     * Sends a request to an endpoint, to be answered by exactly one {@link RequestEvent.AttemptEnded}. The progress and
+     * the result of an attempt that resumes a generation cover the whole generation: what it resumed from comes first.
+     * Attempts are numbered over all requests of the node, so that a late result never counts for a newer attempt.
      *
      * @param request The request.
      * @param attempt The number of the attempt, from one.
@@ -56,4 +58,31 @@
      * @param outcome The outcome.
      */
     record Conclude(RequestId id, Outcome outcome) implements RequestEffect {}
+
+    /**
+     * Gives the caller of a streaming request what was generated so far. The text of each such effect begins with the
+     * text of the one before, also after a resume at another engine, so that the shell sends on what it has not sent
+     * yet.
+     *
+     * @param id The identifier of the request.
+     * @param generated All that was generated so far, over all attempts.
+     */
+    record Stream(RequestId id, Generation generated) implements RequestEffect {}
+
+    /**
+     * Asks an endpoint what became of a request, to be answered by exactly one {@link RequestEvent.Settled}.
+     *
+     * @param id The identifier of the request.
+     * @param endpoint The endpoint to ask.
+     * @param address The endpoint's address.
+     */
+    record Settle(RequestId id, EndpointName endpoint, String address) implements RequestEffect {}
+
+    /**
+     * Answers a {@link RequestEvent.LookupArrived}.
+     *
+     * @param id The identifier of the request.
+     * @param outcome What became of the request, as far as it can be told.
+     */
+    record LookedUp(RequestId id, Outcome outcome) implements RequestEffect {}
 }
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Policies that choose the endpoint that serves a request. */
+package io.yuccaswitch.core.routing;
