Lay down the contracts of leases and weight versions

Other parts need to know how a lease is asked for, how orders to engines are given and answered, and how news of a version travels, before the systems behind them exist.

--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/lease/LeaseEvent.java
@@ -0,0 +1,32 @@
+package io.yuccaswitch.core.lease;
+
+import io.yuccaswitch.core.decision.Event;
+
+/** Something that happened to a lease on this node, raised for the systems after. */
+public sealed interface LeaseEvent extends Event {
+
+    /**
+     * Returns the lease that the event is about.
+     *
+     * @return The lease's name.
+     */
+    LeaseName name();
+
+    /**
+     * This node became the holder, or was given a new fencing number.
+     *
+     * @param name The lease's name.
+     * @param fencingNumber The fencing number.
+     * @param degraded {@code true} if the platform is silent.
+     */
+    record Acquired(LeaseName name, long fencingNumber, boolean degraded) implements LeaseEvent {}
+
+    /**
+     * This node is no longer the holder.
+     *
+     * @param name The lease's name.
+     * @param fencingNumber The fencing number that this node must no longer use.
+     * @param reason The reason, for logs.
+     */
+    record Lost(LeaseName name, long fencingNumber, String reason) implements LeaseEvent {}
+}
