--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/limit/FairQueue.java
@@ -0,0 +1,302 @@
+package io.yuccaswitch.core.limit;
+
+import io.yuccaswitch.core.configuration.PriorityClass;
+import io.yuccaswitch.core.identity.CallerName;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+
+/**
+ * A bounded queue that serves higher priority classes first and, within a class, shares by the callers' weights
+ * (start-time fair queueing with unit cost). A caller that was idle does not save up its share. An instance is confined
+ * to the thread of the decision core.
+ *
+ * @param <K> The type of the entries' keys.
+ */
+public final class FairQueue<K> {
+
+    /** The number of entries of a flow that are looked at to find one that can be served now. */
+    private static final int SCAN_LIMIT = 32;
+
+    /** The flows of each class. */
+    private final Map<PriorityClass, FlowGroup<K>> classes = new EnumMap<>(PriorityClass.class);
+
+    /** The entries by their keys. */
+    private final Map<K, Entry<K>> entries = new HashMap<>();
+
+    /** The number of bytes of all entries. */
+    private long bytes;
+
+    /** Creates a new, empty queue. */
+    public FairQueue() {
+        for (PriorityClass priority : PriorityClass.values()) {
+            classes.put(priority, new FlowGroup<>());
+        }
+    }
+
+    /**
+     * Adds an entry. Bounds are the business of the admission, which asks for {@link #size()} and {@link #bytes()}.
+     *
+     * @param entry The entry to add, whose key must not be queued.
+     */
+    public void add(Entry<K> entry) {
+        if (entries.putIfAbsent(entry.key(), entry) != null) {
+            throw new IllegalStateException("Already queued: " + entry.key());
+        }
+        bytes += entry.bytes();
+        classes.get(entry.priority()).add(entry);
+    }
+
+    /**
+     * Takes the entry whose turn it is among those that can be served now.
+     *
+     * @param servable Tells whether an entry can be served now.
+     * @return The entry, or empty if none can be served now.
+     */
+    public Optional<Entry<K>> poll(Predicate<Entry<K>> servable) {
+        PriorityClass[] priorities = PriorityClass.values();
+        for (int index = priorities.length - 1; index >= 0; index--) {
+            Optional<Entry<K>> next = classes.get(priorities[index]).poll(servable);
+            if (next.isPresent()) {
+                forget(next.get());
+                return next;
+            }
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Removes an entry.
+     *
+     * @param key The key of the entry.
+     * @return {@code true} if the entry was queued.
+     */
+    public boolean remove(K key) {
+        Entry<K> entry = entries.get(key);
+        if (entry == null) {
+            return false;
+        }
+        classes.get(entry.priority()).remove(entry);
+        forget(entry);
+        return true;
+    }
+
+    /**
+     * Removes the youngest entry of the lowest class below a class, to make room.
+     *
+     * @param priority The class that needs room.
+     * @return The removed entry, or empty if no entry is of a lower class.
+     */
+    public Optional<Entry<K>> shedBelow(PriorityClass priority) {
+        for (PriorityClass lower : PriorityClass.values()) {
+            if (lower.compareTo(priority) >= 0) {
+                return Optional.empty();
+            }
+            Optional<Entry<K>> youngest = classes.get(lower).youngest();
+            if (youngest.isPresent()) {
+                remove(youngest.get().key());
+                return youngest;
+            }
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Counts the entries that go before a new one of a class if every caller had the same backlog.
+     *
+     * @param priority The class.
+     * @return The number of entries in this class and in those above it.
+     */
+    public int ahead(PriorityClass priority) {
+        int count = 0;
+        for (Map.Entry<PriorityClass, FlowGroup<K>> group : classes.entrySet()) {
+            if (group.getKey().compareTo(priority) >= 0) {
+                count += group.getValue().size();
+            }
+        }
+        return count;
+    }
+
+    /**
+     * Returns the number of entries.
+     *
+     * @return The number of entries.
+     */
+    public int size() {
+        return entries.size();
+    }
+
+    /**
+     * Returns the number of bytes of all entries.
+     *
+     * @return The number of bytes.
+     */
+    public long bytes() {
+        return bytes;
+    }
+
+    /**
+     * Removes an entry from the index.
+     *
+     * @param entry The entry.
+     */
+    private void forget(Entry<K> entry) {
+        entries.remove(entry.key());
+        bytes -= entry.bytes();
+    }
+
+    /**
+     * An entry of the queue.
+     *
+     * @param key The key, unique within the queue.
+     * @param caller The caller whose share the entry counts for.
+     * @param weight The weight of the caller, at least one.
+     * @param priority The priority class.
+     * @param bytes The number of bytes that the entry keeps in memory.
+     * @param <K> The type of the key.
+     */
+    public record Entry<K>(K key, CallerName caller, int weight, PriorityClass priority, int bytes) {}
+
+    /**
+     * The flows of one class.
+     *
+     * @param <K> The type of the entries' keys.
+     */
+    private static final class FlowGroup<K> {
+
+        /** The flows by caller. */
+        private final Map<CallerName, Flow<K>> flows = new LinkedHashMap<>();
+
+        /** The start tag of the entry that was served last. */
+        private double virtualTime;
+
+        /** The number of entries. */
+        private int size;
+
+        /**
+         * Adds an entry.
+         *
+         * @param entry The entry to add.
+         */
+        void add(Entry<K> entry) {
+            Flow<K> flow = flows.computeIfAbsent(entry.caller(), _caller -> new Flow<>());
+            if (flow.waiting.isEmpty()) {
+                flow.startTag = Math.max(flow.startTag, virtualTime);
+            }
+            flow.waiting.put(entry.key(), entry);
+            size++;
+        }
+
+        /**
+         * Takes the entry whose turn it is.
+         *
+         * @param servable Tells whether an entry can be served now.
+         * @return The entry, or empty if none can be served now.
+         */
+        Optional<Entry<K>> poll(Predicate<Entry<K>> servable) {
+            if (size == 0) {
+                return Optional.empty();
+            }
+            List<Flow<K>> inTurn = new ArrayList<>(flows.values());
+            inTurn.removeIf(flow -> flow.waiting.isEmpty());
+            inTurn.sort(Comparator.comparingDouble(flow -> flow.startTag));
+            for (Flow<K> flow : inTurn) {
+                Optional<Entry<K>> entry = flow.find(servable);
+                if (entry.isPresent()) {
+                    serve(flow, entry.get());
+                    return entry;
+                }
+            }
+            return Optional.empty();
+        }
+
+        /**
+         * Takes an entry out and charges its caller for it.
+         *
+         * @param flow The flow of the entry.
+         * @param entry The entry.
+         */
+        private void serve(Flow<K> flow, Entry<K> entry) {
+            flow.waiting.remove(entry.key());
+            size--;
+            virtualTime = Math.max(virtualTime, flow.startTag);
+            flow.startTag += 1.0 / entry.weight();
+            flows.values().removeIf(other -> other.waiting.isEmpty() && other.startTag <= virtualTime);
+        }
+
+        /**
+         * Removes an entry without charging its caller.
+         *
+         * @param entry The entry.
+         */
+        void remove(Entry<K> entry) {
+            Flow<K> flow = flows.get(entry.caller());
+            flow.waiting.remove(entry.key());
+            size--;
+        }
+
+        /**
+         * Finds the entry that was added last by the caller with the longest backlog for its weight.
+         *
+         * @return The entry, or empty if the class has none.
+         */
+        Optional<Entry<K>> youngest() {
+            return flows.values().stream()
+                    .filter(flow -> !flow.waiting.isEmpty())
+                    .max(Comparator.comparingInt(flow -> flow.waiting.size()))
+                    .map(Flow::last);
+        }
+
+        /**
+         * Returns the number of entries.
+         *
+         * @return The number of entries.
+         */
+        int size() {
+            return size;
+        }
+    }
+
+    /**
+     * The entries of one caller in one class.
+     *
+     * @param <K> The type of the entries' keys.
+     */
+    private static final class Flow<K> {
+
+        /** The entries in the order of their arrival. */
+        private final LinkedHashMap<K, Entry<K>> waiting = new LinkedHashMap<>();
+
+        /** The virtual time at which the next entry of this flow starts. */
+        private double startTag;
+
+        /**
+         * Finds the first entry that can be served now.
+         *
+         * @param servable Tells whether an entry can be served now.
+         * @return The entry, or empty if none of the first entries can be served.
+         */
+        Optional<Entry<K>> find(Predicate<Entry<K>> servable) {
+            return waiting.values().stream().limit(SCAN_LIMIT).filter(servable).findFirst();
+        }
+
+        /**
+         * Returns the entry that was added last.
+         *
+         * @return The entry.
+         */
+        Entry<K> last() {
+            Entry<K> last = null;
+            for (Entry<K> entry : waiting.values()) {
+                last = entry;
+            }
+            return last;
+        }
+    }
+}
