Add leases with fencing numbers and a succession for silent platforms

Work that needs one holder is decided by conditional writes of small records on the platform. Validity counts from before the write was emitted, a challenger waits until it saw the same version unchanged for a whole lease, and lost answers are settled by reading. Fencing numbers derive from the platform's versions, so they survive a deletion of the object. While no node hears the platform, the holder and the successors that its record named act in turn, each with numbers of its own.

--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/lease/LeaseSystem.java
@@ -0,0 +1,583 @@
+package io.yuccaswitch.core.lease;
+
+import io.yuccaswitch.core.configuration.ConfigurationEvent;
+import io.yuccaswitch.core.configuration.FleetConfiguration;
+import io.yuccaswitch.core.configuration.LeaseSettings;
+import io.yuccaswitch.core.decision.Decision;
+import io.yuccaswitch.core.decision.DecisionSystem;
+import io.yuccaswitch.core.decision.EntityTable;
+import io.yuccaswitch.core.decision.Tick;
+import io.yuccaswitch.core.identity.NodeIdentity;
+import io.yuccaswitch.core.membership.Member;
+import io.yuccaswitch.core.membership.MemberCondition;
+import io.yuccaswitch.core.membership.MembershipView;
+import io.yuccaswitch.core.membership.RendezvousRanking;
+import io.yuccaswitch.core.peer.PeerEffect;
+import io.yuccaswitch.core.peer.PeerEvent;
+import io.yuccaswitch.core.platform.ObjectKey;
+import io.yuccaswitch.core.platform.PlatformEffect;
+import io.yuccaswitch.core.platform.PlatformEvent;
+import io.yuccaswitch.core.platform.PlatformNews;
+import io.yuccaswitch.core.platform.PlatformPurpose;
+import io.yuccaswitch.core.platform.PlatformTokens;
+import io.yuccaswitch.core.platform.StoredObject;
+import io.yuccaswitch.core.time.MonotonicTime;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.Function;
+
+/**
+ * Acquires, renews and releases leases on the platform. At most two nodes, picked by rendezvous hashing among those
+ * that work, try for a lease that they do not hold, such that the calls to the platform do not grow with the site.
+ */
+public final class LeaseSystem implements DecisionSystem, LeaseView {
+
+    /** The kind of the platform's objects that hold leases. */
+    public static final String KIND = "lease";
+
+    /** The number of calls that are made in the duration of a lease. */
+    private static final int CALLS_PER_DURATION = 3;
+
+    /** The number of times that a call is tried again in the pause between two calls after no answer came. */
+    private static final int RETRIES_PER_PAUSE = 4;
+
+    /** The kind of the decisions that this system makes. */
+    private static final String DECISION = "lease";
+
+    /** Computes which leases a configuration needs. */
+    private final Function<FleetConfiguration, Set<LeaseName>> required;
+
+    /** The members of the site. */
+    private final MembershipView members;
+
+    /** Hands out the tokens of calls. */
+    private final PlatformTokens tokens;
+
+    /** Decides who acts while the platform is silent. */
+    private final LeaseSuccession succession;
+
+    /** The leases. */
+    private final EntityTable<LeaseName, LeaseRow> rows = new EntityTable<>();
+
+    /** The settings in force, or empty before the first configuration. */
+    private Optional<LeaseSettings> settings = Optional.empty();
+
+    /** The number of the last write. */
+    private long lastAttempt;
+
+    /**
+     * Creates a new system.
+     *
+     * @param required Computes which leases a configuration needs.
+     * @param members The members of the site.
+     * @param tokens Hands out the tokens of calls.
+     * @param news What is known about the silence of the platform.
+     */
+    public LeaseSystem(
+            Function<FleetConfiguration, Set<LeaseName>> required,
+            MembershipView members,
+            PlatformTokens tokens,
+            PlatformNews news) {
+        this.required = required;
+        this.members = members;
+        this.tokens = tokens;
+        succession = new LeaseSuccession(members, news);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public Optional<HeldLease> held(LeaseName name, MonotonicTime now) {
+        Optional<HeldLease> byPlatform = rows.find(name)
+                .flatMap(LeaseRow::holding)
+                .map(holding ->
+                        new HeldLease(name, holding.fencingNumber(), holding.since(), holding.validUntil(), false))
+                .filter(lease -> now.isBefore(lease.validUntil()));
+        return byPlatform.or(() -> settings.flatMap(present -> succession.held(name, now, present)));
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void run(Tick tick) {
+        for (ConfigurationEvent.InForce event : tick.events(ConfigurationEvent.InForce.class)) {
+            configure(tick, event.configuration());
+        }
+        if (settings.isEmpty()) {
+            return;
+        }
+        succession.observe(tick, settings.get());
+        tick.events(PeerEvent.Received.class).forEach(event -> hear(tick, event));
+        tick.events(PlatformEvent.class).forEach(event -> answer(tick, event));
+        for (LeaseRow row : rows.rows()) {
+            rows.put(row.name(), advance(tick, row, settings.get()));
+        }
+    }
+
+    /**
+     * Takes a configuration into force.
+     *
+     * @param tick The tick.
+     * @param configuration The configuration.
+     */
+    private void configure(Tick tick, FleetConfiguration configuration) {
+        settings = Optional.of(configuration.lease());
+        Set<LeaseName> names = required.apply(configuration);
+        for (LeaseRow row : rows.rows()) {
+            if (!names.contains(row.name())) {
+                lose(tick, row, "the configuration no longer needs it");
+                succession.forget(row.name());
+                rows.remove(row.name());
+            }
+        }
+        for (LeaseName name : names) {
+            if (!rows.contains(name)) {
+                rows.put(name, LeaseRow.unknown(name, tick.now()));
+            }
+        }
+    }
+
+    /**
+     * Takes in a message of another node.
+     *
+     * @param tick The tick.
+     * @param event The arrival of the message.
+     */
+    private void hear(Tick tick, PeerEvent.Received event) {
+        if (event.message() instanceof LeaseMessage.Acting acting) {
+            LeaseName name = new LeaseName(acting.name());
+            if (rows.contains(name)) {
+                succession.hear(name, acting.fencingNumber());
+            }
+        }
+        if (event.message() instanceof LeaseMessage.Recorded recorded) {
+            ObjectKey key = new ObjectKey(KIND, recorded.name());
+            StoredObject object = new StoredObject(key, recorded.version(), recorded.record(), false);
+            rows.update(
+                    new LeaseName(recorded.name()),
+                    row -> isNews(row, recorded.version()) ? observe(tick, row, Optional.of(object)) : row);
+        }
+    }
+
+    /**
+     * Returns whether a version is newer than what the platform last showed.
+     *
+     * @param row The lease.
+     * @param version The version.
+     * @return {@code true} if the version is newer.
+     */
+    private static boolean isNews(LeaseRow row, long version) {
+        return row.observation()
+                .flatMap(seen -> seen.version().stream().boxed().findFirst())
+                .filter(seen -> seen >= version)
+                .isEmpty();
+    }
+
+    /**
+     * Takes in an answer of the platform.
+     *
+     * @param tick The tick.
+     * @param event The answer.
+     */
+    private void answer(Tick tick, PlatformEvent event) {
+        for (LeaseRow row : rows.rows()) {
+            if (row.call().filter(call -> call.token() == event.token()).isPresent()) {
+                rows.put(row.name(), answered(tick, row, row.call().get(), event));
+            }
+        }
+    }
+
+    /**
+     * Takes in the answer to a call about a lease.
+     *
+     * @param tick The tick.
+     * @param row The lease.
+     * @param call The call.
+     * @param event The answer.
+     * @return The changed lease.
+     */
+    private LeaseRow answered(Tick tick, LeaseRow row, LeaseRow.Call call, PlatformEvent event) {
+        LeaseRow done = row.withoutCall(tick.now().plus(pause()));
+        if (event instanceof PlatformEvent.Accepted accepted) {
+            LeaseRow.Attempt attempt = call.attempt().orElseThrow();
+            return written(tick, done, accepted.version(), attempt);
+        }
+        if (event instanceof PlatformEvent.Conflict conflict) {
+            return observe(tick, row.withoutCall(tick.now().plus(retryPause())), conflict.current());
+        }
+        if (event instanceof PlatformEvent.ObjectRead read) {
+            return observe(tick, done, read.object());
+        }
+        if (event instanceof PlatformEvent.Unavailable unavailable) {
+            LeaseRow retried = row.withoutCall(tick.now().plus(retryPause()));
+            return call.attempt()
+                    .filter(_attempt -> unavailable.maybeApplied())
+                    .map(retried::withUnsettled)
+                    .orElse(retried);
+        }
+        return done;
+    }
+
+    /**
+     * Takes in what the platform showed of a lease.
+     *
+     * @param tick The tick.
+     * @param row The lease.
+     * @param object The object, or empty if there is none.
+     * @return The changed lease.
+     */
+    private LeaseRow observe(Tick tick, LeaseRow row, Optional<StoredObject> object) {
+        Optional<StoredObject> present = object.filter(found -> !found.deleted());
+        OptionalLong version =
+                present.map(found -> OptionalLong.of(found.version())).orElseGet(OptionalLong::empty);
+        if (version.isPresent() && isOlder(row, version.getAsLong())) {
+            return row;
+        }
+        Optional<LeaseRecord> record = present.flatMap(found -> LeaseRecord.decode(found.value()));
+        MonotonicTime unchangedSince = row.observation()
+                .filter(before -> before.version().equals(version))
+                .filter(before -> tick.now().since(before.seenAt()).compareTo(duration(record)) < 0)
+                .map(LeaseRow.Observation::unchangedSince)
+                .orElseGet(tick::now);
+        LeaseRow seen = row.withObservation(new LeaseRow.Observation(version, record, unchangedSince, tick.now()));
+        Optional<LeaseRow.Attempt> applied = record.flatMap(known -> unsettledAttempt(row, known));
+        if (applied.isPresent()) {
+            return written(tick, seen, version.getAsLong(), applied.get());
+        }
+        boolean mine = record.filter(known -> known.isHeldBy(self())).isPresent();
+        return mine ? seen : lose(tick, seen, "the platform shows another holder or none");
+    }
+
+    /**
+     * Returns whether a version is older than what the platform showed before, as a lagging replica of it may show.
+     *
+     * @param row The lease.
+     * @param version The version.
+     * @return {@code true} if the version is older.
+     */
+    private static boolean isOlder(LeaseRow row, long version) {
+        return row.observation()
+                .filter(seen -> seen.version().isPresent() && seen.version().getAsLong() > version)
+                .isPresent();
+    }
+
+    /**
+     * Finds the write of this node that brought about a record.
+     *
+     * @param row The lease.
+     * @param record The record.
+     * @return The write, or empty if none that is unsettled did.
+     */
+    private static Optional<LeaseRow.Attempt> unsettledAttempt(LeaseRow row, LeaseRecord record) {
+        return row.unsettled().stream()
+                .filter(attempt -> attempt.written().equals(record))
+                .findFirst();
+    }
+
+    /**
+     * Takes in that a write of this node took effect.
+     *
+     * @param tick The tick.
+     * @param row The lease.
+     * @param version The version of the object after the write.
+     * @param attempt The write.
+     * @return The changed lease.
+     */
+    private LeaseRow written(Tick tick, LeaseRow row, long version, LeaseRow.Attempt attempt) {
+        LeaseRecord record = attempt.written();
+        LeaseRow seen = row.withObservation(
+                new LeaseRow.Observation(OptionalLong.of(version), Optional.of(record), tick.now(), tick.now()));
+        MonotonicTime validUntil = attempt.emittedAt().plus(record.duration()).plus(margin().negated());
+        if (record.holder().isEmpty() || !tick.now().isBefore(validUntil)) {
+            return seen;
+        }
+        long base = record.baseAt(version);
+        MonotonicTime since = row.holding().map(LeaseRow.Holding::since).orElseGet(tick::now);
+        LeaseRow.Holding holding = new LeaseRow.Holding(base, since, attempt.emittedAt(), validUntil);
+        if (row.holding().filter(before -> before.base() == base).isEmpty()) {
+            tick.raise(new LeaseEvent.Acquired(row.name(), holding.fencingNumber(), false));
+            tick.decide(Decision.of(DECISION, row.name().value(), self().toString(), "acquired on the platform"));
+        }
+        succession.forget(row.name());
+        inform(tick, row.name(), version, record);
+        return seen.withHolding(holding);
+    }
+
+    /**
+     * Tells the successors what the platform keeps about a lease, for the case that it falls silent.
+     *
+     * @param tick The tick.
+     * @param name The lease's name.
+     * @param version The platform's version of the record.
+     * @param record The record.
+     */
+    private static void inform(Tick tick, LeaseName name, long version, LeaseRecord record) {
+        for (NodeIdentity successor : record.successors()) {
+            LeaseMessage message = new LeaseMessage.Recorded(name.value(), version, record.encode());
+            tick.emit(new PeerEffect.Send(successor.name(), message));
+        }
+    }
+
+    /**
+     * Takes in that this node is not the holder.
+     *
+     * @param tick The tick.
+     * @param row The lease.
+     * @param reason The reason, for logs.
+     * @return The changed lease.
+     */
+    private static LeaseRow lose(Tick tick, LeaseRow row, String reason) {
+        if (row.holding().isEmpty()) {
+            return row;
+        }
+        long fencingNumber = row.holding().get().fencingNumber();
+        tick.raise(new LeaseEvent.Lost(row.name(), fencingNumber, reason));
+        tick.decide(Decision.of(DECISION, row.name().value(), Decision.NO_CHOICE, reason));
+        return row.withoutHolding();
+    }
+
+    /**
+     * Does what is due for a lease.
+     *
+     * @param tick The tick.
+     * @param row The lease.
+     * @param present The settings of leases.
+     * @return The changed lease.
+     */
+    private LeaseRow advance(Tick tick, LeaseRow row, LeaseSettings present) {
+        LeaseRow current = row.withoutExpiredAttempts(tick.now());
+        boolean expired = current.holding()
+                .filter(holding -> !tick.now().isBefore(holding.validUntil()))
+                .isPresent();
+        if (expired) {
+            current = lose(tick, current, "not renewed in time");
+        }
+        if (current.holding().isEmpty() && !isLeaving()) {
+            succession.advance(tick, current, present);
+        }
+        if (isLeaving() && current.holding().isPresent()) {
+            current = lose(tick, current, "released at a planned stop").withNextCallAt(tick.now());
+        }
+        if (current.call().isPresent() || tick.now().isBefore(current.nextCallAt())) {
+            return current;
+        }
+        return isLeaving() ? release(tick, current) : call(tick, current, present);
+    }
+
+    /**
+     * Makes the call that is due for a lease.
+     *
+     * @param tick The tick.
+     * @param row The lease, about which no call is in flight.
+     * @param present The settings of leases.
+     * @return The changed lease.
+     */
+    private LeaseRow call(Tick tick, LeaseRow row, LeaseSettings present) {
+        if (row.doubtful()) {
+            return read(tick, row);
+        }
+        if (row.holding().isPresent()) {
+            return renew(tick, row, row.holding().get());
+        }
+        boolean mine = row.record().filter(record -> record.isHeldBy(self())).isPresent();
+        if (mine || succession.actedLately(row.name(), tick.now(), present)) {
+            return acquire(tick, row);
+        }
+        if (!candidates(row.name()).contains(self())) {
+            return row.withoutCall(tick.now().plus(pause()));
+        }
+        boolean takeable =
+                row.observation().filter(seen -> isTakeable(seen, tick.now())).isPresent();
+        return takeable ? acquire(tick, row) : read(tick, row);
+    }
+
+    /**
+     * Returns whether a lease may be taken: nobody holds it, or its holder did not renew it while this node kept
+     * looking.
+     *
+     * @param seen What the platform showed.
+     * @param now The current time.
+     * @return {@code true} if the lease may be taken.
+     */
+    private boolean isTakeable(LeaseRow.Observation seen, MonotonicTime now) {
+        Duration duration = duration(seen.record());
+        if (now.since(seen.seenAt()).compareTo(duration) >= 0) {
+            return false;
+        }
+        return seen.isFree() || now.since(seen.unchangedSince()).compareTo(duration.plus(margin())) >= 0;
+    }
+
+    /**
+     * Renews a lease, under a new fencing number if its successors have to be named anew.
+     *
+     * @param tick The tick.
+     * @param row The lease.
+     * @param holding What makes this node the holder.
+     * @return The changed lease.
+     */
+    private LeaseRow renew(Tick tick, LeaseRow row, LeaseRow.Holding holding) {
+        MonotonicTime due = holding.renewAt(duration(row.record()), CALLS_PER_DURATION);
+        if (tick.now().isBefore(due)) {
+            return row.withoutCall(due);
+        }
+        List<NodeIdentity> named = row.record().map(LeaseRecord::successors).orElseGet(List::of);
+        List<NodeIdentity> successors = successors(row.name());
+        long base = named.equals(successors) ? holding.base() : 0;
+        return write(tick, row, Optional.of(self()), base, successors);
+    }
+
+    /**
+     * Acquires a lease under a new fencing number.
+     *
+     * @param tick The tick.
+     * @param row The lease.
+     * @return The changed lease.
+     */
+    private LeaseRow acquire(Tick tick, LeaseRow row) {
+        return write(tick, row, Optional.of(self()), 0, successors(row.name()));
+    }
+
+    /**
+     * Releases a lease if the platform shows that this node holds it.
+     *
+     * @param tick The tick.
+     * @param row The lease.
+     * @return The changed lease.
+     */
+    private LeaseRow release(Tick tick, LeaseRow row) {
+        if (row.doubtful()) {
+            return read(tick, row);
+        }
+        boolean mine = row.record().filter(record -> record.isHeldBy(self())).isPresent();
+        return mine ? write(tick, row, Optional.empty(), 0, List.of()) : row;
+    }
+
+    /**
+     * Reads a lease.
+     *
+     * @param tick The tick.
+     * @param row The lease.
+     * @return The changed lease.
+     */
+    private LeaseRow read(Tick tick, LeaseRow row) {
+        long token = tokens.next();
+        tick.emit(new PlatformEffect.Read(token, PlatformPurpose.LEASE, key(row)));
+        return row.withCall(new LeaseRow.Call(token, Optional.empty()));
+    }
+
+    /**
+     * Writes a lease if the platform still shows what it last showed.
+     *
+     * @param tick The tick.
+     * @param row The lease.
+     * @param holder The holder, or empty to release the lease.
+     * @param base The base of the fencing number, or zero for a new one.
+     * @param successors The successors of the holder.
+     * @return The changed lease.
+     */
+    private LeaseRow write(
+            Tick tick, LeaseRow row, Optional<NodeIdentity> holder, long base, List<NodeIdentity> successors) {
+        Duration duration = settings.orElseThrow().duration();
+        LeaseRecord record = new LeaseRecord(holder, base, ++lastAttempt, duration, successors);
+        OptionalLong expected =
+                row.observation().map(LeaseRow.Observation::version).orElseGet(OptionalLong::empty);
+        long token = tokens.next();
+        tick.emit(new PlatformEffect.Write(token, PlatformPurpose.LEASE, key(row), expected, record.encode()));
+        LeaseRow.Attempt attempt = new LeaseRow.Attempt(tick.now(), record);
+        return row.withCall(new LeaseRow.Call(token, Optional.of(attempt)));
+    }
+
+    /**
+     * Returns the nodes that may try for a lease.
+     *
+     * @param name The lease's name.
+     * @return At most two nodes.
+     */
+    private List<NodeIdentity> candidates(LeaseName name) {
+        return RendezvousRanking.pair(KIND + '/' + name, members.working()).stream()
+                .map(Member::identity)
+                .toList();
+    }
+
+    /**
+     * Returns the nodes that act in turn after this one while the platform is silent.
+     *
+     * @param name The lease's name.
+     * @return At most two nodes.
+     */
+    private List<NodeIdentity> successors(LeaseName name) {
+        List<Member> others = members.working().stream()
+                .filter(member -> !member.identity().equals(self()))
+                .toList();
+        return RendezvousRanking.pair(KIND + '/' + name, others).stream()
+                .map(Member::identity)
+                .toList();
+    }
+
+    /**
+     * Returns the key of a lease's object.
+     *
+     * @param row The lease.
+     * @return The key.
+     */
+    private static ObjectKey key(LeaseRow row) {
+        return new ObjectKey(KIND, row.name().value());
+    }
+
+    /**
+     * Returns the duration of a lease as its record says, or as the configuration says where there is no record.
+     *
+     * @param record The record.
+     * @return The duration.
+     */
+    private Duration duration(Optional<LeaseRecord> record) {
+        return record.map(LeaseRecord::duration)
+                .orElseGet(() -> settings.orElseThrow().duration());
+    }
+
+    /**
+     * Returns the pause between two calls about a lease.
+     *
+     * @return The pause.
+     */
+    private Duration pause() {
+        return settings.orElseThrow().duration().dividedBy(CALLS_PER_DURATION);
+    }
+
+    /**
+     * Returns the pause before a call is tried again.
+     *
+     * @return The pause.
+     */
+    private Duration retryPause() {
+        return pause().dividedBy(RETRIES_PER_PAUSE);
+    }
+
+    /**
+     * Returns the safety margin.
+     *
+     * @return The safety margin.
+     */
+    private Duration margin() {
+        return settings.orElseThrow().safetyMargin();
+    }
+
+    /**
+     * Returns this node's identity.
+     *
+     * @return This node's identity.
+     */
+    private NodeIdentity self() {
+        return members.self().identity();
+    }
+
+    /**
+     * Returns whether this node is about to stop.
+     *
+     * @return {@code true} if this node is about to stop.
+     */
+    private boolean isLeaving() {
+        return members.self().condition() == MemberCondition.LEAVING;
+    }
+}
