Judge the promises from the records of callers, trainers and endpoints, and offer open-loop load

Cause: the promises were to be judged by something that trusts nothing the system says, and load was to be offered without coordinated omission by a caller that keeps to the interface of the entry addresses. Change: PromiseChecker with one small class for each promise; CallerClient (validity of addresses, prefixes of ids, the same id through another node after a timeout), OpenLoop and the load subcommand. Conclusion: unit tests show for each promise that a breach in the records is seen.

--- a/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/TestkitCommands.java
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/TestkitCommands.java
@@ -1,5 +1,6 @@
 package io.yuccaswitch.testkit;
 
+import io.yuccaswitch.testkit.load.LoadCommand;
 import java.util.List;
 
 /** The registry of the testkit's subcommands. */
@@ -14,6 +15,6 @@
      * @return The subcommands.
      */
     static List<TestkitCommand> all() {
-        return List.of();
+        return List.of(new LoadCommand());
     }
 }
--- /dev/null
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/check/ConfigurationPromise.java
@@ -0,0 +1,73 @@
+package io.yuccaswitch.testkit.check;
+
+import io.yuccaswitch.testkit.check.Observation.ConfigurationAccepted;
+import io.yuccaswitch.testkit.check.Observation.ConfigurationRead;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.List;
+
+/** The promises to operators. */
+public interface ConfigurationPromise extends Promise {
+
+    /** No node goes back to an older generation of the configuration. */
+    final class NeverReverts implements ConfigurationPromise {
+
+        /** {@inheritDoc} */
+        @Override
+        public Verdict judge(Observations observations) {
+            BreachCollector collector = new BreachCollector("no node goes back to an older configuration");
+            observations
+                    .by(ConfigurationRead.class, ConfigurationRead::node)
+                    .forEach((node, reads) -> judge(collector, node, reads));
+            return collector.verdict();
+        }
+
+        /**
+         * Judges the reads at one node. A read must not fall behind one that was answered before it was asked.
+         *
+         * @param collector The collector of breaches.
+         * @param node The name of the node.
+         * @param reads The reads at the node.
+         */
+        private static void judge(BreachCollector collector, String node, List<ConfigurationRead> reads) {
+            List<ConfigurationRead> ordered = reads.stream()
+                    .sorted(Comparator.comparingLong(ConfigurationRead::askedAt))
+                    .toList();
+            for (ConfigurationRead read : ordered) {
+                long highest = ordered.stream()
+                        .filter(earlier -> earlier.answeredAt() < read.askedAt())
+                        .mapToLong(ConfigurationRead::generation)
+                        .max()
+                        .orElse(0);
+                collector.judge(
+                        read.generation() >= highest,
+                        node + " went from generation " + highest + " to " + read.generation());
+            }
+        }
+    }
+
+    /**
+     * An accepted configuration is in force on every node that answers within seconds.
+     *
+     * @param bound The time after which no node may still name an older generation.
+     */
+    record InForceSoon(Duration bound) implements ConfigurationPromise {
+
+        /** {@inheritDoc} */
+        @Override
+        public Verdict judge(Observations observations) {
+            BreachCollector collector = new BreachCollector("an accepted configuration is in force within " + bound);
+            List<ConfigurationRead> reads = observations.of(ConfigurationRead.class);
+            for (ConfigurationAccepted accepted : observations.of(ConfigurationAccepted.class)) {
+                reads.stream()
+                        .filter(read -> read.askedAt() > accepted.acceptedAt() + bound.toMillis())
+                        .forEach(read -> collector.judge(
+                                read.generation() >= accepted.generation(),
+                                read.node() + " named generation " + read.generation() + " after "
+                                        + (read.askedAt() - accepted.acceptedAt()) + " ms of "
+                                        + accepted.generation()));
+            }
+            return collector.verdict();
+        }
+    }
+}
--- /dev/null
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/check/Observation.java
@@ -0,0 +1,194 @@
+package io.yuccaswitch.testkit.check;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.util.List;
+
+/**
+ * Something that a party outside the system recorded. All times are milliseconds since the epoch, taken on one machine.
+ */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "observation")
+@JsonSubTypes({
+    @JsonSubTypes.Type(value = Observation.CallerAttempt.class, name = "caller-attempt"),
+    @JsonSubTypes.Type(value = Observation.EndpointRun.class, name = "endpoint-run"),
+    @JsonSubTypes.Type(value = Observation.EndpointLeft.class, name = "endpoint-left"),
+    @JsonSubTypes.Type(value = Observation.GroupAccepted.class, name = "group-accepted"),
+    @JsonSubTypes.Type(value = Observation.SampleReceived.class, name = "sample-received"),
+    @JsonSubTypes.Type(value = Observation.ConfigurationAccepted.class, name = "configuration-accepted"),
+    @JsonSubTypes.Type(value = Observation.ConfigurationRead.class, name = "configuration-read"),
+    @JsonSubTypes.Type(value = Observation.PlannedStop.class, name = "planned-stop"),
+    @JsonSubTypes.Type(value = Observation.NodeCrash.class, name = "node-crash")
+})
+public sealed interface Observation {
+
+    /** How an attempt of a caller ended, as the caller saw it. */
+    enum AttemptEnd {
+        /** A whole answer of an endpoint came. */
+        ANSWERED,
+        /** The system said that the request did not run. */
+        NOT_RUN,
+        /** The system said that the request ran, may have run, or that it can't tell. */
+        MAY_HAVE_RUN,
+        /** The connection could not be made. */
+        NOT_CONNECTED,
+        /** The connection was lost, or the answer ended before its end. */
+        CUT,
+        /** The caller gave up waiting. */
+        TIMED_OUT
+    }
+
+    /**
+     * One attempt of a caller at a request; attempts at the same request bear the same identifier.
+     *
+     * @param requestId The identifier of the request.
+     * @param node The name of the node that the caller connected to.
+     * @param idempotent Whether the caller marked the request as idempotent.
+     * @param sentAt The time at which the caller began to send.
+     * @param endedAt The time at which the attempt ended.
+     * @param end How the attempt ended.
+     * @param own Whether an answer that came is the answer to this request.
+     * @param whole Whether an answer that came is whole.
+     * @param detail The status or error, for reading.
+     */
+    record CallerAttempt(
+            String requestId,
+            String node,
+            boolean idempotent,
+            long sentAt,
+            long endedAt,
+            AttemptEnd end,
+            boolean own,
+            boolean whole,
+            String detail)
+            implements Observation {}
+
+    /**
+     * One run of a request at an endpoint.
+     *
+     * @param endpoint The name or address of the endpoint.
+     * @param requestId The identifier that the request bore.
+     * @param startedAt The time at which the endpoint took the request in.
+     * @param completed Whether the endpoint came to the end of the run.
+     * @param generated The tokens that an engine generated, with the versions that truly produced them, or empty.
+     */
+    record EndpointRun(String endpoint, String requestId, long startedAt, boolean completed, List<Segment> generated)
+            implements Observation {
+
+        /**
+         * Copies the segments.
+         *
+         * @param endpoint The name or address of the endpoint.
+         * @param requestId The identifier that the request bore.
+         * @param startedAt The time at which the endpoint took the request in.
+         * @param completed Whether the endpoint came to the end of the run.
+         * @param generated The tokens that an engine generated, or {@code null}.
+         */
+        public EndpointRun {
+            generated = generated == null ? List.of() : List.copyOf(generated);
+        }
+    }
+
+    /**
+     * An endpoint said that it is leaving.
+     *
+     * @param endpoint The name or address of the endpoint.
+     * @param leftAt The time at which it first said so.
+     */
+    record EndpointLeft(String endpoint, long leftAt) implements Observation {}
+
+    /**
+     * The system accepted a group of a trainer.
+     *
+     * @param slot The group's place, with index zero.
+     * @param size The number of samples of the group.
+     */
+    record GroupAccepted(Slot slot, int size) implements Observation {}
+
+    /**
+     * A trainer took in a sample.
+     *
+     * @param slot The sample's place.
+     * @param useVersion The version at which the trainer said it would use the sample.
+     * @param segments The versions that the system says produced the sample.
+     * @param text The sample's text.
+     */
+    record SampleReceived(Slot slot, long useVersion, List<Segment> segments, String text) implements Observation {
+
+        /**
+         * Copies the segments.
+         *
+         * @param slot The sample's place.
+         * @param useVersion The version at which the sample is used.
+         * @param segments The versions that the sample is labelled with.
+         * @param text The sample's text.
+         */
+        public SampleReceived {
+            segments = List.copyOf(segments);
+        }
+    }
+
+    /**
+     * An operator was told that a configuration is accepted.
+     *
+     * @param generation The generation.
+     * @param acceptedAt The time at which the operator was told.
+     */
+    record ConfigurationAccepted(long generation, long acceptedAt) implements Observation {}
+
+    /**
+     * A reader asked a node which generation of the configuration is in force.
+     *
+     * @param node The name of the node.
+     * @param generation The generation that the node named.
+     * @param askedAt The time at which the reader asked.
+     * @param answeredAt The time at which the answer was there.
+     */
+    record ConfigurationRead(String node, long generation, long askedAt, long answeredAt) implements Observation {}
+
+    /**
+     * A node was told to stop gracefully.
+     *
+     * @param node The name of the node.
+     * @param from The time just before it was told.
+     * @param until The time at which its process had ended.
+     */
+    record PlannedStop(String node, long from, long until) implements Observation {}
+
+    /**
+     * A node's process was killed or cut off, such that callers may lose connections to it.
+     *
+     * @param node The name of the node.
+     * @param from The time just before the fault.
+     * @param until The time at which the fault had ended.
+     */
+    record NodeCrash(String node, long from, long until) implements Observation {}
+
+    /**
+     * The place of a sample.
+     *
+     * @param trainer The name of the trainer.
+     * @param step The step of the trainer.
+     * @param group The group in the step.
+     * @param index The sample in the group.
+     */
+    record Slot(String trainer, long step, long group, int index) {
+
+        /**
+         * Returns the place of another sample of this group.
+         *
+         * @param other The other sample's index.
+         * @return The other sample's place.
+         */
+        public Slot withIndex(int other) {
+            return new Slot(trainer, step, group, other);
+        }
+    }
+
+    /**
+     * A run of tokens that one weight version produced.
+     *
+     * @param version The version.
+     * @param tokens The number of tokens.
+     */
+    record Segment(long version, int tokens) {}
+}
--- /dev/null
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/check/ObservationLog.java
@@ -0,0 +1,74 @@
+package io.yuccaswitch.testkit.check;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.BufferedWriter;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A file of observations, one JSON document on each line. */
+public final class ObservationLog implements AutoCloseable {
+
+    /** The mapper of observations. */
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    /** The writer of the file. */
+    private final BufferedWriter writer;
+
+    /**
+     * Creates a new file, or empties an old one.
+     *
+     * @param file The file.
+     */
+    public ObservationLog(Path file) {
+        try {
+            writer = Files.newBufferedWriter(file, StandardCharsets.UTF_8);
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+
+    /**
+     * Appends an observation.
+     *
+     * @param observation The observation.
+     */
+    public synchronized void write(Observation observation) {
+        try {
+            writer.write(MAPPER.writeValueAsString(observation));
+            writer.write('\n');
+            writer.flush();
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public synchronized void close() {
+        try {
+            writer.close();
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+
+    /**
+     * Reads a file of observations.
+     *
+     * @param file The file.
+     * @return The observations.
+     * @throws IOException If the file can't be read.
+     */
+    public static List<Observation> read(Path file) throws IOException {
+        List<Observation> observations = new ArrayList<>();
+        for (String line : Files.readAllLines(file, StandardCharsets.UTF_8)) {
+            observations.add(MAPPER.readValue(line, Observation.class));
+        }
+        return observations;
+    }
+}
--- /dev/null
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/load/AnswerReader.java
@@ -0,0 +1,186 @@
+package io.yuccaswitch.testkit.load;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import io.yuccaswitch.testkit.check.Observation.AttemptEnd;
+import java.io.IOException;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import okhttp3.Response;
+import okio.BufferedSource;
+
+/** Reads answers, and judges whether they are whole and belong to their requests. */
+final class AnswerReader {
+
+    /** The mapper of answers. */
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    /** The token of a stand-in's text. */
+    private static final Pattern TOKEN = Pattern.compile("t(\\d+)v\\d+");
+
+    /** The prefix of a server-sent event. */
+    private static final String EVENT_PREFIX = "data:";
+
+    /** The event that ends a stream. */
+    private static final String DONE = "[DONE]";
+
+    /** This class has no instances. */
+    private AnswerReader() {}
+
+    /**
+     * Reads an answer.
+     *
+     * @param kind The kind of the request.
+     * @param id The identifier of the request.
+     * @param response The answer.
+     * @return What the answer says.
+     * @throws IOException If the answer ends before its end.
+     */
+    static Reading read(LoadMix.Kind kind, String id, Response response) throws IOException {
+        boolean own = id.equals(response.header("X-Request-Id"));
+        String contentType = response.header("Content-Type", "");
+        if (response.isSuccessful() && contentType.startsWith("text/event-stream")) {
+            return readStream(own, response.body().source());
+        }
+        String text = response.body().string();
+        JsonNode body = decode(text);
+        JsonNode ran = body.path("error").path("ran");
+        if (!response.isSuccessful() && ran.isTextual()) {
+            AttemptEnd end = ran.asText().equals("no") ? AttemptEnd.NOT_RUN : AttemptEnd.MAY_HAVE_RUN;
+            return new Reading(end, own, true, response.code() + " " + text);
+        }
+        boolean whole = kind.target() == LoadMix.Target.SERVICE
+                ? !body.isMissingNode() && echoes(body, id)
+                : wholeCompletion(body);
+        return new Reading(AttemptEnd.ANSWERED, own, whole, response.code() + " " + text);
+    }
+
+    /**
+     * Reads a stream of server-sent events.
+     *
+     * @param own Whether the header of the answer names the request.
+     * @param source The stream.
+     * @return What the answer says.
+     * @throws IOException If the stream ends before its end.
+     */
+    private static Reading readStream(boolean own, BufferedSource source) throws IOException {
+        StringBuilder text = new StringBuilder();
+        String finish = "";
+        while (true) {
+            String line = source.readUtf8Line();
+            if (line == null) {
+                return new Reading(AttemptEnd.CUT, own, false, "stream ended without its last event");
+            }
+            if (!line.startsWith(EVENT_PREFIX)) {
+                continue;
+            }
+            String data = line.substring(EVENT_PREFIX.length()).strip();
+            if (data.equals(DONE)) {
+                boolean whole = inOrder(text.toString()) > 0 && !finish.isEmpty();
+                return new Reading(AttemptEnd.ANSWERED, own, whole, text.toString());
+            }
+            JsonNode event = decode(data);
+            if (event.has("error")) {
+                return new Reading(AttemptEnd.CUT, own, false, data);
+            }
+            text.append(event.path("choices").path(0).path("text").asText(""));
+            finish = event.path("choices").path(0).path("finish_reason").asText(finish);
+        }
+    }
+
+    /**
+     * Returns whether the answer of a plain service does not name another request than this one.
+     *
+     * @param body The answer.
+     * @param id The identifier of the request.
+     * @return {@code true} if the answer names this request or none.
+     */
+    private static boolean echoes(JsonNode body, String id) {
+        return body.path("requestId").asText(id).equals(id);
+    }
+
+    /**
+     * Returns whether a completion holds all tokens that it says it holds.
+     *
+     * @param body The answer.
+     * @return {@code true} if the completion is whole.
+     */
+    private static boolean wholeCompletion(JsonNode body) {
+        JsonNode choice = body.path("choices").path(0);
+        int tokens = inOrder(choice.path("text").asText(""));
+        return tokens > 0
+                && tokens == body.path("usage").path("completion_tokens").asInt(tokens)
+                && !choice.path("finish_reason").asText("").isEmpty();
+    }
+
+    /**
+     * Counts the tokens of a text.
+     *
+     * @param text The text.
+     * @return The number of tokens, or minus one if one is missing, repeated or out of order.
+     */
+    private static int inOrder(String text) {
+        int index = 0;
+        Matcher matcher = TOKEN.matcher(text);
+        while (matcher.find()) {
+            if (Integer.parseInt(matcher.group(1)) != index) {
+                return -1;
+            }
+            index++;
+        }
+        return index;
+    }
+
+    /**
+     * Decodes a JSON document.
+     *
+     * @param text The document.
+     * @return The document, or a missing node if it can't be understood.
+     */
+    private static JsonNode decode(String text) {
+        try {
+            return MAPPER.readTree(text);
+        } catch (JsonProcessingException _exception) {
+            return MissingNode.getInstance();
+        }
+    }
+
+    /**
+     * What an answer says.
+     *
+     * @param end How the attempt ended.
+     * @param own Whether the answer belongs to the request.
+     * @param whole Whether the answer is whole.
+     * @param detail The answer or error, for reading.
+     */
+    record Reading(AttemptEnd end, boolean own, boolean whole, String detail) {
+
+        /** The number of characters of the detail that are kept. */
+        private static final int KEPT_CHARACTERS = 300;
+
+        /**
+         * Cuts the detail.
+         *
+         * @param end How the attempt ended.
+         * @param own Whether the answer belongs to the request.
+         * @param whole Whether the answer is whole.
+         * @param detail The answer or error, for reading.
+         */
+        Reading {
+            detail = detail.length() > KEPT_CHARACTERS ? detail.substring(0, KEPT_CHARACTERS) : detail;
+        }
+
+        /**
+         * Creates the reading of an attempt without an answer.
+         *
+         * @param end How the attempt ended.
+         * @param exception The error.
+         * @return The reading.
+         */
+        static Reading none(AttemptEnd end, IOException exception) {
+            return new Reading(end, false, false, exception.toString());
+        }
+    }
+}
--- /dev/null
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/load/LoadCommand.java
@@ -0,0 +1,106 @@
+package io.yuccaswitch.testkit.load;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import io.yuccaswitch.testkit.TestkitCommand;
+import io.yuccaswitch.testkit.check.Observation;
+import io.yuccaswitch.testkit.check.ObservationLog;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.function.Consumer;
+
+/** Offers load to the entry addresses and reports what became of it. */
+@Parameters(commandDescription = "Offer open-loop load to the entry addresses and report latencies")
+public final class LoadCommand implements TestkitCommand {
+
+    /** The entry addresses to ask first. */
+    @Parameter(names = "--entry", required = true, description = "Entry addresses as host:port, several with commas")
+    private List<String> entryAddresses = new ArrayList<>();
+
+    /** The file of the mix. */
+    @Parameter(names = "--mix", required = true, description = "File of the kinds of requests, JSON with comments")
+    private Path mix;
+
+    /** The rate of requests. */
+    @Parameter(names = "--rate", description = "Requests per second")
+    private double rate = 50;
+
+    /** The length of the load. */
+    @Parameter(names = "--seconds", description = "Length of the load in seconds")
+    private int seconds = 10;
+
+    /** The seed of the arrivals and the mix. */
+    @Parameter(names = "--seed", description = "Seed of the arrivals and the mix")
+    private long seed = 1;
+
+    /** The largest number of requests in flight. */
+    @Parameter(names = "--maximum-in-flight", description = "Largest number of requests in flight")
+    private int maximumInFlight = 1_000;
+
+    /** The availability zone of the caller. */
+    @Parameter(names = "--availability-zone", description = "Availability zone of the caller")
+    private String availabilityZone = "";
+
+    /** The bearer token of the caller. */
+    @Parameter(names = "--token", description = "Bearer token of the caller")
+    private String token;
+
+    /** The file that takes the record of each attempt. */
+    @Parameter(names = "--records", description = "File for the record of each attempt, one JSON document a line")
+    private Path records;
+
+    /** The file that takes the report. */
+    @Parameter(names = "--report", description = "File for the report; standard output if not given")
+    private Path report;
+
+    /** {@inheritDoc} */
+    @Override
+    public String name() {
+        return "load";
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void run() throws IOException {
+        OpenLoop loop = new OpenLoop(LoadMix.read(mix), rate, Duration.ofSeconds(seconds), seed, maximumInFlight);
+        if (records == null) {
+            offer(loop, _attempt -> {});
+            return;
+        }
+        try (ObservationLog log = new ObservationLog(records)) {
+            offer(loop, log::write);
+        }
+    }
+
+    /**
+     * Offers the load and writes the report.
+     *
+     * @param loop The load.
+     * @param recorder Takes the record of each attempt.
+     * @throws IOException If the report can't be written.
+     */
+    private void offer(OpenLoop loop, Consumer<Observation> recorder) throws IOException {
+        CallerClient caller = CallerClients.create(
+                entryAddresses,
+                availabilityZone,
+                Optional.ofNullable(token),
+                "load-" + UUID.randomUUID(),
+                recorder::accept);
+        LoadReport result = loop.run(caller::call, () -> false);
+        String text =
+                new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT).writeValueAsString(result);
+        if (report == null) {
+            System.out.println(text);
+        } else {
+            Files.writeString(report, text);
+        }
+    }
+}
