--- a/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/TestkitCommands.java
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/TestkitCommands.java
@@ -1,5 +1,9 @@
 package io.yuccaswitch.testkit;
 
+import io.yuccaswitch.testkit.engine.EngineCommand;
+import io.yuccaswitch.testkit.scorer.ScorerCommand;
+import io.yuccaswitch.testkit.service.ServiceCommand;
+import io.yuccaswitch.testkit.weightstore.WeightStoreCommand;
 import io.yuccaswitch.testkit.load.LoadCommand;
 import java.util.List;
 
@@ -15,6 +19,6 @@
      * @return The subcommands.
      */
     static List<TestkitCommand> all() {
-        return List.of(new LoadCommand());
+        return List.of(new EngineCommand(), new ServiceCommand(), new ScorerCommand(), new WeightStoreCommand(), new LoadCommand());
     }
 }
