--- a/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/TestkitCommands.java
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/TestkitCommands.java
@@ -1,10 +1,12 @@
 package io.yuccaswitch.testkit;
 
+import io.yuccaswitch.testkit.check.CheckCommand;
 import io.yuccaswitch.testkit.engine.EngineCommand;
+import io.yuccaswitch.testkit.load.LoadCommand;
+import io.yuccaswitch.testkit.platform.PlatformCommand;
 import io.yuccaswitch.testkit.scorer.ScorerCommand;
 import io.yuccaswitch.testkit.service.ServiceCommand;
 import io.yuccaswitch.testkit.weightstore.WeightStoreCommand;
-import io.yuccaswitch.testkit.load.LoadCommand;
 import java.util.List;
 
 /** The registry of the testkit's subcommands. */
@@ -19,6 +21,13 @@
      * @return The subcommands.
      */
     static List<TestkitCommand> all() {
-        return List.of(new EngineCommand(), new ServiceCommand(), new ScorerCommand(), new WeightStoreCommand(), new LoadCommand());
+        return List.of(
+                new PlatformCommand(),
+                new EngineCommand(),
+                new ServiceCommand(),
+                new ScorerCommand(),
+                new WeightStoreCommand(),
+                new LoadCommand(),
+                new CheckCommand());
     }
 }
--- a/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/check/Observation.java
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/check/Observation.java
@@ -63,21 +63,23 @@
             implements Observation {}
 
     /**
-     * One run of a request at an endpoint.
+     * One run of a request at an endpoint. A later observation of the same run replaces an earlier one.
      *
      * @param endpoint The name or address of the endpoint.
+     * @param run What tells the run from all others.
      * @param requestId The identifier that the request bore.
      * @param startedAt The time at which the endpoint took the request in.
      * @param completed Whether the endpoint came to the end of the run.
      * @param generated The tokens that an engine generated, with the versions that truly produced them, or empty.
      */
-    record EndpointRun(String endpoint, String requestId, long startedAt, boolean completed, List<Segment> generated)
+    record EndpointRun(String endpoint, String run, String requestId, long startedAt, boolean completed, List<Segment> generated)
             implements Observation {
 
         /**
          * Copies the segments.
          *
          * @param endpoint The name or address of the endpoint.
+         * @param run What tells the run from all others.
          * @param requestId The identifier that the request bore.
          * @param startedAt The time at which the endpoint took the request in.
          * @param completed Whether the endpoint came to the end of the run.
--- a/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/check/Observations.java
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/check/Observations.java
@@ -1,6 +1,7 @@
 package io.yuccaswitch.testkit.check;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
@@ -13,9 +14,19 @@
  */
 public record Observations(List<Observation> all) {
 
-    /** Copies the observations. */
+    /** Keeps the last observation of each run, and all others. */
     public Observations {
-        all = List.copyOf(all);
+        Map<String, Observation> runs = new LinkedHashMap<>();
+        List<Observation> kept = new ArrayList<>();
+        for (Observation observation : all) {
+            if (observation instanceof Observation.EndpointRun run) {
+                runs.put(run.endpoint() + " " + run.run(), run);
+            } else {
+                kept.add(observation);
+            }
+        }
+        kept.addAll(runs.values());
+        all = List.copyOf(kept);
     }
 
     /**
--- a/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/engine/EngineOptions.java
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/engine/EngineOptions.java
@@ -78,4 +78,12 @@
     /** The time that a swap of weights takes after loading. */
     @Parameter(names = "--swap-millis", description = "The time of a swap after loading.")
     public long swapMillis = 20;
+
+    /** The name of the endpoint in its observations. */
+    @Parameter(names = "--name", description = "The name of the endpoint in its observations.")
+    public String name = "";
+
+    /** The file that takes the observations of runs. */
+    @Parameter(names = "--observations", description = "The file that takes the observations of runs.")
+    public String observations = "";
 }
--- a/yuccaswitch-testkit/src/test/java/io/yuccaswitch/testkit/check/PromiseCheckerTest.java
+++ b/yuccaswitch-testkit/src/test/java/io/yuccaswitch/testkit/check/PromiseCheckerTest.java
@@ -36,7 +36,7 @@
             new PlannedStop("vm-1", 150, 400),
             new GroupAccepted(SLOT, 1),
             new SampleReceived(SLOT, 4, List.of(new Segment(3, 2), new Segment(4, 1)), "t0v3 t1v3 t2v4 "),
-            new EndpointRun("engine-1", "s", 100, true, List.of(new Segment(3, 2), new Segment(4, 1))),
+            new EndpointRun("engine-1", "1", "s", 100, true, List.of(new Segment(3, 2), new Segment(4, 1))),
             new ConfigurationAccepted(2, 1_000),
             new ConfigurationRead("vm-1", 1, 900, 910),
             new ConfigurationRead("vm-1", 2, 1_100, 1_110),
@@ -193,6 +193,6 @@
     }
 
     private static EndpointRun run(String endpoint, String id, long startedAt) {
-        return new EndpointRun(endpoint, id, startedAt, true, List.of());
+        return new EndpointRun(endpoint, endpoint + startedAt, id, startedAt, true, List.of());
     }
 }
