--- a/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/TestkitCommands.java
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/TestkitCommands.java
@@ -1,7 +1,9 @@
 package io.yuccaswitch.testkit;
 
-import io.yuccaswitch.testkit.platform.PlatformCommand;
+import io.yuccaswitch.testkit.check.CheckCommand;
 import io.yuccaswitch.testkit.engine.EngineCommand;
+import io.yuccaswitch.testkit.load.LoadCommand;
+import io.yuccaswitch.testkit.platform.PlatformCommand;
 import io.yuccaswitch.testkit.scorer.ScorerCommand;
 import io.yuccaswitch.testkit.service.ServiceCommand;
 import io.yuccaswitch.testkit.weightstore.WeightStoreCommand;
@@ -20,10 +22,12 @@
      */
     static List<TestkitCommand> all() {
         return List.of(
-                new PlatformCommand(),
+                new CheckCommand(),
                 new EngineCommand(),
-                new ServiceCommand(),
+                new LoadCommand(),
+                new PlatformCommand(),
                 new ScorerCommand(),
+                new ServiceCommand(),
                 new WeightStoreCommand());
     }
 }
--- a/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/service/ServiceOptions.java
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/service/ServiceOptions.java
@@ -20,4 +20,12 @@
     /** Whether the service can say what became of a request. */
     @Parameter(names = "--settles-requests", description = "Answer GET /requests/{id}.")
     public boolean settlesRequests;
+
+    /** The name of the endpoint in its observations. */
+    @Parameter(names = "--name", description = "The name of the endpoint in its observations.")
+    public String name = "";
+
+    /** The file that takes the observations of runs. */
+    @Parameter(names = "--observations", description = "The file that takes the observations of runs.")
+    public String observations = "";
 }
--- a/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/service/ServiceStandIn.java
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/service/ServiceStandIn.java
@@ -3,6 +3,8 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.hash.Hashing;
 import io.javalin.http.Context;
+import io.yuccaswitch.testkit.check.Observation.EndpointRun;
+import io.yuccaswitch.testkit.check.RunLog;
 import io.yuccaswitch.testkit.http.Answer;
 import io.yuccaswitch.testkit.http.Fault;
 import io.yuccaswitch.testkit.http.Faults;
@@ -11,6 +13,7 @@
 import io.yuccaswitch.testkit.service.RequestLedger.Entry;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
 import java.util.UUID;
 import java.util.concurrent.Semaphore;
@@ -40,6 +43,9 @@
     /** What became of the requests. */
     private final RequestLedger ledger = new RequestLedger();
 
+    /** Where the runs are recorded. */
+    private final RunLog runLog;
+
     /** The permits to run. */
     private final Semaphore permits;
 
@@ -53,6 +59,7 @@
      */
     public ServiceStandIn(ServiceOptions options) {
         this.options = options;
+        runLog = RunLog.to(options.name, options.observations);
         permits = new Semaphore(options.capacity);
         server = new StandInServer(options.port, this::addRoutes);
     }
@@ -127,8 +134,10 @@
             answer.refuse(CONFLICT, "settled-not-run");
             return;
         }
+        EndpointRun begun = runLog.begun(requestId, List.of());
         String body = run(context, requestId);
         ledger.finish(requestId, body);
+        runLog.ended(begun, true, List.of());
         if (faults().take(Fault.RESETS_AFTER_RUN)) {
             answer.closeConnection();
             return;
