--- a/yuccaswitch-settings/src/main/java/io/yuccaswitch/settings/ContainerTypes.java
+++ b/yuccaswitch-settings/src/main/java/io/yuccaswitch/settings/ContainerTypes.java
@@ -47,6 +47,12 @@
             return Optional.of(Optional.empty());
         }
 
+        /** {@inheritDoc} */
+        @Override
+        public Optional<Object> substitute() {
+            return Optional.of(Optional.empty());
+        }
+
         /** {@inheritDoc} */
         @Override
         public SettingsValue literal(String text, SourcePosition position) {
@@ -90,7 +96,7 @@
                 element.decode(list.elements().get(i), path.child(Integer.toString(i)), context)
                         .ifPresent(decoded::add);
             }
-            return decoded.size() == list.elements().size() ? Optional.of(List.copyOf(decoded)) : Optional.empty();
+            return Optional.of(List.copyOf(decoded));
         }
 
         /** {@inheritDoc} */
@@ -147,9 +153,7 @@
                     decoded.put(decodedKey.get(), decodedValue.get());
                 }
             });
-            return decoded.size() == object.entries().size()
-                    ? Optional.of(Collections.unmodifiableMap(decoded))
-                    : Optional.empty();
+            return Optional.of(Collections.unmodifiableMap(decoded));
         }
 
         /** {@inheritDoc} */
--- a/yuccaswitch-settings/src/main/java/io/yuccaswitch/settings/DecodingContext.java
+++ b/yuccaswitch-settings/src/main/java/io/yuccaswitch/settings/DecodingContext.java
@@ -3,12 +3,15 @@
 import io.yuccaswitch.settings.SettingsMerge.Removal;
 import io.yuccaswitch.settings.SettingsValue.ObjectValue;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 /** Collects the errors of one decoding, and knows the folder that is decoded. */
-final class DecodingContext {
+final class DecodingContext implements SettingsFindings {
 
     /** The folder that is decoded. */
     private final SettingsFolder folder;
@@ -16,6 +19,9 @@
     /** The errors that were found so far. */
     private final List<SettingsError> errors = new ArrayList<>();
 
+    /** The paths of the values in error. */
+    private final Set<KeyPath> failedPaths = new HashSet<>();
+
     /**
      * Creates a new context.
      *
@@ -56,6 +62,25 @@
      */
     void add(SettingsErrorCode code, SourcePosition position, KeyPath path, String message, String remedy) {
         errors.add(SettingsError.at(code, position, path, message, remedy));
+        failedPaths.add(path);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void add(SettingsErrorCode code, String message, String remedy, KeyPath path, KeyPath... others) {
+        if (!isFailed(path) && Arrays.stream(others).noneMatch(this::isFailed)) {
+            errors.add(SettingsError.at(code, folder.positionOf(path), path, message, remedy));
+        }
+    }
+
+    /**
+     * Tells whether a value or an object around it is in error.
+     *
+     * @param path The path of the value.
+     * @return {@code true} if an error was added for the path or one around it.
+     */
+    private boolean isFailed(KeyPath path) {
+        return failedPaths.contains(path) || (!path.isRoot() && isFailed(path.parent()));
     }
 
     /**
--- a/yuccaswitch-settings/src/main/java/io/yuccaswitch/settings/ScalarTypes.java
+++ b/yuccaswitch-settings/src/main/java/io/yuccaswitch/settings/ScalarTypes.java
@@ -48,11 +48,9 @@
      * @param whole {@code true} if the number must be whole.
      * @param minimum The lower bound.
      * @param maximum The upper bound.
-     * @param unit The unit, or an empty text for none.
      * @param conversion The conversion of a number within its bounds to the type of the component.
      */
-    record NumberType(
-            boolean whole, BigDecimal minimum, BigDecimal maximum, String unit, Function<BigDecimal, Object> conversion)
+    record NumberType(boolean whole, BigDecimal minimum, BigDecimal maximum, Function<BigDecimal, Object> conversion)
             implements SettingType {
 
         /** {@inheritDoc} */
@@ -86,8 +84,7 @@
         /** {@inheritDoc} */
         @Override
         public String describe() {
-            String kind = whole ? "a whole number" : "a number";
-            return unit.isEmpty() ? kind : kind + " (" + unit + ")";
+            return whole ? "a whole number" : "a number";
         }
 
         /** {@inheritDoc} */
--- a/yuccaswitch-settings/src/main/java/io/yuccaswitch/settings/SettingKey.java
+++ b/yuccaswitch-settings/src/main/java/io/yuccaswitch/settings/SettingKey.java
@@ -13,20 +13,33 @@
 record SettingKey(String name, SettingType type, Setting setting) {
 
     /**
-     * Decodes the value of the key.
+     * Decodes the value of the key. For a value in error its default is returned if it has one, beside the error in the
+     * context, such that further checks can run.
      *
      * @param value The value as written, or empty if the key is absent.
      * @param path The path of the key.
      * @param context The context that collects errors.
-     * @return The decoded value, or empty if errors were added to the context.
+     * @return The decoded value, or empty if there is none because of an error.
      */
     Optional<Object> decode(Optional<SettingsValue> value, KeyPath path, DecodingContext context) {
-        if (value.isPresent()) {
-            return type.decode(value.get(), path, context);
+        if (value.isEmpty()) {
+            return setting.defaultValue().isEmpty() ? type.decodeAbsent(path, context) : decodeDefault(path, context);
         }
-        if (setting.defaultValue().isEmpty()) {
-            return type.decodeAbsent(path, context);
+        Optional<Object> decoded = type.decode(value.get(), path, context);
+        if (decoded.isPresent()) {
+            return decoded;
         }
+        return setting.defaultValue().isEmpty() ? type.substitute() : decodeDefault(path, context);
+    }
+
+    /**
+     * Decodes the default of the key.
+     *
+     * @param path The path of the key.
+     * @param context The context that collects errors.
+     * @return The default.
+     */
+    private Optional<Object> decodeDefault(KeyPath path, DecodingContext context) {
         return type.decode(type.literal(setting.defaultValue(), context.positionOf(path)), path, context);
     }
 
--- a/yuccaswitch-settings/src/main/java/io/yuccaswitch/settings/SettingType.java
+++ b/yuccaswitch-settings/src/main/java/io/yuccaswitch/settings/SettingType.java
@@ -11,7 +11,8 @@
      * @param value The value as written.
      * @param path The path of the value.
      * @param context The context that collects errors.
-     * @return The decoded value, or empty if errors were added to the context.
+     * @return The decoded value, which may lack parts that errors were added to the context for, or empty if there is
+     *     no value because of an error.
      */
     Optional<Object> decode(SettingsValue value, KeyPath path, DecodingContext context);
 
@@ -27,6 +28,15 @@
         return Optional.empty();
     }
 
+    /**
+     * Returns what stands in for a value in error, such that further checks can run.
+     *
+     * @return The substitute, or empty if there is none.
+     */
+    default Optional<Object> substitute() {
+        return Optional.empty();
+    }
+
     /**
      * Turns the text of a default into a value.
      *
--- a/yuccaswitch-settings/src/main/java/io/yuccaswitch/settings/SettingTypes.java
+++ b/yuccaswitch-settings/src/main/java/io/yuccaswitch/settings/SettingTypes.java
@@ -127,7 +127,6 @@
                     true,
                     bound(setting.minimum(), Integer.MIN_VALUE),
                     bound(setting.maximum(), Integer.MAX_VALUE),
-                    setting.unit(),
                     BigDecimal::intValueExact);
         }
         if (type == long.class || type == Long.class) {
@@ -135,7 +134,6 @@
                     true,
                     bound(setting.minimum(), Long.MIN_VALUE),
                     bound(setting.maximum(), Long.MAX_VALUE),
-                    setting.unit(),
                     BigDecimal::longValueExact);
         }
         if (type == double.class || type == Double.class) {
@@ -143,7 +141,6 @@
                     false,
                     bound(setting.minimum(), Long.MIN_VALUE),
                     bound(setting.maximum(), Long.MAX_VALUE),
-                    setting.unit(),
                     BigDecimal::doubleValue);
         }
         throw unsupported(type);
--- a/yuccaswitch-settings/src/main/java/io/yuccaswitch/settings/SettingsDecoder.java
+++ b/yuccaswitch-settings/src/main/java/io/yuccaswitch/settings/SettingsDecoder.java
@@ -4,6 +4,7 @@
 import io.yuccaswitch.settings.ContainerTypes.OptionalType;
 import io.yuccaswitch.settings.ContainerTypes.RecordType;
 import io.yuccaswitch.settings.SettingsMerge.Removal;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -24,11 +25,28 @@
      * @return The record, or all errors.
      */
     public static <T extends Record> SettingsResult<T> decode(SettingsFolder folder, Class<T> type) {
+        return decode(folder, type, List.of());
+    }
+
+    /**
+     * Decodes a folder and checks it as a whole.
+     *
+     * @param folder The folder.
+     * @param type The record to decode into.
+     * @param checks The checks that look at several values at once.
+     * @param <T> The type of the record.
+     * @return The record, or all errors.
+     */
+    public static <T extends Record> SettingsResult<T> decode(
+            SettingsFolder folder, Class<T> type, List<SettingsCheck<T>> checks) {
         RecordType record = SettingTypes.ofRecord(type);
         DecodingContext context = new DecodingContext(folder);
         Optional<T> decoded =
                 record.decode(folder.content(), KeyPath.ROOT, context).map(type::cast);
         folder.removals().forEach(removal -> checkRemoval(record, removal, context));
+        if (!folder.isIncomplete()) {
+            decoded.ifPresent(settings -> checks.forEach(check -> check.check(settings, context)));
+        }
         return SettingsResult.of(decoded, context.errors());
     }
 
