--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/peer/PeerEffect.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/peer/PeerEffect.java
@@ -14,4 +14,12 @@
      * @param message The message to send.
      */
     record Send(NodeName target, PeerMessage message) implements PeerEffect {}
+
+    /**
+     * Sends a message to whichever node listens at an address. This serves a node that does not yet know any name.
+     *
+     * @param address The address as {@code host:port}.
+     * @param message The message to send.
+     */
+    record SendToAddress(String address, PeerMessage message) implements PeerEffect {}
 }
