--- /dev/null
+++ b/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/CallBudget.java
@@ -0,0 +1,130 @@
+package io.yuccaswitch.platform;
+
+import io.yuccaswitch.core.platform.PlatformPurpose;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.LongSupplier;
+
+/**
+ * The calls that one client may make now. Writes and reads have a bucket each. Leases and configuration go first: the
+ * other purposes leave a reserve to them, and none of the others takes more than its share.
+ */
+final class CallBudget {
+
+    /** The purposes that go first. */
+    private static final Set<PlatformPurpose> URGENT = Set.of(PlatformPurpose.LEASE, PlatformPurpose.CONFIGURATION);
+
+    /** The share of a bucket that only the urgent purposes may use. */
+    private static final double URGENT_RESERVE = 0.3;
+
+    /** The share of the rate that each of the other purposes may use at most. */
+    private static final double PURPOSE_SHARE = 0.5;
+
+    /** The monotonic clock in nanoseconds. */
+    private final LongSupplier clock;
+
+    /** The bucket of writes and deletions. */
+    private final Buckets writes;
+
+    /** The bucket of all other calls. */
+    private final Buckets reads;
+
+    /**
+     * Creates a budget with full buckets.
+     *
+     * @param rates The rates.
+     * @param clock The monotonic clock in nanoseconds.
+     */
+    CallBudget(CallRates rates, LongSupplier clock) {
+        this.clock = clock;
+        writes = new Buckets(rates.writesPerSecond(), clock.getAsLong());
+        reads = new Buckets(rates.readsPerSecond(), clock.getAsLong());
+    }
+
+    /**
+     * Changes the rates.
+     *
+     * @param rates The new rates.
+     */
+    synchronized void changeRates(CallRates rates) {
+        writes.changeRate(rates.writesPerSecond(), clock.getAsLong());
+        reads.changeRate(rates.readsPerSecond(), clock.getAsLong());
+    }
+
+    /**
+     * Takes one call's worth.
+     *
+     * @param purpose The purpose of the call.
+     * @param changing Whether the call is a write or deletion.
+     * @return {@code true} if the call may be made.
+     */
+    synchronized boolean tryAcquire(PlatformPurpose purpose, boolean changing) {
+        return (changing ? writes : reads).tryAcquire(purpose, clock.getAsLong());
+    }
+
+    /** Drops what was saved except for the reserve, such that the next calls come at the steady rate. */
+    synchronized void drain() {
+        long now = clock.getAsLong();
+        writes.total.drain(URGENT_RESERVE, now);
+        reads.total.drain(URGENT_RESERVE, now);
+    }
+
+    /** The buckets of one kind of call. */
+    private static final class Buckets {
+
+        /** The bucket that all purposes share. */
+        private final TokenBucket total;
+
+        /** The buckets of the purposes that are not urgent. */
+        private final Map<PlatformPurpose, TokenBucket> shares = new EnumMap<>(PlatformPurpose.class);
+
+        /**
+         * Creates full buckets.
+         *
+         * @param perSecond The rate of all purposes together.
+         * @param now The time in nanoseconds.
+         */
+        private Buckets(double perSecond, long now) {
+            total = new TokenBucket(perSecond, now);
+            for (PlatformPurpose purpose : PlatformPurpose.values()) {
+                if (!URGENT.contains(purpose)) {
+                    shares.put(purpose, new TokenBucket(perSecond * PURPOSE_SHARE, now));
+                }
+            }
+        }
+
+        /**
+         * Changes the rate.
+         *
+         * @param perSecond The rate of all purposes together.
+         * @param now The time in nanoseconds.
+         */
+        private void changeRate(double perSecond, long now) {
+            total.changeRate(perSecond, now);
+            shares.values().forEach(share -> share.changeRate(perSecond * PURPOSE_SHARE, now));
+        }
+
+        /**
+         * Takes one call's worth.
+         *
+         * @param purpose The purpose of the call.
+         * @param now The time in nanoseconds.
+         * @return {@code true} if the call may be made.
+         */
+        private boolean tryAcquire(PlatformPurpose purpose, long now) {
+            TokenBucket share = shares.get(purpose);
+            if (!total.has(share == null ? 0 : URGENT_RESERVE, now)) {
+                return false;
+            }
+            if (share != null) {
+                if (!share.has(0, now)) {
+                    return false;
+                }
+                share.take();
+            }
+            total.take();
+            return true;
+        }
+    }
+}
