Lay out samples from submission to hand-over in the decision core

Groups are held by a driver and a backup in two availability zones, generated through the request path, scored, kept by two keepers and handed over by cursors that carry what was delivered. Not driven by tests yet.

--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/FinishedGroup.java
@@ -0,0 +1,36 @@
+package io.yuccaswitch.core.sample;
+
+import java.util.List;
+
+/**
+ * A group whose samples are all finished, as its keepers hold it until it is handed over.
+ *
+ * @param key The identity of the group.
+ * @param run The number of the run that produced the samples, from one. A group that was discarded runs again.
+ * @param samples The samples in the order of their indices.
+ */
+public record FinishedGroup(GroupKey key, int run, List<Sample> samples) {
+
+    /** Copies the samples. */
+    public FinishedGroup {
+        samples = List.copyOf(samples);
+    }
+
+    /**
+     * Returns the oldest weight version that produced a part of this group.
+     *
+     * @return The smallest version over all samples.
+     */
+    public long oldestVersion() {
+        return samples.stream().mapToLong(Sample::oldestVersion).min().orElse(0);
+    }
+
+    /**
+     * Returns the approximate size of this group.
+     *
+     * @return The number of characters of all texts.
+     */
+    public long characters() {
+        return samples.stream().mapToLong(sample -> sample.text().length()).sum();
+    }
+}
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/SampleContext.java
@@ -0,0 +1,153 @@
+package io.yuccaswitch.core.sample;
+
+import io.yuccaswitch.core.configuration.ConfigurationEvent;
+import io.yuccaswitch.core.configuration.FleetConfiguration;
+import io.yuccaswitch.core.configuration.PoolSettings;
+import io.yuccaswitch.core.configuration.TrainerSettings;
+import io.yuccaswitch.core.decision.EntityTable;
+import io.yuccaswitch.core.decision.Tick;
+import io.yuccaswitch.core.identity.NodeIdentity;
+import io.yuccaswitch.core.identity.PoolName;
+import io.yuccaswitch.core.identity.TrainerName;
+import io.yuccaswitch.core.membership.MembershipView;
+import io.yuccaswitch.core.weight.WeightEvent;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+
+/** The tables that the systems of this package share, and what they know of the rest of the node. */
+final class SampleContext {
+
+    /** The members. */
+    final MembershipView membership;
+
+    /** Who drives and keeps what. */
+    final RoleTable roles;
+
+    /** Sends messages. */
+    final Outbox outbox;
+
+    /** Gives tokens for calls to the platform that are unique within the process. */
+    final LongSupplier tokens;
+
+    /** The groups that this node holds as driver or backup. */
+    final EntityTable<GroupKey, HeldGroup> held = new EntityTable<>();
+
+    /** The finished groups that this node keeps. */
+    final EntityTable<GroupKey, KeptGroup> kept = new EntityTable<>();
+
+    /** What this node knows of trainers' cursors. */
+    final EntityTable<TrainerName, CursorState> cursors = new EntityTable<>();
+
+    /** The versions that engines reported to hold. */
+    final VersionReadings readings = new VersionReadings();
+
+    /** What was counted. */
+    final SampleStatistics statistics = new SampleStatistics();
+
+    /** Whether the members that take work changed since the tick before. */
+    private boolean rolesChanged;
+
+    /** The configuration in force, or empty before the first one. */
+    private Optional<FleetConfiguration> configuration = Optional.empty();
+
+    /**
+     * Creates a new context.
+     *
+     * @param membership The members.
+     * @param tokens Gives tokens for calls to the platform that are unique within the process.
+     */
+    SampleContext(MembershipView membership, LongSupplier tokens) {
+        this.membership = membership;
+        this.tokens = tokens;
+        roles = new RoleTable(membership);
+        outbox = new Outbox(membership);
+    }
+
+    /**
+     * Takes in what the tick's events say of configuration and versions.
+     *
+     * @param tick The current tick.
+     */
+    void observe(Tick tick) {
+        for (ConfigurationEvent.InForce event : tick.events(ConfigurationEvent.InForce.class)) {
+            configuration = Optional.of(event.configuration());
+        }
+        for (WeightEvent.Published event : tick.events(WeightEvent.Published.class)) {
+            CursorState state = cursor(event.trainer());
+            cursors.put(event.trainer(), state.withProgress(state.progress().withPublished(event.version())));
+        }
+        readings.observe(tick);
+        rolesChanged = roles.refresh();
+    }
+
+    /**
+     * Returns whether the members that take work changed since the tick before.
+     *
+     * @return {@code true} if they changed.
+     */
+    boolean rolesChanged() {
+        return rolesChanged;
+    }
+
+    /**
+     * Returns this node.
+     *
+     * @return This node's name and incarnation.
+     */
+    NodeIdentity self() {
+        return membership.self().identity();
+    }
+
+    /**
+     * Finds the settings of a trainer.
+     *
+     * @param trainer The trainer.
+     * @return The settings, or empty if the trainer is not configured.
+     */
+    Optional<TrainerSettings> trainer(TrainerName trainer) {
+        return configuration.map(current -> current.trainers().get(trainer));
+    }
+
+    /**
+     * Finds the settings of a pool.
+     *
+     * @param pool The pool.
+     * @return The settings, or empty if the pool is not configured.
+     */
+    Optional<PoolSettings> pool(PoolName pool) {
+        return configuration.map(current -> current.pools().get(pool));
+    }
+
+    /**
+     * Returns whether the site has a single availability zone, such that no second one can hold a copy.
+     *
+     * @return {@code true} if the configuration in force names at most one availability zone.
+     */
+    boolean singleZone() {
+        return configuration
+                .map(current -> current.availabilityZones().size() <= 1)
+                .orElse(false);
+    }
+
+    /**
+     * Returns what this node knows of a trainer's cursor.
+     *
+     * @param trainer The trainer.
+     * @return The state.
+     */
+    CursorState cursor(TrainerName trainer) {
+        return cursors.find(trainer).orElseGet(() -> CursorState.unknown(trainer));
+    }
+
+    /**
+     * Returns whether a group is known to be delivered.
+     *
+     * @param key The identity of the group.
+     * @return {@code true} if the trainer is known to have taken the group.
+     */
+    boolean delivered(GroupKey key) {
+        return cursors.find(key.trainer())
+                .map(state -> state.acknowledged().contains(key))
+                .orElse(false);
+    }
+}
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/SampleEffect.java
@@ -0,0 +1,44 @@
+package io.yuccaswitch.core.sample;
+
+import io.yuccaswitch.core.decision.Effect;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+/** An answer to a trainer. */
+public sealed interface SampleEffect extends Effect {
+
+    /**
+     * Returns the token of what is answered.
+     *
+     * @return The token.
+     */
+    long token();
+
+    /**
+     * Answers {@link SampleEvent.Submitted}.
+     *
+     * @param token The token of the submission.
+     * @param accepted The identities of the groups that are safe.
+     * @param refused The groups that are not, with the reasons.
+     */
+    record AnswerSubmission(long token, List<GroupKey> accepted, List<RefusedGroup> refused) implements SampleEffect {}
+
+    /**
+     * Answers {@link SampleEvent.PullRequested}.
+     *
+     * @param token The token of the pull.
+     * @param result The result of the pull.
+     */
+    record AnswerPull(long token, PullResult result) implements SampleEffect {}
+
+    /**
+     * A group that was not accepted.
+     *
+     * @param key The identity of the group.
+     * @param code The code of the reason.
+     * @param surelyNotRun {@code true} if no node took the group, {@code false} if one may have.
+     * @param retryAfter The time after which it is worth to ask again, or empty if it never is.
+     */
+    record RefusedGroup(GroupKey key, String code, boolean surelyNotRun, Optional<Duration> retryAfter) {}
+}
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/SampleReport.java
@@ -0,0 +1,78 @@
+package io.yuccaswitch.core.sample;
+
+import io.yuccaswitch.core.identity.TrainerName;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What a node reports of the samples of its trainers. The figures of all nodes add up, but for those of the cursor.
+ *
+ * @param trainers The reports by trainer.
+ */
+public record SampleReport(Map<TrainerName, Trainer> trainers) {
+
+    /** Copies the map. */
+    public SampleReport {
+        trainers = Map.copyOf(trainers);
+    }
+
+    /**
+     * The report of one trainer.
+     *
+     * @param driven The number of groups that this node drives.
+     * @param backedUp The number of groups that this node backs up.
+     * @param generating The number of samples that are being generated.
+     * @param queued The number of samples that wait for their generation.
+     * @param scoring The number of samples that are generated and not yet scored.
+     * @param ready The number of finished groups that this node keeps.
+     * @param handedOver The number of groups that this node handed over and that the trainer acknowledged.
+     * @param samples The number of samples in those groups.
+     * @param staleness The number of those samples by the number of versions that they were behind; the last entry
+     *     counts all that were further behind.
+     * @param discarded The number of discarded samples by reason.
+     * @param discardedTokens The number of tokens that were generated for nothing.
+     * @param tokens The number of tokens that were generated and accepted.
+     * @param groupsCompleted The number of groups that this node completed.
+     * @param completionMean The mean time from the acceptance of a group to its completion.
+     * @param completionMaximum The longest such time.
+     * @param stragglers The number of samples that took several times longer than usual.
+     * @param waiting The time that the trainer's pulls waited, by what was missing.
+     */
+    public record Trainer(
+            int driven,
+            int backedUp,
+            int generating,
+            int queued,
+            int scoring,
+            int ready,
+            long handedOver,
+            long samples,
+            List<Long> staleness,
+            Map<DiscardReason, Long> discarded,
+            long discardedTokens,
+            long tokens,
+            long groupsCompleted,
+            Duration completionMean,
+            Duration completionMaximum,
+            long stragglers,
+            Map<IdleCause, Duration> waiting) {
+
+        /** Copies the collections. */
+        public Trainer {
+            staleness = List.copyOf(staleness);
+            discarded = Map.copyOf(discarded);
+            waiting = Map.copyOf(waiting);
+        }
+    }
+
+    /** What a waiting pull of a trainer lacks. */
+    public enum IdleCause {
+        /** No group is finished at the keeper. */
+        NOTHING_FINISHED,
+        /** The other keeper has not yet confirmed what the trainer took. */
+        ACKNOWLEDGEMENT,
+        /** It is not known what the trainer took before. */
+        CURSOR_UNKNOWN
+    }
+}
