Add the request system: at most once by home, fair dispatch, retries, resume and settlement

A non-idempotent id names the only life of a node that may send it; other nodes forward, and search kept copies and endpoints when the home is gone. Ids carry the window of their issue so that a home remembers them for a bounded time only. Retries, hedges and resumes follow budgets; dispatch goes by fair queue and adaptive limits.

--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/AttemptObserver.java
@@ -0,0 +1,103 @@
+package io.yuccaswitch.core.request;
+
+import io.yuccaswitch.core.decision.Tick;
+import io.yuccaswitch.core.limit.ConcurrencyLimit;
+import io.yuccaswitch.core.retry.EndpointHealth;
+import io.yuccaswitch.core.routing.EndpointLoad;
+import java.time.Duration;
+import java.util.Set;
+
+/** Learns from ended attempts: the limit, the health and the iteration time of endpoints, and the times of a pool. */
+final class AttemptObserver {
+
+    /** The statuses by which an endpoint says that it could not serve a request. */
+    private static final Set<Integer> FAILURE_STATUSES = Set.of(502, 503, 504);
+
+    /** The statuses by which an endpoint says that it is overloaded. */
+    private static final Set<Integer> OVERLOAD_STATUSES = Set.of(429, 503);
+
+    /** The number of nanoseconds of a second. */
+    private static final double NANOSECONDS = 1e9;
+
+    /** The tables. */
+    private final RequestTables tables;
+
+    /**
+     * Creates a new observer.
+     *
+     * @param tables The tables.
+     */
+    AttemptObserver(RequestTables tables) {
+        this.tables = tables;
+    }
+
+    /**
+     * Learns from an attempt that ended.
+     *
+     * @param tick The tick.
+     * @param attempt The attempt.
+     * @param result The result.
+     */
+    void observe(Tick tick, Attempt attempt, AttemptResult result) {
+        PoolState pool = tables.pools.get(attempt.endpoint().pool());
+        if (pool == null) {
+            return;
+        }
+        EndpointLoad load = tables.load(attempt.endpoint(), pool).afterEnd();
+        tables.loads.put(attempt.endpoint(), learned(tick, pool, load, attempt, result));
+    }
+
+    /**
+     * Learns from a result.
+     *
+     * @param tick The tick.
+     * @param pool The pool.
+     * @param load What was known of the endpoint.
+     * @param attempt The attempt.
+     * @param result The result.
+     * @return What is known of the endpoint from now on.
+     */
+    private static EndpointLoad learned(
+            Tick tick, PoolState pool, EndpointLoad load, Attempt attempt, AttemptResult result) {
+        if (result instanceof AttemptResult.Whole whole) {
+            return answered(tick, pool, load, attempt, whole);
+        }
+        if (result instanceof AttemptResult.NotRun notRun && notRun.leaving()) {
+            return load;
+        }
+        if (attempt.abandoned()) {
+            return load;
+        }
+        return load.withHealth(load.health().afterFailure(pool.settings.retry(), tick.now()))
+                .withLimit(load.limit().after(new ConcurrencyLimit.Sample(0, attempt.inFlightAtStart(), true)));
+    }
+
+    /**
+     * Learns from a whole answer.
+     *
+     * @param tick The tick.
+     * @param pool The pool.
+     * @param load What was known of the endpoint.
+     * @param attempt The attempt.
+     * @param whole The answer.
+     * @return What is known of the endpoint from now on.
+     */
+    private static EndpointLoad answered(
+            Tick tick, PoolState pool, EndpointLoad load, Attempt attempt, AttemptResult.Whole whole) {
+        boolean overloaded = OVERLOAD_STATUSES.contains(whole.status());
+        if (overloaded || FAILURE_STATUSES.contains(whole.status())) {
+            EndpointLoad failed = load.withLimit(
+                    load.limit().after(new ConcurrencyLimit.Sample(0, attempt.inFlightAtStart(), overloaded)));
+            return failed.withHealth(failed.health().afterFailure(pool.settings.retry(), tick.now()));
+        }
+        Duration duration = tick.now().since(attempt.startedAt());
+        int tokens = whole.generation()
+                .map(generation -> generation.tokens() - attempt.tokensAtStart())
+                .orElse(0);
+        double seconds = duration.toNanos() / NANOSECONDS / Math.max(1, tokens);
+        pool.times = pool.times.after(duration, tokens);
+        return load.withHealth(EndpointHealth.GOOD)
+                .withModel(load.model().after(attempt.loadAtStart(), seconds))
+                .withLimit(load.limit().after(new ConcurrencyLimit.Sample(seconds, attempt.inFlightAtStart(), false)));
+    }
+}
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/Conclusions.java
@@ -0,0 +1,133 @@
+package io.yuccaswitch.core.request;
+
+import io.yuccaswitch.core.decision.Decision;
+import io.yuccaswitch.core.decision.Tick;
+import io.yuccaswitch.core.identity.NodeName;
+import io.yuccaswitch.core.membership.Member;
+import io.yuccaswitch.core.membership.RendezvousRanking;
+import io.yuccaswitch.core.peer.PeerEffect;
+import java.util.List;
+import java.util.Optional;
+
+/** Brings requests to their outcome: tells everybody who waits, and keeps what a request that is sent again needs. */
+final class Conclusions {
+
+    /** The tables. */
+    private final RequestTables tables;
+
+    /**
+     * Creates new conclusions.
+     *
+     * @param tables The tables.
+     */
+    Conclusions(RequestTables tables) {
+        this.tables = tables;
+    }
+
+    /**
+     * Concludes a request in progress.
+     *
+     * @param tick The tick.
+     * @param row The request's row.
+     * @param outcome The outcome.
+     */
+    void conclude(Tick tick, RequestRow row, Outcome outcome) {
+        tables.requests.remove(row.id());
+        PoolState pool = tables.pools.get(row.request().pool());
+        if (pool != null) {
+            pool.queue.remove(row.id());
+        }
+        abandonAttempts(tick, row);
+        if (!row.request().idempotent() && row.history().attempts() > 0) {
+            remember(tick, row, outcome);
+        }
+        tell(tick, row.id(), row.waiters(), outcome);
+    }
+
+    /**
+     * Gives everybody who waits an outcome, without a change to the request's row.
+     *
+     * @param tick The tick.
+     * @param id The identifier of the request.
+     * @param waiters Who waits.
+     * @param outcome The outcome.
+     */
+    void tell(Tick tick, RequestId id, Waiters waiters, Outcome outcome) {
+        explain(tick, id, outcome);
+        if (waiters.local()) {
+            tick.emit(new RequestEffect.Conclude(id, outcome));
+            tick.raise(new RequestEvent.Concluded(id, outcome));
+        }
+        for (NodeName peer : waiters.peers()) {
+            tick.emit(new PeerEffect.Send(peer, new RequestMessage.Concluded(id, RecordedOutcome.of(outcome))));
+        }
+    }
+
+    /**
+     * Stops the attempts of a request that are still in progress.
+     *
+     * @param tick The tick.
+     * @param row The request's row.
+     */
+    private void abandonAttempts(Tick tick, RequestRow row) {
+        for (int number : row.history().running()) {
+            tables.attempts.update(number, Attempt::withAbandoned);
+            tick.emit(new RequestEffect.CancelAttempt(row.id(), number));
+        }
+    }
+
+    /**
+     * Remembers that a non-idempotent request was sent, and keeps its outcome here and at a peer. A request that surely
+     * did not run is not remembered, such that it may be sent again.
+     *
+     * @param tick The tick.
+     * @param row The request's row.
+     * @param outcome The outcome.
+     */
+    private void remember(Tick tick, RequestRow row, Outcome outcome) {
+        if (outcome instanceof Outcome.NotRun) {
+            return;
+        }
+        RecordedOutcome recorded = RecordedOutcome.of(outcome);
+        tables.concluded.record(row.id(), row.window());
+        tables.kept.keep(new KeptAnswer(row.id(), row.request().caller(), row.fingerprint(), recorded, tick.now()));
+        keeper(row.id())
+                .ifPresent(peer -> tick.emit(new PeerEffect.Send(
+                        peer,
+                        new RequestMessage.KeepAnswer(row.id(), row.request().caller(), row.fingerprint(), recorded))));
+    }
+
+    /**
+     * Picks the peer that keeps a copy of an outcome: the highest ranked one in another availability zone.
+     *
+     * @param id The identifier of the request.
+     * @return The peer, or empty if this node is alone.
+     */
+    private Optional<NodeName> keeper(RequestId id) {
+        Member self = tables.membership.self();
+        List<Member> ranked = RendezvousRanking.rank(id.value(), tables.membership.working()).stream()
+                .filter(member ->
+                        !member.identity().name().equals(self.identity().name()))
+                .toList();
+        return ranked.stream()
+                .filter(member -> !member.availabilityZone().equals(self.availabilityZone()))
+                .findFirst()
+                .or(() -> ranked.stream().findFirst())
+                .map(member -> member.identity().name());
+    }
+
+    /**
+     * Explains an outcome.
+     *
+     * @param tick The tick.
+     * @param id The identifier of the request.
+     * @param outcome The outcome.
+     */
+    private static void explain(Tick tick, RequestId id, Outcome outcome) {
+        RecordedOutcome recorded = RecordedOutcome.of(outcome);
+        String reason = recorded.kind() == RecordedOutcome.Kind.ANSWERED
+                ? "status " + recorded.status()
+                : recorded.code() + ": " + recorded.message();
+        tick.decide(Decision.of("conclude", id.value(), recorded.kind().name(), reason));
+    }
+}
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/ForwardingSystem.java
@@ -0,0 +1,160 @@
+package io.yuccaswitch.core.request;
+
+import io.yuccaswitch.core.decision.Decision;
+import io.yuccaswitch.core.decision.DecisionSystem;
+import io.yuccaswitch.core.decision.Tick;
+import io.yuccaswitch.core.identity.NodeIdentity;
+import io.yuccaswitch.core.membership.Member;
+import io.yuccaswitch.core.membership.MemberCondition;
+import io.yuccaswitch.core.peer.PeerEffect;
+import io.yuccaswitch.core.peer.PeerEvent;
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * Passes requests on to their home and waits for the outcome. When the home is gone or was born again, the outcome is
+ * searched elsewhere; the request is never sent from here.
+ */
+final class ForwardingSystem implements DecisionSystem {
+
+    /** The code by which a node says that it is not the life that a request is homed at. */
+    static final String NOT_HOME_CODE = "home-gone";
+
+    /** The interval at which a request is passed on again, as messages may be lost. */
+    private static final Duration REPEAT_INTERVAL = Duration.ofMillis(500);
+
+    /** The tables. */
+    private final RequestTables tables;
+
+    /** What brings requests to their outcome. */
+    private final Conclusions conclusions;
+
+    /** What searches outcomes elsewhere. */
+    private final ResolutionSystem resolution;
+
+    /**
+     * Creates a new system.
+     *
+     * @param tables The tables.
+     * @param conclusions What brings requests to their outcome.
+     * @param resolution What searches outcomes elsewhere.
+     */
+    ForwardingSystem(RequestTables tables, Conclusions conclusions, ResolutionSystem resolution) {
+        this.tables = tables;
+        this.conclusions = conclusions;
+        this.resolution = resolution;
+    }
+
+    /**
+     * Passes a request on to its home.
+     *
+     * @param tick The tick.
+     * @param arrived The request's row.
+     * @param home The home, which is not this life of this node.
+     * @param window The issue window of the id, or {@link RequestClock#NO_WINDOW}.
+     */
+    void forward(Tick tick, RequestRow arrived, NodeIdentity home, long window) {
+        RequestRow row = arrived.withHome(home, window);
+        if (isGone(home)) {
+            resolution.resolve(tick, row, homeGone());
+            return;
+        }
+        RequestRow forwarded = row.withStage(RequestStage.FORWARDED, tick.now());
+        tables.requests.put(row.id(), forwarded);
+        tick.decide(Decision.of("forward", row.id().value(), home.toString(), "home of the request"));
+        send(tick, forwarded, home);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void run(Tick tick) {
+        for (PeerEvent.Received event : tick.events(PeerEvent.Received.class)) {
+            if (event.message() instanceof RequestMessage.Concluded concluded) {
+                concluded(tick, event.sender(), concluded);
+            } else if (event.message() instanceof RequestMessage.KeepAnswer keep) {
+                tables.kept.keep(
+                        new KeptAnswer(keep.id(), keep.caller(), keep.fingerprint(), keep.outcome(), tick.now()));
+            }
+        }
+    }
+
+    /**
+     * Looks after a request that was passed on.
+     *
+     * @param tick The tick.
+     * @param row The request's row.
+     */
+    void check(Tick tick, RequestRow row) {
+        NodeIdentity home = row.home().orElseThrow();
+        if (isGone(home)) {
+            resolution.resolve(tick, row, homeGone());
+            return;
+        }
+        if (tick.now().since(row.stageSince()).compareTo(REPEAT_INTERVAL) >= 0) {
+            RequestRow again = row.withStage(RequestStage.FORWARDED, tick.now());
+            tables.requests.put(row.id(), again);
+            send(tick, again, home);
+        }
+    }
+
+    /**
+     * Takes in the outcome that a home tells. Only the home is believed.
+     *
+     * @param tick The tick.
+     * @param sender The node that tells.
+     * @param message The message.
+     */
+    private void concluded(Tick tick, NodeIdentity sender, RequestMessage.Concluded message) {
+        Optional<RequestRow> row = tables.requests
+                .find(message.id())
+                .filter(found -> found.stage() == RequestStage.FORWARDED)
+                .filter(found -> found.home().orElseThrow().name().equals(sender.name()));
+        if (row.isEmpty()) {
+            return;
+        }
+        if (!row.get().home().orElseThrow().equals(sender)
+                || message.outcome().code().equals(NOT_HOME_CODE)) {
+            resolution.resolve(tick, row.get(), homeGone());
+            return;
+        }
+        conclusions.conclude(tick, row.get(), message.outcome().outcome());
+    }
+
+    /**
+     * Sends a request to its home.
+     *
+     * @param tick The tick.
+     * @param row The request's row.
+     * @param home The home.
+     */
+    private static void send(Tick tick, RequestRow row, NodeIdentity home) {
+        Duration timeLeft = row.request().deadline().since(tick.now());
+        tick.emit(new PeerEffect.Send(
+                home.name(), new RequestMessage.Forward(row.request(), home, row.window(), timeLeft)));
+    }
+
+    /**
+     * Returns whether a life of a node is over, as far as this node knows.
+     *
+     * @param home The life of a node.
+     * @return {@code true} if the node is not known, dead or born again.
+     */
+    private boolean isGone(NodeIdentity home) {
+        if (home.name().equals(tables.self().name())) {
+            return !home.equals(tables.self());
+        }
+        Optional<Member> member = tables.membership.find(home.name());
+        return member.isEmpty()
+                || member.get().identity().incarnation() > home.incarnation()
+                || member.get().condition() == MemberCondition.DEAD;
+    }
+
+    /**
+     * Describes a request whose home is gone.
+     *
+     * @return The outcome.
+     */
+    private static Outcome homeGone() {
+        return new Outcome.Unknown(NOT_HOME_CODE, "The node that alone may send the request is gone.");
+    }
+}
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/IdDigests.java
@@ -0,0 +1,72 @@
+package io.yuccaswitch.core.request;
+
+import com.google.common.hash.BloomFilter;
+import com.google.common.hash.Funnels;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * A set of ids in little memory that forgets none. It may claim, about once in a thousand million questions and filter,
+ * to hold an id that it does not, which makes a request unknown but never lets it run twice.
+ */
+final class IdDigests {
+
+    /** The number of ids of one filter. */
+    static final int FILTER_CAPACITY = 16384;
+
+    /** The probability that a full filter claims to hold an id that it does not. */
+    private static final double FALSE_POSITIVES = 1e-9;
+
+    /** The filters, of which the last one is filled. */
+    private final List<BloomFilter<Long>> filters = new ArrayList<>();
+
+    /** The number of ids. */
+    private int size;
+
+    /**
+     * Adds an id.
+     *
+     * @param id The id.
+     */
+    void add(RequestId id) {
+        if (size % FILTER_CAPACITY == 0) {
+            filters.add(BloomFilter.create(Funnels.longFunnel(), FILTER_CAPACITY, FALSE_POSITIVES));
+        }
+        filters.get(filters.size() - 1).put(digest(id));
+        size++;
+    }
+
+    /**
+     * Returns whether an id may have been added.
+     *
+     * @param id The id.
+     * @return {@code false} if the id was surely not added.
+     */
+    boolean mayContain(RequestId id) {
+        long digest = digest(id);
+        return filters.stream().anyMatch(filter -> filter.mightContain(digest));
+    }
+
+    /**
+     * Returns the number of ids.
+     *
+     * @return The number of ids.
+     */
+    int size() {
+        return size;
+    }
+
+    /**
+     * Computes the digest of an id.
+     *
+     * @param id The id.
+     * @return The digest.
+     */
+    private static long digest(RequestId id) {
+        return Hashing.farmHashFingerprint64()
+                .hashString(id.value(), StandardCharsets.UTF_8)
+                .asLong();
+    }
+}
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/PendingClaim.java
@@ -0,0 +1,20 @@
+package io.yuccaswitch.core.request;
+
+/**
+ * A row of the table of claims that are being made.
+ *
+ * @param id The identifier of the request.
+ * @param claim The claim.
+ * @param writes The number of writes that were sent.
+ */
+record PendingClaim(RequestId id, RequestClaim claim, int writes) {
+
+    /**
+     * Returns this claim after another write.
+     *
+     * @return The changed claim.
+     */
+    PendingClaim afterWrite() {
+        return new PendingClaim(id, claim, writes + 1);
+    }
+}
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/RequestClock.java
@@ -0,0 +1,61 @@
+package io.yuccaswitch.core.request;
+
+import io.yuccaswitch.core.identity.NodeIdentity;
+import io.yuccaswitch.core.time.MonotonicTime;
+import java.time.Duration;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Counts the windows in which request ids are issued. The prefix of an id names its window,
+ * {@code node@incarnation/wN-}, so that a home needs to remember its ids for a bounded time only. Within a process the
+ * count follows the monotonic clock and never goes back; the wall clock is read once, when the process starts, so that
+ * nodes agree on it roughly.
+ *
+ * @param origin The monotonic time at which the process started.
+ * @param originEpochMillis The wall clock at that time, in milliseconds since the epoch.
+ */
+public record RequestClock(MonotonicTime origin, long originEpochMillis) {
+
+    /** The window of an id that names none. */
+    public static final long NO_WINDOW = -1;
+
+    /** The length of a window. */
+    static final Duration WINDOW = Duration.ofMinutes(1);
+
+    /** The form of an id with a window. */
+    private static final Pattern WINDOWED = Pattern.compile("[^/]+/w([0-9]{1,15})-.+");
+
+    /**
+     * Returns the window of a time.
+     *
+     * @param now The time, not before the origin.
+     * @return The number of the window.
+     */
+    public long window(MonotonicTime now) {
+        return (originEpochMillis + now.since(origin).toMillis()) / WINDOW.toMillis();
+    }
+
+    /**
+     * Returns the prefix of ids that callers may use from now on. Prefixes for other nodes may be made too, as homes
+     * tolerate clocks that differ by minutes.
+     *
+     * @param home The home of the ids.
+     * @param now The time.
+     * @return The prefix.
+     */
+    public String prefix(NodeIdentity home, MonotonicTime now) {
+        return home + "/w" + window(now) + "-";
+    }
+
+    /**
+     * Returns the window that an id names.
+     *
+     * @param id The id.
+     * @return The number of the window, or {@link #NO_WINDOW}.
+     */
+    public static long windowOf(RequestId id) {
+        Matcher matcher = WINDOWED.matcher(id.value());
+        return matcher.matches() ? Long.parseLong(matcher.group(1)) : NO_WINDOW;
+    }
+}
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/RequestRow.java
@@ -0,0 +1,156 @@
+package io.yuccaswitch.core.request;
+
+import com.google.common.hash.Hasher;
+import com.google.common.hash.Hashing;
+import io.yuccaswitch.core.identity.NodeIdentity;
+import io.yuccaswitch.core.time.MonotonicTime;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+
+/**
+ * A row of the table of requests in progress.
+ *
+ * @param request The request.
+ * @param fingerprint The fingerprint of the request.
+ * @param stage Where the request stands.
+ * @param stageSince The time since which it stands there.
+ * @param waiters Who waits for the outcome.
+ * @param home The life of the node that alone may send the request, or empty if any may.
+ * @param window The issue window of the id, or {@link RequestClock#NO_WINDOW}.
+ * @param history What the attempts have brought so far.
+ * @param notBefore The time before which the request is not sent again.
+ */
+record RequestRow(
+        Request request,
+        long fingerprint,
+        RequestStage stage,
+        MonotonicTime stageSince,
+        Waiters waiters,
+        Optional<NodeIdentity> home,
+        long window,
+        AttemptHistory history,
+        MonotonicTime notBefore) {
+
+    /**
+     * Creates the row of a request that arrived.
+     *
+     * @param request The request.
+     * @param waiters Who waits for the outcome.
+     * @param now The time.
+     * @return The row.
+     */
+    static RequestRow arrived(Request request, Waiters waiters, MonotonicTime now) {
+        return new RequestRow(
+                request,
+                fingerprint(request),
+                RequestStage.QUEUED,
+                now,
+                waiters,
+                Optional.empty(),
+                RequestClock.NO_WINDOW,
+                AttemptHistory.EMPTY,
+                now);
+    }
+
+    /**
+     * Computes the fingerprint of a request, which tells a request that is sent again from another one that bears the
+     * same id by mistake.
+     *
+     * @param request The request.
+     * @return The fingerprint.
+     */
+    static long fingerprint(Request request) {
+        Hasher hasher = Hashing.farmHashFingerprint64().newHasher();
+        for (String text : new String[] {
+            request.caller().value(), request.pool().value(), request.method(), request.path(), request.contentType()
+        }) {
+            hasher.putInt(text.length()).putString(text, StandardCharsets.UTF_8);
+        }
+        return hasher.putBoolean(request.idempotent())
+                .putBytes(request.body().unsafeArray())
+                .hash()
+                .asLong();
+    }
+
+    /**
+     * Returns the identifier of the request.
+     *
+     * @return The identifier of the request.
+     */
+    RequestId id() {
+        return request.id();
+    }
+
+    /**
+     * Returns this row at another stage.
+     *
+     * @param changed The stage.
+     * @param now The time.
+     * @return The changed row.
+     */
+    RequestRow withStage(RequestStage changed, MonotonicTime now) {
+        return new RequestRow(request, fingerprint, changed, now, waiters, home, window, history, notBefore);
+    }
+
+    /**
+     * Returns this row with other waiters.
+     *
+     * @param changed The waiters.
+     * @return The changed row.
+     */
+    RequestRow withWaiters(Waiters changed) {
+        return new RequestRow(request, fingerprint, stage, stageSince, changed, home, window, history, notBefore);
+    }
+
+    /**
+     * Returns this row with a home.
+     *
+     * @param changed The home.
+     * @param issued The issue window of the id.
+     * @return The changed row.
+     */
+    RequestRow withHome(NodeIdentity changed, long issued) {
+        return new RequestRow(
+                request, fingerprint, stage, stageSince, waiters, Optional.of(changed), issued, history, notBefore);
+    }
+
+    /**
+     * Returns this row with another history.
+     *
+     * @param changed The history.
+     * @return The changed row.
+     */
+    RequestRow withHistory(AttemptHistory changed) {
+        return new RequestRow(request, fingerprint, stage, stageSince, waiters, home, window, changed, notBefore);
+    }
+
+    /**
+     * Returns this row with another deadline.
+     *
+     * @param changed The deadline.
+     * @return The changed row.
+     */
+    RequestRow withDeadline(MonotonicTime changed) {
+        return new RequestRow(
+                request.withDeadline(changed),
+                fingerprint,
+                stage,
+                stageSince,
+                waiters,
+                home,
+                window,
+                history,
+                notBefore);
+    }
+
+    /**
+     * Returns this row waiting to be sent again.
+     *
+     * @param earliest The time before which it is not sent.
+     * @param now The time.
+     * @return The changed row.
+     */
+    RequestRow queuedUntil(MonotonicTime earliest, MonotonicTime now) {
+        return new RequestRow(request, fingerprint, RequestStage.QUEUED, now, waiters, home, window, history, earliest);
+    }
+}
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/RequestSystem.java
@@ -0,0 +1,69 @@
+package io.yuccaswitch.core.request;
+
+import io.yuccaswitch.core.configuration.ConfigurationEvent;
+import io.yuccaswitch.core.decision.DecisionSystem;
+import io.yuccaswitch.core.decision.Tick;
+import io.yuccaswitch.core.endpoint.EndpointView;
+import io.yuccaswitch.core.membership.MembershipView;
+import java.util.List;
+
+/**
+ * The request path: takes in requests, brings each to one outcome, and sends non-idempotent ones at most once.
+ *
+ * <p>To wire it, create one instance and run it after the systems of configuration, membership and endpoints, after any
+ * system that raises {@link RequestEvent.Arrived}, and before any that waits for {@link RequestEvent.Concluded}. It
+ * consumes {@link RequestEvent}, {@code PeerEvent.Received} with a {@link RequestMessage}, {@code PlatformEvent} for
+ * its own tokens and {@code ConfigurationEvent.InForce}; it emits {@link RequestEffect}, {@code PeerEffect.Send} and
+ * {@code PlatformEffect}.
+ */
+public final class RequestSystem implements DecisionSystem {
+
+    /** The tables. */
+    private final RequestTables tables;
+
+    /** The systems that make up the request path, in the order in which they run. */
+    private final List<DecisionSystem> systems;
+
+    /**
+     * Creates a new system.
+     *
+     * @param membership The members, of which this node's own identity is the home of its requests.
+     * @param endpoints The endpoints.
+     * @param clock The clock that counts the windows of request ids.
+     */
+    public RequestSystem(MembershipView membership, EndpointView endpoints, RequestClock clock) {
+        tables = new RequestTables(membership, endpoints, clock);
+        Conclusions conclusions = new Conclusions(tables);
+        DispatchSystem dispatch = new DispatchSystem(tables);
+        Admission admission = new Admission(tables, conclusions, dispatch);
+        ResolutionSystem resolution = new ResolutionSystem(tables, conclusions);
+        ForwardingSystem forwarding = new ForwardingSystem(tables, conclusions, resolution);
+        HomeAdmission homeAdmission = new HomeAdmission(tables, admission, resolution);
+        ClaimSystem claims = new ClaimSystem(tables, conclusions, homeAdmission, forwarding);
+        ArrivalSystem arrivals =
+                new ArrivalSystem(tables, conclusions, admission, homeAdmission, claims, forwarding, resolution);
+        AttemptSystem attempts = new AttemptSystem(tables, conclusions, admission, resolution);
+        DeadlineSystem deadlines = new DeadlineSystem(tables, conclusions, dispatch, forwarding);
+        systems = List.of(arrivals, claims, attempts, forwarding, resolution, deadlines, dispatch);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void run(Tick tick) {
+        for (ConfigurationEvent.InForce event : tick.events(ConfigurationEvent.InForce.class)) {
+            tables.configure(event.configuration());
+        }
+        for (DecisionSystem system : systems) {
+            system.run(tick);
+        }
+    }
+
+    /**
+     * Returns the number of requests in progress on this node, which a node that leaves waits for.
+     *
+     * @return The number of requests in progress.
+     */
+    public int requestsInProgress() {
+        return tables.requests.size();
+    }
+}
