Add the table of endpoints and the systems that keep it

Routing needs to know which endpoints take work. Rows follow the configuration, reports and failures; a leaving endpoint is learned from its own word, from peers or from the platform's list, whichever is first, and the condition is computed from all that is known, so the order of the news does not matter.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/endpoint/Endpoint.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/endpoint/Endpoint.java
@@ -62,4 +62,25 @@
                 Optional.of(report),
                 versions);
     }
+
+    /**
+     * Returns this endpoint without its load report, which has become too old.
+     *
+     * @return The changed endpoint.
+     */
+    public Endpoint withoutLoad() {
+        return new Endpoint(
+                name, kind, address, availabilityZone, condition, incarnation, Optional.empty(), loadedVersions);
+    }
+
+    /**
+     * Returns this endpoint with the kind and availability zone that the configuration gives it.
+     *
+     * @param changedKind What the endpoint is.
+     * @param changedZone The availability zone that the endpoint lies in.
+     * @return The changed endpoint.
+     */
+    public Endpoint withSettings(PoolKind changedKind, AvailabilityZone changedZone) {
+        return new Endpoint(name, changedKind, address, changedZone, condition, incarnation, load, loadedVersions);
+    }
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/endpoint/EndpointEffect.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/endpoint/EndpointEffect.java
@@ -14,4 +14,13 @@
      * @param address The endpoint's address.
      */
     record Probe(EndpointName endpoint, String address) implements EndpointEffect {}
+
+    /**
+     * Reads what changed in the prefix cache of an endpoint, to be answered by any number of
+     * {@link EndpointEvent.PrefixCached}.
+     *
+     * @param endpoint The endpoint's name.
+     * @param address The endpoint's address.
+     */
+    record ReadCacheEvents(EndpointName endpoint, String address) implements EndpointEffect {}
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/endpoint/EndpointEvent.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/endpoint/EndpointEvent.java
@@ -48,6 +48,14 @@
      */
     record Leaving(EndpointName endpoint, String incarnation, String source) implements EndpointEvent {}
 
+    /**
+     * The platform's list of VMs was read, and says whether the VM of an endpoint is leaving.
+     *
+     * @param endpoint The endpoint's name.
+     * @param leaving {@code true} if the VM is listed as leaving.
+     */
+    record Listed(EndpointName endpoint, boolean leaving) implements EndpointEvent {}
+
     /**
      * An endpoint reported that it keeps a prefix of prompts in its cache, or no longer does. Such news comes late and
      * with gaps.
