--- /dev/null
+++ b/yuccaswitch-command/src/main/java/io/yuccaswitch/command/configuration/ConfigurationHistory.java
@@ -0,0 +1,126 @@
+package io.yuccaswitch.command.configuration;
+
+import io.yuccaswitch.command.configuration.ObjectStore.ReadResult;
+import io.yuccaswitch.command.configuration.ObjectStore.WriteResult;
+import io.yuccaswitch.core.platform.ObjectKey;
+import io.yuccaswitch.core.platform.StoredObject;
+import io.yuccaswitch.settings.ConfigurationDocument;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * The accepted generations of the configuration, one object each. The object of a generation is written after its
+ * acceptance, and at the latest right before the next acceptance, such that none but the newest can be lacking.
+ */
+public final class ConfigurationHistory {
+
+    /** The number of generations that are kept. */
+    static final long RETAINED = 1_000;
+
+    /** The platform's objects. */
+    private final ObjectStore store;
+
+    /**
+     * Creates a new history.
+     *
+     * @param store The platform's objects.
+     */
+    public ConfigurationHistory(ObjectStore store) {
+        this.store = store;
+    }
+
+    /**
+     * Reads a generation.
+     *
+     * @param generation The generation.
+     * @return The generation, or why there is none.
+     */
+    public Entry read(long generation) {
+        ReadResult result = store.read(ConfigurationDocument.historyKey(generation));
+        if (result instanceof ReadResult.Unavailable unavailable) {
+            return new Entry(Optional.empty(), Optional.of(unavailable.reason()));
+        }
+        if (result instanceof ReadResult.Found found) {
+            return new Entry(ConfigurationDocument.decode(found.object().value()), Optional.empty());
+        }
+        return new Entry(Optional.empty(), Optional.empty());
+    }
+
+    /**
+     * Reads the newest generations.
+     *
+     * @param current The newest generation.
+     * @param limit The largest number of generations.
+     * @return The generations from the newest to the oldest. Those that are lacking are left out.
+     */
+    public List<ConfigurationDocument> newest(ConfigurationDocument current, int limit) {
+        List<ConfigurationDocument> documents = new ArrayList<>();
+        documents.add(current);
+        long oldest = Math.max(1, current.generation() - limit + 1);
+        for (long generation = current.generation() - 1; generation >= oldest; generation--) {
+            read(generation).document().ifPresent(documents::add);
+        }
+        return documents;
+    }
+
+    /**
+     * Makes sure that an accepted generation is kept.
+     *
+     * @param document The accepted generation.
+     * @return Why it may not be kept, or empty if it is.
+     */
+    public Optional<String> ensure(ConfigurationDocument document) {
+        ObjectKey key = ConfigurationDocument.historyKey(document.generation());
+        ReadResult read = store.read(key);
+        if (read instanceof ReadResult.Found) {
+            return Optional.empty();
+        }
+        WriteResult written = store.write(key, OptionalLong.empty(), document.encode());
+        return written instanceof WriteResult.Unavailable unavailable
+                ? Optional.of(unavailable.reason())
+                : Optional.empty();
+    }
+
+    /**
+     * Deletes the generation that is too old to be kept once a generation is accepted. A failure leaves one object
+     * behind, which does no harm.
+     *
+     * @param accepted The accepted generation.
+     */
+    public void prune(long accepted) {
+        if (accepted <= RETAINED) {
+            return;
+        }
+        ObjectKey key = ConfigurationDocument.historyKey(accepted - RETAINED);
+        if (store.read(key) instanceof ReadResult.Found found) {
+            store.delete(key, found.object().version());
+        }
+    }
+
+    /**
+     * Returns the highest generation that was ever kept.
+     *
+     * @return The generation, or zero if there is none, or empty if the platform gave no usable answer.
+     */
+    OptionalLong highestGeneration() {
+        Optional<List<StoredObject>> objects = store.list(ConfigurationDocument.HISTORY_KIND);
+        if (objects.isEmpty()) {
+            return OptionalLong.empty();
+        }
+        return OptionalLong.of(objects.get().stream()
+                .flatMap(object -> ConfigurationDocument.decode(object.value()).stream())
+                .mapToLong(ConfigurationDocument::generation)
+                .max()
+                .orElse(0));
+    }
+
+    /**
+     * What the history holds of a generation.
+     *
+     * @param document The generation, or empty if it is lacking.
+     * @param failure Why the platform gave no usable answer, or empty if it did.
+     */
+    public record Entry(Optional<ConfigurationDocument> document, Optional<String> failure) {}
+}
--- a/yuccaswitch-settings/src/main/java/io/yuccaswitch/settings/SettingsFolder.java
+++ b/yuccaswitch-settings/src/main/java/io/yuccaswitch/settings/SettingsFolder.java
@@ -61,13 +61,17 @@
     /**
      * Reads a folder. Files in folders within it, hidden files and files of other names are left out.
      *
-     * @param folder The folder to read.
+     * @param folder The folder to read, or a single file.
      * @return The merged folder with the errors of reading, if any.
      */
     public static SettingsFolder read(Path folder) {
         SortedMap<String, byte[]> contents = new TreeMap<>();
         List<SettingsError> errors = new ArrayList<>();
         String name = folder.toString();
+        if (Files.isRegularFile(folder)) {
+            readFile(folder, contents, errors);
+            return merge(name, contents, errors);
+        }
         try (DirectoryStream<Path> paths = Files.newDirectoryStream(folder, SettingsFolder::isSettingsFile)) {
             for (Path path : paths) {
                 readFile(path, contents, errors);
