Add the fault-injecting TCP proxy

Failures between processes must be caused on purpose. 'proxy' holds several links, each a port whose connections are forwarded to a target by blocking threads. POST /links/NAME/faults replaces the faults of a link: refuse, blackhole, delay, reset after a number of bytes in a direction, throttle, and a cut of one direction; cut-connections resets what is open.

--- a/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/TestkitCommands.java
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/TestkitCommands.java
@@ -1,6 +1,7 @@
 package io.yuccaswitch.testkit;
 
 import io.yuccaswitch.testkit.platform.PlatformCommand;
+import io.yuccaswitch.testkit.proxy.ProxyCommand;
 import java.util.List;
 
 /** The registry of the testkit's subcommands. */
@@ -15,6 +16,6 @@
      * @return The subcommands.
      */
     static List<TestkitCommand> all() {
-        return List.of(new PlatformCommand());
+        return List.of(new PlatformCommand(), new ProxyCommand());
     }
 }
--- /dev/null
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/proxy/LinkFaults.java
@@ -0,0 +1,101 @@
+package io.yuccaswitch.testkit.proxy;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+
+/**
+ * The faults of a link.
+ *
+ * @param mode What the link does with connections.
+ * @param delay The time by which bytes are delayed in each direction.
+ * @param resetAfter The bytes in a direction after which a connection is reset, counted for each connection from the
+ *     moment at which these faults come into force.
+ * @param bytesPerSecond The largest number of bytes each second in each direction of a connection, or zero for any.
+ * @param cut The directions in which nothing is forwarded.
+ */
+public record LinkFaults(
+        LinkMode mode, Duration delay, Map<Direction, Long> resetAfter, long bytesPerSecond, Set<Direction> cut) {
+
+    /** No faults. */
+    public static final LinkFaults NONE = new LinkFaults(LinkMode.PASS, Duration.ZERO, Map.of(), 0, Set.of());
+
+    /** Copies the collections. */
+    public LinkFaults {
+        resetAfter = Map.copyOf(resetAfter);
+        cut = Set.copyOf(cut);
+    }
+
+    /**
+     * Creates faults that only change what the link does with connections.
+     *
+     * @param mode What the link does with connections.
+     * @return The faults.
+     */
+    public static LinkFaults of(LinkMode mode) {
+        return new LinkFaults(mode, Duration.ZERO, Map.of(), 0, Set.of());
+    }
+
+    /**
+     * Returns these faults with a delay.
+     *
+     * @param newDelay The time by which bytes are delayed in each direction.
+     * @return The changed faults.
+     */
+    public LinkFaults withDelay(Duration newDelay) {
+        return new LinkFaults(mode, newDelay, resetAfter, bytesPerSecond, cut);
+    }
+
+    /**
+     * Returns these faults with a reset.
+     *
+     * @param direction The direction in which bytes are counted.
+     * @param bytes The bytes that are still forwarded.
+     * @return The changed faults.
+     */
+    public LinkFaults withReset(Direction direction, long bytes) {
+        return new LinkFaults(mode, delay, Map.of(direction, bytes), bytesPerSecond, cut);
+    }
+
+    /**
+     * Returns these faults with a throttle.
+     *
+     * @param newBytesPerSecond The largest number of bytes each second.
+     * @return The changed faults.
+     */
+    public LinkFaults withThrottle(long newBytesPerSecond) {
+        return new LinkFaults(mode, delay, resetAfter, newBytesPerSecond, cut);
+    }
+
+    /**
+     * Returns these faults with other directions cut.
+     *
+     * @param newCut The directions in which nothing is forwarded.
+     * @return The changed faults.
+     */
+    public LinkFaults withCut(Direction... newCut) {
+        return new LinkFaults(mode, delay, resetAfter, bytesPerSecond, Set.of(newCut));
+    }
+
+    /**
+     * Returns whether nothing is forwarded in a direction.
+     *
+     * @param direction The direction.
+     * @return {@code true} if nothing is.
+     */
+    boolean blocks(Direction direction) {
+        return mode == LinkMode.BLACKHOLE || cut.contains(direction);
+    }
+
+    /**
+     * Returns the bytes in a direction after which a connection is reset.
+     *
+     * @param direction The direction.
+     * @return The number of bytes, or empty if connections are not reset.
+     */
+    OptionalLong resetAfter(Direction direction) {
+        Long bytes = resetAfter.get(direction);
+        return bytes == null ? OptionalLong.empty() : OptionalLong.of(bytes);
+    }
+}
