--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/RequestSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/RequestSystem.java
@@ -66,4 +66,13 @@
     public int requestsInProgress() {
         return tables.requests.size();
     }
+
+    /**
+     * Returns the clock that counts the windows of request ids.
+     *
+     * @return The clock.
+     */
+    public RequestClock clock() {
+        return tables.clock;
+    }
 }
--- /dev/null
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/request/TestSite.java
@@ -0,0 +1,270 @@
+package io.yuccaswitch.core.request;
+
+import io.yuccaswitch.core.configuration.ConfigurationEvent;
+import io.yuccaswitch.core.configuration.FleetConfiguration;
+import io.yuccaswitch.core.configuration.PoolKind;
+import io.yuccaswitch.core.configuration.PriorityClass;
+import io.yuccaswitch.core.decision.DecisionCore;
+import io.yuccaswitch.core.decision.Effect;
+import io.yuccaswitch.core.decision.Event;
+import io.yuccaswitch.core.endpoint.Endpoint;
+import io.yuccaswitch.core.endpoint.EndpointCondition;
+import io.yuccaswitch.core.endpoint.EndpointView;
+import io.yuccaswitch.core.identity.AvailabilityZone;
+import io.yuccaswitch.core.identity.EndpointName;
+import io.yuccaswitch.core.identity.NodeIdentity;
+import io.yuccaswitch.core.identity.NodeName;
+import io.yuccaswitch.core.identity.PoolName;
+import io.yuccaswitch.core.membership.Member;
+import io.yuccaswitch.core.membership.MemberCondition;
+import io.yuccaswitch.core.membership.MembershipView;
+import io.yuccaswitch.core.peer.PeerEffect;
+import io.yuccaswitch.core.peer.PeerEvent;
+import io.yuccaswitch.core.peer.PeerMessage;
+import io.yuccaswitch.core.platform.ObjectKey;
+import io.yuccaswitch.core.platform.PlatformEffect;
+import io.yuccaswitch.core.platform.PlatformEvent;
+import io.yuccaswitch.core.platform.StoredObject;
+import io.yuccaswitch.core.time.MonotonicTime;
+import io.yuccaswitch.core.value.Bytes;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * A few cores that are driven by hand: messages, the platform's answers and attempts wait until the test moves them.
+ */
+final class TestSite {
+
+    final Map<String, Node> nodes = new TreeMap<>();
+    final List<Letter> letters = new ArrayList<>();
+    final List<Call> calls = new ArrayList<>();
+    final Map<ObjectKey, Bytes> platform = new HashMap<>();
+    final FleetConfiguration configuration;
+    MonotonicTime now = new MonotonicTime(1_000_000_000L);
+    private long incarnations = 1;
+
+    TestSite(FleetConfiguration configuration, int size) {
+        this.configuration = configuration;
+        for (int index = 0; index < size; index++) {
+            start("n" + index);
+        }
+    }
+
+    /** Starts a node, in a new incarnation if it ran before. */
+    Node start(String name) {
+        Node node = new Node(new NodeIdentity(new NodeName(name), incarnations++), "z" + name.charAt(1));
+        nodes.put(name, node);
+        node.tick(new ConfigurationEvent.InForce(1, configuration));
+        return node;
+    }
+
+    Node node(String name) {
+        return nodes.get(name);
+    }
+
+    void advance(Duration duration) {
+        now = now.plus(duration);
+        tickAll();
+    }
+
+    void tickAll() {
+        List.copyOf(nodes.values()).forEach(Node::tick);
+    }
+
+    /** Delivers all messages and those that they bring about. */
+    void deliverAll() {
+        while (!letters.isEmpty()) {
+            deliver(letters.remove(0));
+        }
+    }
+
+    void deliver(Letter letter) {
+        Node target = nodes.get(letter.target().value());
+        if (target != null && target.alive) {
+            target.tick(new PeerEvent.Received(letter.sender(), letter.message()));
+        }
+    }
+
+    /** Carries out the waiting calls to the platform and returns their answers. */
+    void answerCalls() {
+        while (!calls.isEmpty()) {
+            Call call = calls.remove(0);
+            call.node().tick(apply(call.effect()));
+        }
+    }
+
+    PlatformEvent apply(PlatformEffect effect) {
+        if (effect instanceof PlatformEffect.Write write) {
+            Bytes current = platform.putIfAbsent(write.key(), write.value());
+            return current == null
+                    ? new PlatformEvent.Accepted(write.token(), 1)
+                    : new PlatformEvent.Conflict(
+                            write.token(), Optional.of(new StoredObject(write.key(), 1, current, false)));
+        }
+        PlatformEffect.Read read = (PlatformEffect.Read) effect;
+        return new PlatformEvent.ObjectRead(
+                read.token(),
+                Optional.ofNullable(platform.get(read.key()))
+                        .map(value -> new StoredObject(read.key(), 1, value, false)));
+    }
+
+    Request request(String id, boolean idempotent) {
+        return request(id, idempotent, PriorityClass.NORMAL, Duration.ofSeconds(20));
+    }
+
+    Request request(String id, boolean idempotent, PriorityClass priority, Duration timeLeft) {
+        return new Request(
+                new RequestId(id),
+                TestConfigurations.LEDGER,
+                TestConfigurations.CALLER,
+                priority,
+                idempotent,
+                false,
+                now.plus(timeLeft),
+                "POST",
+                "/post",
+                "text/plain",
+                Bytes.ofUtf8("body"),
+                Optional.empty(),
+                0,
+                List.of(),
+                0,
+                0);
+    }
+
+    record Letter(NodeIdentity sender, NodeName target, PeerMessage message) {}
+
+    record Call(Node node, PlatformEffect effect) {}
+
+    /** A node with its core. */
+    final class Node implements MembershipView, EndpointView {
+
+        final NodeIdentity identity;
+        final AvailabilityZone zone;
+        final DecisionCore core;
+        final RequestSystem system;
+        final List<RequestEffect.Send> sends = new ArrayList<>();
+        final List<RequestEffect.Stream> streams = new ArrayList<>();
+        final List<RequestEffect.Settle> settles = new ArrayList<>();
+        final List<RequestEffect.CancelAttempt> cancels = new ArrayList<>();
+        final List<RequestEffect.LookedUp> lookups = new ArrayList<>();
+        final List<RequestEffect.Conclude> conclusions = new ArrayList<>();
+        final Map<String, MemberCondition> beliefs = new HashMap<>();
+        final Map<String, EndpointCondition> conditions = new LinkedHashMap<>();
+        boolean alive = true;
+
+        Node(NodeIdentity identity, String zone) {
+            this.identity = identity;
+            this.zone = new AvailabilityZone(zone);
+            system = new RequestSystem(this, this, new RequestClock(now, 60_000_000));
+            core = new DecisionCore(List.of(system), identity.incarnation());
+        }
+
+        void tick(Event... events) {
+            if (alive) {
+                core.tick(now, List.of(events)).effects().forEach(this::take);
+            }
+        }
+
+        private void take(Effect effect) {
+            if (effect instanceof RequestEffect.Send send) {
+                sends.add(send);
+            } else if (effect instanceof RequestEffect.Stream stream) {
+                streams.add(stream);
+            } else if (effect instanceof RequestEffect.Settle settle) {
+                settles.add(settle);
+            } else if (effect instanceof RequestEffect.CancelAttempt cancel) {
+                cancels.add(cancel);
+            } else if (effect instanceof RequestEffect.LookedUp lookup) {
+                lookups.add(lookup);
+            } else if (effect instanceof RequestEffect.Conclude conclude) {
+                conclusions.add(conclude);
+            } else if (effect instanceof PeerEffect.Send send) {
+                letters.add(new Letter(identity, send.target(), send.message()));
+            } else if (effect instanceof PlatformEffect call) {
+                calls.add(new Call(this, call));
+            }
+        }
+
+        void arrive(Request request) {
+            tick(new RequestEvent.Arrived(request));
+        }
+
+        RequestEffect.Send lastSend() {
+            return sends.get(sends.size() - 1);
+        }
+
+        Outcome lastOutcome() {
+            return conclusions.get(conclusions.size() - 1).outcome();
+        }
+
+        void end(RequestEffect.Send send, AttemptResult result) {
+            tick(new RequestEvent.AttemptEnded(send.id(), send.attempt(), send.endpoint(), result));
+        }
+
+        void answer(RequestEffect.Send send, String text) {
+            end(send, new AttemptResult.Whole(200, "text/plain", Bytes.ofUtf8(text), Optional.empty()));
+        }
+
+        /** An id with the prefix that this node gives. */
+        String id(String suffix) {
+            return system.clock().prefix(identity, now) + suffix;
+        }
+
+        void kill() {
+            alive = false;
+        }
+
+        @Override
+        public Member self() {
+            return member(identity, zone, MemberCondition.ALIVE);
+        }
+
+        @Override
+        public Collection<Member> working() {
+            return nodes.values().stream()
+                    .map(node -> member(node.identity, node.zone, belief(node)))
+                    .filter(Member::takesWork)
+                    .toList();
+        }
+
+        @Override
+        public Optional<Member> find(NodeName name) {
+            return Optional.ofNullable(nodes.get(name.value()))
+                    .map(node -> member(node.identity, node.zone, belief(node)));
+        }
+
+        private MemberCondition belief(Node node) {
+            return beliefs.getOrDefault(node.identity.toString(), MemberCondition.ALIVE);
+        }
+
+        private Member member(NodeIdentity name, AvailabilityZone availabilityZone, MemberCondition condition) {
+            return new Member(name, availabilityZone, "local", "h:1", "h:2", "h:3", condition);
+        }
+
+        @Override
+        public List<Endpoint> candidates(PoolName pool) {
+            return configuration.pools().get(pool).endpoints().entrySet().stream()
+                    .filter(entry ->
+                            conditions.getOrDefault(entry.getKey(), EndpointCondition.LIVE) == EndpointCondition.LIVE)
+                    .map(entry -> new Endpoint(
+                            new EndpointName(pool, entry.getKey()),
+                            PoolKind.SERVICE,
+                            entry.getValue().address(),
+                            entry.getValue().availabilityZone(),
+                            EndpointCondition.LIVE,
+                            Optional.empty(),
+                            Optional.empty(),
+                            Map.of()))
+                    .sorted(java.util.Comparator.comparing(Endpoint::name))
+                    .toList();
+        }
+    }
+}
