--- /dev/null
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/sample/SampleFleet.java
@@ -0,0 +1,303 @@
+package io.yuccaswitch.core.sample;
+
+import io.yuccaswitch.core.configuration.ConfigurationEvent;
+import io.yuccaswitch.core.configuration.FleetConfiguration;
+import io.yuccaswitch.core.decision.DecisionCore;
+import io.yuccaswitch.core.decision.Effect;
+import io.yuccaswitch.core.decision.Event;
+import io.yuccaswitch.core.decision.Tick;
+import io.yuccaswitch.core.decision.TickResult;
+import io.yuccaswitch.core.identity.AvailabilityZone;
+import io.yuccaswitch.core.identity.NodeIdentity;
+import io.yuccaswitch.core.identity.NodeName;
+import io.yuccaswitch.core.identity.TrainerName;
+import io.yuccaswitch.core.membership.Member;
+import io.yuccaswitch.core.membership.MemberCondition;
+import io.yuccaswitch.core.membership.MembershipView;
+import io.yuccaswitch.core.peer.PeerEffect;
+import io.yuccaswitch.core.peer.PeerEvent;
+import io.yuccaswitch.core.platform.PlatformEffect;
+import io.yuccaswitch.core.request.Outcome;
+import io.yuccaswitch.core.request.Request;
+import io.yuccaswitch.core.request.RequestEvent;
+import io.yuccaswitch.core.request.RequestId;
+import io.yuccaswitch.core.time.MonotonicTime;
+import io.yuccaswitch.core.weight.WeightEvent;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
+
+/**
+ * Drives several cores together: hands their messages on, moves their clock, and stands in for engines and platform.
+ */
+final class SampleFleet {
+
+    static final Duration STEP = Duration.ofMillis(10);
+    static final Duration DETECTION = Duration.ofSeconds(1);
+
+    final FakePlatform platform = new FakePlatform();
+    final Map<Long, SampleEffect.AnswerSubmission> submissions = new HashMap<>();
+    final Map<Long, PullResult> pulls = new HashMap<>();
+    final Map<NodeName, Node> nodes = new TreeMap<>();
+    final Set<String> cut = new HashSet<>();
+    Predicate<Message> lost = _message -> false;
+    EngineModel engines = new EngineModel.Simple();
+    FleetConfiguration configuration;
+    SchedulePolicy policy = SchedulePolicy.Layered.ALL;
+    MonotonicTime now = MonotonicTime.ZERO;
+
+    private final List<Message> wire = new ArrayList<>();
+    private final Map<NodeName, Member> members = new TreeMap<>();
+    private final Map<TrainerName, Long> published = new HashMap<>();
+    private long tokens;
+
+    SampleFleet(FleetConfiguration configuration) {
+        this.configuration = configuration;
+    }
+
+    record Message(NodeIdentity sender, NodeName target, SampleMessage content) {}
+
+    void start(String name, String zone) {
+        NodeName key = new NodeName(name);
+        long incarnation = Optional.ofNullable(members.get(key))
+                        .map(member -> member.identity().incarnation())
+                        .orElse(0L)
+                + 1;
+        NodeIdentity identity = new NodeIdentity(key, incarnation);
+        members.put(
+                key,
+                new Member(identity, new AvailabilityZone(zone), "local", name, name, name, MemberCondition.ALIVE));
+        Node node = new Node(identity);
+        nodes.put(key, node);
+        node.inbox.add(new ConfigurationEvent.InForce(1, configuration));
+        published.forEach((trainer, version) -> node.inbox.add(new WeightEvent.Published(trainer, version, "")));
+    }
+
+    /** Ends a process at once. The others learn it after the time of detection. */
+    void kill(String name) {
+        NodeName key = new NodeName(name);
+        nodes.remove(key);
+        wire.removeIf(message -> message.target().equals(key));
+        Member member = members.get(key);
+        MonotonicTime detected = now.plus(DETECTION);
+        later.add(new Later(
+                detected,
+                () -> members.computeIfPresent(
+                        key,
+                        (_key, current) -> current.identity().equals(member.identity())
+                                ? current.withCondition(MemberCondition.DEAD)
+                                : current)));
+    }
+
+    void restart(String name) {
+        String zone = members.get(new NodeName(name)).availabilityZone().value();
+        nodes.remove(new NodeName(name));
+        start(name, zone);
+    }
+
+    void condition(String name, MemberCondition condition) {
+        members.computeIfPresent(new NodeName(name), (_name, member) -> member.withCondition(condition));
+    }
+
+    void publish(TrainerName trainer, long version) {
+        published.put(trainer, version);
+        nodes.values().forEach(node -> node.inbox.add(new WeightEvent.Published(trainer, version, "")));
+    }
+
+    void reconfigure(FleetConfiguration changed) {
+        configuration = changed;
+        nodes.values().forEach(node -> node.inbox.add(new ConfigurationEvent.InForce(2, changed)));
+    }
+
+    long submit(String node, List<GroupSpecification> groups) {
+        long token = ++tokens;
+        TrainerName trainer = groups.get(0).key().trainer();
+        nodes.get(new NodeName(node)).inbox.add(new SampleEvent.Submitted(token, trainer, groups));
+        return token;
+    }
+
+    long pull(String node, TrainerName trainer, Optional<String> cursor, long useVersion, int maximum, Duration wait) {
+        return pull(node, trainer, cursor, useVersion, OptionalLong.empty(), maximum, wait);
+    }
+
+    long pull(
+            String node,
+            TrainerName trainer,
+            Optional<String> cursor,
+            long useVersion,
+            OptionalLong step,
+            int maximum,
+            Duration wait) {
+        long token = ++tokens;
+        nodes.get(new NodeName(node))
+                .inbox
+                .add(new SampleEvent.PullRequested(token, trainer, cursor, useVersion, step, maximum, wait));
+        return token;
+    }
+
+    Node node(String name) {
+        return nodes.get(new NodeName(name));
+    }
+
+    /** Returns the names of a pair, without those that the cores would compute from a dead process. */
+    List<String> keepers(TrainerName trainer) {
+        return names(io.yuccaswitch.core.membership.RendezvousRanking.pair("keeper/" + trainer, working()));
+    }
+
+    List<String> holders(GroupKey key) {
+        return names(io.yuccaswitch.core.membership.RendezvousRanking.pair("group/" + key, working()));
+    }
+
+    void step() {
+        now = now.plus(STEP);
+        List<Later> due =
+                later.stream().filter(entry -> !now.isBefore(entry.at())).toList();
+        later.removeAll(due);
+        due.forEach(entry -> entry.action().run());
+        deliver();
+        platform.answers(now)
+                .forEach(answer -> Optional.ofNullable(nodes.get(answer.node().name()))
+                        .filter(node -> node.identity.equals(answer.node()))
+                        .ifPresent(node -> node.inbox.add(answer.event())));
+        for (Node node : List.copyOf(nodes.values())) {
+            node.tick();
+        }
+    }
+
+    void run(Duration duration) {
+        MonotonicTime end = now.plus(duration);
+        while (now.isBefore(end)) {
+            step();
+        }
+    }
+
+    boolean runUntil(BooleanSupplier condition, Duration limit) {
+        MonotonicTime end = now.plus(limit);
+        while (!condition.getAsBoolean()) {
+            if (!now.isBefore(end)) {
+                return false;
+            }
+            step();
+        }
+        return true;
+    }
+
+    private final List<Later> later = new ArrayList<>();
+
+    private record Later(MonotonicTime at, Runnable action) {}
+
+    private List<Member> working() {
+        return members.values().stream().filter(Member::takesWork).toList();
+    }
+
+    private static List<String> names(List<Member> pair) {
+        return pair.stream().map(member -> member.identity().name().value()).toList();
+    }
+
+    private void deliver() {
+        List<Message> messages = List.copyOf(wire);
+        wire.clear();
+        for (Message message : messages) {
+            Node node = nodes.get(message.target());
+            if (node == null || lost.test(message) || isCut(message)) {
+                continue;
+            }
+            node.inbox.add(new PeerEvent.Received(message.sender(), message.content()));
+        }
+    }
+
+    private boolean isCut(Message message) {
+        return cut.contains(message.sender().name().value())
+                != cut.contains(message.target().value());
+    }
+
+    /** One process: its core, its view of the members, and its request path. */
+    final class Node implements MembershipView {
+
+        final NodeIdentity identity;
+        final List<Event> inbox = new ArrayList<>();
+        final SampleSystem system;
+        private final DecisionCore core;
+        private final Map<RequestId, Request> requests = new LinkedHashMap<>();
+        long ticks;
+        long nanoseconds;
+
+        private Node(NodeIdentity identity) {
+            this.identity = identity;
+            system = new SampleSystem(this, () -> ++tokens, policy);
+            core = new DecisionCore(List.of(system.beforeRequests(), this::requestPath, system.afterRequests()), 1);
+        }
+
+        @Override
+        public Member self() {
+            return members.get(identity.name());
+        }
+
+        @Override
+        public Collection<Member> working() {
+            boolean inside = cut.contains(identity.name().value());
+            return SampleFleet.this.working().stream()
+                    .filter(member -> cut.contains(member.identity().name().value()) == inside)
+                    .toList();
+        }
+
+        @Override
+        public Optional<Member> find(NodeName name) {
+            boolean inside = cut.contains(identity.name().value());
+            return Optional.ofNullable(members.get(name))
+                    .map(member ->
+                            cut.contains(name.value()) == inside ? member : member.withCondition(MemberCondition.DEAD));
+        }
+
+        private void requestPath(Tick tick) {
+            for (RequestEvent.Arrived event : tick.events(RequestEvent.Arrived.class)) {
+                requests.put(event.id(), event.request());
+                engines.begin(identity, event.request(), now);
+            }
+            for (RequestEvent.Cancelled event : tick.events(RequestEvent.Cancelled.class)) {
+                requests.remove(event.id());
+                engines.cancel(event.id());
+            }
+            for (RequestId id : List.copyOf(requests.keySet())) {
+                Optional<Outcome> outcome = engines.poll(id, now);
+                if (outcome.isPresent()) {
+                    requests.remove(id);
+                    tick.raise(new RequestEvent.Concluded(id, outcome.get()));
+                }
+            }
+        }
+
+        private void tick() {
+            List<Event> events = List.copyOf(inbox);
+            inbox.clear();
+            long begun = System.nanoTime();
+            TickResult result = core.tick(now, events);
+            nanoseconds += System.nanoTime() - begun;
+            ticks++;
+            result.effects().forEach(this::carryOut);
+        }
+
+        private void carryOut(Effect effect) {
+            if (effect instanceof PeerEffect.Send send) {
+                wire.add(new Message(identity, send.target(), (SampleMessage) send.message()));
+            } else if (effect instanceof PlatformEffect call) {
+                platform.call(identity, call, now);
+            } else if (effect instanceof SampleEffect.AnswerSubmission answer) {
+                submissions.put(answer.token(), answer);
+            } else if (effect instanceof SampleEffect.AnswerPull answer) {
+                pulls.put(answer.token(), answer.result());
+            }
+        }
+    }
+}
