--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/CursorStore.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/CursorStore.java
@@ -124,7 +124,7 @@
         if (written || row.token().isPresent() || tick.now().isBefore(row.notBefore())) {
             return;
         }
-        long token = context.tokens.getAsLong();
+        long token = context.tokens.next();
         if (row.known().isEmpty()) {
             rows.put(row.trainer(), row.withCall(token, Optional.empty()));
             tick.emit(new PlatformEffect.Read(token, PlatformPurpose.SAMPLE, key(row.trainer())));
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/CursorSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/CursorSystem.java
@@ -175,7 +175,7 @@
      * @param trainer The trainer.
      */
     private void begin(Tick tick, TrainerName trainer) {
-        long token = context.tokens.getAsLong();
+        long token = context.tokens.next();
         inquiries.put(
                 trainer,
                 new Inquiry(
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/SampleContext.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/SampleContext.java
@@ -10,9 +10,9 @@
 import io.yuccaswitch.core.identity.PoolName;
 import io.yuccaswitch.core.identity.TrainerName;
 import io.yuccaswitch.core.membership.MembershipView;
+import io.yuccaswitch.core.platform.PlatformTokens;
 import io.yuccaswitch.core.weight.WeightEvent;
 import java.util.Optional;
-import java.util.function.LongSupplier;
 
 /** The tables that the systems of this package share, and what they know of the rest of the node. */
 final class SampleContext {
@@ -26,8 +26,8 @@
     /** Sends messages. */
     final Outbox outbox;
 
-    /** Gives tokens for calls to the platform that are unique within the process. */
-    final LongSupplier tokens;
+    /** Hands out the tokens of calls to the platform. */
+    final PlatformTokens tokens;
 
     /** The groups that this node holds as driver or backup. */
     final EntityTable<GroupKey, HeldGroup> held = new EntityTable<>();
@@ -54,9 +54,9 @@
      * Creates a new context.
      *
      * @param membership The members.
-     * @param tokens Gives tokens for calls to the platform that are unique within the process.
+     * @param tokens Hands out the tokens of calls to the platform.
      */
-    SampleContext(MembershipView membership, LongSupplier tokens) {
+    SampleContext(MembershipView membership, PlatformTokens tokens) {
         this.membership = membership;
         this.tokens = tokens;
         roles = new RoleTable(membership);
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/SampleSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/SampleSystem.java
@@ -5,9 +5,10 @@
 import io.yuccaswitch.core.identity.NodeIdentity;
 import io.yuccaswitch.core.membership.MembershipView;
 import io.yuccaswitch.core.peer.PeerEvent;
+import io.yuccaswitch.core.platform.PlatformTokens;
+import io.yuccaswitch.core.request.RequestClock;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.LongSupplier;
 
 /**
  * The systems that carry samples from their submission to their hand-over. A core lists {@link #beforeRequests()}
@@ -35,24 +36,26 @@
      * Creates new systems.
      *
      * @param membership The members.
-     * @param tokens Gives tokens for calls to the platform that are unique within the process.
+     * @param tokens Hands out the tokens of calls to the platform.
+     * @param clock The clock that counts the windows of request ids.
      */
-    public SampleSystem(MembershipView membership, LongSupplier tokens) {
-        this(membership, tokens, SchedulePolicy.Layered.ALL);
+    public SampleSystem(MembershipView membership, PlatformTokens tokens, RequestClock clock) {
+        this(membership, tokens, clock, SchedulePolicy.Layered.ALL);
     }
 
     /**
      * Creates new systems with a policy.
      *
      * @param membership The members.
-     * @param tokens Gives tokens for calls to the platform that are unique within the process.
+     * @param tokens Hands out the tokens of calls to the platform.
+     * @param clock The clock that counts the windows of request ids.
      * @param policy The order in which samples are begun.
      */
-    public SampleSystem(MembershipView membership, LongSupplier tokens, SchedulePolicy policy) {
+    public SampleSystem(MembershipView membership, PlatformTokens tokens, RequestClock clock, SchedulePolicy policy) {
         context = new SampleContext(membership, tokens);
         PoolWindow window = new PoolWindow(context);
         LengthEstimate lengths = new LengthEstimate();
-        schedule = new ScheduleSystem(context, flights, window, lengths, policy);
+        schedule = new ScheduleSystem(context, flights, window, lengths, policy, clock);
         cursors = new CursorSystem(context, flights);
         HolderSystem holders = new HolderSystem(context, flights);
         handlers = List.of(
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/ScheduleSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/ScheduleSystem.java
@@ -10,6 +10,7 @@
 import io.yuccaswitch.core.identity.PoolName;
 import io.yuccaswitch.core.identity.TrainerName;
 import io.yuccaswitch.core.request.Request;
+import io.yuccaswitch.core.request.RequestClock;
 import io.yuccaswitch.core.request.RequestEvent;
 import io.yuccaswitch.core.request.RequestId;
 import io.yuccaswitch.core.time.MonotonicTime;
@@ -58,6 +59,9 @@
     /** The order of samples. */
     private final SchedulePolicy policy;
 
+    /** The clock that counts the windows of request ids. */
+    private final RequestClock clock;
+
     /** The number of requests that were begun, for identifiers. */
     private long begun;
 
@@ -69,18 +73,21 @@
      * @param window Bounds the requests in progress.
      * @param lengths Expects the length of samples.
      * @param policy The order of samples.
+     * @param clock The clock that counts the windows of request ids.
      */
     ScheduleSystem(
             SampleContext context,
             FlightTable flights,
             PoolWindow window,
             LengthEstimate lengths,
-            SchedulePolicy policy) {
+            SchedulePolicy policy,
+            RequestClock clock) {
         this.context = context;
         this.flights = flights;
         this.window = window;
         this.lengths = lengths;
         this.policy = policy;
+        this.clock = clock;
     }
 
     /** {@inheritDoc} */
@@ -279,7 +286,7 @@
         TrainerName trainer = candidate.key().trainer();
         TrainerSettings settings = context.trainer(trainer).orElseThrow();
         TrainerProgress progress = context.cursor(trainer).progress();
-        RequestId id = nextId(candidate.key(), candidate.index());
+        RequestId id = nextId(tick.now(), candidate.key(), candidate.index());
         long step = candidate.key().step();
         boolean ahead = progress.step() >= 0 && step > progress.step();
         GroupSpecification specification = group.specification();
@@ -349,7 +356,7 @@
     private void score(Tick tick, TrainerSettings settings, PoolName scorer, GroupKey key, int index) {
         HeldGroup group = context.held.find(key).orElseThrow();
         Slot slot = group.slots().get(index);
-        RequestId id = nextId(key, index);
+        RequestId id = nextId(tick.now(), key, index);
         Sample sample = slot.sample().orElseThrow();
         Request request = new Request(
                 id,
@@ -377,13 +384,15 @@
      * Creates the identifier of a request for a sample. It names this life of this node as its home, such that no other
      * node ever sends it.
      *
+     * @param now The current time.
      * @param key The identity of the group.
      * @param index The index of the sample in its group.
      * @return The identifier.
      */
-    private RequestId nextId(GroupKey key, int index) {
+    private RequestId nextId(MonotonicTime now, GroupKey key, int index) {
         begun++;
-        return RequestId.of(context.self(), "sample-" + begun + "-" + key.step() + "-" + key.group() + "-" + index);
+        String slot = key.step() + "-" + key.group() + "-" + index;
+        return new RequestId(clock.prefix(context.self(), now) + "sample-" + begun + "-" + slot);
     }
 
     /**
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/sample/SampleFleet.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/sample/SampleFleet.java
@@ -17,8 +17,10 @@
 import io.yuccaswitch.core.peer.PeerEffect;
 import io.yuccaswitch.core.peer.PeerEvent;
 import io.yuccaswitch.core.platform.PlatformEffect;
+import io.yuccaswitch.core.platform.PlatformTokens;
 import io.yuccaswitch.core.request.Outcome;
 import io.yuccaswitch.core.request.Request;
+import io.yuccaswitch.core.request.RequestClock;
 import io.yuccaswitch.core.request.RequestEvent;
 import io.yuccaswitch.core.request.RequestId;
 import io.yuccaswitch.core.time.MonotonicTime;
@@ -60,6 +62,7 @@
     private final List<Message> wire = new ArrayList<>();
     private final Map<NodeName, Member> members = new TreeMap<>();
     private final Map<TrainerName, Long> published = new HashMap<>();
+    private final PlatformTokens platformTokens = new PlatformTokens();
     private long tokens;
 
     SampleFleet(FleetConfiguration configuration) {
@@ -235,7 +238,7 @@
 
         private Node(NodeIdentity identity) {
             this.identity = identity;
-            system = new SampleSystem(this, () -> ++tokens, policy);
+            system = new SampleSystem(this, platformTokens, new RequestClock(MonotonicTime.ZERO, 0), policy);
             core = new DecisionCore(List.of(system.beforeRequests(), this::requestPath, system.afterRequests()), 1);
         }
 
