--- a/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/proxy/Link.java
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/proxy/Link.java
@@ -1,5 +1,6 @@
 package io.yuccaswitch.testkit.proxy;
 
+import com.google.common.util.concurrent.Uninterruptibles;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
@@ -42,6 +43,9 @@
     /** The port, which stays the same while the link refuses connections. */
     private final int port;
 
+    /** The thread that accepts connections on the listening socket. */
+    private Thread acceptor = new Thread();
+
     /** The listening socket, closed while the link refuses connections. */
     private ServerSocket listener;
 
@@ -163,7 +167,7 @@
     }
 
     /**
-     * Stops listening and keeps the port.
+     * Stops listening and keeps the port. The port is free only once the accepting thread has left the closed socket.
      *
      * @throws IOException If the port is lost.
      */
@@ -172,6 +176,7 @@
             return;
         }
         listener.close();
+        Uninterruptibles.joinUninterruptibly(acceptor);
         portHolder = new Socket();
         portHolder.setReuseAddress(true);
         portHolder.bind(new InetSocketAddress(LOOPBACK, port));
@@ -188,9 +193,9 @@
         ServerSocket socket = new ServerSocket();
         socket.setReuseAddress(true);
         socket.bind(new InetSocketAddress(LOOPBACK, wantedPort), BACKLOG);
-        Thread thread = new Thread(null, () -> accept(socket), "proxy-accept", STACK_SIZE);
-        thread.setDaemon(true);
-        thread.start();
+        acceptor = new Thread(null, () -> accept(socket), "proxy-accept", STACK_SIZE);
+        acceptor.setDaemon(true);
+        acceptor.start();
         return socket;
     }
 
