Keep track of the other nodes by direct exchange

Membership must not cost the platform a heartbeat per node. Nodes exchange a hash of their table with one partner at a time, mostly in their own availability zone, and settle only differences; a partner that does not answer is probed through others, suspected, and declared dead unless it objects. Beliefs are ordered by incarnation, then by a revision that only the member itself raises, so that an objection does not change the incarnation that request ids bear.

Messages with missing values are refused by the codec.

--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/ExchangeContent.java
@@ -0,0 +1,208 @@
+package io.yuccaswitch.core.membership;
+
+import io.yuccaswitch.core.identity.NodeIdentity;
+import io.yuccaswitch.core.identity.NodeName;
+import io.yuccaswitch.core.time.MonotonicTime;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/** Composes what travels in exchanges and in the messages that settle differences. */
+final class ExchangeContent {
+
+    /** The largest number of rows of a message. */
+    static final int ROWS_PER_MESSAGE = 64;
+
+    /** The largest number of summaries of a message. */
+    static final int SUMMARIES_PER_MESSAGE = 128;
+
+    /** The state of the membership. */
+    private final MembershipState state;
+
+    /**
+     * Creates a new instance.
+     *
+     * @param state The state of the membership.
+     */
+    ExchangeContent(MembershipState state) {
+        this.state = state;
+    }
+
+    /**
+     * Returns what this node says of itself.
+     *
+     * @param now The current time.
+     * @return The digest.
+     */
+    ExchangeDigest digest(MonotonicTime now) {
+        return new ExchangeDigest(
+                state.table().hash(),
+                state.configuration().heldGeneration(),
+                state.configuration().isReady(),
+                state.platform().ownAge(now),
+                state.platform().latest(now));
+    }
+
+    /**
+     * Returns the rows to tell a partner: recent changes, this node's own row if the partner may need it, and what this
+     * node believes of the partner unless that is what the partner says itself.
+     *
+     * @param partner The partner's name, if it is known.
+     * @param introduce {@code true} if the partner may not know this node.
+     * @return The rows.
+     */
+    List<MemberRow> rowsFor(Optional<NodeName> partner, boolean introduce) {
+        Set<NodeName> names = new LinkedHashSet<>();
+        partner.flatMap(state.table()::row)
+                .filter(row -> !row.is(MemberCondition.ALIVE))
+                .map(MemberRow::name)
+                .ifPresent(names::add);
+        if (introduce) {
+            names.add(state.table().selfRow().name());
+        }
+        names.addAll(state.news().take(state.table().rows().size()));
+        return rows(names);
+    }
+
+    /**
+     * Returns the rows that answer an exchange.
+     *
+     * @param sender The identity that the partner greets with.
+     * @return The rows.
+     */
+    List<MemberRow> answerFor(NodeIdentity sender) {
+        List<MemberRow> answer = new ArrayList<>(rowsFor(Optional.of(sender.name()), false));
+        state.table()
+                .row(sender.name())
+                .filter(row -> !row.member().identity().equals(sender) && !answer.contains(row))
+                .ifPresent(answer::add);
+        return answer;
+    }
+
+    /**
+     * Returns the rows for an address that is contacted without knowing who listens there: this node's own row, and
+     * those of dead members with that address, such that one that is not dead can object.
+     *
+     * @param address The address.
+     * @return The rows.
+     */
+    List<MemberRow> introduction(String address) {
+        List<MemberRow> rows = new ArrayList<>();
+        rows.add(state.table().selfRow());
+        state.table().dead().stream()
+                .filter(row -> row.member().peerAddress().equals(address))
+                .limit(ROWS_PER_MESSAGE)
+                .forEach(rows::add);
+        return rows;
+    }
+
+    /**
+     * Returns summaries of the rows in buckets that differ. If they are too many for one message, only some of the
+     * buckets are returned, and later exchanges settle the rest.
+     *
+     * @param hashes The partner's hashes of its buckets.
+     * @return The message, or empty if no bucket differs.
+     */
+    Optional<MembershipMessage.Summaries> summaries(List<Long> hashes) {
+        List<Long> own = state.table().bucketHashes();
+        if (hashes.size() != own.size()) {
+            return Optional.empty();
+        }
+        int buckets = 0;
+        List<MemberSummary> summaries = new ArrayList<>();
+        for (int bucket = 0; bucket < own.size(); bucket++) {
+            if (own.get(bucket).equals(hashes.get(bucket))) {
+                continue;
+            }
+            List<MemberRow> rows = state.table().rowsIn(1 << bucket);
+            if (buckets != 0 && summaries.size() + rows.size() > SUMMARIES_PER_MESSAGE) {
+                break;
+            }
+            buckets |= 1 << bucket;
+            rows.stream().map(MemberRow::summary).forEach(summaries::add);
+        }
+        return buckets == 0 ? Optional.empty() : Optional.of(new MembershipMessage.Summaries(buckets, summaries));
+    }
+
+    /**
+     * Answers summaries with the rows that the partner lacks and the names of the members that this node lacks.
+     *
+     * @param message The partner's summaries.
+     * @return The messages that settle the difference, which may be none.
+     */
+    List<MembershipMessage.Rows> settle(MembershipMessage.Summaries message) {
+        List<MemberRow> missing = new ArrayList<>();
+        for (MemberRow row : state.table().rowsIn(message.buckets())) {
+            Optional<MemberSummary> theirs = message.summaries().stream()
+                    .filter(summary -> summary.name().equals(row.name()))
+                    .findFirst();
+            boolean unknown = theirs.isEmpty() && !row.is(MemberCondition.DEAD);
+            if (unknown || theirs.map(summary -> summary.isOlderThan(row)).orElse(false)) {
+                missing.add(row);
+            }
+        }
+        List<NodeName> wanted = message.summaries().stream()
+                .filter(this::isNews)
+                .map(MemberSummary::name)
+                .limit(SUMMARIES_PER_MESSAGE)
+                .toList();
+        return messages(missing, wanted);
+    }
+
+    /**
+     * Answers a request for rows.
+     *
+     * @param names The members that were asked for.
+     * @return The messages, which may be none.
+     */
+    List<MembershipMessage.Rows> wanted(List<NodeName> names) {
+        return messages(rows(new LinkedHashSet<>(names)), List.of());
+    }
+
+    /**
+     * Returns whether the row behind a summary is news to this node.
+     *
+     * @param summary The summary.
+     * @return {@code true} if the row is news.
+     */
+    private boolean isNews(MemberSummary summary) {
+        return state.table()
+                .row(summary.name())
+                .map(summary::isNewerThan)
+                .orElseGet(() -> summary.condition() != MemberCondition.DEAD);
+    }
+
+    /**
+     * Finds rows.
+     *
+     * @param names The names of the members.
+     * @return The rows of those that are known.
+     */
+    private List<MemberRow> rows(Set<NodeName> names) {
+        return names.stream()
+                .map(state.table()::row)
+                .<MemberRow>mapMulti(Optional::ifPresent)
+                .toList();
+    }
+
+    /**
+     * Spreads rows over messages of bounded size.
+     *
+     * @param rows The rows.
+     * @param wanted The names to ask for, which travel with the first message.
+     * @return The messages, which are none if there is nothing to say.
+     */
+    private static List<MembershipMessage.Rows> messages(List<MemberRow> rows, List<NodeName> wanted) {
+        List<MembershipMessage.Rows> messages = new ArrayList<>();
+        for (int start = 0; start < rows.size(); start += ROWS_PER_MESSAGE) {
+            int end = Math.min(rows.size(), start + ROWS_PER_MESSAGE);
+            messages.add(new MembershipMessage.Rows(rows.subList(start, end), start == 0 ? wanted : List.of()));
+        }
+        if (rows.isEmpty() && !wanted.isEmpty()) {
+            messages.add(new MembershipMessage.Rows(List.of(), wanted));
+        }
+        return messages;
+    }
+}
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/MemberTable.java
@@ -0,0 +1,214 @@
+package io.yuccaswitch.core.membership;
+
+import com.google.common.hash.Hashing;
+import io.yuccaswitch.core.decision.EntityTable;
+import io.yuccaswitch.core.identity.NodeName;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * The table of members. It keeps a hash for each of a few buckets of rows, such that two nodes find out where their
+ * tables differ without sending them. Dead members are left out of the hashes, since nodes forget them at different
+ * times.
+ */
+final class MemberTable implements MembershipView {
+
+    /** The number of buckets, a power of two. */
+    static final int BUCKETS = 16;
+
+    /** The multiplier that makes the hash of the table depend on the order of its buckets. */
+    private static final long HASH_MULTIPLIER = 0x9E37_79B9_7F4A_7C15L;
+
+    /** The rows. */
+    private final EntityTable<NodeName, MemberRow> rows = new EntityTable<>();
+
+    /** The hashes of the buckets. */
+    private final long[] bucketHashes = new long[BUCKETS];
+
+    /** This node's name. */
+    private final NodeName selfName;
+
+    /** The members that may be given new work, or empty if the table changed since it was computed. */
+    private Optional<List<Member>> working = Optional.empty();
+
+    /**
+     * Creates a table that holds this node alone.
+     *
+     * @param self This node's own row.
+     */
+    MemberTable(MemberRow self) {
+        selfName = self.name();
+        put(self);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public Member self() {
+        return selfRow().member();
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public Collection<Member> working() {
+        if (working.isEmpty()) {
+            working = Optional.of(rows.view().stream()
+                    .map(MemberRow::member)
+                    .filter(Member::takesWork)
+                    .sorted(Comparator.comparing(Member::identity))
+                    .toList());
+        }
+        return working.get();
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public Optional<Member> find(NodeName name) {
+        return rows.find(name).map(MemberRow::member);
+    }
+
+    /**
+     * Returns this node's own row.
+     *
+     * @return This node's own row.
+     */
+    MemberRow selfRow() {
+        return rows.find(selfName).orElseThrow();
+    }
+
+    /**
+     * Finds the row of a member.
+     *
+     * @param name The member's name.
+     * @return The row, or empty if there is none.
+     */
+    Optional<MemberRow> row(NodeName name) {
+        return rows.find(name);
+    }
+
+    /**
+     * Returns whether a member is known.
+     *
+     * @param name The member's name.
+     * @return {@code true} if the member is known, in whatever condition.
+     */
+    boolean contains(NodeName name) {
+        return rows.contains(name);
+    }
+
+    /**
+     * Returns all rows, this node's own included.
+     *
+     * @return A view of all rows.
+     */
+    Collection<MemberRow> rows() {
+        return rows.view();
+    }
+
+    /**
+     * Returns the rows of all other members that are not dead.
+     *
+     * @return A copy of the rows.
+     */
+    List<MemberRow> othersLiving() {
+        return rows.view().stream()
+                .filter(row -> !row.name().equals(selfName) && !row.is(MemberCondition.DEAD))
+                .toList();
+    }
+
+    /**
+     * Returns the rows of all members that are dead.
+     *
+     * @return A copy of the rows.
+     */
+    List<MemberRow> dead() {
+        return rows.view().stream().filter(row -> row.is(MemberCondition.DEAD)).toList();
+    }
+
+    /**
+     * Adds or replaces a row.
+     *
+     * @param row The row.
+     */
+    void put(MemberRow row) {
+        rows.find(row.name()).ifPresent(this::toggle);
+        rows.put(row.name(), row);
+        toggle(row);
+        working = Optional.empty();
+    }
+
+    /**
+     * Removes a row.
+     *
+     * @param name The member's name.
+     */
+    void remove(NodeName name) {
+        rows.remove(name).ifPresent(this::toggle);
+        working = Optional.empty();
+    }
+
+    /**
+     * Returns the hash of the whole table.
+     *
+     * @return The hash of the whole table.
+     */
+    long hash() {
+        long hash = 0;
+        for (long bucketHash : bucketHashes) {
+            hash = hash * HASH_MULTIPLIER + bucketHash;
+        }
+        return hash;
+    }
+
+    /**
+     * Returns the hashes of the buckets.
+     *
+     * @return The hashes of the buckets.
+     */
+    List<Long> bucketHashes() {
+        List<Long> hashes = new ArrayList<>(BUCKETS);
+        for (long bucketHash : bucketHashes) {
+            hashes.add(bucketHash);
+        }
+        return hashes;
+    }
+
+    /**
+     * Returns the rows in some buckets.
+     *
+     * @param buckets The buckets, one bit for each.
+     * @return The rows.
+     */
+    List<MemberRow> rowsIn(int buckets) {
+        return rows.view().stream()
+                .filter(row -> (buckets >>> bucket(row.name()) & 1) == 1)
+                .toList();
+    }
+
+    /**
+     * Computes the bucket of a member.
+     *
+     * @param name The member's name.
+     * @return The bucket.
+     */
+    private static int bucket(NodeName name) {
+        return Hashing.farmHashFingerprint64()
+                        .hashString(name.value(), StandardCharsets.UTF_8)
+                        .asInt()
+                & (BUCKETS - 1);
+    }
+
+    /**
+     * Adds a row to the hash of its bucket, or takes it out again.
+     *
+     * @param row The row.
+     */
+    private void toggle(MemberRow row) {
+        if (!row.is(MemberCondition.DEAD)) {
+            bucketHashes[bucket(row.name())] ^= row.fingerprint();
+        }
+    }
+}
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/MembershipState.java
@@ -0,0 +1,69 @@
+package io.yuccaswitch.core.membership;
+
+import io.yuccaswitch.core.configuration.ConfigurationView;
+import io.yuccaswitch.core.configuration.MembershipSettings;
+import java.time.Duration;
+
+/**
+ * What the systems of the membership share.
+ *
+ * @param options The times and bounds that need no tuning.
+ * @param configuration The configuration of this node.
+ * @param table The table of members.
+ * @param news The changes to tell others.
+ * @param timers The timers of suspected and dead members.
+ * @param merge Takes beliefs into the table.
+ * @param health How far this node trusts its own view.
+ * @param platform When the platform last answered any node.
+ * @param counters The counters.
+ */
+record MembershipState(
+        MembershipOptions options,
+        ConfigurationView configuration,
+        MemberTable table,
+        NewsQueue news,
+        MemberTimers timers,
+        MemberMerge merge,
+        SelfHealth health,
+        PlatformSilence platform,
+        MembershipCounters counters) {
+
+    /** The settings until a configuration is in force. */
+    private static final MembershipSettings INITIAL_SETTINGS =
+            new MembershipSettings(Duration.ofMillis(250), Duration.ofSeconds(3), Duration.ofSeconds(10));
+
+    /**
+     * Creates the state of a node that knows only itself.
+     *
+     * @param self This node.
+     * @param configuration The configuration of this node.
+     * @param options The times and bounds that need no tuning.
+     * @return The state.
+     */
+    static MembershipState of(Member self, ConfigurationView configuration, MembershipOptions options) {
+        MemberTable table = new MemberTable(new MemberRow(self, 0));
+        NewsQueue news = new NewsQueue();
+        MemberTimers timers = new MemberTimers();
+        MembershipCounters counters = new MembershipCounters();
+        SelfHealth health = new SelfHealth(options.doubtTime());
+        return new MembershipState(
+                options,
+                configuration,
+                table,
+                news,
+                timers,
+                new MemberMerge(table, news, timers, counters),
+                health,
+                new PlatformSilence(table, health),
+                counters);
+    }
+
+    /**
+     * Returns the settings in force.
+     *
+     * @return The settings in force.
+     */
+    MembershipSettings settings() {
+        return configuration.inForce().map(fleet -> fleet.membership()).orElse(INITIAL_SETTINGS);
+    }
+}
--- a/yuccaswitch-protocol/src/main/java/io/yuccaswitch/protocol/PeerMessageCodec.java
+++ b/yuccaswitch-protocol/src/main/java/io/yuccaswitch/protocol/PeerMessageCodec.java
@@ -1,6 +1,8 @@
 package io.yuccaswitch.protocol;
 
 import com.fasterxml.jackson.annotation.JsonAutoDetect;
+import com.fasterxml.jackson.annotation.JsonSetter;
+import com.fasterxml.jackson.annotation.Nulls;
 import com.fasterxml.jackson.annotation.PropertyAccessor;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.AnnotationIntrospector;
@@ -16,7 +18,10 @@
 import java.util.Optional;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
-/** Turns messages into frames and back. Instances are safe for use by several threads. */
+/**
+ * Turns messages into frames and back. A message that lacks a value, but for optional ones and numbers, is none: a
+ * component that is added to a record in use must be of such a type. Instances are safe for use by several threads.
+ */
 public final class PeerMessageCodec {
 
     /** The registered types of messages. */
@@ -150,6 +155,8 @@
         mapper.setVisibility(PropertyAccessor.IS_GETTER, JsonAutoDetect.Visibility.NONE);
         mapper.setVisibility(PropertyAccessor.FIELD, JsonAutoDetect.Visibility.ANY);
         mapper.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+        mapper.enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES);
+        mapper.setDefaultSetterInfo(JsonSetter.Value.forContentNulls(Nulls.FAIL));
         mapper.disable(SerializationFeature.FAIL_ON_EMPTY_BEANS);
         mapper.disable(SerializationFeature.WRITE_DURATIONS_AS_TIMESTAMPS);
         return mapper;
--- a/yuccaswitch-protocol/src/test/java/io/yuccaswitch/protocol/PeerMessageCodecTest.java
+++ b/yuccaswitch-protocol/src/test/java/io/yuccaswitch/protocol/PeerMessageCodecTest.java
@@ -62,6 +62,21 @@
                 .contains(new Brief(7));
     }
 
+    @Test
+    void aMessageThatLacksAValueIsNone() {
+        byte[] nothing = new byte[] {(byte) 0x99, -64, -64, -64, -64, -64, -64, -64, -64, -64};
+        byte[] listOfNothing = new byte[] {(byte) 0x91, (byte) 0x91, (byte) 0xC0};
+        PeerMessageCodec lists = new PeerMessageCodec(
+                PeerMessageRegistry.builder()
+                        .register(PeerMessageRange.REQUEST, 43, Names.class)
+                        .build(),
+                1000);
+
+        assertThat(codec.decode(new Frame(40, Bytes.wrap(nothing)))).isEmpty();
+        assertThat(codec.decode(new Frame(40, Bytes.wrap(new byte[] {(byte) 0x90})))).isEmpty();
+        assertThat(lists.decode(new Frame(43, Bytes.wrap(listOfNothing)))).isEmpty();
+    }
+
     @Test
     void aNumberIsNeverGivenTwice() {
         PeerMessageRegistry.Builder builder =
@@ -132,6 +147,8 @@
         }
     }
 
+    record Names(List<NodeName> names) implements PeerMessage {}
+
     record Empty() implements PeerMessage {}
 
     record Brief(long first) implements PeerMessage {}
