Distribute generations of the configuration by few watchers and from node to node

Two nodes of each availability zone watch the platform; all others learn of a higher generation by the exchanges of the membership or by an announcement, and pull it from the node that holds it. Only higher generations are taken, from whatever source. A fresh node serves only once the platform or a node that is ready itself has vouched for its generation, so that a restart can't bring an older one back.

--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/configuration/distribution/ConfigurationState.java
@@ -0,0 +1,125 @@
+package io.yuccaswitch.core.configuration.distribution;
+
+import io.yuccaswitch.core.configuration.ConfigurationEffect;
+import io.yuccaswitch.core.configuration.ConfigurationView;
+import io.yuccaswitch.core.configuration.FleetConfiguration;
+import io.yuccaswitch.core.decision.Tick;
+import io.yuccaswitch.core.value.Bytes;
+import java.util.Optional;
+
+/** The generations that this node holds and has in force. Both only grow. */
+public final class ConfigurationState implements ConfigurationView {
+
+    /** The highest generation that this node holds, or zero. */
+    private long heldGeneration;
+
+    /** The envelope of the highest generation that this node holds. */
+    private Bytes heldEnvelope = Bytes.EMPTY;
+
+    /** The generation in force, or zero. */
+    private long generation;
+
+    /** The configuration in force. */
+    private Optional<FleetConfiguration> inForce = Optional.empty();
+
+    /** The number of envelopes that are being decoded. */
+    private int decoding;
+
+    /** Whether this node has made sure that its generation is the newest one it can learn of. */
+    private boolean ready;
+
+    /** {@inheritDoc} */
+    @Override
+    public long heldGeneration() {
+        return heldGeneration;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public long generation() {
+        return generation;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public Optional<FleetConfiguration> inForce() {
+        return inForce;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public boolean isReady() {
+        return ready;
+    }
+
+    /**
+     * Returns the envelope of the highest generation that this node holds.
+     *
+     * @return The envelope, which is empty if there is none.
+     */
+    Bytes heldEnvelope() {
+        return heldEnvelope;
+    }
+
+    /**
+     * Has an envelope decoded.
+     *
+     * @param tick The tick.
+     * @param envelope The envelope.
+     */
+    void decode(Tick tick, Bytes envelope) {
+        decoding++;
+        tick.emit(new ConfigurationEffect.Decode(envelope));
+    }
+
+    /** Takes note that an envelope was decoded or rejected. */
+    void decoded() {
+        decoding--;
+    }
+
+    /**
+     * Returns whether envelopes are being decoded.
+     *
+     * @return {@code true} if a higher generation may be about to come into force.
+     */
+    boolean isDecoding() {
+        return decoding > 0;
+    }
+
+    /**
+     * Holds an envelope if its generation is higher than the one before.
+     *
+     * @param candidate The generation.
+     * @param envelope The envelope.
+     * @return {@code true} if the envelope is held now and was not before.
+     */
+    boolean hold(long candidate, Bytes envelope) {
+        if (candidate <= heldGeneration) {
+            return false;
+        }
+        heldGeneration = candidate;
+        heldEnvelope = envelope;
+        return true;
+    }
+
+    /**
+     * Brings a configuration into force if its generation is higher than the one before.
+     *
+     * @param candidate The generation.
+     * @param configuration The configuration.
+     * @return {@code true} if the configuration is in force now and was not before.
+     */
+    boolean enforce(long candidate, FleetConfiguration configuration) {
+        if (candidate <= generation) {
+            return false;
+        }
+        generation = candidate;
+        inForce = Optional.of(configuration);
+        return true;
+    }
+
+    /** Takes note that this node may serve. */
+    void becomeReady() {
+        ready = true;
+    }
+}
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/ContactSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/ContactSystem.java
@@ -35,6 +35,9 @@
     /** The peer addresses from the platform. */
     private Set<String> platformAddresses = Set.of();
 
+    /** Whether the platform has named addresses. */
+    private boolean platformListed;
+
     /** The time of the first tick. */
     private Optional<MonotonicTime> startedAt = Optional.empty();
 
@@ -80,6 +83,7 @@
      */
     void replacePlatformAddresses(Set<String> named) {
         platformAddresses = Set.copyOf(named);
+        platformListed = true;
     }
 
     /**
@@ -92,7 +96,8 @@
     }
 
     /**
-     * Finds out whether this node has joined: its table equals another one's, or nobody has answered for long.
+     * Finds out whether this node has joined: its table equals another one's, there is nobody to contact, or nobody has
+     * answered for long.
      *
      * @param tick The tick.
      */
@@ -108,7 +113,8 @@
                         .since(startedAt.orElseThrow())
                         .compareTo(state.options().aloneTime())
                 >= 0;
-        if ((knowsOthers && equal) || waited) {
+        boolean alone = platformListed && !knowsOthers && unclaimed().isEmpty();
+        if ((knowsOthers && equal) || alone || waited) {
             joined = true;
             tick.raise(new MembershipEvent.SelfJoined(!knowsOthers));
         }
