--- /dev/null
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/check/RunLog.java
@@ -0,0 +1,79 @@
+package io.yuccaswitch.testkit.check;
+
+import io.yuccaswitch.testkit.check.Observation.EndpointRun;
+import io.yuccaswitch.testkit.check.Observation.Segment;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.UUID;
+
+/** Where an endpoint records its runs, such that they outlive its process. */
+public interface RunLog {
+
+    /**
+     * Records that a run began.
+     *
+     * @param requestId The identifier of the request.
+     * @param generated The versions in use, without tokens, or empty.
+     * @return The run, to be given to {@link #ended}.
+     */
+    EndpointRun begun(String requestId, List<Segment> generated);
+
+    /**
+     * Records that a run ended.
+     *
+     * @param run The run, as it began.
+     * @param completed Whether it came to its end.
+     * @param generated The tokens that it generated, or empty.
+     */
+    void ended(EndpointRun run, boolean completed, List<Segment> generated);
+
+    /**
+     * Creates a log.
+     *
+     * @param endpoint The name of the endpoint.
+     * @param file The file, or an empty text to record nothing.
+     * @return The log.
+     */
+    static RunLog to(String endpoint, String file) {
+        return file.isEmpty() ? new NoOp() : new ToFile(endpoint, new ObservationLog(Path.of(file)));
+    }
+
+    /**
+     * Records runs in a file.
+     *
+     * @param endpoint The name of the endpoint.
+     * @param log The file.
+     */
+    record ToFile(String endpoint, ObservationLog log) implements RunLog {
+
+        /** {@inheritDoc} */
+        @Override
+        public EndpointRun begun(String requestId, List<Segment> generated) {
+            EndpointRun run = new EndpointRun(
+                    endpoint, UUID.randomUUID().toString(), requestId, System.currentTimeMillis(), false, generated);
+            log.write(run);
+            return run;
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void ended(EndpointRun run, boolean completed, List<Segment> generated) {
+            log.write(
+                    new EndpointRun(run.endpoint(), run.run(), run.requestId(), run.startedAt(), completed, generated));
+        }
+    }
+
+    /** Records nothing. */
+    record NoOp() implements RunLog {
+
+        /** {@inheritDoc} */
+        @Override
+        public EndpointRun begun(String requestId, List<Segment> generated) {
+            return new EndpointRun("", "", requestId, 0, false, generated);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void ended(EndpointRun _run, boolean _completed, List<Segment> _generated) {}
+    }
+}
