--- a/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/TestkitCommands.java
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/TestkitCommands.java
@@ -1,6 +1,9 @@
 package io.yuccaswitch.testkit;
 
+import io.yuccaswitch.testkit.check.CheckCommand;
 import io.yuccaswitch.testkit.engine.EngineCommand;
+import io.yuccaswitch.testkit.load.LoadCommand;
+import io.yuccaswitch.testkit.platform.PlatformCommand;
 import io.yuccaswitch.testkit.scorer.ScorerCommand;
 import io.yuccaswitch.testkit.service.ServiceCommand;
 import io.yuccaswitch.testkit.weightstore.WeightStoreCommand;
@@ -18,6 +21,13 @@
      * @return The subcommands.
      */
     static List<TestkitCommand> all() {
-        return List.of(new EngineCommand(), new ServiceCommand(), new ScorerCommand(), new WeightStoreCommand());
+        return List.of(
+                new CheckCommand(),
+                new EngineCommand(),
+                new LoadCommand(),
+                new PlatformCommand(),
+                new ScorerCommand(),
+                new ServiceCommand(),
+                new WeightStoreCommand());
     }
 }
--- a/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/engine/EngineStandIn.java
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/engine/EngineStandIn.java
@@ -4,6 +4,9 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.javalin.http.Context;
+import io.yuccaswitch.testkit.check.Observation;
+import io.yuccaswitch.testkit.check.Observation.EndpointRun;
+import io.yuccaswitch.testkit.check.RunLog;
 import io.yuccaswitch.testkit.engine.LoadHistory.Load;
 import io.yuccaswitch.testkit.engine.PrefixCache.CacheEvent;
 import io.yuccaswitch.testkit.http.Answer;
@@ -38,6 +41,9 @@
     /** The incarnation of this process. */
     private final String incarnation = UUID.randomUUID().toString();
 
+    /** Where the runs are recorded. */
+    private final RunLog runLog;
+
     /** The weight versions. */
     private final LoadedModels models;
 
@@ -69,6 +75,7 @@
      */
     public EngineStandIn(EngineOptions options) {
         this.options = options;
+        runLog = RunLog.to(options.name, options.observations);
         models = new LoadedModels(options.models);
         lengths = new LengthDistribution(options.seed, options.medianTokens, options.stragglerShare);
         cache = new PrefixCache(options);
@@ -157,6 +164,42 @@
             answer.refuse(UNAVAILABLE, "overloaded");
             return;
         }
+        EndpointRun begun = runLog.begun(run.requestId(), observed(run));
+        try {
+            answer(body, run, answer, chat);
+        } finally {
+            runLog.ended(begun, run.record().completed(), observed(run));
+        }
+    }
+
+    /**
+     * Lists the true versions of a run.
+     *
+     * @param run The run.
+     * @return The versions with their tokens, or the version in use without tokens if none was generated.
+     */
+    private List<Observation.Segment> observed(Run run) {
+        List<Observation.Segment> segments = run.segments().stream()
+                .map(segment -> new Observation.Segment(segment.version(), segment.tokens()))
+                .toList();
+        return segments.isEmpty()
+                ? models.version(run.model()).stream()
+                        .map(version -> new Observation.Segment(version, 0))
+                        .toList()
+                : segments;
+    }
+
+    /**
+     * Answers a request whose run has begun.
+     *
+     * @param body The body of the request.
+     * @param run The run.
+     * @param answer The answer to write.
+     * @param chat Whether it is a chat.
+     * @throws IOException If the connection is broken.
+     * @throws InterruptedException If the server is stopped meanwhile.
+     */
+    private void answer(JsonNode body, Run run, Answer answer, boolean chat) throws IOException, InterruptedException {
         if (faults().take(Fault.RESETS_AFTER_RUN)) {
             answer.closeConnection();
             return;
