Let a refusal of a passed-on request hold for late repetitions of its message

A repeated forward that arrived after the home had refused the request would have run it, although its caller was told that it did not run; a delayed refusal of an earlier arrival could also conclude a later one. Each arrival now has a number, a home repeats its refusal for it, and a node believes outcomes of its present arrival only. A node without configuration no longer says not run of an id that another life may have sent.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/ArrivalSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/ArrivalSystem.java
@@ -70,7 +70,14 @@
     public void run(Tick tick) {
         for (RequestEvent event : tick.events(RequestEvent.class)) {
             if (event instanceof RequestEvent.Arrived arrived) {
-                arrived(tick, RequestRow.arrived(arrived.request(), Waiters.LOCAL, tick.now()), Optional.empty());
+                arrived(
+                        tick,
+                        RequestRow.arrived(
+                                arrived.request(),
+                                Waiters.LOCAL,
+                                tick.now(),
+                                tick.random().nextLong()),
+                        Optional.empty());
             } else if (event instanceof RequestEvent.Cancelled cancelled) {
                 cancelled(tick, cancelled.id());
             }
@@ -90,7 +97,7 @@
      * @param message The message.
      */
     private void forwarded(Tick tick, NodeIdentity sender, RequestMessage.Forward message) {
-        Waiters waiters = Waiters.of(sender.name());
+        Waiters waiters = Waiters.of(sender.name(), message.arrival());
         Request request = message.request().withDeadline(tick.now().plus(message.timeLeft()));
         if (!message.home().equals(tables.self()) || request.idempotent()) {
             conclusions.tell(
@@ -100,7 +107,15 @@
                     new Outcome.Unknown(ForwardingSystem.NOT_HOME_CODE, "This is not the home of the request."));
             return;
         }
-        arrived(tick, RequestRow.arrived(request, waiters, tick.now()), Optional.of(message.window()));
+        Optional<RecordedOutcome> refusal = tables.refused.find(message.arrival());
+        if (refusal.isPresent()) {
+            conclusions.tell(tick, request.id(), waiters, refusal.get().outcome());
+            return;
+        }
+        arrived(
+                tick,
+                RequestRow.arrived(request, waiters, tick.now(), message.arrival()),
+                Optional.of(message.window()));
     }
 
     /**
@@ -123,7 +138,7 @@
             return;
         }
         if (tables.configuration.isEmpty()) {
-            refuse(tick, row, "not-ready", "The node has no configuration yet.", Optional.of(STARTING_RETRY_AFTER));
+            notReady(tick, row);
             return;
         }
         if (row.request().idempotent()) {
@@ -141,6 +156,23 @@
         }
     }
 
+    /**
+     * Turns a request away before there is a configuration. Only a node that alone could have sent the request knows
+     * that it did not run.
+     *
+     * @param tick The tick.
+     * @param row The request's row.
+     */
+    private void notReady(Tick tick, RequestRow row) {
+        boolean surelyNotRun = row.request().idempotent() || row.id().home().equals(Optional.of(tables.self()));
+        if (surelyNotRun) {
+            refuse(tick, row, "not-ready", "The node has no configuration yet.", Optional.of(STARTING_RETRY_AFTER));
+            return;
+        }
+        Outcome unknown = new Outcome.Unknown("not-ready", "The node has no configuration yet; nothing was sent now.");
+        conclusions.tell(tick, row.id(), row.waiters(), unknown);
+    }
+
     /**
      * Joins a request that is sent again to the one in progress.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/Conclusions.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/Conclusions.java
@@ -58,8 +58,12 @@
             tick.emit(new RequestEffect.Conclude(id, outcome));
             tick.raise(new RequestEvent.Concluded(id, outcome));
         }
-        for (NodeName peer : waiters.peers()) {
-            tick.emit(new PeerEffect.Send(peer, new RequestMessage.Concluded(id, RecordedOutcome.of(outcome))));
+        RecordedOutcome recorded = RecordedOutcome.of(outcome);
+        for (Waiters.Peer peer : waiters.peers()) {
+            if (outcome instanceof Outcome.NotRun) {
+                tables.refused.keep(peer.arrival(), recorded, tick.now());
+            }
+            tick.emit(new PeerEffect.Send(peer.node(), new RequestMessage.Concluded(id, peer.arrival(), recorded)));
         }
     }
 
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/DeadlineSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/DeadlineSystem.java
@@ -56,6 +56,7 @@
             return;
         }
         lookedAt = Optional.of(tick.now());
+        tables.refused.expire(tick.now());
         tables.concluded.expire(tables.clock.window(tick.now()));
         tables.configuration.ifPresent(configuration ->
                 tables.kept.expire(tick.now(), configuration.entry().answerRetention()));
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/ForwardingSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/ForwardingSystem.java
@@ -107,7 +107,7 @@
     private void concluded(Tick tick, NodeIdentity sender, RequestMessage.Concluded message) {
         Optional<RequestRow> row = tables.requests
                 .find(message.id())
-                .filter(found -> found.stage() == RequestStage.FORWARDED)
+                .filter(found -> found.stage() == RequestStage.FORWARDED && found.arrival() == message.arrival())
                 .filter(found -> found.home().orElseThrow().name().equals(sender.name()));
         if (row.isEmpty()) {
             return;
@@ -130,7 +130,7 @@
     private static void send(Tick tick, RequestRow row, NodeIdentity home) {
         Duration timeLeft = row.request().deadline().since(tick.now());
         tick.emit(new PeerEffect.Send(
-                home.name(), new RequestMessage.Forward(row.request(), home, row.window(), timeLeft)));
+                home.name(), new RequestMessage.Forward(row.request(), home, row.window(), row.arrival(), timeLeft)));
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/RequestMessage.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/RequestMessage.java
@@ -18,14 +18,17 @@
 
     /**
      * Passes a request to its home, which answers by {@link Concluded}. It may be sent repeatedly: the home joins
-     * repetitions to the request in progress.
+     * repetitions to the request in progress, and repeats a refusal, such that a late repetition never runs what was
+     * refused.
      *
      * @param request The request, whose deadline is of no meaning to the receiver.
      * @param home The life of the node that is the request's home, such that another life does not take it.
      * @param window The issue window of the request, or a negative number if it has none.
+     * @param arrival The random number of the request's arrival at the sender, the same for repetitions.
      * @param timeLeft The time that is left until the deadline.
      */
-    record Forward(Request request, NodeIdentity home, long window, Duration timeLeft) implements RequestMessage {
+    record Forward(Request request, NodeIdentity home, long window, long arrival, Duration timeLeft)
+            implements RequestMessage {
 
         /** {@inheritDoc} */
         @Override
@@ -38,9 +41,10 @@
      * Tells a node that passed on a request what became of it.
      *
      * @param id The identifier of the request.
+     * @param arrival The number of the arrival that the outcome is for.
      * @param outcome The outcome.
      */
-    record Concluded(RequestId id, RecordedOutcome outcome) implements RequestMessage {}
+    record Concluded(RequestId id, long arrival, RecordedOutcome outcome) implements RequestMessage {}
 
     /**
      * Asks what the receiver knows of a request, to be answered by {@link LookupAnswer}.
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/RequestRow.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/RequestRow.java
@@ -19,6 +19,7 @@
  * @param window The issue window of the id, or {@link RequestClock#NO_WINDOW}.
  * @param history What the attempts have brought so far.
  * @param notBefore The time before which the request is not sent again.
+ * @param arrival The random number of the request's arrival at this node.
  */
 record RequestRow(
         Request request,
@@ -29,7 +30,8 @@
         Optional<NodeIdentity> home,
         long window,
         AttemptHistory history,
-        MonotonicTime notBefore) {
+        MonotonicTime notBefore,
+        long arrival) {
 
     /**
      * Creates the row of a request that arrived.
@@ -37,9 +39,10 @@
      * @param request The request.
      * @param waiters Who waits for the outcome.
      * @param now The time.
+     * @param arrival The random number of the arrival.
      * @return The row.
      */
-    static RequestRow arrived(Request request, Waiters waiters, MonotonicTime now) {
+    static RequestRow arrived(Request request, Waiters waiters, MonotonicTime now, long arrival) {
         return new RequestRow(
                 request,
                 fingerprint(request),
@@ -49,7 +52,8 @@
                 Optional.empty(),
                 RequestClock.NO_WINDOW,
                 AttemptHistory.EMPTY,
-                now);
+                now,
+                arrival);
     }
 
     /**
@@ -89,7 +93,7 @@
      * @return The changed row.
      */
     RequestRow withStage(RequestStage changed, MonotonicTime now) {
-        return new RequestRow(request, fingerprint, changed, now, waiters, home, window, history, notBefore);
+        return new RequestRow(request, fingerprint, changed, now, waiters, home, window, history, notBefore, arrival);
     }
 
     /**
@@ -99,7 +103,8 @@
      * @return The changed row.
      */
     RequestRow withWaiters(Waiters changed) {
-        return new RequestRow(request, fingerprint, stage, stageSince, changed, home, window, history, notBefore);
+        return new RequestRow(
+                request, fingerprint, stage, stageSince, changed, home, window, history, notBefore, arrival);
     }
 
     /**
@@ -111,7 +116,16 @@
      */
     RequestRow withHome(NodeIdentity changed, long issued) {
         return new RequestRow(
-                request, fingerprint, stage, stageSince, waiters, Optional.of(changed), issued, history, notBefore);
+                request,
+                fingerprint,
+                stage,
+                stageSince,
+                waiters,
+                Optional.of(changed),
+                issued,
+                history,
+                notBefore,
+                arrival);
     }
 
     /**
@@ -121,7 +135,8 @@
      * @return The changed row.
      */
     RequestRow withHistory(AttemptHistory changed) {
-        return new RequestRow(request, fingerprint, stage, stageSince, waiters, home, window, changed, notBefore);
+        return new RequestRow(
+                request, fingerprint, stage, stageSince, waiters, home, window, changed, notBefore, arrival);
     }
 
     /**
@@ -140,7 +155,8 @@
                 home,
                 window,
                 history,
-                notBefore);
+                notBefore,
+                arrival);
     }
 
     /**
@@ -151,6 +167,7 @@
      * @return The changed row.
      */
     RequestRow queuedUntil(MonotonicTime earliest, MonotonicTime now) {
-        return new RequestRow(request, fingerprint, RequestStage.QUEUED, now, waiters, home, window, history, earliest);
+        return new RequestRow(
+                request, fingerprint, RequestStage.QUEUED, now, waiters, home, window, history, earliest, arrival);
     }
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/RequestTables.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/RequestTables.java
@@ -50,6 +50,9 @@
     /** The outcomes that are kept for requests that are sent again, this node's own and those of peers. */
     final KeptAnswers kept = new KeptAnswers();
 
+    /** The refusals of requests that peers passed on. */
+    final RefusedArrivals refused = new RefusedArrivals();
+
     /** The configuration in force, or empty before the first one. */
     Optional<FleetConfiguration> configuration = Optional.empty();
 
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/Waiters.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/Waiters.java
@@ -10,7 +10,7 @@
  * @param local Whether this node's shell or a system of this node waits.
  * @param peers The nodes that passed on the request.
  */
-record Waiters(boolean local, Set<NodeName> peers) {
+record Waiters(boolean local, Set<Peer> peers) {
 
     /** Nobody. */
     static final Waiters NONE = new Waiters(false, Set.of());
@@ -27,10 +27,11 @@
      * Returns a peer as the only one that waits.
      *
      * @param peer The peer.
+     * @param arrival The number of the request's arrival there.
      * @return The waiters.
      */
-    static Waiters of(NodeName peer) {
-        return new Waiters(false, Set.of(peer));
+    static Waiters of(NodeName peer, long arrival) {
+        return new Waiters(false, Set.of(new Peer(peer, arrival)));
     }
 
     /**
@@ -40,7 +41,7 @@
      * @return All of them.
      */
     Waiters and(Waiters others) {
-        Set<NodeName> all = new HashSet<>(peers);
+        Set<Peer> all = new HashSet<>(peers);
         all.addAll(others.peers);
         return new Waiters(local || others.local, all);
     }
@@ -62,4 +63,12 @@
     boolean isEmpty() {
         return !local && peers.isEmpty();
     }
+
+    /**
+     * A node that passed on the request.
+     *
+     * @param node The node.
+     * @param arrival The number of the request's arrival there.
+     */
+    record Peer(NodeName node, long arrival) {}
 }
