--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/lease/LeaseSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/lease/LeaseSystem.java
@@ -207,7 +207,7 @@
             return observe(tick, row.withoutCall(tick.now().plus(retryPause())), conflict.current());
         }
         if (event instanceof PlatformEvent.ObjectRead read) {
-            return observe(tick, done, read.object());
+            return scheduled(tick, observe(tick, done, read.object()));
         }
         if (event instanceof PlatformEvent.Unavailable unavailable) {
             LeaseRow retried = row.withoutCall(tick.now().plus(retryPause()));
@@ -219,6 +219,30 @@
         return done;
     }
 
+    /**
+     * Schedules the call after a reading: at once if there is something to write, and otherwise after the usual pause
+     * or when the lease may be taken if nobody renews it, whichever is first.
+     *
+     * @param tick The tick.
+     * @param row The lease.
+     * @return The changed lease.
+     */
+    private LeaseRow scheduled(Tick tick, LeaseRow row) {
+        boolean mine = row.record().filter(record -> record.isHeldBy(self())).isPresent();
+        if (mine
+                || row.observation()
+                        .filter(seen -> isTakeable(seen, tick.now()))
+                        .isPresent()) {
+            return row.withNextCallAt(tick.now());
+        }
+        Optional<MonotonicTime> takeableAt = row.observation()
+                .map(seen -> seen.unchangedSince().plus(duration(seen.record())).plus(margin()));
+        return takeableAt
+                .filter(at -> at.isBefore(row.nextCallAt()))
+                .map(row::withNextCallAt)
+                .orElse(row);
+    }
+
     /**
      * Takes in what the platform showed of a lease.
      *
--- /dev/null
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/weight/WeightRolloutTest.java
@@ -0,0 +1,274 @@
+package io.yuccaswitch.core.weight;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.yuccaswitch.core.configuration.FencingSupport;
+import io.yuccaswitch.core.identity.EndpointName;
+import io.yuccaswitch.core.identity.PoolName;
+import io.yuccaswitch.core.identity.TrainerName;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class WeightRolloutTest {
+
+    private final TestSite site = new TestSite();
+
+    @Test
+    void aPublishedVersionReachesAllEnginesInWaves() {
+        prepare(6);
+        site.publish(site.nodes.get("n2"), "t", 2);
+        site.run(Duration.ofSeconds(15), _present -> {
+            assertThat(loading()).isLessThanOrEqualTo(site.concurrentLoads);
+            assertThat(site.engines.size() - loading()).isGreaterThanOrEqualTo(3);
+        });
+        assertThat(site.allHold("m", 2)).isTrue();
+        assertThat(site.engines.values())
+                .allSatisfy(engine -> assertThat(engine.orders).isEqualTo(1));
+    }
+
+    @Test
+    void theServingFloorBoundsAWaveBelowTheStoresLimit() {
+        site.concurrentLoads = 100;
+        site.servingFloor = 0.75;
+        prepare(8);
+        site.publish(site.nodes.get("n1"), "t", 2);
+        site.run(Duration.ofSeconds(15), _present -> assertThat(loading()).isLessThanOrEqualTo(2));
+        assertThat(site.allHold("m", 2)).isTrue();
+    }
+
+    @Test
+    void aPoolOfOneEngineIsBroughtToNewVersionsToo() {
+        prepare(1);
+        site.publish(site.nodes.get("n1"), "t", 2);
+        site.run(Duration.ofSeconds(5));
+        assertThat(site.allHold("m", 2)).isTrue();
+    }
+
+    @Test
+    void aNewerVersionDuringARolloutReplacesItAndNothingGoesBack() {
+        prepare(6);
+        site.publish(site.nodes.get("n1"), "t", 2);
+        site.run(Duration.ofMillis(1500));
+        site.publish(site.nodes.get("n2"), "t", 3);
+        site.publish(site.nodes.get("n3"), "t", 2);
+        site.run(Duration.ofSeconds(20));
+        assertThat(site.allHold("m", 3)).isTrue();
+        site.engines.values().forEach(engine -> assertThat(engine.applied)
+                .extracting(FakeEngine.Applied::version)
+                .isSorted());
+    }
+
+    @Test
+    void anEngineThatFailsForEverCostsOnlyItsOwnShare() {
+        site.concurrentLoads = 1;
+        prepare(4);
+        site.engine("e0").failing = true;
+        site.publish(site.nodes.get("n1"), "t", 2);
+        site.run(Duration.ofMinutes(10));
+        assertThat(site.engine("e3").versions).containsEntry("m", 2L);
+        assertThat(site.engine("e0").orders).isBetween(5, 11);
+        site.publish(site.nodes.get("n1"), "t", 3);
+        site.run(Duration.ofSeconds(10));
+        assertThat(site.engines.values().stream().filter(engine -> engine.versions.get("m") == 3))
+                .hasSize(3);
+    }
+
+    @Test
+    void anEngineThatClaimsAVersionButKeepsTheOldOneIsUnknownAndTriedAgain() {
+        prepare(3);
+        FakeEngine liar = site.engine("e1");
+        liar.lying = true;
+        site.publish(site.nodes.get("n1"), "t", 2);
+        site.run(Duration.ofSeconds(10));
+        WeightTables tables = site.holder().orElseThrow().tables;
+        assertThat(tables.knownVersion(name("e1"), "m")).isEmpty();
+        assertThat(tables.knownVersion(name("e0"), "m")).contains(2L);
+        liar.lying = false;
+        site.run(Duration.ofSeconds(30));
+        assertThat(tables.knownVersion(name("e1"), "m")).contains(2L);
+    }
+
+    @Test
+    void anEngineThatRestartsWithOldWeightsIsBroughtToTheNewestVersionAgain() {
+        prepare(3);
+        site.publish(site.nodes.get("n1"), "t", 2);
+        site.run(Duration.ofSeconds(10));
+        site.engine("e2").restart();
+        assertThat(site.allHold("m", 2)).isFalse();
+        site.run(Duration.ofSeconds(10));
+        assertThat(site.allHold("m", 2)).isTrue();
+    }
+
+    @Test
+    void anEngineThatRestartsDuringASwapIsOrderedAgain() {
+        prepare(1);
+        site.publish(site.nodes.get("n1"), "t", 2);
+        site.run(Duration.ofMillis(600));
+        assertThat(site.engine("e0").loads).isNotEmpty();
+        site.engine("e0").restart();
+        site.run(Duration.ofSeconds(20));
+        assertThat(site.allHold("m", 2)).isTrue();
+    }
+
+    @Test
+    void aHolderPausedPastItsLeaseDoesNotInterleaveOrdersAtACheckingEngine() {
+        prepare(6);
+        assertNoInterleavingAfterPause();
+    }
+
+    @Test
+    void aHolderPausedPastItsLeaseIsCorrectedAtAnIgnoringEngine() {
+        site.fencing = FencingSupport.IGNORED;
+        prepare(6);
+        assertNoInterleavingAfterPause();
+    }
+
+    @Test
+    void anOldOrderThatAnIgnoringEngineCarriesOutLateIsCorrected() {
+        site.fencing = FencingSupport.IGNORED;
+        prepare(2);
+        site.publish(site.nodes.get("n1"), "t", 2);
+        site.publish(site.nodes.get("n1"), "t", 3);
+        site.run(Duration.ofSeconds(10));
+        site.engine("e0").versions.put("m", 2L);
+        site.run(Duration.ofSeconds(10));
+        assertThat(site.allHold("m", 3)).isTrue();
+    }
+
+    @Test
+    void aNewHolderWaitsForTheLongestFlightOfAnOrderAtEnginesThatIgnoreFencing() {
+        site.fencing = FencingSupport.IGNORED;
+        prepare(2);
+        TestNode holder = site.holder().orElseThrow();
+        site.kill(holder);
+        site.publish(site.nodes.values().iterator().next(), "t", 2);
+        List<Duration> waits = new ArrayList<>();
+        site.run(Duration.ofMinutes(1), present -> {
+            if (loading() > 0) {
+                present.holder()
+                        .flatMap(node -> node.held(TestSite.POOL, present.now))
+                        .ifPresent(lease -> waits.add(present.now.since(lease.since())));
+            }
+        });
+        assertThat(waits.get(0)).isGreaterThanOrEqualTo(TestSite.ORDER_TIMEOUT);
+        assertThat(site.allHold("m", 2)).isTrue();
+    }
+
+    @Test
+    void aPublicationDuringAnHourOfSilenceReachesAllEngines() {
+        prepare(4);
+        site.platform.silent = true;
+        site.run(Duration.ofMinutes(30));
+        site.publish(site.nodes.get("n3"), "t", 2);
+        site.run(Duration.ofSeconds(20));
+        assertThat(site.allHold("m", 2)).isTrue();
+        site.run(Duration.ofMinutes(30));
+        site.platform.silent = false;
+        site.run(Duration.ofMinutes(1));
+        assertThat(site.platform
+                        .find(VersionStore.KIND, "t")
+                        .orElseThrow()
+                        .value()
+                        .toUtf8())
+                .startsWith("1 2 ");
+        site.publish(site.nodes.get("n3"), "t", 3);
+        site.run(Duration.ofSeconds(20));
+        assertThat(site.allHold("m", 3)).isTrue();
+    }
+
+    @Test
+    void aPublicationIsRolledOutAlthoughTheHolderDiesDuringAnOutage() {
+        prepare(4);
+        site.platform.silent = true;
+        site.run(Duration.ofMinutes(2));
+        site.kill(site.holder().orElseThrow());
+        site.publish(site.nodes.values().iterator().next(), "t", 2);
+        site.run(Duration.ofMinutes(1));
+        assertThat(site.allHold("m", 2)).isTrue();
+    }
+
+    @Test
+    void aPublicationIsSafeOnlyOnceAnotherNodeOrThePlatformHasIt() {
+        prepare(1);
+        TestNode publisher = site.nodes.get("n1");
+        publisher.cutOff = true;
+        publisher.cutFromPlatform = true;
+        site.publish(publisher, "t", 2);
+        site.run(Duration.ofSeconds(10));
+        WeightEvent.PublicationSafe safe = new WeightEvent.PublicationSafe(new TrainerName("t"), 2);
+        assertThat(publisher.raised).doesNotContain(safe);
+        publisher.cutOff = false;
+        site.run(Duration.ofSeconds(2));
+        assertThat(publisher.raised).contains(safe);
+    }
+
+    @Test
+    void aPublicationThatDoesNotFollowTheNewestVersionIsRefused() {
+        prepare(1);
+        site.publish(site.nodes.get("n1"), "t", 5);
+        site.run(Duration.ofSeconds(1));
+        site.publish(site.nodes.get("n2"), "t", 4);
+        site.run(Duration.ofSeconds(1));
+        assertThat(site.nodes.get("n2").raised)
+                .contains(new WeightEvent.PublicationRefused(new TrainerName("t"), 4, 5));
+    }
+
+    @Test
+    void aSiteThatStartsAnewLearnsVersionsFromThePlatform() {
+        prepare(2);
+        site.publish(site.nodes.get("n1"), "t", 2);
+        site.run(Duration.ofSeconds(5));
+        List.copyOf(site.nodes.values()).forEach(site::kill);
+        site.engines.values().forEach(FakeEngine::restart);
+        site.addNode("n1", 2);
+        site.addNode("n2", 2);
+        site.run(Duration.ofSeconds(40));
+        assertThat(site.allHold("m", 2)).isTrue();
+    }
+
+    private void assertNoInterleavingAfterPause() {
+        site.publish(site.nodes.get("n1"), "t", 2);
+        site.run(Duration.ofMillis(700));
+        TestNode holder = site.holder().orElseThrow();
+        assertThat(loading()).isPositive();
+        site.pause(holder, Duration.ofSeconds(40));
+        site.run(Duration.ofSeconds(38));
+        site.publish(
+                site.nodes.values().stream()
+                        .filter(node -> node != holder)
+                        .findFirst()
+                        .orElseThrow(),
+                "t",
+                3);
+        site.run(Duration.ofSeconds(60));
+        assertThat(site.allHold("m", 3)).isTrue();
+        site.engines.values().forEach(engine -> assertThat(engine.applied)
+                .extracting(FakeEngine.Applied::fencingNumber)
+                .isSorted());
+    }
+
+    private void prepare(int engines) {
+        for (int index = 0; index < engines; index++) {
+            site.addEngine("e" + index, Map.of("m", 1L));
+        }
+        site.addTrainer("t", "m", 1);
+        for (int index = 1; index <= 3; index++) {
+            site.addNode("n" + index);
+        }
+        site.configure();
+        site.run(Duration.ofSeconds(8));
+    }
+
+    private int loading() {
+        return site.engines.values().stream()
+                .mapToInt(engine -> engine.loads.size())
+                .sum();
+    }
+
+    private static EndpointName name(String engine) {
+        return new EndpointName(new PoolName(TestSite.POOL), engine);
+    }
+}
