--- a/yuccaswitch-endpoint/src/main/java/io/yuccaswitch/endpoint/EndpointClient.java
+++ b/yuccaswitch-endpoint/src/main/java/io/yuccaswitch/endpoint/EndpointClient.java
@@ -86,6 +86,11 @@
      */
     public Flowable<RequestEvent> attempt(RequestEffect.Send send, PoolKind kind) {
         return Flowable.<RequestEvent>create(emitter -> start(send, kind, emitter), BackpressureStrategy.LATEST)
+                .onErrorReturn(_failure -> new RequestEvent.AttemptEnded(
+                        send.id(),
+                        send.attempt(),
+                        send.endpoint(),
+                        new AttemptResult.MaybeRun("client-failed", Optional.empty())))
                 .doOnNext(this::count);
     }
 
--- /dev/null
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/endpoint/package-info.java
@@ -0,0 +1,2 @@
+/** Connects the clients of endpoints to the decision loop. */
+package io.yuccaswitch.node.endpoint;
