--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/ClaimSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/ClaimSystem.java
@@ -6,6 +6,7 @@
 import io.yuccaswitch.core.platform.PlatformEffect;
 import io.yuccaswitch.core.platform.PlatformEvent;
 import io.yuccaswitch.core.platform.PlatformPurpose;
+import io.yuccaswitch.core.platform.PlatformTokens;
 import io.yuccaswitch.core.platform.StoredObject;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -33,6 +34,9 @@
     /** What passes requests on to their home. */
     private final ForwardingSystem forwarding;
 
+    /** The tokens of calls to the platform. */
+    private final PlatformTokens tokens;
+
     /** The claims that are being made, by the token of the call that is waited for. */
     private final EntityTable<Long, PendingClaim> claims = new EntityTable<>();
 
@@ -43,9 +47,15 @@
      * @param conclusions What brings requests to their outcome.
      * @param homeAdmission What admits requests at their home.
      * @param forwarding What passes requests on to their home.
+     * @param tokens The tokens of calls to the platform.
      */
     ClaimSystem(
-            RequestTables tables, Conclusions conclusions, HomeAdmission homeAdmission, ForwardingSystem forwarding) {
+            RequestTables tables,
+            Conclusions conclusions,
+            HomeAdmission homeAdmission,
+            ForwardingSystem forwarding,
+            PlatformTokens tokens) {
+        this.tokens = tokens;
         this.tables = tables;
         this.conclusions = conclusions;
         this.homeAdmission = homeAdmission;
@@ -134,7 +144,7 @@
      * @param pending The claim.
      */
     private void write(Tick tick, PendingClaim pending) {
-        long token = tick.random().nextLong();
+        long token = tokens.next();
         claims.put(token, pending.afterWrite());
         tick.emit(new PlatformEffect.Write(
                 token,
@@ -151,7 +161,7 @@
      * @param pending The claim.
      */
     private void read(Tick tick, PendingClaim pending) {
-        long token = tick.random().nextLong();
+        long token = tokens.next();
         claims.put(token, pending);
         tick.emit(new PlatformEffect.Read(token, PlatformPurpose.REQUEST, RequestClaim.key(pending.id())));
     }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/Request.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/Request.java
@@ -1,10 +1,13 @@
 package io.yuccaswitch.core.request;
 
+import com.google.common.hash.Hasher;
+import com.google.common.hash.Hashing;
 import io.yuccaswitch.core.configuration.PriorityClass;
 import io.yuccaswitch.core.identity.CallerName;
 import io.yuccaswitch.core.identity.PoolName;
 import io.yuccaswitch.core.time.MonotonicTime;
 import io.yuccaswitch.core.value.Bytes;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
 
@@ -76,4 +79,18 @@
                 promptTokens,
                 expectedTokens);
     }
+
+    /**
+     * Computes the fingerprint of this request, which tells a request that is sent again from another one that bears
+     * the same id by mistake.
+     *
+     * @return The fingerprint.
+     */
+    public long fingerprint() {
+        Hasher hasher = Hashing.farmHashFingerprint64().newHasher();
+        for (String text : new String[] {caller.value(), pool.value(), method, path, contentType}) {
+            hasher.putInt(text.length()).putString(text, StandardCharsets.UTF_8);
+        }
+        return hasher.putBoolean(idempotent).putBytes(body.unsafeArray()).hash().asLong();
+    }
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/RequestRow.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/RequestRow.java
@@ -1,10 +1,7 @@
 package io.yuccaswitch.core.request;
 
-import com.google.common.hash.Hasher;
-import com.google.common.hash.Hashing;
 import io.yuccaswitch.core.identity.NodeIdentity;
 import io.yuccaswitch.core.time.MonotonicTime;
-import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 
 /**
@@ -45,7 +42,7 @@
     static RequestRow arrived(Request request, Waiters waiters, MonotonicTime now, long arrival) {
         return new RequestRow(
                 request,
-                fingerprint(request),
+                request.fingerprint(),
                 RequestStage.QUEUED,
                 now,
                 waiters,
@@ -56,26 +53,6 @@
                 arrival);
     }
 
-    /**
-     * Computes the fingerprint of a request, which tells a request that is sent again from another one that bears the
-     * same id by mistake.
-     *
-     * @param request The request.
-     * @return The fingerprint.
-     */
-    static long fingerprint(Request request) {
-        Hasher hasher = Hashing.farmHashFingerprint64().newHasher();
-        for (String text : new String[] {
-            request.caller().value(), request.pool().value(), request.method(), request.path(), request.contentType()
-        }) {
-            hasher.putInt(text.length()).putString(text, StandardCharsets.UTF_8);
-        }
-        return hasher.putBoolean(request.idempotent())
-                .putBytes(request.body().unsafeArray())
-                .hash()
-                .asLong();
-    }
-
     /**
      * Returns the identifier of the request.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/RequestSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/RequestSystem.java
@@ -5,6 +5,7 @@
 import io.yuccaswitch.core.decision.Tick;
 import io.yuccaswitch.core.endpoint.EndpointView;
 import io.yuccaswitch.core.membership.MembershipView;
+import io.yuccaswitch.core.platform.PlatformTokens;
 import java.util.List;
 
 /**
@@ -30,8 +31,9 @@
      * @param membership The members, of which this node's own identity is the home of its requests.
      * @param endpoints The endpoints.
      * @param clock The clock that counts the windows of request ids.
+     * @param tokens The tokens of calls to the platform, which all systems of the core share.
      */
-    public RequestSystem(MembershipView membership, EndpointView endpoints, RequestClock clock) {
+    public RequestSystem(MembershipView membership, EndpointView endpoints, RequestClock clock, PlatformTokens tokens) {
         tables = new RequestTables(membership, endpoints, clock);
         Conclusions conclusions = new Conclusions(tables);
         DispatchSystem dispatch = new DispatchSystem(tables);
@@ -39,7 +41,7 @@
         ResolutionSystem resolution = new ResolutionSystem(tables, conclusions);
         ForwardingSystem forwarding = new ForwardingSystem(tables, conclusions, resolution);
         HomeAdmission homeAdmission = new HomeAdmission(tables, admission, resolution);
-        ClaimSystem claims = new ClaimSystem(tables, conclusions, homeAdmission, forwarding);
+        ClaimSystem claims = new ClaimSystem(tables, conclusions, homeAdmission, forwarding, tokens);
         ArrivalSystem arrivals =
                 new ArrivalSystem(tables, conclusions, admission, homeAdmission, claims, forwarding, resolution);
         AttemptSystem attempts = new AttemptSystem(tables, conclusions, admission, resolution);
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/request/TestSite.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/request/TestSite.java
@@ -24,6 +24,7 @@
 import io.yuccaswitch.core.platform.ObjectKey;
 import io.yuccaswitch.core.platform.PlatformEffect;
 import io.yuccaswitch.core.platform.PlatformEvent;
+import io.yuccaswitch.core.platform.PlatformTokens;
 import io.yuccaswitch.core.platform.StoredObject;
 import io.yuccaswitch.core.time.MonotonicTime;
 import io.yuccaswitch.core.value.Bytes;
@@ -163,7 +164,7 @@
         Node(NodeIdentity identity, String zone) {
             this.identity = identity;
             this.zone = new AvailabilityZone(zone);
-            system = new RequestSystem(this, this, new RequestClock(now, 60_000_000));
+            system = new RequestSystem(this, this, new RequestClock(now, 60_000_000), new PlatformTokens());
             core = new DecisionCore(List.of(system), identity.incarnation());
         }
 
