--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/weight/LeaseFaultTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/weight/LeaseFaultTest.java
@@ -62,6 +62,15 @@
         assertThat(site.platform.answersToLose).isZero();
     }
 
+    @Test
+    void theTimeOfASlowAnswerIsTakenOffTheValidityOfTheLease() {
+        site.platformDelay = TestSite.LEASE.minus(TestSite.MARGIN);
+        site.run(Duration.ofMinutes(2), present -> assertThat(present.holders()).isZero());
+        site.platformDelay = Duration.ofSeconds(2);
+        site.run(Duration.ofMinutes(1));
+        site.run(Duration.ofMinutes(1), present -> assertThat(present.holders()).isEqualTo(1));
+    }
+
     @Test
     void aPlannedStopReleasesTheLeaseAtOnceEvenIfTheAnswerIsLost() {
         site.run(Duration.ofSeconds(2));
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/weight/TestSite.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/weight/TestSite.java
@@ -69,10 +69,20 @@
 
     int concurrentLoads = 2;
 
+    Duration platformDelay = Duration.ZERO;
+
+    /** The pause that a node makes right before it sends its next order. */
+    Optional<Duration> pauseBeforeOrder = Optional.empty();
+
+    /** Whether orders are sent after the end of their validity, as a pause inside of a send may bring about. */
+    boolean sendsLateOrders;
+
     private final Map<NodeName, Member> members = new HashMap<>();
 
     private final List<Held> effects = new ArrayList<>();
 
+    private final List<Answer> answers = new ArrayList<>();
+
     private long generation;
 
     TestNode addNode(String name) {
@@ -176,12 +186,22 @@
     void step() {
         now = now.plus(STEP);
         engines.forEach((name, engine) -> engine.finish(now).forEach(ended -> answer(name, ended)));
+        for (Answer answer : List.copyOf(answers)) {
+            if (!now.isBefore(answer.at())) {
+                answers.remove(answer);
+                answer.node().inbox.add(answer.event());
+            }
+        }
         for (TestNode node : nodes.values()) {
             if (!node.isPaused(now)) {
                 node.tick(now).effects().forEach(effect -> effects.add(new Held(node, effect)));
             }
         }
         for (Held held : List.copyOf(effects)) {
+            if (held.effect() instanceof WeightEffect.Order && pauseBeforeOrder.isPresent()) {
+                pause(held.node(), pauseBeforeOrder.get());
+                pauseBeforeOrder = Optional.empty();
+            }
             if (!held.node().isPaused(now)) {
                 effects.remove(held);
                 carryOut(held.node(), held.effect());
@@ -201,8 +221,9 @@
     private void carryOut(TestNode node, Effect effect) {
         if (effect instanceof PlatformEffect call) {
             boolean silent = platform.silent || node.cutFromPlatform;
-            node.inbox.add(
-                    silent ? new PlatformEvent.Unavailable(call.token(), true, "silent") : platform.answer(call));
+            PlatformEvent answer =
+                    silent ? new PlatformEvent.Unavailable(call.token(), true, "silent") : platform.answer(call);
+            answers.add(new Answer(node, answer, now.plus(platformDelay)));
             node.heardPlatformAt = silent ? node.heardPlatformAt : now;
         } else if (effect instanceof PeerEffect.Send send) {
             TestNode target = nodes.get(send.target().value());
@@ -227,7 +248,7 @@
     }
 
     private void send(TestNode node, WeightEffect.Order order) {
-        if (!now.isBefore(order.validUntil())) {
+        if (!now.isBefore(order.validUntil()) && !sendsLateOrders) {
             node.inbox.add(new WeightEvent.OrderEnded(
                     order.endpoint(),
                     order.fencingNumber(),
@@ -265,4 +286,6 @@
     }
 
     private record Held(TestNode node, Effect effect) {}
+
+    private record Answer(TestNode node, PlatformEvent event, MonotonicTime at) {}
 }
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/weight/WeightRolloutTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/weight/WeightRolloutTest.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
 class WeightRolloutTest {
@@ -114,16 +115,41 @@
     }
 
     @Test
-    void aHolderPausedPastItsLeaseDoesNotInterleaveOrdersAtACheckingEngine() {
-        prepare(6);
-        assertNoInterleavingAfterPause();
+    void aHolderPausedRightBeforeAnOrderDoesNotSendItAfterItsLease() {
+        prepare(4);
+        TestNode holder = rollOutAroundPausedHolder();
+        assertThat(site.allHold("m", 3)).isTrue();
+        assertThat(holder.raised)
+                .anyMatch(event ->
+                        event instanceof WeightEvent.OrderEnded ended && ended.result() == OrderResult.NOT_SENT);
+    }
+
+    @Test
+    void anOrderThatIsSentAfterTheLeaseIsRefusedByACheckingEngine() {
+        prepare(4);
+        site.sendsLateOrders = true;
+        rollOutAroundPausedHolder();
+        assertThat(site.allHold("m", 3)).isTrue();
+        site.engines.values().forEach(engine -> assertThat(engine.applied)
+                .extracting(FakeEngine.Applied::fencingNumber)
+                .isSorted());
+        site.engines.values().forEach(engine -> assertThat(engine.applied)
+                .extracting(FakeEngine.Applied::version)
+                .isSorted());
     }
 
     @Test
-    void aHolderPausedPastItsLeaseIsCorrectedAtAnIgnoringEngine() {
+    void anOrderThatIsSentAfterTheLeaseIsUndoneAtAnEngineThatIgnoresFencing() {
         site.fencing = FencingSupport.IGNORED;
-        prepare(6);
-        assertNoInterleavingAfterPause();
+        prepare(4);
+        site.sendsLateOrders = true;
+        rollOutAroundPausedHolder();
+        assertThat(site.engines.values().stream()
+                        .flatMap(engine -> engine.applied.stream())
+                        .filter(applied -> applied.version() == 2))
+                .as("the late order took effect")
+                .isNotEmpty();
+        assertThat(site.allHold("m", 3)).isTrue();
     }
 
     @Test
@@ -229,25 +255,22 @@
         assertThat(site.allHold("m", 2)).isTrue();
     }
 
-    private void assertNoInterleavingAfterPause() {
-        site.publish(site.nodes.get("n1"), "t", 2);
-        site.run(Duration.ofMillis(700));
+    /** Pauses the holder right before its first order of version 2 until another node rolled out version 3. */
+    private TestNode rollOutAroundPausedHolder() {
+        site.pauseBeforeOrder = Optional.of(Duration.ofSeconds(60));
         TestNode holder = site.holder().orElseThrow();
-        assertThat(loading()).isPositive();
-        site.pause(holder, Duration.ofSeconds(40));
-        site.run(Duration.ofSeconds(38));
-        site.publish(
-                site.nodes.values().stream()
-                        .filter(node -> node != holder)
-                        .findFirst()
-                        .orElseThrow(),
-                "t",
-                3);
-        site.run(Duration.ofSeconds(60));
+        site.publish(holder, "t", 2);
+        site.run(Duration.ofSeconds(5));
+        assertThat(holder.isPaused(site.now)).isTrue();
+        TestNode other = site.nodes.values().stream()
+                .filter(node -> node != holder)
+                .findFirst()
+                .orElseThrow();
+        site.publish(other, "t", 3);
+        site.run(Duration.ofSeconds(50));
         assertThat(site.allHold("m", 3)).isTrue();
-        site.engines.values().forEach(engine -> assertThat(engine.applied)
-                .extracting(FakeEngine.Applied::fencingNumber)
-                .isSorted());
+        site.run(Duration.ofSeconds(60));
+        return holder;
     }
 
     private void prepare(int engines) {
