--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/NodeCore.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/NodeCore.java
@@ -3,6 +3,7 @@
 import io.yuccaswitch.core.configuration.distribution.ConfigurationState;
 import io.yuccaswitch.core.configuration.distribution.ConfigurationSystem;
 import io.yuccaswitch.core.decision.DecisionCore;
+import io.yuccaswitch.core.decision.DecisionSystem;
 import io.yuccaswitch.core.endpoint.EndpointSystem;
 import io.yuccaswitch.core.endpoint.EndpointTable;
 import io.yuccaswitch.core.endpoint.LeavingNews;
@@ -66,8 +67,9 @@
      * @param seeds The peer addresses of nodes to contact first.
      * @param clock The clock that counts the windows of request ids.
      * @param seed The seed of the core's randomness.
+     * @param observer A system that runs after all others.
      */
-    NodeCore(Member self, List<String> seeds, RequestClock clock, long seed) {
+    NodeCore(Member self, List<String> seeds, RequestClock clock, long seed, DecisionSystem observer) {
         PlatformTokens tokens = new PlatformTokens();
         membership = new MembershipSystem(self, seeds, configuration, tokens, MembershipOptions.DEFAULT);
         leases = new LeaseSystem(WeightPlans::leases, membership, tokens, membership.platformNews());
@@ -87,7 +89,8 @@
                         new WeightRolloutSystem(weights, versions, leases),
                         samples.beforeRequests(),
                         requests,
-                        samples.afterRequests()),
+                        samples.afterRequests(),
+                        observer),
                 seed);
     }
 
