--- /dev/null
+++ b/yuccaswitch-command/src/main/java/io/yuccaswitch/command/operator/OperatorClient.java
@@ -0,0 +1,160 @@
+package io.yuccaswitch.command.operator;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import com.fasterxml.jackson.databind.node.TextNode;
+import io.reactivex.rxjava3.core.Flowable;
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.schedulers.Schedulers;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.UnknownHostException;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.SortedMap;
+import okhttp3.HttpUrl;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+
+/** Calls the operators' interface of nodes. */
+public final class OperatorClient implements AutoCloseable {
+
+    /** The longest time that connecting takes. */
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+
+    /** The longest time that a call takes. */
+    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(5);
+
+    /** The largest number of nodes that are called at the same time. */
+    private static final int CONCURRENT_CALLS = 16;
+
+    /** The type of bodies. */
+    private static final MediaType JSON = MediaType.get("application/json");
+
+    /** Separates a scheme from an address. */
+    private static final String SCHEME_SEPARATOR = "://";
+
+    /** The sender of requests. */
+    private final OkHttpClient client = new OkHttpClient.Builder()
+            .connectTimeout(CONNECT_TIMEOUT)
+            .callTimeout(CALL_TIMEOUT)
+            .retryOnConnectionFailure(false)
+            .build();
+
+    /** Reads and writes bodies. */
+    private final ObjectMapper mapper = new ObjectMapper();
+
+    /** The token that operators present. */
+    private final Optional<String> token;
+
+    /**
+     * Creates a new client.
+     *
+     * @param token The token that operators present, or empty if nodes ask for none.
+     */
+    public OperatorClient(Optional<String> token) {
+        this.token = token;
+    }
+
+    /**
+     * Makes the same call to many nodes.
+     *
+     * @param nodes The addresses of the nodes by their names.
+     * @param call The call.
+     * @return The answers in the order of the nodes' names.
+     */
+    public List<NodeReply> callAll(SortedMap<String, String> nodes, OperatorCall call) {
+        return Flowable.fromIterable(nodes.entrySet())
+                .flatMap(
+                        node -> Single.fromSupplier(() -> call(node.getKey(), node.getValue(), call))
+                                .subscribeOn(Schedulers.io())
+                                .toFlowable(),
+                        CONCURRENT_CALLS)
+                .toSortedList(Comparator.comparing(NodeReply::node))
+                .blockingGet();
+    }
+
+    /**
+     * Makes a call to a node.
+     *
+     * @param node The node's name.
+     * @param address The node's address for operators.
+     * @param call The call.
+     * @return The answer.
+     */
+    public NodeReply call(String node, String address, OperatorCall call) {
+        HttpUrl base = HttpUrl.parse(address.contains(SCHEME_SEPARATOR) ? address : "http://" + address);
+        if (base == null) {
+            return new NodeReply(node, address, ReplyKind.NOT_REACHED, MissingNode.getInstance(), "not an address");
+        }
+        HttpUrl.Builder url = base.newBuilder();
+        call.path().forEach(url::addPathSegment);
+        Request.Builder request = new Request.Builder()
+                .url(url.build())
+                .method(call.method(), call.body().map(this::body).orElse(null));
+        token.ifPresent(known -> request.header("Authorization", "Bearer " + known));
+        return send(node, address, request.build());
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void close() {
+        client.dispatcher().executorService().shutdown();
+        client.connectionPool().evictAll();
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param node The node's name.
+     * @param address The node's address.
+     * @param request The request.
+     * @return The answer.
+     */
+    private NodeReply send(String node, String address, Request request) {
+        try (Response response = client.newCall(request).execute()) {
+            JsonNode body = parse(response.body().string());
+            ReplyKind kind = response.isSuccessful() ? ReplyKind.DONE : ReplyKind.REFUSED;
+            return new NodeReply(node, address, kind, body, "HTTP status " + response.code());
+        } catch (ConnectException | UnknownHostException e) {
+            return new NodeReply(node, address, ReplyKind.NOT_REACHED, MissingNode.getInstance(), e.toString());
+        } catch (IOException e) {
+            return new NodeReply(node, address, ReplyKind.NO_ANSWER, MissingNode.getInstance(), e.toString());
+        }
+    }
+
+    /**
+     * Parses a body.
+     *
+     * @param text The body.
+     * @return The JSON, or the text itself if it is none.
+     */
+    private JsonNode parse(String text) {
+        try {
+            return mapper.readTree(text);
+        } catch (JsonProcessingException e) {
+            return TextNode.valueOf(text);
+        }
+    }
+
+    /**
+     * Creates the body of a request.
+     *
+     * @param document The document.
+     * @return The body.
+     */
+    private RequestBody body(Object document) {
+        try {
+            return RequestBody.create(mapper.writeValueAsBytes(document), JSON);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("A request cannot be written as JSON", e);
+        }
+    }
+}
--- /dev/null
+++ b/yuccaswitch-command/src/main/java/io/yuccaswitch/command/operator/package-info.java
@@ -0,0 +1,2 @@
+/** Calls to the operators' interface of nodes. */
+package io.yuccaswitch.command.operator;
--- /dev/null
+++ b/yuccaswitch-command/src/main/java/io/yuccaswitch/command/subcommand/package-info.java
@@ -0,0 +1,2 @@
+/** The subcommands of the operators' command. */
+package io.yuccaswitch.command.subcommand;
--- a/yuccaswitch-command/src/test/java/io/yuccaswitch/command/configuration/ConfigurationApplyTest.java
+++ b/yuccaswitch-command/src/test/java/io/yuccaswitch/command/configuration/ConfigurationApplyTest.java
@@ -166,6 +166,15 @@
         assertThat(history(1).changeId()).isEqualTo("change-a");
     }
 
+    @Test
+    void theHistoryKeepsABoundedNumberOfGenerations() {
+        for (long i = 1; i <= ConfigurationHistory.RETAINED + 2; i++) {
+            change("rina", "site-" + i);
+        }
+        assertThat(store.object(ConfigurationDocument.historyKey(2))).isEmpty();
+        assertThat(store.object(ConfigurationDocument.historyKey(3))).isPresent();
+    }
+
     @Test
     void generationsGoOnFromTheHistoryIfTheObjectWasDeleted() {
         change("rina", "a");
