--- /dev/null
+++ b/yuccaswitch-platform/src/test/java/io/yuccaswitch/platform/CircuitTest.java
@@ -0,0 +1,113 @@
+package io.yuccaswitch.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.yuccaswitch.platform.Circuit.Admission;
+import java.time.Duration;
+import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Test;
+
+class CircuitTest {
+
+    private static final Duration MAXIMUM_WAIT = Duration.ofSeconds(5);
+
+    private static final Duration STEP = Duration.ofMillis(20);
+
+    private final AtomicLong clock = new AtomicLong();
+
+    private final AtomicInteger closings = new AtomicInteger();
+
+    private final Circuit circuit = circuit(1);
+
+    @Test
+    void theCircuitOpensOnlyAfterFailuresInARow() {
+        circuit.failed(circuit.admit());
+        circuit.failed(circuit.admit());
+        circuit.succeeded();
+        circuit.failed(circuit.admit());
+        circuit.failed(circuit.admit());
+        assertThat(circuit.admit()).isEqualTo(Admission.PASS);
+        circuit.failed(Admission.PASS);
+        assertThat(circuit.admit()).isEqualTo(Admission.REFUSE);
+    }
+
+    @Test
+    void onlyOneProbeIsOnItsWayAndItsSuccessClosesTheCircuit() {
+        open(circuit);
+        advance(MAXIMUM_WAIT);
+        assertThat(circuit.admit()).isEqualTo(Admission.PROBE);
+        assertThat(circuit.admit()).isEqualTo(Admission.REFUSE);
+        circuit.succeeded();
+        assertThat(circuit.admit()).isEqualTo(Admission.PASS);
+        assertThat(closings).hasValue(1);
+    }
+
+    @Test
+    void aProbeThatNobodyWaitsForAnyLongerLetsAnotherOneThrough() {
+        open(circuit);
+        advance(MAXIMUM_WAIT);
+        circuit.abandoned(circuit.admit());
+        assertThat(circuit.admit()).isEqualTo(Admission.PROBE);
+    }
+
+    @Test
+    void aLateFailureOfAnOlderCallDoesNotPutOffTheProbe() {
+        open(circuit);
+        Duration before = circuit.untilProbe();
+        circuit.failed(Admission.PASS);
+        assertThat(circuit.untilProbe()).isEqualTo(before);
+    }
+
+    @Test
+    void anOutageOfAnHourCostsFewProbesAndEndsWithinTheLargestWait() {
+        open(circuit);
+        int probes = 0;
+        for (Duration time = Duration.ZERO; time.compareTo(Duration.ofHours(1)) < 0; time = time.plus(STEP)) {
+            advance(STEP);
+            if (circuit.admit() == Admission.PROBE) {
+                probes++;
+                circuit.failed(Admission.PROBE);
+            }
+        }
+        assertThat(probes).isBetween(1000, 2000);
+        assertThat(circuit.untilProbe()).isLessThanOrEqualTo(MAXIMUM_WAIT);
+    }
+
+    @Test
+    void clientsThatFailedTogetherProbeSpreadOverTheWait() {
+        int tenths = (int) (MAXIMUM_WAIT.toMillis() / 100);
+        int[] probes = new int[tenths + 1];
+        for (int client = 0; client < 350; client++) {
+            Circuit other = circuit(client);
+            open(other);
+            for (int failure = 0; failure < 10; failure++) {
+                advance(MAXIMUM_WAIT);
+                other.failed(other.admit());
+            }
+            probes[(int) (other.untilProbe().toMillis() / 100)]++;
+        }
+        assertThat(probes).satisfies(counts -> {
+            for (int count : counts) {
+                assertThat(count).isLessThan(25);
+            }
+        });
+    }
+
+    private Circuit circuit(long seed) {
+        FullJitterBackoff backoff =
+                new FullJitterBackoff(Duration.ofMillis(200), MAXIMUM_WAIT, new SplittableRandom(seed));
+        return new Circuit(3, backoff, clock::get, closings::incrementAndGet);
+    }
+
+    private static void open(Circuit circuit) {
+        for (int failure = 0; failure < 3; failure++) {
+            circuit.failed(circuit.admit());
+        }
+    }
+
+    private void advance(Duration step) {
+        clock.addAndGet(step.toNanos());
+    }
+}
--- /dev/null
+++ b/yuccaswitch-platform/src/test/java/io/yuccaswitch/platform/WatchTest.java
@@ -0,0 +1,131 @@
+package io.yuccaswitch.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import io.javalin.Javalin;
+import io.yuccaswitch.core.platform.ObjectKey;
+import io.yuccaswitch.core.platform.PlatformEffect;
+import io.yuccaswitch.core.platform.PlatformEvent;
+import io.yuccaswitch.core.platform.PlatformPurpose;
+import io.yuccaswitch.core.platform.StoredObject;
+import io.yuccaswitch.core.value.Bytes;
+import io.yuccaswitch.testkit.platform.PlatformStandIn;
+import io.yuccaswitch.testkit.proxy.Link;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class WatchTest {
+
+    private static final long CHANGES = 150;
+
+    private final PlatformStandIn platform = PlatformStandIn.start(0, Optional.empty());
+
+    private final Link link = new Link(0, new InetSocketAddress(InetAddress.getLoopbackAddress(), platform.port()));
+
+    private final PlatformClient client = new PlatformClient(Calls.settings(link.port()), new MetricRegistry());
+
+    private final Calls calls = new Calls(client);
+
+    @AfterEach
+    void close() {
+        client.close();
+        link.close();
+        platform.close();
+    }
+
+    @Test
+    void watchesSeeEachChangeOnceAlthoughConnectionsAreCut() throws InterruptedException {
+        Thread writer = new Thread(this::writeChanges);
+        writer.start();
+        List<Long> seen = new ArrayList<>();
+        long after = 0;
+        while (after < CHANGES) {
+            if (calls.watch(after) instanceof PlatformEvent.ObjectsListed listed) {
+                assertThat(listed.reset()).isFalse();
+                listed.objects().forEach(object -> seen.add(object.version()));
+                after = listed.version();
+            }
+        }
+        writer.join();
+        assertThat(seen)
+                .containsExactlyElementsOf(
+                        LongStream.rangeClosed(1, CHANGES).boxed().toList());
+    }
+
+    @Test
+    void aWatchWithoutChangesReturnsAfterItsWait() {
+        assertThat(calls.watch(0)).isEqualTo(new PlatformEvent.ObjectsListed(1, List.of(), 0, false));
+    }
+
+    @Test
+    void aWatchFromAForgottenVersionIsReset() {
+        calls.create("a");
+        calls.replace(1, "b");
+        platform.forgetChanges();
+        assertThat(calls.watch(1)).isEqualTo(new PlatformEvent.ObjectsListed(1, List.of(), 1, true));
+    }
+
+    @Test
+    void theStatusGoneResetsAWatch() {
+        Javalin server = Javalin.create(config -> config.routes.get("/watch/{kind}", context -> context.status(410)))
+                .start("127.0.0.1", 0);
+        try (PlatformClient other = new PlatformClient(Calls.settings(server.port()), new MetricRegistry())) {
+            assertThat(new Calls(other).watch(5)).isEqualTo(new PlatformEvent.ObjectsListed(1, List.of(), 5, true));
+        } finally {
+            server.stop();
+        }
+    }
+
+    @Test
+    void aWatchNeverFallsBackWhenAReplicaThatLagsBehindAnswers() {
+        Javalin server = Javalin.create(config -> config.routes.get(
+                        "/watch/{kind}",
+                        context -> context.result("{\"version\":3,\"reset\":false,\"objects\":"
+                                + "[{\"name\":\"pool\",\"version\":3,\"deleted\":false,\"value\":\"YQ==\"}]}")))
+                .start("127.0.0.1", 0);
+        try (PlatformClient other = new PlatformClient(Calls.settings(server.port()), new MetricRegistry())) {
+            assertThat(new Calls(other).watch(5)).isEqualTo(new PlatformEvent.ObjectsListed(1, List.of(), 5, false));
+            assertThat(new Calls(other).watch(2))
+                    .isEqualTo(new PlatformEvent.ObjectsListed(
+                            1, List.of(new StoredObject(Calls.KEY, 3, Bytes.ofUtf8("a"), false)), 3, false));
+        } finally {
+            server.stop();
+        }
+    }
+
+    private void writeChanges() {
+        try (PlatformClient writer = new PlatformClient(
+                Calls.settings(platform.port()).withRates(new CallRates(1000, 1000)), new MetricRegistry())) {
+            for (int change = 1; change <= CHANGES; change++) {
+                PlatformEffect.Write write = new PlatformEffect.Write(
+                        change,
+                        PlatformPurpose.LEASE,
+                        new ObjectKey("lease", "pool-" + change),
+                        OptionalLong.empty(),
+                        Bytes.EMPTY);
+                assertThat(new Calls(writer).call(write)).isInstanceOf(PlatformEvent.Accepted.class);
+                if (change % 10 == 0) {
+                    link.cutConnections();
+                }
+            }
+        }
+    }
+
+    @Test
+    void aWatchMayWaitLongerThanOtherCalls() {
+        try (PlatformClient patient = new PlatformClient(
+                Calls.settings(link.port()).withTimes(Duration.ofMillis(200), Duration.ofMillis(800)),
+                new MetricRegistry())) {
+            assertThat(new Calls(patient).watch(0)).isInstanceOf(PlatformEvent.ObjectsListed.class);
+        }
+    }
+}
