--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/Node.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/Node.java
@@ -121,7 +121,7 @@
                 transportSettings(settings), PeerMessages.registry(), self.identity(), addresses, loop::accept, metrics);
         membership = new MembershipService(loop, transport, addresses);
         configuration = new ConfigurationService(
-                loop, new EnvelopeDecoder(), settings.dataFolder().map(Path::of), metrics);
+                loop, new EnvelopeDecoder.OfDocument(), settings.dataFolder().map(Path::of), metrics);
         endpoints =
                 new EndpointShell(loop, core.endpoints(), new EndpointHttp(EndpointClientSettings.DEFAULT), metrics);
         TrainerRoutes trainers = new TrainerRoutes(loop, observer::configuration);
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/NodeCore.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/NodeCore.java
@@ -73,7 +73,7 @@
         PlatformTokens tokens = new PlatformTokens();
         membership = new MembershipSystem(self, seeds, configuration, tokens, MembershipOptions.DEFAULT);
         leases = new LeaseSystem(WeightPlans::leases, membership, tokens, membership.platformNews());
-        requests = new RequestSystem(membership, endpoints, clock);
+        requests = new RequestSystem(membership, endpoints, clock, tokens);
         samples = new SampleSystem(membership, tokens, clock);
         core = new DecisionCore(
                 List.of(
