--- a/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/engine/EngineStandIn.java
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/engine/EngineStandIn.java
@@ -17,7 +17,6 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
-import java.util.UUID;
 import java.util.concurrent.atomic.AtomicLong;
 
 /** A stand-in of a model engine. Its protocol is described in docs/API.md. */
@@ -38,9 +37,6 @@
     /** The options. */
     private final EngineOptions options;
 
-    /** The incarnation of this process. */
-    private final String incarnation = UUID.randomUUID().toString();
-
     /** Where the runs are recorded. */
     private final RunLog runLog;
 
@@ -339,7 +335,7 @@
     private ObjectNode loadReport() {
         Load load = loads.report();
         ObjectNode body = Json.object()
-                .put("incarnation", incarnation)
+                .put("incarnation", server.incarnation())
                 .put("active", load.active())
                 .put("waiting", load.waiting())
                 .put("capacity", options.capacity)
@@ -359,7 +355,7 @@
     private ObjectNode cacheEvents(Context context) {
         String after = context.queryParam("after");
         List<CacheEvent> events = cache.eventsAfter(after == null ? 0 : Long.parseLong(after));
-        ObjectNode body = Json.object().put("incarnation", incarnation);
+        ObjectNode body = Json.object().put("incarnation", server.incarnation());
         ArrayNode list = body.putArray("events");
         events.forEach(event -> list.addObject()
                 .put("sequence", event.sequence())
--- a/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/http/Answer.java
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/http/Answer.java
@@ -27,6 +27,9 @@
     /** What to do to die. */
     private final Runnable death;
 
+    /** The incarnation of the endpoint. */
+    private final String incarnation;
+
     /** The identifier that the answer bears. */
     private final String requestId;
 
@@ -45,11 +48,13 @@
      * @param context The request and its answer.
      * @param faults The faults to suffer.
      * @param death What to do to die.
+     * @param incarnation The incarnation of the endpoint.
      */
-    Answer(Context context, Faults faults, Runnable death) {
+    Answer(Context context, Faults faults, Runnable death, String incarnation) {
         this.context = context;
         this.faults = faults;
         this.death = death;
+        this.incarnation = incarnation;
         String own = requestId(context);
         requestId = faults.take(Fault.CROSSED_ANSWERS) ? "crossed-" + own : own;
     }
@@ -123,7 +128,7 @@
     public void error(int status, String code, String ran) throws IOException {
         ObjectNode body = Json.object();
         body.putObject("error").put("code", code).put("message", code).put("ran", ran);
-        json(status, body.put("requestId", requestId));
+        json(status, body.put("requestId", requestId).put("incarnation", incarnation));
     }
 
     /**
--- a/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/http/StandInServer.java
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/http/StandInServer.java
@@ -7,7 +7,9 @@
 import io.javalin.http.Context;
 import io.javalin.http.Handler;
 import java.io.IOException;
+import java.util.UUID;
 import java.util.function.Consumer;
+import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 /** The HTTP server of a stand-in, with an interface to order faults at {@code /control/faults}. */
@@ -25,6 +27,9 @@
     /** The status of an answer without a body. */
     private static final int NO_CONTENT = 204;
 
+    /** The incarnation of the endpoint. */
+    private final String incarnation = UUID.randomUUID().toString();
+
     /** The faults that are ordered. */
     private final Faults faults = new Faults();
 
@@ -62,6 +67,15 @@
         return HOST + ":" + port();
     }
 
+    /**
+     * Returns the incarnation of the endpoint, which changes with each start.
+     *
+     * @return The incarnation.
+     */
+    public String incarnation() {
+        return incarnation;
+    }
+
     /**
      * Returns the faults that are ordered.
      *
@@ -97,6 +111,9 @@
         config.startup.showOldJavalinVersionWarning = false;
         config.http.compressionStrategy = io.javalin.compression.CompressionStrategy.NONE;
         config.jetty.threadPool = new QueuedThreadPool(MAXIMUM_THREADS, MINIMUM_THREADS);
+        config.jetty.modifyHttpConfiguration(http -> http.setUriCompliance(UriCompliance.UNSAFE));
+        config.jetty.modifyServletContextHandler(
+                handler -> handler.getServletHandler().setDecodeAmbiguousURIs(true));
         config.routes.get("/control/faults", context -> context.json(faults.toMap()));
         config.routes.post("/control/faults", this::orderFaults);
         config.routes.exception(IOException.class, (_exception, _context) -> {});
@@ -194,7 +211,7 @@
          * @return The handler.
          */
         private Handler faulty(Serve serve) {
-            return context -> serve.serve(context, new Answer(context, faults, () -> death.run()));
+            return context -> serve.serve(context, new Answer(context, faults, () -> death.run(), incarnation));
         }
     }
 
--- a/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/scorer/ScorerStandIn.java
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/scorer/ScorerStandIn.java
@@ -12,7 +12,6 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
-import java.util.UUID;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -32,9 +31,6 @@
     /** The options. */
     private final ScorerOptions options;
 
-    /** The incarnation of this process. */
-    private final String incarnation = UUID.randomUUID().toString();
-
     /** The numbers of runs by sample. */
     private final Map<String, Integer> runs = new ConcurrentHashMap<>();
 
@@ -166,7 +162,7 @@
      */
     private ObjectNode load() {
         ObjectNode body = Json.object()
-                .put("incarnation", incarnation)
+                .put("incarnation", server.incarnation())
                 .put("active", active.get())
                 .put("waiting", 0)
                 .put("capacity", 0)
--- a/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/service/ServiceStandIn.java
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/service/ServiceStandIn.java
@@ -12,10 +12,10 @@
 import io.yuccaswitch.testkit.http.StandInServer;
 import io.yuccaswitch.testkit.service.RequestLedger.Entry;
 import java.io.IOException;
+import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
-import java.util.UUID;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 
@@ -37,9 +37,6 @@
     /** The options. */
     private final ServiceOptions options;
 
-    /** The incarnation of this process. */
-    private final String incarnation = UUID.randomUUID().toString();
-
     /** What became of the requests. */
     private final RequestLedger ledger = new RequestLedger();
 
@@ -184,7 +181,8 @@
             answer.refuse(NOT_FOUND, "not-found");
             return;
         }
-        String requestId = context.path().substring("/requests/".length());
+        String encoded = context.path().substring("/requests/".length()).replace("+", "%2B");
+        String requestId = URLDecoder.decode(encoded, StandardCharsets.UTF_8);
         Entry entry = ledger.settle(requestId);
         ObjectNode body = Json.object().put("requestId", requestId).put("state", entry.state());
         entry.body()
@@ -200,7 +198,7 @@
      */
     private ObjectNode load() {
         ObjectNode body = Json.object()
-                .put("incarnation", incarnation)
+                .put("incarnation", server.incarnation())
                 .put("active", options.capacity - permits.availablePermits())
                 .put("waiting", permits.getQueueLength())
                 .put("capacity", options.capacity)
