--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/configuration/ConfigurationView.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/configuration/ConfigurationView.java
@@ -1,5 +1,6 @@
 package io.yuccaswitch.core.configuration;
 
+import io.yuccaswitch.core.time.MonotonicTime;
 import java.util.Optional;
 
 /** What other systems may ask of the configuration. */
@@ -26,6 +27,13 @@
      */
     Optional<FleetConfiguration> inForce();
 
+    /**
+     * Returns since when the generation has been in force on this node.
+     *
+     * @return The time, or empty if there is none in force.
+     */
+    Optional<MonotonicTime> inForceSince();
+
     /**
      * Returns whether this node has made sure that its generation is the newest one it can learn of.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/configuration/distribution/ConfigurationState.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/configuration/distribution/ConfigurationState.java
@@ -4,6 +4,7 @@
 import io.yuccaswitch.core.configuration.ConfigurationView;
 import io.yuccaswitch.core.configuration.FleetConfiguration;
 import io.yuccaswitch.core.decision.Tick;
+import io.yuccaswitch.core.time.MonotonicTime;
 import io.yuccaswitch.core.value.Bytes;
 import java.util.Optional;
 
@@ -22,6 +23,9 @@
     /** The configuration in force. */
     private Optional<FleetConfiguration> inForce = Optional.empty();
 
+    /** The time since which the generation has been in force. */
+    private Optional<MonotonicTime> inForceSince = Optional.empty();
+
     /** The number of envelopes that are being decoded. */
     private int decoding;
 
@@ -46,6 +50,12 @@
         return inForce;
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public Optional<MonotonicTime> inForceSince() {
+        return inForceSince;
+    }
+
     /** {@inheritDoc} */
     @Override
     public boolean isReady() {
@@ -105,16 +115,18 @@
     /**
      * Brings a configuration into force if its generation is higher than the one before.
      *
+     * @param now The current time.
      * @param candidate The generation.
      * @param configuration The configuration.
      * @return {@code true} if the configuration is in force now and was not before.
      */
-    boolean enforce(long candidate, FleetConfiguration configuration) {
+    boolean enforce(MonotonicTime now, long candidate, FleetConfiguration configuration) {
         if (candidate <= generation) {
             return false;
         }
         generation = candidate;
         inForce = Optional.of(configuration);
+        inForceSince = Optional.of(now);
         return true;
     }
 
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/configuration/distribution/ConfigurationSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/configuration/distribution/ConfigurationSystem.java
@@ -139,7 +139,7 @@
         if (state.hold(event.generation(), event.envelope())) {
             announcer.announce(tick, event.generation());
         }
-        if (!state.enforce(event.generation(), event.configuration())) {
+        if (!state.enforce(tick.now(), event.generation(), event.configuration())) {
             return;
         }
         tick.raise(new ConfigurationEvent.InForce(event.generation(), event.configuration()));
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/ExchangeSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/ExchangeSystem.java
@@ -128,6 +128,8 @@
         Optional<Duration> platformAge = digest.platformLastHeardAgo().isPresent()
                 ? Optional.of(Duration.ofMillis(digest.platformLastHeardAgo().getAsLong()))
                 : Optional.empty();
+        state.reports()
+                .put(sender.name(), new PeerReport(tick.now(), digest.generation(), digest.ready(), platformAge));
         tick.raise(new MembershipEvent.PeerReported(sender, digest.generation(), digest.ready(), platformAge));
     }
 
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/MembershipState.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/MembershipState.java
@@ -2,6 +2,8 @@
 
 import io.yuccaswitch.core.configuration.ConfigurationView;
 import io.yuccaswitch.core.configuration.MembershipSettings;
+import io.yuccaswitch.core.decision.EntityTable;
+import io.yuccaswitch.core.identity.NodeName;
 import java.time.Duration;
 
 /**
@@ -15,6 +17,7 @@
  * @param merge Takes beliefs into the table.
  * @param health How far this node trusts its own view.
  * @param platform When the platform last answered any node.
+ * @param reports What other nodes last said of themselves.
  * @param counters The counters.
  */
 record MembershipState(
@@ -26,6 +29,7 @@
         MemberMerge merge,
         SelfHealth health,
         PlatformSilence platform,
+        EntityTable<NodeName, PeerReport> reports,
         MembershipCounters counters) {
 
     /** The settings until a configuration is in force. */
@@ -55,6 +59,7 @@
                 new MemberMerge(table, news, timers, counters),
                 health,
                 new PlatformSilence(table, health),
+                new EntityTable<>(),
                 counters);
     }
 
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/MembershipSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/MembershipSystem.java
@@ -61,6 +61,8 @@
     public void run(Tick tick) {
         state.platform().observe(tick);
         parts.forEach(part -> part.run(tick));
+        tick.events(MembershipEvent.Forgotten.class)
+                .forEach(event -> state.reports().remove(event.identity().name()));
     }
 
     /** {@inheritDoc} */
@@ -90,6 +92,16 @@
         return state.table().rows().stream().map(MemberRow::member).toList();
     }
 
+    /**
+     * Returns what another node last said of itself.
+     *
+     * @param name The node's name.
+     * @return The report, or empty if it has said nothing yet.
+     */
+    public Optional<PeerReport> report(NodeName name) {
+        return state.reports().find(name);
+    }
+
     /**
      * Returns what is known about the silence of the platform.
      *
--- /dev/null
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/configuration/ConfigurationStatus.java
@@ -0,0 +1,48 @@
+package io.yuccaswitch.node.configuration;
+
+import io.yuccaswitch.core.configuration.ConfigurationView;
+import io.yuccaswitch.node.decision.DecisionLoop;
+import io.yuccaswitch.node.operator.StatusSection;
+import java.time.Duration;
+import java.util.Optional;
+
+/** The part of the status document that shows which generation is in force, and for how long. */
+public final class ConfigurationStatus implements StatusSection {
+
+    /** The configuration. */
+    private final ConfigurationView configuration;
+
+    /**
+     * Creates a new section.
+     *
+     * @param configuration The configuration.
+     */
+    public ConfigurationStatus(ConfigurationView configuration) {
+        this.configuration = configuration;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public String name() {
+        return "configuration";
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public Object content() {
+        Optional<Long> inForceForMillis =
+                configuration.inForceSince().map(DecisionLoop.now()::since).map(Duration::toMillis);
+        return new Content(
+                configuration.generation(), inForceForMillis, configuration.heldGeneration(), configuration.isReady());
+    }
+
+    /**
+     * The content of the section.
+     *
+     * @param generation The generation in force, or zero if there is none.
+     * @param inForceForMillis The milliseconds for which it has been in force, or empty if there is none.
+     * @param heldGeneration The highest generation that the node holds, whether or not it understands it.
+     * @param ready {@code true} if the node may serve.
+     */
+    private record Content(long generation, Optional<Long> inForceForMillis, long heldGeneration, boolean ready) {}
+}
--- /dev/null
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/membership/MembershipStatus.java
@@ -0,0 +1,92 @@
+package io.yuccaswitch.node.membership;
+
+import io.yuccaswitch.core.membership.Member;
+import io.yuccaswitch.core.membership.MembershipStatistics;
+import io.yuccaswitch.core.membership.MembershipSystem;
+import io.yuccaswitch.core.membership.PeerReport;
+import io.yuccaswitch.node.operator.StatusSection;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/** The part of the status document that shows what a node believes of the others. */
+public final class MembershipStatus implements StatusSection {
+
+    /** The membership. */
+    private final MembershipSystem membership;
+
+    /**
+     * Creates a new section.
+     *
+     * @param membership The membership.
+     */
+    public MembershipStatus(MembershipSystem membership) {
+        this.membership = membership;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public String name() {
+        return "membership";
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public Object content() {
+        List<Row> rows = membership.members().stream()
+                .sorted(Comparator.comparing(Member::identity))
+                .map(this::row)
+                .toList();
+        return new Content(
+                membership.self().identity().toString(), membership.isDoubtful(), rows, membership.statistics());
+    }
+
+    /**
+     * Creates the row of a member.
+     *
+     * @param member The member.
+     * @return The row.
+     */
+    private Row row(Member member) {
+        Optional<PeerReport> report = membership.report(member.identity().name());
+        return new Row(
+                member.identity().toString(),
+                member.availabilityZone().toString(),
+                member.condition().toString(),
+                member.entryAddress(),
+                member.operatorAddress(),
+                report.map(PeerReport::generation),
+                report.flatMap(PeerReport::platformLastHeardAgo).map(Duration::toMillis));
+    }
+
+    /**
+     * The content of the section.
+     *
+     * @param self This node's identity.
+     * @param doubtful {@code true} if this node was paused and has not heard from another one since.
+     * @param members The members, dead ones included.
+     * @param statistics What was counted since the process started.
+     */
+    private record Content(String self, boolean doubtful, List<Row> members, MembershipStatistics statistics) {}
+
+    /**
+     * A member.
+     *
+     * @param identity The member's identity.
+     * @param availabilityZone The availability zone that it lies in.
+     * @param condition What this node believes of it.
+     * @param entryAddress Its address for callers.
+     * @param operatorAddress Its address for operators.
+     * @param generation The highest generation of the configuration that it last said it holds.
+     * @param platformLastHeardAgoMillis The milliseconds between the platform's last answer to it and its last report.
+     */
+    private record Row(
+            String identity,
+            String availabilityZone,
+            String condition,
+            String entryAddress,
+            String operatorAddress,
+            Optional<Long> generation,
+            Optional<Long> platformLastHeardAgoMillis) {}
+}
--- /dev/null
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/peer/PeerMessages.java
@@ -0,0 +1,85 @@
+package io.yuccaswitch.node.peer;
+
+import io.yuccaswitch.core.configuration.ConfigurationMessage;
+import io.yuccaswitch.core.lease.LeaseMessage;
+import io.yuccaswitch.core.membership.MembershipMessage;
+import io.yuccaswitch.core.request.RequestMessage;
+import io.yuccaswitch.core.weight.WeightMessage;
+import io.yuccaswitch.protocol.PeerMessageRange;
+import io.yuccaswitch.protocol.PeerMessageRegistry;
+
+/**
+ * The numbers of all messages between nodes. A number stays with its message for ever: a message that is no longer sent
+ * leaves its number unused.
+ */
+public final class PeerMessages {
+
+    /** This class has no instances. */
+    private PeerMessages() {}
+
+    /**
+     * Creates the registry of all messages.
+     *
+     * @return The registry.
+     */
+    public static PeerMessageRegistry registry() {
+        PeerMessageRegistry.Builder builder = PeerMessageRegistry.builder();
+        registerMembership(builder);
+        registerConfiguration(builder);
+        registerRequest(builder);
+        registerWeight(builder);
+        return builder.build();
+    }
+
+    /**
+     * Registers the messages of the membership.
+     *
+     * @param builder The builder to register with.
+     */
+    private static void registerMembership(PeerMessageRegistry.Builder builder) {
+        builder.register(PeerMessageRange.MEMBERSHIP, 1, MembershipMessage.Exchange.class)
+                .register(PeerMessageRange.MEMBERSHIP, 2, MembershipMessage.ExchangeAnswer.class)
+                .register(PeerMessageRange.MEMBERSHIP, 3, MembershipMessage.Summaries.class)
+                .register(PeerMessageRange.MEMBERSHIP, 4, MembershipMessage.Rows.class)
+                .register(PeerMessageRange.MEMBERSHIP, 5, MembershipMessage.ProbeRequest.class)
+                .register(PeerMessageRange.MEMBERSHIP, 6, MembershipMessage.ProbeSuccess.class)
+                .register(PeerMessageRange.MEMBERSHIP, 7, MembershipMessage.LeavingAdvice.class);
+    }
+
+    /**
+     * Registers the messages of the configuration.
+     *
+     * @param builder The builder to register with.
+     */
+    private static void registerConfiguration(PeerMessageRegistry.Builder builder) {
+        builder.register(PeerMessageRange.CONFIGURATION, 20, ConfigurationMessage.Announcement.class)
+                .register(PeerMessageRange.CONFIGURATION, 21, ConfigurationMessage.Pull.class)
+                .register(PeerMessageRange.CONFIGURATION, 22, ConfigurationMessage.Content.class);
+    }
+
+    /**
+     * Registers the messages about requests.
+     *
+     * @param builder The builder to register with.
+     */
+    private static void registerRequest(PeerMessageRegistry.Builder builder) {
+        builder.register(PeerMessageRange.REQUEST, 40, RequestMessage.Forward.class)
+                .register(PeerMessageRange.REQUEST, 41, RequestMessage.Concluded.class)
+                .register(PeerMessageRange.REQUEST, 42, RequestMessage.Lookup.class)
+                .register(PeerMessageRange.REQUEST, 43, RequestMessage.LookupAnswer.class)
+                .register(PeerMessageRange.REQUEST, 44, RequestMessage.KeepAnswer.class);
+    }
+
+    /**
+     * Registers the messages about weight versions and leases.
+     *
+     * @param builder The builder to register with.
+     */
+    private static void registerWeight(PeerMessageRegistry.Builder builder) {
+        builder.register(PeerMessageRange.WEIGHT, 80, WeightMessage.Published.class)
+                .register(PeerMessageRange.WEIGHT, 81, WeightMessage.Known.class)
+                .register(PeerMessageRange.WEIGHT, 82, WeightMessage.Exchange.class)
+                .register(PeerMessageRange.WEIGHT, 90, LeaseMessage.Acting.class)
+                .register(PeerMessageRange.WEIGHT, 91, LeaseMessage.Recorded.class);
+    }
+}
--- /dev/null
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/peer/package-info.java
@@ -0,0 +1,2 @@
+/** The shell of the messages between nodes. */
+package io.yuccaswitch.node.peer;
--- a/yuccaswitch-protocol/src/test/java/io/yuccaswitch/protocol/PeerMessageCodecTest.java
+++ b/yuccaswitch-protocol/src/test/java/io/yuccaswitch/protocol/PeerMessageCodecTest.java
@@ -73,7 +73,8 @@
                 1000);
 
         assertThat(codec.decode(new Frame(40, Bytes.wrap(nothing)))).isEmpty();
-        assertThat(codec.decode(new Frame(40, Bytes.wrap(new byte[] {(byte) 0x90})))).isEmpty();
+        assertThat(codec.decode(new Frame(40, Bytes.wrap(new byte[] {(byte) 0x90}))))
+                .isEmpty();
         assertThat(lists.decode(new Frame(43, Bytes.wrap(listOfNothing)))).isEmpty();
     }
 
