--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/SampleSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/SampleSystem.java
@@ -7,6 +7,7 @@
 import io.yuccaswitch.core.peer.PeerEvent;
 import io.yuccaswitch.core.platform.PlatformTokens;
 import io.yuccaswitch.core.request.RequestClock;
+import io.yuccaswitch.core.weight.WeightEvent;
 import java.util.List;
 import java.util.Optional;
 
@@ -112,6 +113,12 @@
      * @param tick The current tick.
      */
     private void run(Tick tick) {
+        for (WeightEvent.PublicationSafe event : tick.events(WeightEvent.PublicationSafe.class)) {
+            tick.emit(new PublicationEffect.Safe(event.trainer(), event.version()));
+        }
+        for (WeightEvent.PublicationRefused event : tick.events(WeightEvent.PublicationRefused.class)) {
+            tick.emit(new PublicationEffect.Refused(event.trainer(), event.version(), event.newestVersion()));
+        }
         for (PeerEvent.Received event : tick.events(PeerEvent.Received.class)) {
             if (event.message() instanceof SampleMessage message) {
                 dispatch(tick, event.sender(), message);
