--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/EndpointStatus.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/EndpointStatus.java
@@ -75,9 +75,5 @@
      * @param loadedVersions The weight versions that it last reported, by model.
      */
     private record Row(
-            String name,
-            String address,
-            String availabilityZone,
-            String condition,
-            Map<String, Long> loadedVersions) {}
+            String name, String address, String availabilityZone, String condition, Map<String, Long> loadedVersions) {}
 }
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/Node.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/Node.java
@@ -34,13 +34,13 @@
 import io.yuccaswitch.node.trainer.TrainerRoutes;
 import io.yuccaswitch.platform.PlatformClient;
 import io.yuccaswitch.platform.PlatformClientSettings;
+import io.yuccaswitch.protocol.PeerAddresses;
 import io.yuccaswitch.protocol.PeerTransport;
 import io.yuccaswitch.protocol.PeerTransportSettings;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
-import java.util.Optional;
 import org.jboss.logging.Logger;
 
 /** A node: the decision core, the loop that ticks it, and the shell that carries out its effects. */
@@ -118,7 +118,12 @@
                 metrics);
         LearnedAddresses addresses = new LearnedAddresses();
         transport = new PeerTransport(
-                transportSettings(settings), PeerMessages.registry(), self.identity(), addresses, loop::accept, metrics);
+                transportSettings(settings),
+                PeerMessages.registry(),
+                self.identity(),
+                addresses,
+                loop::accept,
+                metrics);
         membership = new MembershipService(loop, transport, addresses);
         configuration = new ConfigurationService(
                 loop, new EnvelopeDecoder.OfDocument(), settings.dataFolder().map(Path::of), metrics);
@@ -149,10 +154,7 @@
         loop.start();
         LOGGER.infof(
                 "event=node-started node=%s availabilityZone=%s peerAddress=%s operatorAddress=%s",
-                observer.identity(),
-                settings.availabilityZone(),
-                settings.peerAddress(),
-                settings.operatorAddress());
+                observer.identity(), settings.availabilityZone(), settings.peerAddress(), settings.operatorAddress());
     }
 
     /** Runs the planned stop to its end, or returns at once if it has begun already. */
@@ -254,7 +256,7 @@
     private Duration orderTimeout(WeightEffect.Order order) {
         PoolName pool = order.endpoint().pool();
         return observer.configuration()
-                .flatMap(inForce -> Optional.ofNullable(inForce.pools().get(pool)))
+                .map(inForce -> inForce.pools().get(pool))
                 .map(PoolSettings::weights)
                 .map(weights -> weights.orderTimeout())
                 .orElse(DEFAULT_ORDER_TIMEOUT);
@@ -285,10 +287,9 @@
      * @return The settings of the transport.
      */
     private static PeerTransportSettings transportSettings(NodeSettings settings) {
-        HostAndPort address = HostAndPort.parse(settings.peerAddress());
+        InetSocketAddress address = PeerAddresses.parse(settings.peerAddress())
+                .orElseThrow(() -> new IllegalArgumentException("Not an address: " + settings.peerAddress()));
         return PeerTransportSettings.of(
-                new InetSocketAddress(address.host(), address.port()),
-                settings.site(),
-                settings.peerToken().orElse(""));
+                address, settings.site(), settings.peerToken().orElse(""));
     }
 }
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/NodeCore.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/NodeCore.java
@@ -28,8 +28,9 @@
 import java.util.List;
 
 /**
- * The decision core of a node with all its systems, in the order in which they run: who is there, what is in force, which
- * endpoints there are, who holds leases, which weights go where, which samples are due, and the requests themselves.
+ * The decision core of a node with all its systems, in the order in which they run: who is there, what is in force,
+ * which endpoints there are, who holds leases, which weights go where, which samples are due, and the requests
+ * themselves.
  */
 final class NodeCore {
 
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/NodeStatus.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/NodeStatus.java
@@ -36,8 +36,8 @@
     /** {@inheritDoc} */
     @Override
     public Object content() {
-        String release =
-                Optional.ofNullable(NodeStatus.class.getPackage().getImplementationVersion()).orElse(UNPACKAGED);
+        String release = Optional.ofNullable(NodeStatus.class.getPackage().getImplementationVersion())
+                .orElse(UNPACKAGED);
         return new Content(
                 observer.identity().toString(),
                 settings.availabilityZone().toString(),
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/entry/AnswerWriter.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/entry/AnswerWriter.java
@@ -57,8 +57,8 @@
     }
 
     /**
-     * Writes a refusal that the decision core never saw. Unless the request itself makes no sense, an id that the caller
-     * gave may have run before, when the configuration was another one or through another node.
+     * Writes a refusal that the decision core never saw. Unless the request itself makes no sense, an id that the
+     * caller gave may have run before, when the configuration was another one or through another node.
      *
      * @param context The request.
      * @param refusal The refusal.
