--- a/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/check/Observation.java
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/check/Observation.java
@@ -72,7 +72,8 @@
      * @param completed Whether the endpoint came to the end of the run.
      * @param generated The tokens that an engine generated, with the versions that truly produced them, or empty.
      */
-    record EndpointRun(String endpoint, String run, String requestId, long startedAt, boolean completed, List<Segment> generated)
+    record EndpointRun(
+            String endpoint, String run, String requestId, long startedAt, boolean completed, List<Segment> generated)
             implements Observation {
 
         /**
--- a/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/check/RunLog.java
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/check/RunLog.java
@@ -58,8 +58,8 @@
         /** {@inheritDoc} */
         @Override
         public void ended(EndpointRun run, boolean completed, List<Segment> generated) {
-            log.write(new EndpointRun(
-                    run.endpoint(), run.run(), run.requestId(), run.startedAt(), completed, generated));
+            log.write(
+                    new EndpointRun(run.endpoint(), run.run(), run.requestId(), run.startedAt(), completed, generated));
         }
     }
 
