--- a/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/TestkitCommands.java
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/TestkitCommands.java
@@ -22,12 +22,12 @@
      */
     static List<TestkitCommand> all() {
         return List.of(
-                new PlatformCommand(),
+                new CheckCommand(),
                 new EngineCommand(),
-                new ServiceCommand(),
-                new ScorerCommand(),
-                new WeightStoreCommand(),
                 new LoadCommand(),
-                new CheckCommand());
+                new PlatformCommand(),
+                new ScorerCommand(),
+                new ServiceCommand(),
+                new WeightStoreCommand());
     }
 }
