--- a/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/check/Observation.java
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/check/Observation.java
@@ -11,6 +11,8 @@
 @JsonSubTypes({
     @JsonSubTypes.Type(value = Observation.CallerAttempt.class, name = "caller-attempt"),
     @JsonSubTypes.Type(value = Observation.EndpointRun.class, name = "endpoint-run"),
+    @JsonSubTypes.Type(value = Observation.EndpointRefused.class, name = "endpoint-refused"),
+    @JsonSubTypes.Type(value = Observation.PlatformFault.class, name = "platform-fault"),
     @JsonSubTypes.Type(value = Observation.EndpointLeft.class, name = "endpoint-left"),
     @JsonSubTypes.Type(value = Observation.GroupAccepted.class, name = "group-accepted"),
     @JsonSubTypes.Type(value = Observation.SampleReceived.class, name = "sample-received"),
@@ -91,6 +93,23 @@
         }
     }
 
+    /**
+     * An endpoint refused a request because it is leaving.
+     *
+     * @param endpoint The name or address of the endpoint.
+     * @param requestId The identifier that the request bore.
+     * @param refusedAt The time at which the endpoint refused it.
+     */
+    record EndpointRefused(String endpoint, String requestId, long refusedAt) implements Observation {}
+
+    /**
+     * The platform could not be used, or only slowly, or gave old answers.
+     *
+     * @param from The time just before the fault.
+     * @param until The time at which the fault had ended.
+     */
+    record PlatformFault(long from, long until) implements Observation {}
+
     /**
      * An endpoint said that it is leaving.
      *
--- a/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/check/RunLog.java
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/check/RunLog.java
@@ -1,5 +1,6 @@
 package io.yuccaswitch.testkit.check;
 
+import io.yuccaswitch.testkit.check.Observation.EndpointRefused;
 import io.yuccaswitch.testkit.check.Observation.EndpointRun;
 import io.yuccaswitch.testkit.check.Observation.Segment;
 import java.nio.file.Path;
@@ -27,6 +28,13 @@
      */
     void ended(EndpointRun run, boolean completed, List<Segment> generated);
 
+    /**
+     * Records that a request was refused because the endpoint is leaving.
+     *
+     * @param requestId The identifier of the request.
+     */
+    void refused(String requestId);
+
     /**
      * Creates a log.
      *
@@ -61,6 +69,12 @@
             log.write(
                     new EndpointRun(run.endpoint(), run.run(), run.requestId(), run.startedAt(), completed, generated));
         }
+
+        /** {@inheritDoc} */
+        @Override
+        public void refused(String requestId) {
+            log.write(new EndpointRefused(endpoint, requestId, System.currentTimeMillis()));
+        }
     }
 
     /** Records nothing. */
@@ -75,5 +89,9 @@
         /** {@inheritDoc} */
         @Override
         public void ended(EndpointRun _run, boolean _completed, List<Segment> _generated) {}
+
+        /** {@inheritDoc} */
+        @Override
+        public void refused(String _requestId) {}
     }
 }
--- a/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/engine/EngineStandIn.java
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/engine/EngineStandIn.java
@@ -156,6 +156,7 @@
         String model = body.path("model").asText(models.first());
         Optional<String> refusal = refusal(model);
         if (refusal.isPresent()) {
+            runLog.refused(Answer.requestId(context));
             answer.refuse(refusal.get().equals("model-not-found") ? NOT_FOUND : UNAVAILABLE, refusal.get());
             return;
         }
--- a/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/service/ServiceStandIn.java
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/service/ServiceStandIn.java
@@ -126,6 +126,7 @@
             return;
         }
         if (faults().on(Fault.LEAVING) || faults().take(Fault.REFUSALS)) {
+            runLog.refused(Answer.requestId(context));
             answer.refuse(UNAVAILABLE, faults().on(Fault.LEAVING) ? "leaving" : "refused");
             return;
         }
