--- a/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/check/Observation.java
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/check/Observation.java
@@ -115,8 +115,9 @@
      *
      * @param endpoint The name or address of the endpoint.
      * @param leftAt The time at which it first said so.
+     * @param replacedAt The time before which no other process took its address.
      */
-    record EndpointLeft(String endpoint, long leftAt) implements Observation {}
+    record EndpointLeft(String endpoint, long leftAt, long replacedAt) implements Observation {}
 
     /**
      * The system accepted a group of a trainer.
--- a/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/check/StopPromise.java
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/check/StopPromise.java
@@ -39,7 +39,7 @@
                 LongStream refused = refusals.getOrDefault(left.endpoint(), List.of()).stream()
                         .mapToLong(EndpointRefused::refusedAt);
                 OptionalLong late = LongStream.concat(ran, refused)
-                        .filter(startedAt -> startedAt > end)
+                        .filter(startedAt -> startedAt > end && startedAt < left.replacedAt())
                         .min();
                 collector.judge(
                         late.isEmpty(),
