--- a/yuccaswitch-integration/src/test/java/io/yuccaswitch/integration/site/Operator.java
+++ b/yuccaswitch-integration/src/test/java/io/yuccaswitch/integration/site/Operator.java
@@ -27,8 +27,10 @@
             for (int weight = 2; !stopped; weight++) {
                 CommandResult result = site.applyChange("operator", weight);
                 if (result.exitCode() == 0) {
-                    long generation =
-                            Http.parse(result.output()).path("generation").asLong();
+                    long generation = Http.parse(result.output())
+                            .path("generation")
+                            .path("generation")
+                            .asLong();
                     log.write(new ConfigurationAccepted(generation, System.currentTimeMillis()));
                 }
                 for (long waited = 0; waited < INTERVAL_MILLIS && !stopped; waited += 100) {
