--- a/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/TestkitCommands.java
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/TestkitCommands.java
@@ -6,6 +6,7 @@
 import io.yuccaswitch.testkit.platform.PlatformCommand;
 import io.yuccaswitch.testkit.scorer.ScorerCommand;
 import io.yuccaswitch.testkit.service.ServiceCommand;
+import io.yuccaswitch.testkit.trainer.TrainerCommand;
 import io.yuccaswitch.testkit.weightstore.WeightStoreCommand;
 import java.util.List;
 
@@ -28,6 +29,7 @@
                 new PlatformCommand(),
                 new ScorerCommand(),
                 new ServiceCommand(),
+                new TrainerCommand(),
                 new WeightStoreCommand());
     }
 }
--- /dev/null
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/trainer/TrainerRun.java
@@ -0,0 +1,261 @@
+package io.yuccaswitch.testkit.trainer;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.yuccaswitch.testkit.check.Observation;
+import io.yuccaswitch.testkit.check.Observation.GroupAccepted;
+import io.yuccaswitch.testkit.check.Observation.SampleReceived;
+import io.yuccaswitch.testkit.check.Observation.Segment;
+import io.yuccaswitch.testkit.check.Observation.Slot;
+import io.yuccaswitch.testkit.http.Json;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/** Trains: submits groups, takes samples step by step, and publishes a version after each step. */
+final class TrainerRun {
+
+    /** The pause before refused groups are submitted again. */
+    private static final long RESUBMIT_MILLIS = 250;
+
+    /** The options. */
+    private final TrainerOptions options;
+
+    /** The prompts. */
+    private final List<String> prompts;
+
+    /** Sends requests. */
+    private final TrainerClient client;
+
+    /** Takes what is recorded. */
+    private final Consumer<Observation> recorder;
+
+    /** Checks samples. */
+    private final SampleTally tally;
+
+    /** The steps whose groups were submitted. */
+    private final Set<Long> submitted = new HashSet<>();
+
+    /** What is kept over a restart. */
+    private TrainerState state;
+
+    /** The number of records. */
+    private int records;
+
+    /** The time that was spent waiting for samples. */
+    private long idleMillis;
+
+    /** The time that was spent training. */
+    private long trainMillis;
+
+    /**
+     * Creates a new run.
+     *
+     * @param options The options.
+     * @param prompts The prompts.
+     * @param state The state to go on from.
+     * @param earlier The records up to the state.
+     * @param recorder Takes what is recorded from now on.
+     */
+    TrainerRun(
+            TrainerOptions options,
+            List<String> prompts,
+            TrainerState state,
+            List<Observation> earlier,
+            Consumer<Observation> recorder) {
+        this.options = options;
+        this.prompts = List.copyOf(prompts);
+        this.state = state;
+        this.recorder = recorder;
+        client = new TrainerClient(options);
+        tally = new SampleTally(options.stalenessBound);
+        records = earlier.size();
+        for (Observation observation : earlier) {
+            if (observation instanceof SampleReceived sample) {
+                tally.add(
+                        sample,
+                        sample.segments().stream().mapToInt(Segment::tokens).sum());
+            }
+        }
+    }
+
+    /**
+     * Trains all steps.
+     *
+     * @return The report.
+     * @throws InterruptedException If the thread is interrupted.
+     */
+    TrainerReport run() throws InterruptedException {
+        publish(state.version());
+        long first = state.step();
+        while (state.step() < options.steps) {
+            long step = state.step();
+            long begun = System.nanoTime();
+            for (long ahead = step; ahead <= step + options.ahead && ahead < options.steps; ahead++) {
+                submit(ahead);
+            }
+            while (tally.groups(step) < options.groups) {
+                pull(step);
+            }
+            idleMillis += millisSince(begun);
+            train(step);
+            publish(state.version() + 1);
+            state = state.withNextStep(state.version() + 1);
+            save();
+        }
+        return tally.report(options, state.step() - first, idleMillis, trainMillis, client);
+    }
+
+    /**
+     * Publishes a version.
+     *
+     * @param version The version.
+     * @throws InterruptedException If the thread is interrupted.
+     */
+    private void publish(long version) throws InterruptedException {
+        ObjectNode body = Json.object();
+        body.put("version", version).put("location", options.trainer + "/" + version);
+        client.post("versions", body);
+    }
+
+    /**
+     * Submits the groups of a step until all are accepted.
+     *
+     * @param step The step.
+     * @throws InterruptedException If the thread is interrupted.
+     */
+    private void submit(long step) throws InterruptedException {
+        if (!submitted.add(step)) {
+            return;
+        }
+        Set<Integer> open = new HashSet<>();
+        for (int group = 0; group < options.groups; group++) {
+            open.add(group);
+        }
+        while (!open.isEmpty()) {
+            JsonNode answer = client.post("groups", submission(step, open));
+            for (JsonNode accepted : answer.path("accepted")) {
+                int group = accepted.path("group").asInt();
+                if (open.remove(group)) {
+                    record(new GroupAccepted(new Slot(options.trainer, step, group, 0), options.groupSize));
+                }
+            }
+            if (!open.isEmpty()) {
+                Thread.sleep(RESUBMIT_MILLIS);
+            }
+        }
+        state = state.withRecords(records);
+        save();
+    }
+
+    /**
+     * Makes the body of a submission.
+     *
+     * @param step The step.
+     * @param groups The numbers of the groups.
+     * @return The body.
+     */
+    private ObjectNode submission(long step, Set<Integer> groups) {
+        ObjectNode body = Json.object();
+        ArrayNode list = body.putArray("groups");
+        for (int group : groups) {
+            int prompt = (int) ((step * options.groups + group) % prompts.size());
+            list.addObject()
+                    .put("step", step)
+                    .put("group", group)
+                    .put("prompt", prompts.get(prompt))
+                    .put("size", options.groupSize)
+                    .put("maximumTokens", options.maximumTokens);
+        }
+        return body;
+    }
+
+    /**
+     * Pulls once, and takes what is handed over.
+     *
+     * @param step The step to pull for.
+     * @throws InterruptedException If the thread is interrupted.
+     */
+    private void pull(long step) throws InterruptedException {
+        ObjectNode body = Json.object();
+        state.cursor().ifPresent(cursor -> body.put("cursor", cursor));
+        body.put("useVersion", state.version())
+                .put("step", step)
+                .put("maximumGroups", options.pullGroups)
+                .put("waitMillis", options.waitMillis);
+        JsonNode answer = client.post("pull", body);
+        for (JsonNode group : answer.path("groups")) {
+            take(group);
+        }
+        state = state.withBatch(answer.path("cursor").asText(), records);
+        save();
+    }
+
+    /**
+     * Takes the samples of a group.
+     *
+     * @param group The group.
+     */
+    private void take(JsonNode group) {
+        for (JsonNode sample : group.path("samples")) {
+            List<Segment> segments = new ArrayList<>();
+            for (JsonNode segment : sample.path("segments")) {
+                segments.add(new Segment(
+                        segment.path("version").asLong(-1),
+                        segment.path("tokens").asInt()));
+            }
+            Slot slot = new Slot(
+                    options.trainer,
+                    group.path("step").asLong(),
+                    group.path("group").asLong(),
+                    sample.path("index").asInt());
+            SampleReceived received = new SampleReceived(
+                    slot, state.version(), segments, sample.path("text").asText());
+            tally.add(received, sample.path("tokens").asInt());
+            record(received);
+        }
+    }
+
+    /**
+     * Trains a step.
+     *
+     * @param step The step.
+     * @throws InterruptedException If the thread is interrupted.
+     */
+    private void train(long step) throws InterruptedException {
+        System.err.println("trained step=" + step + " version=" + state.version() + " idleMillis=" + idleMillis);
+        long begun = System.nanoTime();
+        Thread.sleep(options.trainMillis);
+        trainMillis += millisSince(begun);
+    }
+
+    /**
+     * Records an observation.
+     *
+     * @param observation The observation.
+     */
+    private void record(Observation observation) {
+        recorder.accept(observation);
+        records++;
+    }
+
+    /** Writes the state, if it is kept. */
+    private void save() {
+        Optional.ofNullable(options.state).ifPresent(file -> state.write(file));
+    }
+
+    /**
+     * Returns the time since a point of the monotonic clock.
+     *
+     * @param begun The point.
+     * @return The time in milliseconds.
+     */
+    private static long millisSince(long begun) {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - begun);
+    }
+}
