--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/Node.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/Node.java
@@ -113,7 +113,7 @@
         core = new NodeCore(self, settings.seeds(), clock, self.identity().hashCode(), observer);
         loop = new DecisionLoop(core.core(), () -> Runtime.getRuntime().halt(EXIT_BROKEN_INVARIANT));
         platform = new PlatformClient(
-                PlatformClientSettings.of(settings.platform().address())
+                PlatformClientSettings.of("http://" + settings.platform().address())
                         .withToken(settings.platform().token()),
                 metrics);
         LearnedAddresses addresses = new LearnedAddresses();
