--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/entry/AnswerWriter.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/entry/AnswerWriter.java
@@ -57,16 +57,21 @@
     }
 
     /**
-     * Writes a refusal that the decision core never saw. Unless the request itself makes no sense, an id that the caller
-     * gave may have run before, when the configuration was another one or through another node.
+     * Writes a refusal that the decision core never saw. Unless the request itself makes no sense, an id that the
+     * caller gave may have run before, when the configuration was another one or through another node.
      *
      * @param context The request.
      * @param refusal The refusal.
      */
     static void refuse(Context context, EntryException refusal) {
         String id = Optional.ofNullable(context.header(EntryHeaders.REQUEST_ID)).orElse("");
-        ErrorDocument document =
-                ErrorDocument.of(refusal.code(), refusal.getMessage(), ErrorDocument.Ran.NO, refusal.retryAfter(), id);
+        boolean surelyNotRun = id.isEmpty() || refusal.status() == BAD_REQUEST;
+        ErrorDocument document = ErrorDocument.of(
+                refusal.code(),
+                refusal.getMessage(),
+                surelyNotRun ? ErrorDocument.Ran.NO : ErrorDocument.Ran.UNKNOWN,
+                refusal.retryAfter(),
+                id);
         error(context, refusal.status(), document, refusal.retryAfter());
     }
 
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/entry/ErrorDocument.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/entry/ErrorDocument.java
@@ -10,7 +10,7 @@
  * @param error The error.
  * @param requestId The identifier of the request, or an empty text if it has none.
  */
-record ErrorDocument(Error error, String requestId) {
+record ErrorDocument(Detail error, String requestId) {
 
     /**
      * Describes an error.
@@ -24,7 +24,7 @@
      */
     static ErrorDocument of(String code, String message, Ran ran, Optional<Duration> retryAfter, String requestId) {
         Long millis = retryAfter.map(Duration::toMillis).orElse(null);
-        return new ErrorDocument(new Error(code, message, ran.text(), millis), requestId);
+        return new ErrorDocument(new Detail(code, message, ran.text(), millis), requestId);
     }
 
     /**
@@ -36,7 +36,7 @@
      * @param retryAfterMillis The time after which it is worth to ask again, or {@code null}.
      */
     @JsonInclude(JsonInclude.Include.NON_NULL)
-    record Error(String code, String message, String ran, Long retryAfterMillis) {}
+    record Detail(String code, String message, String ran, Long retryAfterMillis) {}
 
     /** Whether a request ran. */
     enum Ran {
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/entry/LookupRoute.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/entry/LookupRoute.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.javalin.http.Context;
 import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.disposables.Disposable;
 import io.yuccaswitch.core.configuration.FleetConfiguration;
 import io.yuccaswitch.core.request.Outcome;
 import io.yuccaswitch.core.request.RequestEffect;
@@ -51,7 +52,7 @@
         AuthenticatedCaller caller = CallerAuthentication.authenticate(context, configuration.get());
         RequestId id = EntryHeaders.id(context.pathParam("id"));
         CompletableFuture<Outcome> found = new CompletableFuture<>();
-        loop.effects(RequestEffect.LookedUp.class)
+        Disposable waiting = loop.effects(RequestEffect.LookedUp.class)
                 .filter(effect -> effect.id().equals(id))
                 .map(RequestEffect.LookedUp::outcome)
                 .first(new Outcome.Unknown("stopped", "The node stopped."))
@@ -61,8 +62,9 @@
                 .subscribe(found::complete, found::completeExceptionally);
         loop.accept(new RequestEvent.LookupArrived(id, caller.name()));
         context.future(() -> found.thenAccept(outcome -> context.header(EntryHeaders.REQUEST_ID, id.value())
-                .contentType(AnswerWriter.JSON)
-                .result(EntryJson.write(document(id, outcome)))));
+                        .contentType(AnswerWriter.JSON)
+                        .result(EntryJson.write(document(id, outcome))))
+                .whenComplete((_result, _failure) -> waiting.dispose()));
     }
 
     /**
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/entry/RequestReader.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/entry/RequestReader.java
@@ -120,7 +120,7 @@
                 new PoolName(name),
                 caller.name(),
                 caller.bounded(headers.priority()),
-                headers.idempotent().orElse(IDEMPOTENT_METHODS.contains(method)),
+                headers.idempotent().orElseGet(() -> IDEMPOTENT_METHODS.contains(method)),
                 false,
                 deadline(headers, settings),
                 method,
@@ -166,7 +166,7 @@
      */
     private static MonotonicTime deadline(EntryHeaders headers, PoolSettings settings) {
         return DecisionLoop.now()
-                .plus(headers.timeLeft().orElse(settings.limits().defaultDeadline()));
+                .plus(headers.timeLeft().orElseGet(() -> settings.limits().defaultDeadline()));
     }
 
     /**
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/entry/RequestRoutes.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/entry/RequestRoutes.java
@@ -94,7 +94,7 @@
         CompletableFuture<Void> finished = new CompletableFuture<>();
         Disposable waiting = callers.submit(request)
                 .observeOn(writers, false, 1)
-                .subscribe(writer::accept, failure -> finished.complete(null), () -> finished.complete(null));
+                .subscribe(writer::accept, _failure -> finished.complete(null), () -> finished.complete(null));
         context.future(() -> finished.whenComplete((_result, _failure) -> waiting.dispose()));
     }
 }
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/entry/WaitingCallers.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/entry/WaitingCallers.java
@@ -1,7 +1,10 @@
 package io.yuccaswitch.node.entry;
 
 import io.reactivex.rxjava3.core.BackpressureStrategy;
+import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Flowable;
+import io.reactivex.rxjava3.disposables.CompositeDisposable;
+import io.reactivex.rxjava3.subjects.CompletableSubject;
 import io.reactivex.rxjava3.subjects.ReplaySubject;
 import io.reactivex.rxjava3.subjects.Subject;
 import io.yuccaswitch.core.request.Generation;
@@ -29,6 +32,9 @@
     /** The waiting callers, guarded by this instance. */
     private final Map<RequestId, Entry> entries = new HashMap<>();
 
+    /** The subscriptions to the loop. */
+    private final CompositeDisposable subscriptions = new CompositeDisposable();
+
     /**
      * Creates a registry that listens to the loop.
      *
@@ -36,8 +42,8 @@
      */
     WaitingCallers(DecisionLoop loop) {
         this.loop = loop;
-        loop.effects(RequestEffect.Conclude.class).subscribe(this::conclude);
-        loop.effects(RequestEffect.Stream.class).subscribe(this::stream);
+        subscriptions.add(loop.effects(RequestEffect.Conclude.class).subscribe(this::conclude));
+        subscriptions.add(loop.effects(RequestEffect.Stream.class).subscribe(this::stream));
     }
 
     /**
@@ -72,7 +78,7 @@
             return;
         }
         loop.accept(new RequestEvent.Cancelled(id));
-        loop.inspect(() -> forget(id));
+        Completable.fromCompletionStage(loop.inspect(() -> forget(id))).subscribe(CompletableSubject.create());
     }
 
     /**
