--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/RequestSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/RequestSystem.java
@@ -1,12 +1,15 @@
 package io.yuccaswitch.core.request;
 
 import io.yuccaswitch.core.configuration.ConfigurationEvent;
+import io.yuccaswitch.core.configuration.LimitSettings;
 import io.yuccaswitch.core.decision.DecisionSystem;
 import io.yuccaswitch.core.decision.Tick;
 import io.yuccaswitch.core.endpoint.EndpointView;
+import io.yuccaswitch.core.limit.ConcurrencyLimit;
 import io.yuccaswitch.core.membership.MembershipView;
 import io.yuccaswitch.core.platform.PlatformTokens;
 import java.util.List;
+import java.util.function.Function;
 
 /**
  * The request path: takes in requests, brings each to one outcome, and sends non-idempotent ones at most once.
@@ -34,7 +37,25 @@
      * @param tokens The tokens of calls to the platform, which all systems of the core share.
      */
     public RequestSystem(MembershipView membership, EndpointView endpoints, RequestClock clock, PlatformTokens tokens) {
-        tables = new RequestTables(membership, endpoints, clock);
+        this(membership, endpoints, clock, tokens, RequestSystem::additiveIncrease);
+    }
+
+    /**
+     * Creates a new system with limits of another kind.
+     *
+     * @param membership The members.
+     * @param endpoints The endpoints.
+     * @param clock The clock that counts the windows of request ids.
+     * @param tokens The tokens of calls to the platform.
+     * @param limits Creates the limit of an endpoint that was not used yet.
+     */
+    RequestSystem(
+            MembershipView membership,
+            EndpointView endpoints,
+            RequestClock clock,
+            PlatformTokens tokens,
+            Function<LimitSettings, ConcurrencyLimit> limits) {
+        tables = new RequestTables(membership, endpoints, clock, limits);
         Conclusions conclusions = new Conclusions(tables);
         DispatchSystem dispatch = new DispatchSystem(tables);
         Admission admission = new Admission(tables, conclusions, dispatch);
@@ -49,6 +70,16 @@
         systems = List.of(arrivals, claims, attempts, forwarding, resolution, deadlines, dispatch);
     }
 
+    /**
+     * Creates the limit of an endpoint that was not used yet.
+     *
+     * @param settings The limits of the pool.
+     * @return The limit.
+     */
+    private static ConcurrencyLimit additiveIncrease(LimitSettings settings) {
+        return new ConcurrencyLimit.AdditiveIncrease(settings.initialConcurrency(), settings.maximumConcurrency());
+    }
+
     /** {@inheritDoc} */
     @Override
     public void run(Tick tick) {
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/RequestTables.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/RequestTables.java
@@ -2,6 +2,7 @@
 
 import io.yuccaswitch.core.configuration.CallerSettings;
 import io.yuccaswitch.core.configuration.FleetConfiguration;
+import io.yuccaswitch.core.configuration.LimitSettings;
 import io.yuccaswitch.core.configuration.PoolSettings;
 import io.yuccaswitch.core.configuration.TrainerSettings;
 import io.yuccaswitch.core.decision.EntityTable;
@@ -11,11 +12,13 @@
 import io.yuccaswitch.core.identity.NodeIdentity;
 import io.yuccaswitch.core.identity.PoolName;
 import io.yuccaswitch.core.identity.TrainerName;
+import io.yuccaswitch.core.limit.ConcurrencyLimit;
 import io.yuccaswitch.core.membership.MembershipView;
 import io.yuccaswitch.core.routing.EndpointLoad;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
 
 /** The tables that the systems of the request path share. */
 final class RequestTables {
@@ -29,6 +32,9 @@
     /** The clock that counts the windows of ids. */
     final RequestClock clock;
 
+    /** Creates the limit of an endpoint that was not used yet. */
+    final Function<LimitSettings, ConcurrencyLimit> limits;
+
     /** The requests in progress. */
     final EntityTable<RequestId, RequestRow> requests = new EntityTable<>();
 
@@ -65,8 +71,14 @@
      * @param membership The members.
      * @param endpoints The endpoints.
      * @param clock The clock that counts the windows of ids.
+     * @param limits Creates the limit of an endpoint that was not used yet.
      */
-    RequestTables(MembershipView membership, EndpointView endpoints, RequestClock clock) {
+    RequestTables(
+            MembershipView membership,
+            EndpointView endpoints,
+            RequestClock clock,
+            Function<LimitSettings, ConcurrencyLimit> limits) {
+        this.limits = limits;
         this.membership = membership;
         this.endpoints = endpoints;
         this.clock = clock;
@@ -118,7 +130,7 @@
      * @return The load.
      */
     EndpointLoad load(EndpointName endpoint, PoolState pool) {
-        return loads.find(endpoint).orElseGet(() -> EndpointLoad.unused(pool.settings.limits()));
+        return loads.find(endpoint).orElseGet(() -> EndpointLoad.unused(limits.apply(pool.settings.limits())));
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/routing/EndpointLoad.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/routing/EndpointLoad.java
@@ -1,6 +1,5 @@
 package io.yuccaswitch.core.routing;
 
-import io.yuccaswitch.core.configuration.LimitSettings;
 import io.yuccaswitch.core.endpoint.LoadReport;
 import io.yuccaswitch.core.limit.ConcurrencyLimit;
 import io.yuccaswitch.core.retry.EndpointHealth;
@@ -29,17 +28,11 @@
     /**
      * Creates the load of an endpoint that was not used yet.
      *
-     * @param settings The limits of the pool.
+     * @param limit The limit to begin with.
      * @return The load.
      */
-    public static EndpointLoad unused(LimitSettings settings) {
-        return new EndpointLoad(
-                0,
-                Optional.empty(),
-                0,
-                new ConcurrencyLimit.AdditiveIncrease(settings.initialConcurrency(), settings.maximumConcurrency()),
-                EndpointHealth.GOOD,
-                IterationTimeModel.EMPTY);
+    public static EndpointLoad unused(ConcurrencyLimit limit) {
+        return new EndpointLoad(0, Optional.empty(), 0, limit, EndpointHealth.GOOD, IterationTimeModel.EMPTY);
     }
 
     /**
--- /dev/null
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/limit/FairQueueTest.java
@@ -0,0 +1,120 @@
+package io.yuccaswitch.core.limit;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.yuccaswitch.core.configuration.PriorityClass;
+import io.yuccaswitch.core.identity.CallerName;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+class FairQueueTest {
+
+    private static final List<PriorityClass> CLASSES =
+            List.of(PriorityClass.BATCH, PriorityClass.NORMAL, PriorityClass.URGENT);
+
+    private int keys;
+
+    private FairQueue.Entry<Integer> entry(String caller, int weight, PriorityClass priority) {
+        return new FairQueue.Entry<>(keys++, new CallerName(caller), weight, priority, 10);
+    }
+
+    @Property(tries = 200)
+    void callersWithABacklogAreServedByTheirWeights(
+            @ForAll @Size(min = 2, max = 5) List<@IntRange(min = 1, max = 9) Integer> weights,
+            @ForAll @IntRange(min = 1, max = 400) int served) {
+        FairQueue<Integer> queue = new FairQueue<>();
+        for (int caller = 0; caller < weights.size(); caller++) {
+            for (int count = 0; count < 400; count++) {
+                queue.add(entry("c" + caller, weights.get(caller), PriorityClass.NORMAL));
+            }
+        }
+        Map<String, Integer> counts = new HashMap<>();
+        for (int count = 0; count < served; count++) {
+            counts.merge(queue.poll(_entry -> true).orElseThrow().caller().value(), 1, Integer::sum);
+        }
+        int total = weights.stream().mapToInt(Integer::intValue).sum();
+        for (int caller = 0; caller < weights.size(); caller++) {
+            double share = (double) served * weights.get(caller) / total;
+            assertThat((double) counts.getOrDefault("c" + caller, 0)).isBetween(share - 2, share + weights.size() + 1);
+        }
+    }
+
+    @Property(tries = 200)
+    void noEntryIsLostOrServedTwiceAndEachCallersOrderIsKept(
+            @ForAll @Size(max = 60) List<@IntRange(max = 17) Integer> acts) {
+        FairQueue<Integer> queue = new FairQueue<>();
+        List<Integer> left = new ArrayList<>();
+        Map<String, Integer> latest = new HashMap<>();
+        for (int act : acts) {
+            if (act < 12) {
+                FairQueue.Entry<Integer> added = entry("c" + act % 4, 1 + act % 4, CLASSES.get(act % 3));
+                queue.add(added);
+                left.add(added.key());
+            } else if (act < 15) {
+                queue.poll(_entry -> true).ifPresent(entry -> {
+                    assertThat(left.remove(entry.key())).isTrue();
+                    String flow = entry.caller() + "/" + entry.priority();
+                    assertThat(entry.key()).isGreaterThan(latest.getOrDefault(flow, -1));
+                    latest.put(flow, entry.key());
+                });
+            } else if (act < 16) {
+                queue.shedBelow(PriorityClass.URGENT)
+                        .ifPresent(entry -> assertThat(left.remove(entry.key())).isTrue());
+            } else if (!left.isEmpty()) {
+                assertThat(queue.remove(left.remove(0))).isTrue();
+            }
+            assertThat(queue.size()).isEqualTo(left.size());
+            assertThat(queue.bytes()).isEqualTo(10L * left.size());
+        }
+    }
+
+    @Test
+    void aCallerThatWasIdleSavesUpNoShare() {
+        FairQueue<Integer> queue = new FairQueue<>();
+        for (int count = 0; count < 100; count++) {
+            queue.add(entry("busy", 1, PriorityClass.NORMAL));
+        }
+        for (int count = 0; count < 50; count++) {
+            queue.poll(_entry -> true);
+        }
+        for (int count = 0; count < 50; count++) {
+            queue.add(entry("late", 1, PriorityClass.NORMAL));
+        }
+        int late = 0;
+        for (int count = 0; count < 20; count++) {
+            late += queue.poll(_entry -> true).orElseThrow().caller().value().equals("late") ? 1 : 0;
+        }
+        assertThat(late).isBetween(9, 11);
+    }
+
+    @Test
+    void higherClassesGoFirstAndTheLowestClassIsShedFirst() {
+        FairQueue<Integer> queue = new FairQueue<>();
+        queue.add(entry("a", 1, PriorityClass.NORMAL));
+        queue.add(entry("a", 1, PriorityClass.BATCH));
+        queue.add(entry("a", 1, PriorityClass.URGENT));
+
+        assertThat(queue.shedBelow(PriorityClass.URGENT).orElseThrow().priority())
+                .isEqualTo(PriorityClass.BATCH);
+        assertThat(queue.poll(_entry -> true).orElseThrow().priority()).isEqualTo(PriorityClass.URGENT);
+        assertThat(queue.shedBelow(PriorityClass.NORMAL)).isEmpty();
+    }
+
+    @Test
+    void anEntryThatCanNotBeServedNowDoesNotBlockTheOneBehindIt() {
+        FairQueue<Integer> queue = new FairQueue<>();
+        queue.add(entry("a", 1, PriorityClass.NORMAL));
+        queue.add(entry("a", 1, PriorityClass.NORMAL));
+
+        assertThat(queue.poll(candidate -> candidate.key() == 1).orElseThrow().key())
+                .isOne();
+        assertThat(queue.size()).isOne();
+    }
+}
