--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/entry/AnswerWriter.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/entry/AnswerWriter.java
@@ -65,8 +65,13 @@
      */
     static void refuse(Context context, EntryException refusal) {
         String id = Optional.ofNullable(context.header(EntryHeaders.REQUEST_ID)).orElse("");
-        ErrorDocument document =
-                ErrorDocument.of(refusal.code(), refusal.getMessage(), ErrorDocument.Ran.NO, refusal.retryAfter(), id);
+        boolean surelyNotRun = id.isEmpty() || refusal.status() == BAD_REQUEST;
+        ErrorDocument document = ErrorDocument.of(
+                refusal.code(),
+                refusal.getMessage(),
+                surelyNotRun ? ErrorDocument.Ran.NO : ErrorDocument.Ran.UNKNOWN,
+                refusal.retryAfter(),
+                id);
         error(context, refusal.status(), document, refusal.retryAfter());
     }
 
