Test membership and configuration by driving several cores together

It showed that an answer from before a pause restored a node's trust in its view; only answers to exchanges opened after the pause count now.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/ProbeSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/ProbeSystem.java
@@ -80,7 +80,7 @@
     }
 
     /**
-     * Takes note of an answer.
+     * Takes note of an answer. One to an exchange from before a pause proves nothing about the time since.
      *
      * @param tick The tick.
      * @param sender The node that answered.
@@ -88,12 +88,12 @@
      */
     void answered(Tick tick, NodeIdentity sender, long sequence) {
         state.counters().answer();
-        if (state.health().isDoubtful()) {
+        Optional<Probe> awaited =
+                probes.find(sequence).filter(probe -> probe.target().equals(sender.name()));
+        if (awaited.isPresent() && state.health().isDoubtful()) {
             SelfSystem.restore(tick, state.health());
         }
-        probes.find(sequence)
-                .filter(probe -> probe.target().equals(sender.name()))
-                .ifPresent(probe -> conclude(tick, probe));
+        awaited.ifPresent(probe -> conclude(tick, probe));
     }
 
     /**
--- /dev/null
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/configuration/distribution/ConfigurationSystemTest.java
@@ -0,0 +1,268 @@
+package io.yuccaswitch.core.configuration.distribution;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.yuccaswitch.core.configuration.ConfigurationEvent;
+import io.yuccaswitch.core.configuration.ConfigurationMessage;
+import io.yuccaswitch.core.driver.CoreDriver;
+import io.yuccaswitch.core.driver.DrivenNode;
+import io.yuccaswitch.core.driver.DrivenPlatform;
+import io.yuccaswitch.core.driver.Envelopes;
+import io.yuccaswitch.core.identity.NodeIdentity;
+import io.yuccaswitch.core.identity.NodeName;
+import io.yuccaswitch.core.peer.PeerEvent;
+import io.yuccaswitch.core.value.Bytes;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+class ConfigurationSystemTest {
+
+    private static final Duration LONG = Duration.ofSeconds(60);
+    private static final Duration FIVE_SECONDS = Duration.ofSeconds(5);
+
+    private final CoreDriver driver = new CoreDriver(11);
+
+    @Test
+    void anAcceptedGenerationIsInForceEverywhereWithinSeconds() {
+        serving(24, 4, 1);
+        driver.platform().configure(Envelopes.of(2));
+
+        assertThat(untilInForce(2)).isLessThan(FIVE_SECONDS);
+        assertThat(driver.nodes())
+                .allSatisfy(node -> assertThat(node.generations()).containsExactly(1L, 2L));
+    }
+
+    @Test
+    void onlyTwoNodesOfEachAvailabilityZoneWatch() {
+        serving(30, 3, 1);
+        driver.run(Duration.ofSeconds(20));
+        driver.platform().resetCalls();
+        driver.run(Duration.ofSeconds(50));
+
+        assertThat(driver.platform().calls(DrivenPlatform.Kind.WATCH)).isBetween(3 * 2 * 4, 3 * 2 * 6);
+        assertThat(driver.platform().calls(DrivenPlatform.Kind.LIST)).isZero();
+    }
+
+    @Test
+    void aNodeJoinsAndServesWhileThePlatformIsDown() {
+        serving(6, 2, 5);
+        driver.platform().down();
+        DrivenNode late = driver.start("late", "zone-0", 1, List.of(DrivenNode.address("vm-1")));
+
+        assertThat(driver.runUntil(() -> late.configuration().isReady(), LONG)).isLessThan(Duration.ofSeconds(8));
+        assertThat(late.generations()).containsExactly(5L);
+    }
+
+    @Test
+    void anOutageAcrossAChangeAndARestartOfHalfOfTheNodesBringsNoOlderGenerationBack() {
+        List<DrivenNode> fleet = serving(8, 2, 1);
+        driver.platform().configure(Envelopes.of(2));
+        driver.runUntil(() -> fleet.get(0).configuration().generation() == 2, LONG);
+        driver.platform().down();
+        untilInForce(2);
+        List<DrivenNode> restarted = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            driver.kill(fleet.get(i));
+            restarted.add(driver.start("vm-" + i, "zone-" + i % 2, 2000, List.of(DrivenNode.address("vm-5"))));
+        }
+
+        assertThat(driver.runUntil(
+                        () -> restarted.stream()
+                                .allMatch(node -> node.configuration().isReady()),
+                        LONG))
+                .isLessThan(Duration.ofSeconds(12));
+        assertThat(restarted).allSatisfy(node -> assertThat(node.generations()).containsExactly(2L));
+    }
+
+    @Test
+    void aLaggingReplicaDoesNotBringAnOlderGenerationToARestartedNode() {
+        List<DrivenNode> fleet = serving(4, 2, 1);
+        driver.platform().freezeReplica();
+        driver.platform().configure(Envelopes.of(2));
+        untilInForce(2);
+        driver.kill(fleet.get(3));
+        DrivenNode again = driver.start("vm-3", "zone-1", 2000, List.of(DrivenNode.address("vm-0")));
+
+        driver.runUntil(() -> again.configuration().isReady(), LONG);
+        assertThat(again.configuration().generation()).isEqualTo(2);
+    }
+
+    @Test
+    void aZoneThatCannotReachThePlatformGetsGenerationsFromOthers() {
+        serving(9, 3, 1);
+        driver.platform().downFor(node -> node.zone().equals("zone-1"));
+        driver.platform().configure(Envelopes.of(2));
+
+        assertThat(untilInForce(2)).isLessThan(FIVE_SECONDS);
+    }
+
+    @Test
+    void aZoneThatWasCutOffCatchesUpAndNeverPullsOthersBack() {
+        serving(9, 3, 1);
+        driver.cutZone("zone-2");
+        driver.platform().downFor(node -> node.zone().equals("zone-2"));
+        driver.run(Duration.ofSeconds(10));
+        driver.platform().configure(Envelopes.of(2));
+        driver.run(Duration.ofSeconds(10));
+        assertThat(driver.nodes())
+                .allMatch(node ->
+                        node.configuration().generation() == (node.zone().equals("zone-2") ? 1 : 2));
+
+        driver.heal();
+        assertThat(untilInForce(2)).isLessThan(Duration.ofSeconds(15));
+        assertThat(driver.nodes())
+                .allSatisfy(node -> assertThat(node.generations()).containsExactly(1L, 2L));
+    }
+
+    @Test
+    void aChangeDuringAnOutageIsInForceSoonAfterItsEnd() {
+        serving(8, 2, 1);
+        driver.platform().down();
+        driver.run(Duration.ofMinutes(2));
+        driver.platform().configure(Envelopes.of(2));
+        driver.platform().up();
+
+        assertThat(untilInForce(2)).isLessThan(Duration.ofSeconds(6));
+    }
+
+    @Test
+    void aFreshNodeDoesNotServeBeforeSomebodyVouchesForItsGeneration() {
+        driver.platform().down();
+        DrivenNode node = driver.start("vm-0", "zone-0", 1, List.of());
+        node.accept(new ConfigurationEvent.SnapshotFound(Envelopes.of(3)));
+        driver.run(LONG);
+        assertThat(node.configuration().generation()).isEqualTo(3);
+        assertThat(node.configuration().isReady()).isFalse();
+
+        driver.platform().configure(Envelopes.of(4));
+        driver.platform().up();
+        driver.runUntil(() -> node.configuration().isReady(), LONG);
+        assertThat(node.configuration().generation()).isEqualTo(4);
+    }
+
+    @Test
+    void anOldSnapshotGivesWayAndANewerOneThanALaggingPlatformStays() {
+        driver.platform().configure(Envelopes.of(6));
+        DrivenNode old = driver.start("vm-0", "zone-0", 1, List.of());
+        old.accept(new ConfigurationEvent.SnapshotFound(Envelopes.of(2)));
+        driver.runUntil(() -> old.configuration().isReady(), LONG);
+        assertThat(old.configuration().generation()).isEqualTo(6);
+        driver.kill(old);
+
+        DrivenNode newer = driver.start("vm-0", "zone-0", 2, List.of());
+        newer.accept(new ConfigurationEvent.SnapshotFound(Envelopes.of(7)));
+        driver.runUntil(() -> newer.configuration().isReady(), LONG);
+        assertThat(newer.configuration().generation()).isEqualTo(7);
+    }
+
+    @Test
+    void twoFreshNodesDoNotVouchForEachOther() {
+        driver.platform().down();
+        DrivenNode one = driver.start("vm-0", "zone-0", 1, List.of());
+        DrivenNode other = driver.start("vm-1", "zone-0", 1, List.of(DrivenNode.address("vm-0")));
+        one.accept(new ConfigurationEvent.SnapshotFound(Envelopes.of(3)));
+        driver.run(LONG);
+
+        assertThat(other.configuration().generation()).isEqualTo(3);
+        assertThat(one.configuration().isReady()).isFalse();
+        assertThat(other.configuration().isReady()).isFalse();
+    }
+
+    @Test
+    void aGenerationThatIsNotUnderstoodIsHandedOnAndTheOneBeforeStaysInForce() {
+        List<DrivenNode> fleet = serving(8, 2, 1);
+        driver.platform().configure(Envelopes.of(2, "newer"));
+        driver.runUntil(
+                () -> fleet.stream().allMatch(node -> node.configuration().heldGeneration() == 2), LONG);
+        assertThat(fleet).allMatch(node -> node.configuration().generation() == 1);
+
+        driver.platform().configure(Envelopes.of(3));
+        assertThat(untilInForce(3)).isLessThan(FIVE_SECONDS);
+    }
+
+    @Test
+    void malformedEnvelopesFromThePlatformOrANodeChangeNothing() {
+        List<DrivenNode> fleet = serving(4, 2, 1);
+        driver.platform().configure(Bytes.ofUtf8("rubbish"));
+        NodeIdentity peer = new NodeIdentity(new NodeName("vm-1"), 1000);
+        Bytes compressed = Compression.compress(Bytes.ofUtf8("rubbish"));
+        fleet.get(0).accept(new PeerEvent.Received(peer, new ConfigurationMessage.Content(9, compressed)));
+        fleet.get(0).accept(new PeerEvent.Received(peer, new ConfigurationMessage.Content(9, Bytes.ofUtf8("x"))));
+        driver.run(Duration.ofSeconds(5));
+        assertThat(fleet).allMatch(node -> node.configuration().heldGeneration() == 1);
+
+        driver.platform().configure(Envelopes.of(2));
+        assertThat(untilInForce(2)).isLessThan(FIVE_SECONDS);
+    }
+
+    @Test
+    void theGenerationInForceIsKeptOnDisk() {
+        List<DrivenNode> fleet = serving(2, 1, 1);
+        driver.platform().configure(Envelopes.of(2));
+        untilInForce(2);
+        driver.run(Duration.ofMillis(100));
+        assertThat(fleet).allSatisfy(node -> assertThat(node.kept()).contains("2:content"));
+    }
+
+    @Property(tries = 40)
+    void noOrderOfNewsEverBringsAnOlderGenerationBack(
+            @ForAll long seed, @ForAll @IntRange(min = 5, max = 60) int news) {
+        CoreDriver alone = new CoreDriver(seed);
+        DrivenNode node = alone.start("vm-0", "zone-0", 1, List.of());
+        Random random = new Random(seed);
+        for (int i = 0; i < news; i++) {
+            long generation = 1L + random.nextInt(20);
+            Bytes envelope = Envelopes.of(generation);
+            switch (random.nextInt(3)) {
+                case 0 -> node.accept(Envelopes.decode(envelope));
+                case 1 ->
+                    node.accept(new PeerEvent.Received(
+                            new NodeIdentity(new NodeName("vm-1"), 1),
+                            new ConfigurationMessage.Content(generation, Compression.compress(envelope))));
+                default -> alone.platform().configure(envelope);
+            }
+            alone.run(Duration.ofMillis(random.nextInt(40)));
+        }
+        alone.run(Duration.ofSeconds(3));
+
+        assertThat(node.generations()).isSorted().doesNotHaveDuplicates();
+        assertThat(node.configuration().generation())
+                .isEqualTo(node.configuration().heldGeneration());
+    }
+
+    @Property(tries = 300)
+    void compressedBytesSurviveAndHostileOnesAreRefused(@ForAll byte[] bytes) {
+        Bytes plain = Bytes.wrap(bytes);
+        assertThat(Compression.expand(Compression.compress(plain))).contains(plain);
+        Compression.expand(plain);
+    }
+
+    @Test
+    void bytesThatExpandToTooManyAreRefused() {
+        Bytes bomb = Compression.compress(Bytes.wrap(new byte[Compression.MAXIMUM_SIZE + 100_000]));
+        assertThat(Compression.expand(bomb)).isEmpty();
+    }
+
+    private List<DrivenNode> serving(int nodes, int zones, long generation) {
+        driver.platform().configure(Envelopes.of(generation));
+        List<DrivenNode> fleet = driver.startFleet(nodes, zones);
+        Duration taken = driver.runUntil(
+                () -> fleet.stream().allMatch(node -> node.configuration().isReady()), LONG);
+        assertThat(taken).isLessThan(Duration.ofSeconds(15));
+        driver.run(Duration.ofSeconds(2));
+        return fleet;
+    }
+
+    private Duration untilInForce(long generation) {
+        return driver.runUntil(
+                () -> driver.nodes().stream()
+                        .allMatch(node -> node.configuration().generation() == generation),
+                LONG);
+    }
+}
