--- a/yuccaswitch-command/src/main/java/io/yuccaswitch/command/configuration/ConfigurationHistory.java
+++ b/yuccaswitch-command/src/main/java/io/yuccaswitch/command/configuration/ConfigurationHistory.java
@@ -53,16 +53,20 @@
      *
      * @param current The newest generation.
      * @param limit The largest number of generations.
-     * @return The generations from the newest to the oldest. Those that are lacking are left out.
+     * @return The generations that are kept.
      */
-    public List<ConfigurationDocument> newest(ConfigurationDocument current, int limit) {
+    public Listing newest(ConfigurationDocument current, int limit) {
         List<ConfigurationDocument> documents = new ArrayList<>();
         documents.add(current);
         long oldest = Math.max(1, current.generation() - limit + 1);
         for (long generation = current.generation() - 1; generation >= oldest; generation--) {
-            read(generation).document().ifPresent(documents::add);
+            Entry entry = read(generation);
+            if (entry.failure().isPresent()) {
+                return new Listing(documents, entry.failure());
+            }
+            entry.document().ifPresent(documents::add);
         }
-        return documents;
+        return new Listing(documents, Optional.empty());
     }
 
     /**
@@ -116,6 +120,25 @@
                 .orElse(0));
     }
 
+    /**
+     * The newest generations.
+     *
+     * @param documents The generations from the newest to the oldest.
+     * @param failure Why older ones could not be read, or empty if all were.
+     */
+    public record Listing(List<ConfigurationDocument> documents, Optional<String> failure) {
+
+        /**
+         * Copies the generations.
+         *
+         * @param documents The generations from the newest to the oldest.
+         * @param failure Why older ones could not be read, or empty if all were.
+         */
+        public Listing {
+            documents = List.copyOf(documents);
+        }
+    }
+
     /**
      * What the history holds of a generation.
      *
--- a/yuccaswitch-command/src/main/java/io/yuccaswitch/command/subcommand/HistoryCommand.java
+++ b/yuccaswitch-command/src/main/java/io/yuccaswitch/command/subcommand/HistoryCommand.java
@@ -10,6 +10,7 @@
 import io.yuccaswitch.command.ExitCode;
 import io.yuccaswitch.command.Subcommand;
 import io.yuccaswitch.command.configuration.ConfigurationHistory;
+import io.yuccaswitch.command.configuration.ConfigurationHistory.Listing;
 import io.yuccaswitch.command.configuration.ObjectStore;
 import io.yuccaswitch.command.subcommand.ApplyResults.Generation;
 import io.yuccaswitch.settings.ConfigurationDocument;
@@ -66,23 +67,30 @@
      * @return The result.
      */
     private CommandResult list(ObjectStore store, Optional<ConfigurationDocument> current) {
-        List<ConfigurationDocument> documents = current.map(
-                        newest -> new ConfigurationHistory(store).newest(newest, limit))
-                .orElseGet(List::of);
+        Listing listing = current.map(newest -> new ConfigurationHistory(store).newest(newest, limit))
+                .orElseGet(() -> new Listing(List.of(), Optional.empty()));
         List<String> lines = new ArrayList<>();
-        documents.forEach(document -> lines.add(ApplyResults.describe(document)));
+        listing.documents().forEach(document -> lines.add(ApplyResults.describe(document)));
+        List<Generation> generations =
+                listing.documents().stream().map(Generation::of).toList();
+        HistoryDocument document = new HistoryDocument(generations, listing.failure());
+        if (listing.failure().isPresent()) {
+            lines.add("Older generations cannot be read: " + listing.failure().get() + ".");
+            lines.add("Run the command again, or with a lower --limit.");
+            return new CommandResult(ExitCode.UNREACHABLE, lines, document);
+        }
         lines.add(
-                documents.isEmpty()
+                generations.isEmpty()
                         ? "No configuration was ever accepted. Run \"yuccaswitch apply DIR\"."
                         : "Run \"yuccaswitch apply --revert-to N\" to go back to the content of generation N.");
-        List<Generation> generations = documents.stream().map(Generation::of).toList();
-        return new CommandResult(ExitCode.OK, lines, new HistoryDocument(generations));
+        return new CommandResult(ExitCode.OK, lines, document);
     }
 
     /**
      * The result of a listing.
      *
      * @param generations The generations from the newest to the oldest.
+     * @param failure Why older generations could not be read, or empty if they were.
      */
-    record HistoryDocument(List<Generation> generations) {}
+    record HistoryDocument(List<Generation> generations, Optional<String> failure) {}
 }
--- a/yuccaswitch-command/src/test/java/io/yuccaswitch/command/CommandLineTest.java
+++ b/yuccaswitch-command/src/test/java/io/yuccaswitch/command/CommandLineTest.java
@@ -111,6 +111,14 @@
         assertThat(json("history").path("generations")).hasSize(2);
     }
 
+    @Test
+    void anApplyIsOneWriteOfTheConfigurationAndOneOfTheHistory() {
+        run("apply", PADMA);
+        platform.resetCounts();
+        run("apply", ISOMERO);
+        assertThat(platform.callCount()).isEqualTo(5);
+    }
+
     @Test
     void aPlatformThatIsDownIsUnreachableAndTheMessageSaysWhatToDo() {
         platform.faults().outage(Outage.ERROR);
--- a/yuccaswitch-command/src/test/java/io/yuccaswitch/command/configuration/ConfigurationApplyTest.java
+++ b/yuccaswitch-command/src/test/java/io/yuccaswitch/command/configuration/ConfigurationApplyTest.java
@@ -10,6 +10,7 @@
 import io.yuccaswitch.command.configuration.ApplyOutcome.Unknown;
 import io.yuccaswitch.command.configuration.ApplyOutcome.Unreachable;
 import io.yuccaswitch.command.configuration.FaultyObjectStore.Fault;
+import io.yuccaswitch.core.platform.StoredObject;
 import io.yuccaswitch.core.value.Bytes;
 import io.yuccaswitch.settings.ConfigurationDocument;
 import java.time.Instant;
@@ -59,12 +60,25 @@
     @Test
     void aLostAnswerBehindALaggingReplicaIsAcceptedOnce() {
         change("rina", "a");
-        store.lag(ConfigurationDocument.KEY);
+        store.lag(store.object(ConfigurationDocument.KEY).orElseThrow());
         store.fail(Fault.ANSWER_LOST);
         assertThat(generationOf(change("rina", "b"))).isEqualTo(2);
         assertThat(current().generation()).isEqualTo(2);
     }
 
+    @Test
+    void aReplicaThatFallsBackAfterALostAnswerIsNotTakenForAnotherChange() {
+        change("rina", "a");
+        StoredObject first = store.object(ConfigurationDocument.KEY).orElseThrow();
+        change("rina", "b");
+        store.fail(Fault.ANSWER_LOST);
+        store.beforeNextRead(() -> {});
+        store.beforeNextRead(() -> {});
+        store.beforeNextRead(() -> store.lag(first));
+        assertThat(generationOf(change("rina", "c"))).isEqualTo(3);
+        assertThat(current().changeId()).isEqualTo("change-c");
+    }
+
     @Test
     void theLoserOfARaceIsToldWhoWonAndTheDifference() {
         change("rina", "a");
@@ -175,6 +189,18 @@
         assertThat(store.object(ConfigurationDocument.historyKey(3))).isPresent();
     }
 
+    @Test
+    void aHistoryThatCannotBeReadToItsEndSaysSo() {
+        change("rina", "a");
+        change("rina", "b");
+        change("rina", "c");
+        store.beforeNextRead(() -> {});
+        store.beforeNextRead(() -> store.readsFail(true));
+        ConfigurationHistory.Listing listing = new ConfigurationHistory(store).newest(current(), 10);
+        assertThat(listing.documents()).hasSize(2);
+        assertThat(listing.failure()).contains("scripted");
+    }
+
     @Test
     void generationsGoOnFromTheHistoryIfTheObjectWasDeleted() {
         change("rina", "a");
--- a/yuccaswitch-command/src/test/java/io/yuccaswitch/command/configuration/FaultyObjectStore.java
+++ b/yuccaswitch-command/src/test/java/io/yuccaswitch/command/configuration/FaultyObjectStore.java
@@ -57,9 +57,9 @@
         historyWritesFail = fail;
     }
 
-    /** Makes reads return an object as it is now, whatever is written later. */
-    void lag(ObjectKey key) {
-        lagging = Optional.of(objects.get(key));
+    /** Makes reads of an object return it as it was, whatever is written later. */
+    void lag(StoredObject object) {
+        lagging = Optional.of(object);
     }
 
     /** Runs an action before the next read that has none yet. */
