--- a/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/TestkitCommands.java
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/TestkitCommands.java
@@ -1,6 +1,13 @@
 package io.yuccaswitch.testkit;
 
+import io.yuccaswitch.testkit.check.CheckCommand;
+import io.yuccaswitch.testkit.engine.EngineCommand;
+import io.yuccaswitch.testkit.load.LoadCommand;
 import io.yuccaswitch.testkit.platform.PlatformCommand;
+import io.yuccaswitch.testkit.proxy.ProxyCommand;
+import io.yuccaswitch.testkit.scorer.ScorerCommand;
+import io.yuccaswitch.testkit.service.ServiceCommand;
+import io.yuccaswitch.testkit.weightstore.WeightStoreCommand;
 import java.util.List;
 
 /** The registry of the testkit's subcommands. */
@@ -15,6 +22,14 @@
      * @return The subcommands.
      */
     static List<TestkitCommand> all() {
-        return List.of(new PlatformCommand());
+        return List.of(
+                new CheckCommand(),
+                new EngineCommand(),
+                new LoadCommand(),
+                new PlatformCommand(),
+                new ProxyCommand(),
+                new ScorerCommand(),
+                new ServiceCommand(),
+                new WeightStoreCommand());
     }
 }
