--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/configuration/MembershipSettings.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/configuration/MembershipSettings.java
@@ -24,7 +24,7 @@
                 Duration suspicionTime,
         @Setting(
                         description = "The interval at which the list of VMs is read from the platform.",
-                        defaultValue = "10s",
+                        defaultValue = "2s",
                         minimum = "100ms",
                         maximum = "10m")
                 Duration platformListInterval) {}
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/endpoint/VirtualMachineListSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/endpoint/VirtualMachineListSystem.java
@@ -1,5 +1,6 @@
 package io.yuccaswitch.core.endpoint;
 
+import io.yuccaswitch.core.configuration.ConfigurationEvent;
 import io.yuccaswitch.core.decision.DecisionSystem;
 import io.yuccaswitch.core.decision.Tick;
 import io.yuccaswitch.core.identity.AvailabilityZone;
@@ -29,14 +30,11 @@
  */
 public final class VirtualMachineListSystem implements DecisionSystem {
 
-    /** The interval at which the list is read. */
-    static final Duration READ_INTERVAL = Duration.ofSeconds(2);
-
     /** The interval at which a node asks about endpoints that it was told are listed. */
     static final Duration QUERY_INTERVAL = Duration.ofSeconds(5);
 
-    /** The age past which the list is too old to answer from. */
-    private static final Duration LONGEST_AGE = Duration.ofSeconds(10);
+    /** The age past which the list is too old to answer from, in intervals of reading. */
+    private static final int LONGEST_AGE_INTERVALS = 3;
 
     /** The key by which the reading node of an availability zone is picked. */
     private static final String READER_KEY = "virtual-machine-list";
@@ -53,6 +51,9 @@
     /** Hands out the tokens of calls to the platform. */
     private final PlatformTokens tokens;
 
+    /** The interval at which the list is read, or empty before a configuration is in force. */
+    private Optional<Duration> readInterval = Optional.empty();
+
     /** Whether each address is listed as leaving, as the list said when it was last read. */
     private final Map<String, Boolean> listed = new HashMap<>();
 
@@ -100,8 +101,11 @@
                 answer(tick, event, query);
             }
         }
-        if (!tick.now().isBefore(readDueAt)) {
-            readDueAt = tick.now().plus(READ_INTERVAL);
+        for (ConfigurationEvent.InForce event : tick.events(ConfigurationEvent.InForce.class)) {
+            readInterval = Optional.of(event.configuration().membership().platformListInterval());
+        }
+        if (readInterval.isPresent() && !tick.now().isBefore(readDueAt)) {
+            readDueAt = tick.now().plus(readInterval.get());
             read(tick);
         }
         if (!tick.now().isBefore(queryDueAt)) {
@@ -150,9 +154,7 @@
      * @param query The question.
      */
     private void answer(Tick tick, PeerEvent.Received event, EndpointMessage.ListedQuery query) {
-        boolean fresh = readAt.map(read -> tick.now().since(read).compareTo(LONGEST_AGE) < 0)
-                .orElse(false);
-        if (!fresh) {
+        if (!fresh(tick)) {
             return;
         }
         table.find(query.endpoint())
@@ -161,6 +163,20 @@
                         event.sender().name(), new EndpointMessage.Listed(query.endpoint(), leaving))));
     }
 
+    /**
+     * Returns whether the list was read of late.
+     *
+     * @param tick The tick.
+     * @return {@code true} if it can be answered from.
+     */
+    private boolean fresh(Tick tick) {
+        if (readAt.isEmpty() || readInterval.isEmpty()) {
+            return false;
+        }
+        Duration longest = readInterval.get().multipliedBy(LONGEST_AGE_INTERVALS);
+        return tick.now().since(readAt.get()).compareTo(longest) < 0;
+    }
+
     /**
      * Asks the node that reads the list about the endpoints that this node was told are listed.
      *
--- a/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/engine/Batch.java
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/engine/Batch.java
@@ -79,13 +79,13 @@
     }
 
     /**
-     * Finds the latest run of a request.
+     * Finds a run.
      *
-     * @param requestId The identifier of the request.
+     * @param wireId The identifier that its request bore.
      * @return The run, or empty if there is none.
      */
-    synchronized Optional<Run> find(String requestId) {
-        return records.stream().filter(run -> run.requestId().equals(requestId)).reduce((_first, second) -> second);
+    synchronized Optional<Run> find(String wireId) {
+        return records.stream().filter(run -> run.wireId().equals(wireId)).reduce((_first, second) -> second);
     }
 
     /**
