Prove labels against readings and publications, and plan by the step that a trainer names

Generations are begun inside the staleness bound counted from the trainer's current step; a trainer that names no step is taken at its earliest unfinished one, as a bound of zero would hold it up otherwise.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/CursorSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/CursorSystem.java
@@ -145,7 +145,7 @@
      * Takes in how far a trainer has come.
      *
      * @param trainer The trainer.
-     * @param step The step for which the trainer pulls.
+     * @param step The step for which the trainer pulls, or {@link SampleMessage#ANY_STEP}.
      * @param useVersion The weight version with which the trainer uses the samples.
      */
     void progress(TrainerName trainer, long step, long useVersion) {
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/GenerationSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/GenerationSystem.java
@@ -12,6 +12,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 /** Takes what engines generated, proves its labels, and finishes groups. It runs after the request path. */
 final class GenerationSystem implements SampleMessageHandler {
@@ -25,6 +26,9 @@
     /** The time in which an engine's reading must confirm a label that is newer than the reading before. */
     private static final Duration VERIFY_PATIENCE = Duration.ofSeconds(3);
 
+    /** The codes of refusals that say that the pool has more work than it can take. */
+    private static final Set<String> OVERLOAD_CODES = Set.of("queue-full", "shed", "deadline-unreachable");
+
     /** The HTTP status of a whole answer. */
     private static final int OK = 200;
 
@@ -139,7 +143,9 @@
             window.answered(flight.pool());
             generated(tick, flight, answered.endpoint(), answered.generation().get());
         } else if (outcome instanceof Outcome.NotRun notRun) {
-            window.refused(flight.pool());
+            if (OVERLOAD_CODES.contains(notRun.code())) {
+                window.refused(flight.pool());
+            }
             again(tick, flight, notRun.retryAfter().orElse(BACKOFF));
         } else {
             again(tick, flight, BACKOFF);
@@ -166,8 +172,6 @@
                 labels.judge(generation, engine, settings.get().model(), published);
         if (verdict == LabelCheck.Verdict.UNREPORTED) {
             reject(tick, flight, DiscardReason.VERSION_UNREPORTED, generation.tokens());
-        } else if (verdict == LabelCheck.Verdict.IMPOSSIBLE) {
-            reject(tick, flight, DiscardReason.VERSION_IMPOSSIBLE, generation.tokens());
         } else {
             Sample sample = new Sample(flight.index(), generation.text(), generation.segments(), 0, false);
             boolean proven = verdict == LabelCheck.Verdict.PROVEN;
@@ -245,10 +249,16 @@
      */
     private void settle(Tick tick, GroupKey key, int index, Slot slot, TrainerSettings settings) {
         long newest = LabelCheck.newest(slot.sample().orElseThrow().segments());
-        if (labels.confirmed(newest, slot.endpoint().orElseThrow(), settings.model())) {
+        long published = context.cursor(key.trainer()).progress().published();
+        if (labels.confirmed(newest, slot.endpoint().orElseThrow(), settings.model(), published)) {
             context.held.update(key, group -> group.withSlot(index, slot.withPhase(afterProof(settings))));
         } else if (slot.notBefore().plus(VERIFY_PATIENCE).isBefore(tick.now())) {
-            discard(tick, key, index, DiscardReason.VERSION_CONTRADICTED);
+            boolean unpublished = published > 0 && newest > published;
+            discard(
+                    tick,
+                    key,
+                    index,
+                    unpublished ? DiscardReason.VERSION_IMPOSSIBLE : DiscardReason.VERSION_CONTRADICTED);
         }
     }
 
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/HandOverSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/HandOverSystem.java
@@ -171,17 +171,16 @@
     private void progress(Tick tick, SampleMessage.Pull pull) {
         TrainerName trainer = pull.trainer();
         TrainerProgress known = context.cursor(trainer).progress();
-        long step = pull.step() == SampleMessage.ANY_STEP
-                ? Math.max(known.step(), context.cursor(trainer).acknowledged().highestStep())
-                : pull.step();
-        boolean news = step > known.step() || pull.useVersion() > known.useVersion();
+        boolean anyStep = pull.step() == SampleMessage.ANY_STEP;
+        boolean news =
+                pull.step() > known.step() || pull.useVersion() > known.useVersion() || anyStep != known.anyStep();
         if (news) {
-            cursors.progress(trainer, step, pull.useVersion());
+            cursors.progress(trainer, pull.step(), pull.useVersion());
         }
         Interval interval = progressTold.find(trainer).orElseGet(() -> new Interval(PROGRESS_INTERVAL));
         progressTold.put(trainer, interval);
         if (interval.due(tick.now()) || news) {
-            SampleMessage message = new SampleMessage.Progress(trainer, step, pull.useVersion());
+            SampleMessage message = new SampleMessage.Progress(trainer, pull.step(), pull.useVersion());
             for (Member member : context.roles.others(context.roles.working())) {
                 context.outbox.send(tick, member, message);
             }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/LabelCheck.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/LabelCheck.java
@@ -29,9 +29,7 @@
         PROVEN,
         /** The engine did not say which versions it used. */
         UNREPORTED,
-        /** The engine named a version that the trainer has not published, or versions that run backwards. */
-        IMPOSSIBLE,
-        /** The engine named a newer version than its latest reading, such that the next reading has to confirm it. */
+        /** The engine named a newer version than its latest reading or the latest publication, which lag behind. */
         UNCONFIRMED
     }
 
@@ -49,24 +47,23 @@
         if (segments.isEmpty() || segments.stream().anyMatch(segment -> segment.version() < 0)) {
             return Verdict.UNREPORTED;
         }
-        long newest = newest(segments);
-        if (published > 0 && newest > published) {
-            return Verdict.IMPOSSIBLE;
-        }
-        return confirmed(newest, engine, model) ? Verdict.PROVEN : Verdict.UNCONFIRMED;
+        return confirmed(newest(segments), engine, model, published) ? Verdict.PROVEN : Verdict.UNCONFIRMED;
     }
 
     /**
-     * Returns whether the latest reading of an engine agrees with a label.
+     * Returns whether the latest reading of an engine and the latest publication agree with a label.
      *
      * @param newest The newest version of the label.
      * @param engine The engine.
      * @param model The model.
-     * @return {@code true} if the engine was not read yet, or was read to hold this version or a newer one.
+     * @param published The highest version that the trainer is known to have published, or zero if none is.
+     * @return {@code true} if the version was published, and the engine was not read yet or was read to hold this
+     *     version or a newer one.
      */
-    boolean confirmed(long newest, EndpointName engine, String model) {
+    boolean confirmed(long newest, EndpointName engine, String model, long published) {
         OptionalLong reading = readings.version(engine, model);
-        return reading.isEmpty() || reading.getAsLong() >= newest;
+        boolean read = reading.isEmpty() || reading.getAsLong() >= newest;
+        return read && (published == 0 || newest <= published);
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/PoolWindow.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/PoolWindow.java
@@ -21,7 +21,7 @@
     private static final double SMALLEST_FACTOR = 0.05;
 
     /** The amount by which an answer widens the window. */
-    private static final double WIDENING = 0.02;
+    private static final double WIDENING = 0.05;
 
     /** The shared tables. */
     private final SampleContext context;
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/SampleMessage.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/SampleMessage.java
@@ -148,8 +148,8 @@
      * Tells nodes how far a trainer has come.
      *
      * @param trainer The trainer.
-     * @param step The step for which the trainer pulls.
-     * @param useVersion The weight version with which the trainer uses the samples of that step.
+     * @param step The step for which the trainer pulls, or {@link #ANY_STEP}.
+     * @param useVersion The weight version with which the trainer uses the samples that it takes now.
      */
     record Progress(TrainerName trainer, long step, long useVersion) implements SampleMessage {}
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/SampleSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/SampleSystem.java
@@ -97,6 +97,16 @@
         return context.statistics.report(context);
     }
 
+    /**
+     * Returns whether this node holds a group as its driver or backup.
+     *
+     * @param key The identity of the group.
+     * @return {@code true} if this node holds the group.
+     */
+    public boolean holds(GroupKey key) {
+        return context.held.contains(key);
+    }
+
     /**
      * Returns whether other nodes hold all that this one held, such that it may stop. It never becomes true while this
      * node itself takes work, as far as its members know.
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/ScheduleSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/ScheduleSystem.java
@@ -6,6 +6,7 @@
 import io.yuccaswitch.core.decision.Decision;
 import io.yuccaswitch.core.decision.DecisionSystem;
 import io.yuccaswitch.core.decision.Tick;
+import io.yuccaswitch.core.endpoint.PrefixHashes;
 import io.yuccaswitch.core.identity.CallerName;
 import io.yuccaswitch.core.identity.PoolName;
 import io.yuccaswitch.core.identity.TrainerName;
@@ -108,7 +109,7 @@
                         .put(trainer, candidates);
             }
         }));
-        waiting.forEach((pool, candidates) -> fill(tick, pool, candidates));
+        waiting.forEach((pool, candidates) -> fill(tick, pool, candidates, running));
     }
 
     /**
@@ -163,14 +164,12 @@
      */
     private Deque<SchedulePolicy.Candidate> candidates(
             MonotonicTime now, TrainerName trainer, TrainerSettings settings, List<HeldGroup> groups) {
-        long firstStep =
-                groups.stream().mapToLong(group -> group.key().step()).min().orElse(0);
-        TrainerProgress progress = context.cursor(trainer).progress();
+        long current = currentStep(trainer, groups);
         List<SchedulePolicy.Candidate> candidates = new ArrayList<>();
         long sequence = 0;
         for (HeldGroup group : groups) {
             sequence++;
-            if (mayBegin(progress, settings, group.key().step(), firstStep)) {
+            if (mayBegin(trainer, settings, group.key().step(), current)) {
                 addCandidates(now, group, sequence, candidates);
             }
         }
@@ -200,22 +199,32 @@
         }
     }
 
+    /**
+     * Returns the step that a trainer takes samples for.
+     *
+     * @param trainer The trainer.
+     * @param groups The trainer's groups that are generated here.
+     * @return The step.
+     */
+    private long currentStep(TrainerName trainer, List<HeldGroup> groups) {
+        long earliest =
+                groups.stream().mapToLong(group -> group.key().step()).min().orElse(0);
+        return context.cursor(trainer).progress().currentStep(earliest);
+    }
+
     /**
      * Returns whether samples of a step may begin now, such that they are expected to be used within the bound.
      *
-     * @param progress How far the trainer has come.
+     * @param trainer The trainer.
      * @param settings The trainer's settings.
      * @param step The step.
-     * @param firstStep The earliest step that is not finished here.
+     * @param current The step that the trainer takes samples for.
      * @return {@code true} if samples of the step may begin.
      */
-    private boolean mayBegin(TrainerProgress progress, TrainerSettings settings, long step, long firstStep) {
-        boolean current = step <= Math.max(progress.step(), progress.step() < 0 ? firstStep : 0);
-        if (current) {
-            return true;
-        }
-        long newest = Math.max(progress.published(), progress.useVersion());
-        return policy.workAhead() && newest >= progress.expectedUse(step, firstStep) - settings.stalenessBound();
+    private boolean mayBegin(TrainerName trainer, TrainerSettings settings, long step, long current) {
+        TrainerProgress progress = context.cursor(trainer).progress();
+        long oldestUseful = progress.expectedUse(step, current) - settings.stalenessBound();
+        return step <= current || (policy.workAhead() && progress.newestVersion() >= oldestUseful);
     }
 
     /**
@@ -224,8 +233,13 @@
      * @param tick The current tick.
      * @param pool The pool.
      * @param waiting The waiting samples by trainer.
+     * @param running The groups that are generated here by trainer.
      */
-    private void fill(Tick tick, PoolName pool, Map<TrainerName, Deque<SchedulePolicy.Candidate>> waiting) {
+    private void fill(
+            Tick tick,
+            PoolName pool,
+            Map<TrainerName, Deque<SchedulePolicy.Candidate>> waiting,
+            Map<TrainerName, List<HeldGroup>> running) {
         Map<TrainerName, Integer> inProgress = new HashMap<>();
         for (Flight flight : flights.rows()) {
             if (flight.pool().equals(pool) && !flight.scoring()) {
@@ -236,7 +250,7 @@
         while (room > 0 && !waiting.isEmpty()) {
             TrainerName trainer = next(waiting, inProgress);
             Deque<SchedulePolicy.Candidate> candidates = waiting.get(trainer);
-            generate(tick, candidates.removeFirst());
+            generate(tick, candidates.removeFirst(), currentStep(trainer, running.get(trainer)));
             inProgress.merge(trainer, 1, Integer::sum);
             if (candidates.isEmpty()) {
                 waiting.remove(trainer);
@@ -280,15 +294,16 @@
      *
      * @param tick The current tick.
      * @param candidate The sample.
+     * @param current The step that the trainer takes samples for.
      */
-    private void generate(Tick tick, SchedulePolicy.Candidate candidate) {
+    private void generate(Tick tick, SchedulePolicy.Candidate candidate, long current) {
         HeldGroup group = context.held.find(candidate.key()).orElseThrow();
         TrainerName trainer = candidate.key().trainer();
         TrainerSettings settings = context.trainer(trainer).orElseThrow();
         TrainerProgress progress = context.cursor(trainer).progress();
         RequestId id = nextId(tick.now(), candidate.key(), candidate.index());
         long step = candidate.key().step();
-        boolean ahead = progress.step() >= 0 && step > progress.step();
+        boolean ahead = step > current;
         GroupSpecification specification = group.specification();
         Request request = new Request(
                 id,
@@ -303,11 +318,11 @@
                 "application/json",
                 CompletionBody.generation(settings.model(), specification, candidate.index(), seed(id)),
                 Optional.of(settings.model()),
-                Math.max(0, progress.expectedUse(step, step) - settings.stalenessBound()),
-                List.of(),
+                Math.max(0, progress.expectedUse(step, current) - settings.stalenessBound()),
+                PrefixHashes.of(specification.prompt()),
                 specification.prompt().length() / CHARACTERS_PER_TOKEN + 1,
                 candidate.expectedTokens());
-        long newest = Math.max(progress.published(), progress.useVersion());
+        long newest = progress.newestVersion();
         Slot slot = group.slots().get(candidate.index()).withGeneration(id, tick.now());
         context.held.put(group.key(), group.withSlot(candidate.index(), slot));
         flights.put(new Flight(id, group.key(), candidate.index(), false, settings.pool(), newest));
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/sample/SampleFleet.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/sample/SampleFleet.java
@@ -263,6 +263,11 @@
                             cut.contains(name.value()) == inside ? member : member.withCondition(MemberCondition.DEAD));
         }
 
+        /** Returns whether this process holds a group, whether its samples were begun or not. */
+        boolean holds(GroupKey key) {
+            return system.holds(key);
+        }
+
         private void requestPath(Tick tick) {
             for (RequestEvent.Arrived event : tick.events(RequestEvent.Arrived.class)) {
                 requests.put(event.id(), event.request());
