--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/NodeMain.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/NodeMain.java
@@ -90,11 +90,12 @@
     }
 
     /**
-     * Starts a node.
+     * Starts a node. The hook is the process's own, as a planned stop concerns far more than its web servers.
      *
      * @param decoded The node's local settings.
      * @return An exit code if the node could not start.
      */
+    @SuppressWarnings("ShutdownHook")
     private static Optional<Integer> start(NodeSettings decoded) {
         LogConfiguration.apply(decoded.log());
         try {
