Register the messages of samples and endpoints, and stop on unhandled exceptions of the shell

Cause: the registry of messages lacked those of samples and endpoints. Encoding one threw inside a subscription, which ended the subscription to all messages and left a node that looked alive and answered nobody. Conclusion: a silent node is worse than a dead one.

--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/Node.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/Node.java
@@ -1,6 +1,8 @@
 package io.yuccaswitch.node;
 
 import com.codahale.metrics.MetricRegistry;
+import io.reactivex.rxjava3.exceptions.UndeliverableException;
+import io.reactivex.rxjava3.plugins.RxJavaPlugins;
 import io.yuccaswitch.core.configuration.FleetConfiguration;
 import io.yuccaswitch.core.configuration.PoolSettings;
 import io.yuccaswitch.core.identity.NodeIdentity;
@@ -144,8 +146,24 @@
         operators = operatorServer();
     }
 
+    /**
+     * Stops the process at once when a part of the shell threw what nobody handles, as its subscription to the effects
+     * ended thereby. An exception that came after its stream had been cancelled is only logged.
+     *
+     * @param exception The exception.
+     */
+    private static void unhandled(Throwable exception) {
+        if (exception instanceof UndeliverableException) {
+            LOGGER.warn("event=late-exception", exception);
+            return;
+        }
+        LOGGER.fatal("event=broken-invariant", exception);
+        Runtime.getRuntime().halt(EXIT_BROKEN_INVARIANT);
+    }
+
     /** Starts all parts. The entry address is listened on once the node is ready to serve. */
     void start() {
+        RxJavaPlugins.setErrorHandler(Node::unhandled);
         subscribe();
         membership.start();
         configuration.start();
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/peer/PeerMessages.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/peer/PeerMessages.java
@@ -1,10 +1,12 @@
 package io.yuccaswitch.node.peer;
 
 import io.yuccaswitch.core.configuration.ConfigurationMessage;
+import io.yuccaswitch.core.endpoint.EndpointMessage;
 import io.yuccaswitch.core.lease.LeaseMessage;
 import io.yuccaswitch.core.membership.MembershipMessage;
 import io.yuccaswitch.core.request.RequestMessage;
 import io.yuccaswitch.core.weight.WeightMessage;
+import io.yuccaswitch.node.trainer.SampleMessages;
 import io.yuccaswitch.protocol.PeerMessageRange;
 import io.yuccaswitch.protocol.PeerMessageRegistry;
 
@@ -28,6 +30,8 @@
         registerConfiguration(builder);
         registerRequest(builder);
         registerWeight(builder);
+        registerEndpoint(builder);
+        SampleMessages.register(builder);
         return builder.build();
     }
 
@@ -82,4 +86,15 @@
                 .register(PeerMessageRange.WEIGHT, 90, LeaseMessage.Acting.class)
                 .register(PeerMessageRange.WEIGHT, 91, LeaseMessage.Recorded.class);
     }
+
+    /**
+     * Registers the messages about endpoints.
+     *
+     * @param builder The builder to register with.
+     */
+    private static void registerEndpoint(PeerMessageRegistry.Builder builder) {
+        builder.register(PeerMessageRange.ENDPOINT, 100, EndpointMessage.Leaving.class)
+                .register(PeerMessageRange.ENDPOINT, 101, EndpointMessage.Listed.class)
+                .register(PeerMessageRange.ENDPOINT, 102, EndpointMessage.ListedQuery.class);
+    }
 }
