--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/SampleSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/SampleSystem.java
@@ -107,6 +107,15 @@
         return context.held.contains(key);
     }
 
+    /**
+     * Returns whether no other node takes work, such that nothing can be handed off.
+     *
+     * @return {@code true} if this node is the last one.
+     */
+    public boolean isLast() {
+        return context.roles.others(context.roles.working()).isEmpty();
+    }
+
     /**
      * Returns whether other nodes hold all that this one held, such that it may stop. It never becomes true while this
      * node itself takes work, as far as its members know.
