Let leases probe a failed platform soon, and keep a share of the rate for ordinary calls

A client whose urgent purposes call without end left 3 calls/s of 240 to each of the others: leases and configuration together now use at most 80% of the rate. After an outage the last of 8 clients was answered only after 4.2 s, and a lease would lapse meanwhile: a call for a lease now probes within one second, the others still within five. The floor of a client's share of the rates rises from 1 to 5 calls/s, since at 1 a node that holds leases for several pools could not renew them.

--- a/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/CallBudget.java
+++ b/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/CallBudget.java
@@ -8,7 +8,8 @@
 
 /**
  * The calls that one client may make now. Writes and reads have a bucket each. Leases and configuration go first: the
- * other purposes leave a reserve to them, and none of the others takes more than its share.
+ * other purposes leave a reserve to them, and none of the others takes more than its share. Leases and configuration
+ * together leave a share to the others, such that a fault in one of them can't stop all else.
  */
 final class CallBudget {
 
@@ -18,6 +19,9 @@
     /** The share of a bucket that only the urgent purposes may use. */
     private static final double URGENT_RESERVE = 0.3;
 
+    /** The share of the rate that the urgent purposes together may use at most. */
+    private static final double URGENT_SHARE = 0.8;
+
     /** The share of the rate that each of the other purposes may use at most. */
     private static final double PURPOSE_SHARE = 0.5;
 
@@ -76,7 +80,7 @@
         /** The bucket that all purposes share. */
         private final TokenBucket total;
 
-        /** The buckets of the purposes that are not urgent. */
+        /** The buckets that limit the purposes, of which the urgent ones have one together. */
         private final Map<PlatformPurpose, TokenBucket> shares = new EnumMap<>(PlatformPurpose.class);
 
         /**
@@ -87,10 +91,10 @@
          */
         private Buckets(double perSecond, long now) {
             total = new TokenBucket(perSecond, now);
+            TokenBucket urgent = new TokenBucket(perSecond * URGENT_SHARE, now);
             for (PlatformPurpose purpose : PlatformPurpose.values()) {
-                if (!URGENT.contains(purpose)) {
-                    shares.put(purpose, new TokenBucket(perSecond * PURPOSE_SHARE, now));
-                }
+                boolean isUrgent = URGENT.contains(purpose);
+                shares.put(purpose, isUrgent ? urgent : new TokenBucket(perSecond * PURPOSE_SHARE, now));
             }
         }
 
@@ -102,7 +106,8 @@
          */
         private void changeRate(double perSecond, long now) {
             total.changeRate(perSecond, now);
-            shares.values().forEach(share -> share.changeRate(perSecond * PURPOSE_SHARE, now));
+            shares.forEach((purpose, share) ->
+                    share.changeRate(perSecond * (URGENT.contains(purpose) ? URGENT_SHARE : PURPOSE_SHARE), now));
         }
 
         /**
@@ -114,15 +119,11 @@
          */
         private boolean tryAcquire(PlatformPurpose purpose, long now) {
             TokenBucket share = shares.get(purpose);
-            if (!total.has(share == null ? 0 : URGENT_RESERVE, now)) {
+            double reserve = URGENT.contains(purpose) ? 0 : URGENT_RESERVE;
+            if (!total.has(reserve, now) || !share.has(0, now)) {
                 return false;
             }
-            if (share != null) {
-                if (!share.has(0, now)) {
-                    return false;
-                }
-                share.take();
-            }
+            share.take();
             total.take();
             return true;
         }
--- a/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/CallRates.java
+++ b/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/CallRates.java
@@ -11,8 +11,8 @@
     /** The default rates, which leave room on the platform for the nodes of a small site. */
     public static final CallRates DEFAULT = new CallRates(40, 200);
 
-    /** The lowest rate, which lets a node of a large fleet still renew its leases. */
-    private static final double FLOOR = 1;
+    /** The lowest rate, at which a node of a large fleet can still renew several leases. */
+    private static final double FLOOR = 5;
 
     /** Checks the rates. */
     public CallRates {
@@ -25,7 +25,7 @@
      * Returns the even share of one client.
      *
      * @param clients The number of clients that share these rates.
-     * @return The share, which is never below one call each second.
+     * @return The share, which is never below the lowest useful rate.
      */
     public CallRates shareOf(int clients) {
         int divisor = Math.max(1, clients);
--- a/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/Circuit.java
+++ b/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/Circuit.java
@@ -1,12 +1,14 @@
 package io.yuccaswitch.platform;
 
+import io.yuccaswitch.core.platform.PlatformPurpose;
 import java.time.Duration;
 import java.util.function.LongSupplier;
 
 /**
  * Keeps calls from a platform that fails. After a few failures in a row the circuit opens, and calls are refused
  * without being sent. After a random wait one call is let through as a probe. Its success closes the circuit, and its
- * failure starts a longer wait.
+ * failure starts a longer wait. A call for a lease waits less long than others: few nodes hold leases, and a lease
+ * would lapse.
  */
 final class Circuit {
 
@@ -19,6 +21,9 @@
     /** The waits before probes. */
     private final FullJitterBackoff backoff;
 
+    /** The waits before probes that are made for leases. */
+    private final FullJitterBackoff leaseBackoff;
+
     /** What to do when the circuit closes. */
     private final Runnable onClose;
 
@@ -31,6 +36,9 @@
     /** The time in nanoseconds from which a probe is let through. */
     private long probeAt;
 
+    /** The time in nanoseconds from which a probe for a lease is let through. */
+    private long leaseProbeAt;
+
     /** Whether a probe is on its way. */
     private boolean probing;
 
@@ -39,12 +47,14 @@
      *
      * @param threshold The number of failures in a row after which the circuit opens.
      * @param backoff The waits before probes.
+     * @param maximumLeaseWait The largest bound of the waits before probes that are made for leases.
      * @param clock The monotonic clock in nanoseconds.
      * @param onClose What to do when the circuit closes.
      */
-    Circuit(int threshold, FullJitterBackoff backoff, LongSupplier clock, Runnable onClose) {
+    Circuit(int threshold, FullJitterBackoff backoff, Duration maximumLeaseWait, LongSupplier clock, Runnable onClose) {
         this.threshold = threshold;
         this.backoff = backoff;
+        leaseBackoff = backoff.withMaximum(maximumLeaseWait);
         this.clock = clock;
         this.onClose = onClose;
     }
@@ -52,13 +62,15 @@
     /**
      * Decides whether a call is let through.
      *
+     * @param purpose The purpose of the call.
      * @return How the call is let through, or that it is not.
      */
-    synchronized Admission admit() {
+    synchronized Admission admit(PlatformPurpose purpose) {
         if (openings == 0) {
             return Admission.PASS;
         }
-        if (probing || clock.getAsLong() - probeAt < 0) {
+        long allowedAt = purpose == PlatformPurpose.LEASE ? leaseProbeAt : probeAt;
+        if (probing || clock.getAsLong() - allowedAt < 0) {
             return Admission.REFUSE;
         }
         probing = true;
@@ -75,7 +87,7 @@
     }
 
     /**
-     * Returns the time until a probe may be let through.
+     * Returns the time until a probe that is not made for a lease may be let through.
      *
      * @return The time, zero if the circuit is closed or a probe may be made now.
      */
@@ -134,7 +146,10 @@
     /** Opens the circuit, or keeps it open for a longer wait. */
     private void open() {
         openings++;
-        probeAt = clock.getAsLong() + backoff.wait(openings).toNanos();
+        double drawn = backoff.random().nextDouble();
+        long now = clock.getAsLong();
+        probeAt = now + backoff.wait(openings, drawn).toNanos();
+        leaseProbeAt = now + leaseBackoff.wait(openings, drawn).toNanos();
     }
 
     /** How a call is let through. */
--- a/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/FullJitterBackoff.java
+++ b/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/FullJitterBackoff.java
@@ -23,8 +23,29 @@
      * @return The wait.
      */
     Duration wait(int failures) {
+        return wait(failures, random.nextDouble());
+    }
+
+    /**
+     * Returns the wait for a number that was drawn before.
+     *
+     * @param failures The number of failures in a row before this wait, at least one.
+     * @param drawn The number, between zero and one.
+     * @return The wait.
+     */
+    Duration wait(int failures, double drawn) {
         int exponent = Math.min(MAXIMUM_EXPONENT, failures - 1);
         double bound = Math.min((double) maximum.toNanos(), Math.scalb((double) first.toNanos(), exponent));
-        return Duration.ofNanos((long) (random.nextDouble() * bound));
+        return Duration.ofNanos((long) (drawn * bound));
+    }
+
+    /**
+     * Returns these waits with another largest bound.
+     *
+     * @param newMaximum The largest bound.
+     * @return The changed waits.
+     */
+    FullJitterBackoff withMaximum(Duration newMaximum) {
+        return new FullJitterBackoff(first, newMaximum, random);
     }
 }
--- a/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/PlatformClient.java
+++ b/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/PlatformClient.java
@@ -82,6 +82,7 @@
         circuit = new Circuit(
                 waits.failures(),
                 new FullJitterBackoff(waits.firstWait(), waits.maximumWait(), RANDOM),
+                waits.maximumLeaseWait(),
                 clock,
                 this::platformReturned);
         metrics = new CallMetrics(registry, clock);
@@ -182,7 +183,7 @@
      * @return The result.
      */
     private Single<Attempt> send(PlatformEffect effect, boolean repeated) {
-        Circuit.Admission admission = circuit.admit();
+        Circuit.Admission admission = circuit.admit(effect.purpose());
         if (admission == Circuit.Admission.REFUSE) {
             return refusedByCircuit(effect);
         }
--- a/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/platform/PlatformStandIn.java
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/platform/PlatformStandIn.java
@@ -129,6 +129,18 @@
         return counts.snapshot().arrived().getOrDefault(label, 0L);
     }
 
+    /**
+     * Returns the number of calls that arrived in the busiest tenth of a second since counting started.
+     *
+     * @return The number of calls.
+     */
+    public long largestTenthOfSecond() {
+        return counts.snapshot().tenthsOfSecond().values().stream()
+                .mapToLong(Long::longValue)
+                .max()
+                .orElse(0);
+    }
+
     /** Starts all counts anew. */
     public void resetCounts() {
         counts.reset();
