--- a/yuccaswitch-platform/src/test/java/io/yuccaswitch/platform/CircuitTest.java
+++ b/yuccaswitch-platform/src/test/java/io/yuccaswitch/platform/CircuitTest.java
@@ -9,6 +9,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 class CircuitTest {
 
@@ -63,19 +65,25 @@
         assertThat(circuit.untilProbe()).isEqualTo(before);
     }
 
-    @Test
-    void anOutageOfAnHourCostsFewProbesAndEndsWithinTheLargestWait() {
+    @ParameterizedTest
+    @EnumSource(PlatformPurpose.class)
+    void anOutageOfAnHourCostsFewProbesForEachPurpose(PlatformPurpose purpose) {
         open(circuit);
         int probes = 0;
         for (Duration time = Duration.ZERO; time.compareTo(Duration.ofHours(1)) < 0; time = time.plus(STEP)) {
             advance(STEP);
-            if (circuit.admit(PlatformPurpose.SAMPLE) == Admission.PROBE) {
+            if (circuit.admit(purpose) == Admission.PROBE) {
                 probes++;
                 circuit.failed(Admission.PROBE);
             }
         }
-        assertThat(probes).isBetween(1000, 2000);
-        assertThat(circuit.untilProbe()).isLessThanOrEqualTo(MAXIMUM_WAIT);
+        if (purpose == PlatformPurpose.LEASE) {
+            assertThat(probes).isBetween(6000, 8000);
+        } else {
+            assertThat(probes).isBetween(1300, 1600);
+        }
+        advance(MAXIMUM_WAIT);
+        assertThat(circuit.admit(purpose)).isEqualTo(Admission.PROBE);
     }
 
     @Test
