Stop telling changes that partners already believe

Change: changes are dropped once four partners in turn believed the same, an answer between equal tables carries none, and the lists of living members and watchers are computed once and not each tick.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/configuration/distribution/ConfigurationWatchSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/configuration/distribution/ConfigurationWatchSystem.java
@@ -12,6 +12,7 @@
 import io.yuccaswitch.core.platform.PlatformPurpose;
 import io.yuccaswitch.core.platform.PlatformTokens;
 import io.yuccaswitch.core.platform.StoredObject;
+import io.yuccaswitch.core.time.MonotonicTime;
 import java.time.Duration;
 import java.util.List;
 import java.util.OptionalLong;
@@ -29,6 +30,9 @@
     /** The number of watching nodes of an availability zone. */
     private static final int WATCHERS_PER_ZONE = 2;
 
+    /** The interval at which a node looks into whether it should watch. */
+    private static final Duration ROLE_INTERVAL = Duration.ofMillis(500);
+
     /** The first bound of the delay after a failed call. */
     private static final Duration FIRST_DELAY = Duration.ofMillis(500);
 
@@ -53,6 +57,12 @@
     /** The version from which a watch goes on, or empty if the kind must be listed first. */
     private OptionalLong watchedVersion = OptionalLong.empty();
 
+    /** Whether this node was among the watching ones when it was last looked into. */
+    private boolean watcher;
+
+    /** The time at which that is looked into next. */
+    private MonotonicTime nextRoleCheck = new MonotonicTime(Long.MIN_VALUE);
+
     /** Whether the platform has answered since the start. */
     private boolean heard;
 
@@ -78,7 +88,7 @@
                 receive(tick, event);
             }
         }
-        if (call.isEmpty() && backOff.allows(tick.now()) && (!heard || isWatcher())) {
+        if (call.isEmpty() && backOff.allows(tick.now()) && (!heard || hasWatcherRole(tick.now()))) {
             call = OptionalLong.of(tokens.next());
             tick.emit(nextCall(call.getAsLong()));
         }
@@ -94,7 +104,21 @@
     }
 
     /**
-     * Returns whether this node watches.
+     * Returns whether this node watches, and looks into it now and then only.
+     *
+     * @param now The current time.
+     * @return {@code true} if this node is one of the watching nodes of its availability zone.
+     */
+    private boolean hasWatcherRole(MonotonicTime now) {
+        if (!now.isBefore(nextRoleCheck)) {
+            nextRoleCheck = now.plus(ROLE_INTERVAL);
+            watcher = isWatcher();
+        }
+        return watcher;
+    }
+
+    /**
+     * Computes whether this node watches.
      *
      * @return {@code true} if this node is one of the watching nodes of its availability zone.
      */
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/ExchangeContent.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/ExchangeContent.java
@@ -49,16 +49,12 @@
      * Returns the rows to tell a partner: recent changes, this node's own row if the partner may need it, and what this
      * node believes of the partner unless that is what the partner says itself.
      *
-     * @param partner The partner's name, if it is known.
+     * @param partner The partner's name.
      * @param introduce {@code true} if the partner may not know this node.
      * @return The rows.
      */
-    List<MemberRow> rowsFor(Optional<NodeName> partner, boolean introduce) {
-        Set<NodeName> names = new LinkedHashSet<>();
-        partner.flatMap(state.table()::row)
-                .filter(row -> !row.is(MemberCondition.ALIVE))
-                .map(MemberRow::name)
-                .ifPresent(names::add);
+    List<MemberRow> rowsFor(NodeName partner, boolean introduce) {
+        Set<NodeName> names = beliefsOf(partner);
         if (introduce) {
             names.add(state.table().selfRow().name());
         }
@@ -70,10 +66,11 @@
      * Returns the rows that answer an exchange.
      *
      * @param sender The identity that the partner greets with.
+     * @param news {@code true} if both tables differ, such that recent changes may be news to the partner.
      * @return The rows.
      */
-    List<MemberRow> answerFor(NodeIdentity sender) {
-        List<MemberRow> answer = new ArrayList<>(rowsFor(Optional.of(sender.name()), false));
+    List<MemberRow> answerFor(NodeIdentity sender, boolean news) {
+        List<MemberRow> answer = new ArrayList<>(news ? rowsFor(sender.name(), false) : rows(beliefsOf(sender.name())));
         state.table()
                 .row(sender.name())
                 .filter(row -> !row.member().identity().equals(sender) && !answer.contains(row))
@@ -161,6 +158,22 @@
         return messages(rows(new LinkedHashSet<>(names)), List.of());
     }
 
+    /**
+     * Returns the partner's name if this node believes something of it that the partner may want to object to.
+     *
+     * @param partner The partner's name.
+     * @return The name, or nothing.
+     */
+    private Set<NodeName> beliefsOf(NodeName partner) {
+        Set<NodeName> names = new LinkedHashSet<>();
+        state.table()
+                .row(partner)
+                .filter(row -> !row.is(MemberCondition.ALIVE))
+                .map(MemberRow::name)
+                .ifPresent(names::add);
+        return names;
+    }
+
     /**
      * Returns whether the row behind a summary is news to this node.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/ExchangeSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/ExchangeSystem.java
@@ -101,6 +101,7 @@
         } else if (message instanceof MembershipMessage.ExchangeAnswer answer) {
             learn(tick, sender, answer.digest(), answer.rows());
             probes.answered(tick, sender, answer.sequence());
+            state.news().compared(answer.bucketHashes().isEmpty());
             content.summaries(answer.bucketHashes()).ifPresent(summaries -> send(tick, sender.name(), summaries));
         } else if (message instanceof MembershipMessage.Summaries summaries) {
             content.settle(summaries).forEach(rows -> send(tick, sender.name(), rows));
@@ -143,12 +144,13 @@
     private void answer(Tick tick, NodeIdentity sender, MembershipMessage.Exchange exchange) {
         ExchangeDigest digest = content.digest(tick.now());
         boolean equal = digest.tableHash() == exchange.digest().tableHash();
+        state.news().compared(equal);
         List<Long> bucketHashes = equal ? List.of() : state.table().bucketHashes();
         send(
                 tick,
                 sender.name(),
                 new MembershipMessage.ExchangeAnswer(
-                        exchange.sequence(), digest, content.answerFor(sender), bucketHashes));
+                        exchange.sequence(), digest, content.answerFor(sender, !equal), bucketHashes));
     }
 
     /**
@@ -164,7 +166,7 @@
         boolean stranger = !partner.is(MemberCondition.ALIVE)
                 || sequence % INTRODUCTION_INTERVAL == 0
                 || tick.now().isBefore(introduceUntil);
-        List<MemberRow> rows = content.rowsFor(Optional.of(partner.name()), introduce || stranger);
+        List<MemberRow> rows = content.rowsFor(partner.name(), introduce || stranger);
         send(tick, partner.name(), new MembershipMessage.Exchange(sequence, content.digest(tick.now()), rows));
     }
 
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/MemberTable.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/MemberTable.java
@@ -35,6 +35,9 @@
     /** The members that may be given new work, or empty if the table changed since it was computed. */
     private Optional<List<Member>> working = Optional.empty();
 
+    /** The rows of all other members that are not dead, or empty if the table changed since they were collected. */
+    private Optional<List<MemberRow>> othersLiving = Optional.empty();
+
     /**
      * Creates a table that holds this node alone.
      *
@@ -111,12 +114,15 @@
     /**
      * Returns the rows of all other members that are not dead.
      *
-     * @return A copy of the rows.
+     * @return The rows, which stay as they are when the table changes.
      */
     List<MemberRow> othersLiving() {
-        return rows.view().stream()
-                .filter(row -> !row.name().equals(selfName) && !row.is(MemberCondition.DEAD))
-                .toList();
+        if (othersLiving.isEmpty()) {
+            othersLiving = Optional.of(rows.view().stream()
+                    .filter(row -> !row.name().equals(selfName) && !row.is(MemberCondition.DEAD))
+                    .toList());
+        }
+        return othersLiving.get();
     }
 
     /**
@@ -138,6 +144,7 @@
         rows.put(row.name(), row);
         toggle(row);
         working = Optional.empty();
+        othersLiving = Optional.empty();
     }
 
     /**
@@ -148,6 +155,7 @@
     void remove(NodeName name) {
         rows.remove(name).ifPresent(this::toggle);
         working = Optional.empty();
+        othersLiving = Optional.empty();
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/NewsQueue.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/NewsQueue.java
@@ -17,6 +17,12 @@
     /** How many messages carry a change, as a multiple of the logarithm of the number of nodes. */
     private static final int REPETITION = 3;
 
+    /** The number of partners in turn that must have believed the same before changes are no longer told. */
+    private static final int ENOUGH_EQUAL_PARTNERS = 4;
+
+    /** The number of partners in turn that believed the same as this node. */
+    private int equalPartners;
+
     /** The changes by the names of their members. */
     private final EntityTable<NodeName, News> changes = new EntityTable<>();
 
@@ -27,6 +33,20 @@
      */
     void add(NodeName name) {
         changes.put(name, new News(name, 0));
+        equalPartners = 0;
+    }
+
+    /**
+     * Takes note of whether a partner believed the same as this node. Once several partners in turn did, there is no
+     * one left to tell, and the differences that remain elsewhere are settled by comparing tables.
+     *
+     * @param equal {@code true} if both tables were equal.
+     */
+    void compared(boolean equal) {
+        equalPartners = equal ? equalPartners + 1 : 0;
+        if (equalPartners >= ENOUGH_EQUAL_PARTNERS) {
+            changes.removeIf(_news -> true);
+        }
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/ProbeSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/ProbeSystem.java
@@ -160,7 +160,7 @@
         }
         Probe.Requester origin = new Probe.Requester(requester, request.sequence());
         long sequence = begin(tick.now(), request.target(), Optional.of(origin));
-        List<MemberRow> rows = content.rowsFor(Optional.of(request.target()), true);
+        List<MemberRow> rows = content.rowsFor(request.target(), true);
         send(tick, request.target(), new MembershipMessage.Exchange(sequence, content.digest(tick.now()), rows));
     }
 
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/membership/MembershipSystemTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/membership/MembershipSystemTest.java
@@ -295,6 +295,25 @@
         assertThat(summaries.get()).isBetween(1, ExchangeContent.SUMMARIES_PER_MESSAGE);
     }
 
+    @Test
+    void exchangesBetweenNodesThatBelieveTheSameCarryNoRowsButIntroductions() {
+        AtomicInteger exchanges = new AtomicInteger();
+        AtomicInteger rows = new AtomicInteger();
+        joined(40, 4);
+        driver.run(Duration.ofSeconds(25));
+        driver.observe((_node, message) -> {
+            if (message instanceof MembershipMessage.Exchange sent) {
+                exchanges.incrementAndGet();
+                rows.addAndGet(sent.rows().size());
+            } else if (message instanceof MembershipMessage.ExchangeAnswer sent) {
+                assertThat(sent.rows()).isEmpty();
+            }
+        });
+        driver.run(Duration.ofSeconds(10));
+
+        assertThat(rows.get()).isLessThan(exchanges.get() / 4);
+    }
+
     @Test
     void theSilenceOfThePlatformIsKnownToNodesThatDoNotCallIt() {
         List<DrivenNode> fleet = joined(9, 3);
