Look at large pools less often and read engines back only when it tells something

A look at a pool went over all its engines 20 times a second while anything was reported, and engines were read back four times in an interval while they were still loading.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/weight/EngineRow.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/weight/EngineRow.java
@@ -97,6 +97,15 @@
         return order.filter(EngineOrder::isLoading).isPresent();
     }
 
+    /**
+     * Returns whether an order has ended and its success is to be read back.
+     *
+     * @return {@code true} if an order has ended that was not read back.
+     */
+    boolean isAwaited() {
+        return order.filter(given -> given.phase() != EngineOrder.Phase.FLYING).isPresent();
+    }
+
     /**
      * Returns whether the engine can be given orders.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/weight/EngineTrackingSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/weight/EngineTrackingSystem.java
@@ -28,15 +28,21 @@
  */
 public final class EngineTrackingSystem implements DecisionSystem {
 
-    /** The shortest time between two looks at a pool. */
+    /** The shortest time between two looks at a small pool. */
     private static final Duration SHORTEST_PASS = Duration.ofMillis(50);
 
+    /** The time that each engine adds to the shortest time between two looks, which bounds the work for large pools. */
+    private static final Duration PASS_PER_ENGINE = Duration.ofNanos(100_000);
+
     /** The longest time between two looks at a pool. */
     private static final Duration LONGEST_PASS = Duration.ofSeconds(1);
 
     /** The largest number of engines of a pool that are read back in a second without a special reason. */
     private static final int ROUTINE_PROBES_PER_SECOND = 50;
 
+    /** The largest number of engines of a pool that are read back for the first time in a second. */
+    private static final int FIRST_PROBES_PER_SECOND = 500;
+
     /** The number of read-backs of an engine in the read-back interval while it has an order. */
     private static final int AWAITING_PROBES = 4;
 
@@ -187,8 +193,11 @@
             return;
         }
         if (event instanceof EndpointEvent.Reported reported) {
-            tables.engines().put(event.endpoint(), read(tick, row.get(), reported));
-            changed.add(event.endpoint().pool());
+            EngineRow read = read(tick, row.get(), reported);
+            tables.engines().put(event.endpoint(), read);
+            if (isRelevant(row.get(), read)) {
+                changed.add(event.endpoint().pool());
+            }
         } else if (event instanceof EndpointEvent.Unreachable) {
             tables.engines().put(event.endpoint(), row.get().withUnreachable(tick.now()));
         } else if (event instanceof EndpointEvent.Leaving leaving) {
@@ -203,6 +212,20 @@
         }
     }
 
+    /**
+     * Returns whether a report calls for a look at the pool.
+     *
+     * @param before The engine before the report.
+     * @param after The engine after the report.
+     * @return {@code true} if anything but the time of the next read-back changed.
+     */
+    private static boolean isRelevant(EngineRow before, EngineRow after) {
+        return !before.reading().equals(after.reading())
+                || !before.unreachableSince().equals(after.unreachableSince())
+                || !before.order().equals(after.order())
+                || before.leaving() != after.leaving();
+    }
+
     /**
      * Takes in an engine's own report.
      *
@@ -221,7 +244,7 @@
         }
         boolean leaving = event.leaving() || (row.leaving() && sameLife);
         Duration interval = settings(row).readBackInterval();
-        Duration pause = row.order().isPresent() ? interval.dividedBy(AWAITING_PROBES) : interval;
+        Duration pause = row.isAwaited() ? interval.dividedBy(AWAITING_PROBES) : interval;
         EngineRow read =
                 row.withReading(reading, leaving, tick.now().plus(pause)).withoutHealedFailures();
         boolean restarted = row.reading().isPresent() && !sameLife;
@@ -290,7 +313,9 @@
         tables.due().clear();
         for (PoolRow pool : tables.pools().view()) {
             MonotonicTime last = passes.get(pool.name());
-            Duration pause = changed.contains(pool.name()) ? SHORTEST_PASS : LONGEST_PASS;
+            Duration shortest = SHORTEST_PASS.plus(
+                    PASS_PER_ENGINE.multipliedBy(pool.plan().engines().size()));
+            Duration pause = changed.contains(pool.name()) ? shortest : LONGEST_PASS;
             if (last == null || now.since(last).compareTo(pause) >= 0) {
                 tables.due().add(pool.name());
                 changed.remove(pool.name());
@@ -309,7 +334,8 @@
         MonotonicTime last = passes.getOrDefault(pool.name(), tick.now().plus(LONGEST_PASS.negated()));
         passes.put(pool.name(), tick.now());
         double seconds = Math.min(1, tick.now().since(last).toNanos() / NANOSECONDS_PER_SECOND);
-        double allowance = allowances.getOrDefault(pool.name(), 0.0) + seconds * ROUTINE_PROBES_PER_SECOND;
+        double routine = allowances.getOrDefault(pool.name(), 0.0) + seconds * ROUTINE_PROBES_PER_SECOND;
+        double first = seconds * FIRST_PROBES_PER_SECOND;
         List<EngineRow> engines = tables.enginesOf(pool);
         int start = positions.getOrDefault(pool.name(), 0);
         for (int offset = 0; offset < engines.size(); offset++) {
@@ -318,16 +344,20 @@
             if (tick.now().isBefore(engine.nextProbeAt())) {
                 continue;
             }
-            if (engine.order().isEmpty()) {
-                if (allowance < 1) {
-                    continue;
-                }
-                allowance--;
+            boolean unread =
+                    engine.reading().isEmpty() && engine.unreachableSince().isEmpty();
+            if (engine.isAwaited()) {
+                read(tick, pool, engine);
+            } else if (unread && first >= 1) {
+                first--;
+                read(tick, pool, engine);
+            } else if (routine >= 1) {
+                routine--;
                 positions.put(pool.name(), index + 1);
+                read(tick, pool, engine);
             }
-            read(tick, pool, engine);
         }
-        allowances.put(pool.name(), Math.min(allowance, ROUTINE_PROBES_PER_SECOND));
+        allowances.put(pool.name(), Math.min(routine, ROUTINE_PROBES_PER_SECOND));
     }
 
     /**
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/weight/FakeEngine.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/weight/FakeEngine.java
@@ -31,6 +31,9 @@
 
     int incarnation = 1;
 
+    /** The weight store, which is never busy unless a benchmark says otherwise. */
+    Store store = (now, time) -> now.plus(time);
+
     private final Map<String, Long> initial = new HashMap<>();
 
     private long highestFencingNumber;
@@ -42,7 +45,7 @@
 
     void begin(WeightEffect.Order order, String node, MonotonicTime now) {
         orders++;
-        loads.add(new Load(order, node, now.plus(loadTime), admits(order)));
+        loads.add(new Load(order, node, store.reserve(now, loadTime), admits(order)));
     }
 
     List<Ended> finish(MonotonicTime now) {
@@ -89,4 +92,9 @@
     record Ended(String node, WeightEffect.Order order, OrderResult result) {}
 
     record Applied(long fencingNumber, String node, long version, MonotonicTime at) {}
+
+    interface Store {
+
+        MonotonicTime reserve(MonotonicTime now, Duration loadTime);
+    }
 }
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/weight/TestNode.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/weight/TestNode.java
@@ -15,6 +15,8 @@
 import io.yuccaswitch.core.membership.MembershipView;
 import io.yuccaswitch.core.platform.PlatformTokens;
 import io.yuccaswitch.core.time.MonotonicTime;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -24,6 +26,8 @@
 /** A node with the systems of leases and weights, whose ticks the test drives. */
 final class TestNode {
 
+    private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
+
     final NodeIdentity identity;
 
     final List<Event> inbox = new ArrayList<>();
@@ -42,6 +46,9 @@
 
     MonotonicTime heardPlatformAt = MonotonicTime.ZERO;
 
+    /** The processor time that the ticks of this node took. */
+    long processorNanos;
+
     boolean cutOff;
 
     boolean cutFromPlatform;
@@ -71,7 +78,9 @@
     TickResult tick(MonotonicTime now) {
         List<Event> events = List.copyOf(inbox);
         inbox.clear();
+        long startedAt = THREADS.getCurrentThreadCpuTime();
         TickResult result = core.tick(now, events);
+        processorNanos += THREADS.getCurrentThreadCpuTime() - startedAt;
         decisions.addAll(result.decisions());
         return result;
     }
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/weight/TestSite.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/weight/TestSite.java
@@ -43,7 +43,7 @@
  */
 final class TestSite {
 
-    static final Duration STEP = Duration.ofMillis(50);
+    Duration stepLength = Duration.ofMillis(50);
 
     static final String POOL = "pool";
 
@@ -85,6 +85,10 @@
 
     private long generation;
 
+    int probes;
+
+    int messages;
+
     TestNode addNode(String name) {
         return addNode(name, 1);
     }
@@ -184,7 +188,7 @@
     }
 
     void step() {
-        now = now.plus(STEP);
+        now = now.plus(stepLength);
         engines.forEach((name, engine) -> engine.finish(now).forEach(ended -> answer(name, ended)));
         for (Answer answer : List.copyOf(answers)) {
             if (!now.isBefore(answer.at())) {
@@ -226,11 +230,13 @@
             answers.add(new Answer(node, answer, now.plus(platformDelay)));
             node.heardPlatformAt = silent ? node.heardPlatformAt : now;
         } else if (effect instanceof PeerEffect.Send send) {
+            messages++;
             TestNode target = nodes.get(send.target().value());
             if (target != null && reachableFrom(node).contains(target)) {
                 target.inbox.add(new PeerEvent.Received(node.identity, send.message()));
             }
         } else if (effect instanceof EndpointEffect.Probe probe) {
+            probes++;
             node.inbox.add(report(probe.endpoint()));
         } else if (effect instanceof WeightEffect.Order order) {
             send(node, order);
