--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/weight/LeaseFaultTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/weight/LeaseFaultTest.java
@@ -223,7 +223,7 @@
         site.platform.silent = true;
         site.run(Duration.ofMinutes(1));
         holder.cutOff = true;
-        site.pause(holder, Duration.ofMinutes(2));
+        site.pause(holder, Duration.ofSeconds(121));
         site.run(Duration.ofMinutes(2));
         TestNode successor = site.holder().orElseThrow();
         holder.cutOff = false;
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/weight/WeightRolloutTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/weight/WeightRolloutTest.java
@@ -62,6 +62,17 @@
                 .isSorted());
     }
 
+    @Test
+    void anEngineThatHoldsANewerVersionThanIsKnownIsLeftAlone() {
+        prepare(2);
+        site.engine("e0").versions.put("m", 9L);
+        site.run(Duration.ofSeconds(2));
+        site.publish(site.nodes.get("n1"), "t", 2);
+        site.run(Duration.ofSeconds(20));
+        assertThat(site.engine("e0").orders).isZero();
+        assertThat(site.engine("e1").versions).containsEntry("m", 2L);
+    }
+
     @Test
     void anEngineThatFailsForEverCostsOnlyItsOwnShare() {
         site.concurrentLoads = 1;
