--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/CursorCodec.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/CursorCodec.java
@@ -117,6 +117,9 @@
         }
         byte[] bytes = TEXT.decode(text);
         int length = bytes.length - CHECKSUM_BYTES;
+        if (!TEXT.encode(bytes).equals(text)) {
+            return new Reading.Malformed("The cursor is not written as nodes write it.");
+        }
         if (length < 1 || !Arrays.equals(checksum(bytes, length), Arrays.copyOfRange(bytes, length, bytes.length))) {
             return new Reading.Malformed("The cursor's checksum is wrong.");
         }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/CursorSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/CursorSystem.java
@@ -31,8 +31,11 @@
     /** The time after which an inquiry is content with the platform and the keepers. */
     private static final Duration MEMBER_PATIENCE = Duration.ofSeconds(1);
 
+    /** The time in which a keeper that is out of sight brings what the trainer took from it to the platform. */
+    private static final Duration GONE_KEEPER_PATIENCE = Duration.ofMillis(2500);
+
     /** The time after which an inquiry has failed. */
-    private static final Duration INQUIRY_PATIENCE = Duration.ofSeconds(2);
+    private static final Duration INQUIRY_PATIENCE = Duration.ofSeconds(4);
 
     /** The shared tables. */
     private final SampleContext context;
@@ -96,6 +99,13 @@
                     .findFirst()
                     .ifPresent(inquiry -> answered(tick, inquiry, event));
         }
+        for (Inquiry inquiry : inquiries.rows()) {
+            if (inquiry.platform() == Inquiry.Platform.DUE && !tick.now().isBefore(inquiry.readAt())) {
+                inquiries.put(inquiry.trainer(), inquiry.withPlatform(Inquiry.Platform.ASKED));
+                tick.emit(new PlatformEffect.Read(
+                        inquiry.token(), PlatformPurpose.SAMPLE, CursorStore.key(inquiry.trainer())));
+            }
+        }
         if (context.rolesChanged() || sweep.due(tick.now())) {
             context.cursors.rows().forEach(state -> share(tick, state));
         }
@@ -175,25 +185,26 @@
      * @param trainer The trainer.
      */
     private void begin(Tick tick, TrainerName trainer) {
-        long token = context.tokens.next();
+        MonotonicTime readAt = anyGone() ? tick.now().plus(GONE_KEEPER_PATIENCE) : tick.now();
         inquiries.put(
                 trainer,
                 new Inquiry(
                         trainer,
                         tick.now(),
-                        token,
-                        Inquiry.Platform.ASKED,
+                        readAt,
+                        context.tokens.next(),
+                        Inquiry.Platform.DUE,
                         Set.of(),
                         context.cursor(trainer).sure()));
-        tick.emit(new PlatformEffect.Read(token, PlatformPurpose.SAMPLE, CursorStore.key(trainer)));
         context.roles
                 .others(context.roles.working())
                 .forEach(member -> context.outbox.send(tick, member, new SampleMessage.AskCursor(trainer)));
     }
 
     /**
-     * Judges what an inquiry found. With the platform, its answer and those of the keepers suffice. Without it, every
-     * member must have answered, one of them must be sure, and none may be gone, as it could serve the trainer unseen.
+     * Judges what an inquiry found. With the platform, its answer and those of the keepers suffice; it is asked late
+     * enough that a keeper out of sight has written there what it knows. Without it, every member must have answered,
+     * one of them must be sure, and none may be gone, as it could have served the trainer unseen.
      *
      * @param now The current time.
      * @param trainer The trainer.
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/HandOverSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/HandOverSystem.java
@@ -62,11 +62,13 @@
         if (message instanceof SampleMessage.Pull pull) {
             PullKey key = new PullKey(sender.name(), pull.token());
             WaitingPull row = new WaitingPull(
-                    key, pull, tick.now(), tick.now().plus(Duration.ofMillis(pull.waitMillis())), Optional.empty());
+                    key,
+                    pull,
+                    tick.now(),
+                    tick.now().plus(Duration.ofMillis(pull.waitMillis())),
+                    false,
+                    Optional.empty());
             waiting.put(key, row);
-            if (!pull.cursor().isEmpty() && context.cursor(pull.trainer()).sure()) {
-                present(tick, pull);
-            }
             serve(tick, row);
         }
     }
@@ -127,29 +129,25 @@
      * @return What is known.
      */
     private Inquiry.Certainty certainty(Tick tick, WaitingPull row) {
-        TrainerName trainer = row.pull().trainer();
-        boolean presented = !row.pull().cursor().isEmpty();
-        if (presented && context.cursor(trainer).sure()) {
+        SampleMessage.Pull pull = row.pull();
+        if (row.cursorTaken()) {
             return Inquiry.Certainty.CERTAIN;
         }
-        Inquiry.Certainty certainty = cursors.inquire(tick, trainer, row.arrivedAt());
-        if (!presented || certainty == Inquiry.Certainty.PENDING) {
+        boolean presented = !pull.cursor().isEmpty();
+        Inquiry.Certainty certainty =
+                presented && context.cursor(pull.trainer()).sure()
+                        ? Inquiry.Certainty.CERTAIN
+                        : cursors.inquire(tick, pull.trainer(), row.arrivedAt());
+        if (certainty == Inquiry.Certainty.PENDING || (certainty == Inquiry.Certainty.UNKNOWN && !presented)) {
             return certainty;
         }
-        present(tick, row.pull());
+        if (presented) {
+            cursors.present(tick, CursorCodec.decodeOrStart(pull.trainer(), pull.cursor()));
+        }
+        waiting.put(row.key(), row.withCursorTaken());
         return Inquiry.Certainty.CERTAIN;
     }
 
-    /**
-     * Takes the cursor of a pull.
-     *
-     * @param tick The current tick.
-     * @param pull The pull.
-     */
-    private void present(Tick tick, SampleMessage.Pull pull) {
-        cursors.present(tick, CursorCodec.decodeOrStart(pull.trainer(), pull.cursor()));
-    }
-
     /**
      * Returns whether the other keeper knows what a trainer has taken.
      *
@@ -306,7 +304,7 @@
      */
     private void keepWaiting(Tick tick, WaitingPull row, SampleReport.IdleCause cause) {
         if (tick.now().isBefore(row.deadline()) || cause == SampleReport.IdleCause.CURSOR_UNKNOWN) {
-            waiting.put(row.key(), row.withCause(cause));
+            waiting.update(row.key(), current -> current.withCause(cause));
             return;
         }
         String cursor = CursorCodec.encode(context.cursor(row.pull().trainer()).acknowledged());
@@ -354,6 +352,7 @@
      * @param pull The pull.
      * @param arrivedAt The time at which it arrived.
      * @param deadline The time by which it is answered.
+     * @param cursorTaken {@code true} once its cursor was taken in, or was found without it.
      * @param cause What was missing when it was last looked at, or empty before.
      */
     private record WaitingPull(
@@ -361,8 +360,18 @@
             SampleMessage.Pull pull,
             MonotonicTime arrivedAt,
             MonotonicTime deadline,
+            boolean cursorTaken,
             Optional<SampleReport.IdleCause> cause) {
 
+        /**
+         * Returns this pull after its cursor was taken in.
+         *
+         * @return The changed pull.
+         */
+        private WaitingPull withCursorTaken() {
+            return new WaitingPull(key, pull, arrivedAt, deadline, true, cause);
+        }
+
         /**
          * Returns this pull with what is missing.
          *
@@ -370,7 +379,7 @@
          * @return The changed pull.
          */
         private WaitingPull withCause(SampleReport.IdleCause missing) {
-            return new WaitingPull(key, pull, arrivedAt, deadline, Optional.of(missing));
+            return new WaitingPull(key, pull, arrivedAt, deadline, cursorTaken, Optional.of(missing));
         }
     }
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/Inquiry.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/Inquiry.java
@@ -11,6 +11,7 @@
  *
  * @param trainer The trainer.
  * @param startedAt The time at which the inquiry began.
+ * @param readAt The time at which the platform is asked.
  * @param token The token of the call to the platform.
  * @param platform What the platform answered.
  * @param answered The nodes that answered.
@@ -19,6 +20,7 @@
 record Inquiry(
         TrainerName trainer,
         MonotonicTime startedAt,
+        MonotonicTime readAt,
         long token,
         Platform platform,
         Set<NodeIdentity> answered,
@@ -26,6 +28,8 @@
 
     /** What the platform answered. */
     enum Platform {
+        /** The platform is to be asked later. */
+        DUE,
         /** The platform has not answered yet. */
         ASKED,
         /** The platform answered with what it has. */
@@ -56,7 +60,7 @@
      * @return The changed inquiry.
      */
     Inquiry withPlatform(Platform answer) {
-        return new Inquiry(trainer, startedAt, token, answer, answered, sure);
+        return new Inquiry(trainer, startedAt, readAt, token, answer, answered, sure);
     }
 
     /**
@@ -69,6 +73,6 @@
     Inquiry withAnswer(NodeIdentity node, boolean nodeSure) {
         Set<NodeIdentity> nodes = new HashSet<>(answered);
         nodes.add(node);
-        return new Inquiry(trainer, startedAt, token, platform, nodes, sure || nodeSure);
+        return new Inquiry(trainer, startedAt, readAt, token, platform, nodes, sure || nodeSure);
     }
 }
