Take the platform's address as host:port, and let trainers finish early

Cause: nodes did not start, since the platform's client wanted a URL while settings give host:port. A trainer that went on from its state wrote its records again behind the old ones, since logs go on with old files now. Change: PlatformClientSettings.of adds the scheme; the trainer empties its records before it writes those it keeps.

--- a/yuccaswitch-command/src/main/java/io/yuccaswitch/command/configuration/PlatformObjectStore.java
+++ b/yuccaswitch-command/src/main/java/io/yuccaswitch/command/configuration/PlatformObjectStore.java
@@ -21,9 +21,6 @@
     /** What all calls are made for. */
     private static final PlatformPurpose PURPOSE = PlatformPurpose.CONFIGURATION;
 
-    /** Separates a scheme from an address. */
-    private static final String SCHEME_SEPARATOR = "://";
-
     /** The client. */
     private final PlatformClient client;
 
@@ -46,8 +43,8 @@
      * @return The objects.
      */
     public static ObjectStore open(PlatformAccess access) {
-        String address = access.address().contains(SCHEME_SEPARATOR) ? access.address() : "http://" + access.address();
-        PlatformClientSettings settings = PlatformClientSettings.of(address).withToken(access.token());
+        PlatformClientSettings settings =
+                PlatformClientSettings.of(access.address()).withToken(access.token());
         return new PlatformObjectStore(new PlatformClient(settings, new MetricRegistry()));
     }
 
--- a/yuccaswitch-integration/src/test/java/io/yuccaswitch/integration/site/Training.java
+++ b/yuccaswitch-integration/src/test/java/io/yuccaswitch/integration/site/Training.java
@@ -43,8 +43,10 @@
                         prompts.toString(),
                         "--steps",
                         Integer.toString(steps),
-                        "--observations",
+                        "--records",
                         site.observations("trainer").toString(),
+                        "--state",
+                        site.folder().resolve("trainer-state").toString(),
                         "--finish-file",
                         finishFile(site).toString()));
         site.manage(process);
--- a/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/PlatformClientSettings.java
+++ b/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/PlatformClientSettings.java
@@ -31,18 +31,24 @@
     /** The default longest time that a call takes. */
     private static final Duration DEFAULT_CALL_TIMEOUT = Duration.ofSeconds(2);
 
+    /** What separates the scheme of a URL from its rest. */
+    private static final String SCHEME_SEPARATOR = "://";
+
+    /** The scheme of an address that names none. */
+    private static final String DEFAULT_SCHEME = "http";
+
     /** The default wait of a watch, which also bounds how long a connection that died silently goes unnoticed. */
     private static final Duration DEFAULT_WATCH_WAIT = Duration.ofSeconds(5);
 
     /**
      * Creates settings with defaults.
      *
-     * @param address The platform's address.
+     * @param address The platform's address, as a URL or as {@code host:port}.
      * @return The settings.
      */
     public static PlatformClientSettings of(String address) {
         return new PlatformClientSettings(
-                address,
+                address.contains(SCHEME_SEPARATOR) ? address : DEFAULT_SCHEME + SCHEME_SEPARATOR + address,
                 Optional.empty(),
                 DEFAULT_CONNECT_TIMEOUT,
                 DEFAULT_CALL_TIMEOUT,
--- a/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/trainer/TrainerCommand.java
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/trainer/TrainerCommand.java
@@ -40,6 +40,7 @@
         List<Observation> earlier =
                 kept.isPresent() && Files.exists(options.records) ? ObservationLog.read(options.records) : List.of();
         List<Observation> before = earlier.subList(0, Math.min(state.records(), earlier.size()));
+        Files.deleteIfExists(options.records);
         try (ObservationLog log = new ObservationLog(options.records)) {
             before.forEach(log::write);
             train(state, before, log::write);
--- a/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/trainer/TrainerOptions.java
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/trainer/TrainerOptions.java
@@ -91,4 +91,8 @@
     /** The file of the report. */
     @Parameter(names = "--report", description = "File of the report; standard output if not given")
     public Path report;
+
+    /** The file whose presence ends the training after the steps that were submitted. */
+    @Parameter(names = "--finish-file", description = "File whose presence ends the training early")
+    public Path finishFile;
 }
--- a/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/trainer/TrainerRun.java
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/trainer/TrainerRun.java
@@ -9,6 +9,7 @@
 import io.yuccaswitch.testkit.check.Observation.Segment;
 import io.yuccaswitch.testkit.check.Observation.Slot;
 import io.yuccaswitch.testkit.http.Json;
+import java.nio.file.Files;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -93,10 +94,10 @@
     TrainerReport run() throws InterruptedException {
         publish(state.version());
         long first = state.step();
-        while (state.step() < options.steps) {
+        while (state.step() < steps()) {
             long step = state.step();
             long begun = System.nanoTime();
-            for (long ahead = step; ahead <= step + options.ahead && ahead < options.steps; ahead++) {
+            for (long ahead = step; ahead <= step + options.ahead && ahead < steps(); ahead++) {
                 submit(ahead);
             }
             while (tally.groups(step) < options.groups) {
@@ -111,6 +112,19 @@
         return tally.report(options, state.step() - first, idleMillis, trainMillis, client);
     }
 
+    /**
+     * Returns the number of steps, which ends with those that are submitted once the training shall end early.
+     *
+     * @return The number of steps.
+     */
+    private long steps() {
+        if (options.finishFile == null || !Files.exists(options.finishFile)) {
+            return options.steps;
+        }
+        long next = submitted.stream().mapToLong(step -> step + 1).max().orElse(0);
+        return Math.min(options.steps, next);
+    }
+
     /**
      * Publishes a version.
      *
