Let a trainer acknowledge its last batch before it ends

Cause: the last node of a site did not stop within 60 s, since it kept a batch that no trainer had acknowledged. Change: the trainer's stand-in pulls once more with its last cursor.

--- a/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/trainer/TrainerRun.java
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/trainer/TrainerRun.java
@@ -109,6 +109,7 @@
             state = state.withNextStep(state.version() + 1);
             save();
         }
+        acknowledge();
         return tally.report(options, state.step() - first, idleMillis, trainMillis, client);
     }
 
@@ -189,6 +190,19 @@
         return body;
     }
 
+    /**
+     * Acknowledges the last batch, such that the system need not keep it any longer.
+     *
+     * @throws InterruptedException If the thread is interrupted.
+     */
+    private void acknowledge() throws InterruptedException {
+        if (state.cursor().isPresent()) {
+            ObjectNode body = Json.object().put("cursor", state.cursor().get());
+            body.put("useVersion", state.version()).put("step", state.step()).put("maximumGroups", 1);
+            client.post("pull", body.put("waitMillis", 0));
+        }
+    }
+
     /**
      * Pulls once, and takes what is handed over.
      *
