--- a/yuccaswitch-integration/src/test/java/io/yuccaswitch/integration/measure/SiteMeasurement.java
+++ b/yuccaswitch-integration/src/test/java/io/yuccaswitch/integration/measure/SiteMeasurement.java
@@ -57,7 +57,7 @@
         this.site = site;
     }
 
-    public static void main(String[] arguments) throws Exception {
+    public static void main(String[] _arguments) throws Exception {
         try (Site site = Site.start(Site.newFolder("measurement"), SiteShape.small())) {
             SiteMeasurement measurement = new SiteMeasurement(site);
             measurement.idleNodes();
