--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/NodeMain.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/NodeMain.java
@@ -100,12 +100,23 @@
         LogConfiguration.apply(decoded.log());
         try {
             Node node = new Node(decoded);
-            Runtime.getRuntime().addShutdownHook(new Thread(node::stopGracefully, "graceful-shutdown"));
             node.start();
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node), "graceful-shutdown"));
             return Optional.empty();
         } catch (RuntimeException exception) {
             LOGGER.fatal("event=start-failed", exception);
             return Optional.of(EXIT_FAILED);
         }
     }
+
+    /**
+     * Stops a node gracefully and ends the process. A virtual machine that a signal ends would exit with the signal's
+     * code, which supervisors take for a failure.
+     *
+     * @param node The node.
+     */
+    private static void stop(Node node) {
+        node.stopGracefully();
+        Runtime.getRuntime().halt(EXIT_OK);
+    }
 }
