Share the platform's rates among the nodes that take work

Cause: each node's client used the platform's whole rate, so that a large fleet would exceed it. Change: local settings name what the platform takes from all nodes together, and a node limits itself to its even share whenever the number of working nodes changes.

--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/Node.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/Node.java
@@ -34,6 +34,7 @@
 import io.yuccaswitch.node.trainer.SampleMetrics;
 import io.yuccaswitch.node.trainer.SampleStatus;
 import io.yuccaswitch.node.trainer.TrainerRoutes;
+import io.yuccaswitch.platform.CallRates;
 import io.yuccaswitch.platform.PlatformClient;
 import io.yuccaswitch.platform.PlatformClientSettings;
 import io.yuccaswitch.protocol.PeerAddresses;
@@ -111,12 +112,13 @@
         this.settings = settings;
         RequestClock clock = new RequestClock(DecisionLoop.now(), System.currentTimeMillis());
         Member self = self(settings, clock.originEpochMillis());
-        observer = new NodeObserver(self.identity(), this::serve);
+        observer = new NodeObserver(self.identity(), this::serve, this::sharePlatform);
         core = new NodeCore(self, settings.seeds(), clock, self.identity().hashCode(), observer);
         loop = new DecisionLoop(core.core(), () -> Runtime.getRuntime().halt(EXIT_BROKEN_INVARIANT));
         platform = new PlatformClient(
                 PlatformClientSettings.of("http://" + settings.platform().address())
-                        .withToken(settings.platform().token()),
+                        .withToken(settings.platform().token())
+                        .withRates(platformRates()),
                 metrics);
         LearnedAddresses addresses = new LearnedAddresses();
         transport = new PeerTransport(
@@ -214,6 +216,25 @@
         thread.start();
     }
 
+    /**
+     * Limits this node's calls to its even share of what the platform takes.
+     *
+     * @param workingNodes The number of nodes that take work, this one included.
+     */
+    private void sharePlatform(int workingNodes) {
+        platform.changeRates(platformRates().shareOf(workingNodes));
+    }
+
+    /**
+     * Returns what the platform takes from all nodes together.
+     *
+     * @return The rates.
+     */
+    private CallRates platformRates() {
+        NodeSettings.PlatformSettings limits = settings.platform();
+        return new CallRates(limits.writesPerSecond(), limits.readsPerSecond());
+    }
+
     /** Begins to listen on the entry address, and stops the process if that is impossible. */
     private void listen() {
         try {
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/NodeCore.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/NodeCore.java
@@ -3,7 +3,6 @@
 import io.yuccaswitch.core.configuration.distribution.ConfigurationState;
 import io.yuccaswitch.core.configuration.distribution.ConfigurationSystem;
 import io.yuccaswitch.core.decision.DecisionCore;
-import io.yuccaswitch.core.decision.DecisionSystem;
 import io.yuccaswitch.core.endpoint.EndpointSystem;
 import io.yuccaswitch.core.endpoint.EndpointTable;
 import io.yuccaswitch.core.endpoint.LeavingNews;
@@ -68,9 +67,9 @@
      * @param seeds The peer addresses of nodes to contact first.
      * @param clock The clock that counts the windows of request ids.
      * @param seed The seed of the core's randomness.
-     * @param observer A system that runs after all others.
+     * @param observer Looks at each tick after all systems have run.
      */
-    NodeCore(Member self, List<String> seeds, RequestClock clock, long seed, DecisionSystem observer) {
+    NodeCore(Member self, List<String> seeds, RequestClock clock, long seed, NodeObserver observer) {
         PlatformTokens tokens = new PlatformTokens();
         membership = new MembershipSystem(self, seeds, configuration, tokens, MembershipOptions.DEFAULT);
         leases = new LeaseSystem(WeightPlans::leases, membership, tokens, membership.platformNews());
@@ -91,7 +90,7 @@
                         samples.beforeRequests(),
                         requests,
                         samples.afterRequests(),
-                        observer),
+                        tick -> observer.run(tick, membership.working().size())),
                 seed);
     }
 
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/NodeObserver.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/NodeObserver.java
@@ -2,21 +2,27 @@
 
 import io.yuccaswitch.core.configuration.ConfigurationEvent;
 import io.yuccaswitch.core.configuration.FleetConfiguration;
-import io.yuccaswitch.core.decision.DecisionSystem;
 import io.yuccaswitch.core.decision.Tick;
 import io.yuccaswitch.core.identity.NodeIdentity;
 import io.yuccaswitch.core.membership.MembershipEvent;
 import java.util.Optional;
+import java.util.function.IntConsumer;
 
 /**
  * Runs after all other systems and makes the configuration in force, the node's identity and its readiness visible to
  * the threads of the shell.
  */
-final class NodeObserver implements DecisionSystem {
+final class NodeObserver {
 
     /** What to do once the node is ready to serve. */
     private final Runnable onReady;
 
+    /** Takes the number of nodes that take work when it changes. */
+    private final IntConsumer onWorkingNodes;
+
+    /** The number of nodes that took work at the tick before. */
+    private int workingNodes;
+
     /** The identity of this node. */
     private volatile NodeIdentity identity;
 
@@ -31,15 +37,21 @@
      *
      * @param identity The identity that the node starts with.
      * @param onReady What to do once the node is ready to serve, which must not block.
+     * @param onWorkingNodes Takes the number of nodes that take work when it changes, and must not block.
      */
-    NodeObserver(NodeIdentity identity, Runnable onReady) {
+    NodeObserver(NodeIdentity identity, Runnable onReady, IntConsumer onWorkingNodes) {
         this.identity = identity;
         this.onReady = onReady;
+        this.onWorkingNodes = onWorkingNodes;
     }
 
-    /** {@inheritDoc} */
-    @Override
-    public void run(Tick tick) {
+    /**
+     * Looks at the tick after all systems have run.
+     *
+     * @param tick The tick.
+     * @param currentWorkingNodes The number of nodes that take work, this one included.
+     */
+    void run(Tick tick, int currentWorkingNodes) {
         for (ConfigurationEvent.InForce event : tick.events(ConfigurationEvent.InForce.class)) {
             configuration = Optional.of(event.configuration());
         }
@@ -50,6 +62,10 @@
             ready = true;
             onReady.run();
         }
+        if (currentWorkingNodes != workingNodes) {
+            workingNodes = currentWorkingNodes;
+            onWorkingNodes.accept(currentWorkingNodes);
+        }
     }
 
     /**
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/NodeSettings.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/NodeSettings.java
@@ -51,8 +51,22 @@
      *
      * @param address The platform's address as {@code host:port}.
      * @param token The bearer token for the platform.
+     * @param writesPerSecond The writes a second that the platform takes from all nodes together.
+     * @param readsPerSecond The reads a second that the platform takes from all nodes together.
      */
     public record PlatformSettings(
             @Setting(description = "The platform's address as host:port.") String address,
-            @Setting(description = "The bearer token for the platform.") Optional<String> token) {}
+            @Setting(description = "The bearer token for the platform.") Optional<String> token,
+            @Setting(
+                            description = "The writes a second that the platform takes from all nodes together.",
+                            defaultValue = "300",
+                            minimum = "1",
+                            maximum = "1000000")
+                    double writesPerSecond,
+            @Setting(
+                            description = "The reads a second that the platform takes from all nodes together.",
+                            defaultValue = "2000",
+                            minimum = "1",
+                            maximum = "1000000")
+                    double readsPerSecond) {}
 }
