--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/lease/LeaseRow.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/lease/LeaseRow.java
@@ -52,6 +52,27 @@
         return observation.flatMap(Observation::record);
     }
 
+    /**
+     * Returns the version of the object that the platform last showed.
+     *
+     * @return The version, or zero if there is no object as far as is known.
+     */
+    long seenVersion() {
+        return observation.map(seen -> seen.version().orElse(0)).orElse(0L);
+    }
+
+    /**
+     * Finds the write of this node that brought about a record.
+     *
+     * @param shown The record.
+     * @return The write, or empty if none that is unsettled did.
+     */
+    Optional<Attempt> unsettledAttempt(LeaseRecord shown) {
+        return unsettled.stream()
+                .filter(attempt -> attempt.written().equals(shown))
+                .findFirst();
+    }
+
     /**
      * Returns this row with what the platform showed.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/lease/LeaseSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/lease/LeaseSystem.java
@@ -8,21 +8,18 @@
 import io.yuccaswitch.core.decision.EntityTable;
 import io.yuccaswitch.core.decision.Tick;
 import io.yuccaswitch.core.identity.NodeIdentity;
-import io.yuccaswitch.core.membership.Member;
 import io.yuccaswitch.core.membership.MemberCondition;
 import io.yuccaswitch.core.membership.MembershipView;
-import io.yuccaswitch.core.membership.RendezvousRanking;
 import io.yuccaswitch.core.peer.PeerEffect;
 import io.yuccaswitch.core.peer.PeerEvent;
 import io.yuccaswitch.core.platform.ObjectKey;
-import io.yuccaswitch.core.platform.PlatformEffect;
 import io.yuccaswitch.core.platform.PlatformEvent;
 import io.yuccaswitch.core.platform.PlatformNews;
-import io.yuccaswitch.core.platform.PlatformPurpose;
 import io.yuccaswitch.core.platform.PlatformTokens;
 import io.yuccaswitch.core.platform.StoredObject;
 import io.yuccaswitch.core.time.MonotonicTime;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -53,8 +50,8 @@
     /** The members of the site. */
     private final MembershipView members;
 
-    /** Hands out the tokens of calls. */
-    private final PlatformTokens tokens;
+    /** Makes the calls to the platform. */
+    private final LeaseCalls calls;
 
     /** Decides who acts while the platform is silent. */
     private final LeaseSuccession succession;
@@ -65,9 +62,6 @@
     /** The settings in force, or empty before the first configuration. */
     private Optional<LeaseSettings> settings = Optional.empty();
 
-    /** The number of the last write. */
-    private long lastAttempt;
-
     /**
      * Creates a new system.
      *
@@ -83,7 +77,7 @@
             PlatformNews news) {
         this.required = required;
         this.members = members;
-        this.tokens = tokens;
+        calls = new LeaseCalls(members, tokens);
         succession = new LeaseSuccession(members, news);
     }
 
@@ -98,6 +92,18 @@
         return byPlatform.or(() -> settings.flatMap(present -> succession.held(name, now, present)));
     }
 
+    /**
+     * Returns the leases that this node holds.
+     *
+     * @param now The current time.
+     * @return The leases.
+     */
+    public List<HeldLease> held(MonotonicTime now) {
+        List<HeldLease> held = new ArrayList<>();
+        rows.view().forEach(row -> held(row.name(), now).ifPresent(held::add));
+        return held;
+    }
+
     /** {@inheritDoc} */
     @Override
     public void run(Tick tick) {
@@ -156,24 +162,10 @@
             StoredObject object = new StoredObject(key, recorded.version(), recorded.record(), false);
             rows.update(
                     new LeaseName(recorded.name()),
-                    row -> isNews(row, recorded.version()) ? observe(tick, row, Optional.of(object)) : row);
+                    row -> row.seenVersion() < recorded.version() ? observe(tick, row, Optional.of(object)) : row);
         }
     }
 
-    /**
-     * Returns whether a version is newer than what the platform last showed.
-     *
-     * @param row The lease.
-     * @param version The version.
-     * @return {@code true} if the version is newer.
-     */
-    private static boolean isNews(LeaseRow row, long version) {
-        return row.observation()
-                .flatMap(seen -> seen.version().stream().boxed().findFirst())
-                .filter(seen -> seen >= version)
-                .isEmpty();
-    }
-
     /**
      * Takes in an answer of the platform.
      *
@@ -255,7 +247,7 @@
         Optional<StoredObject> present = object.filter(found -> !found.deleted());
         OptionalLong version =
                 present.map(found -> OptionalLong.of(found.version())).orElseGet(OptionalLong::empty);
-        if (version.isPresent() && isOlder(row, version.getAsLong())) {
+        if (version.isPresent() && version.getAsLong() < row.seenVersion()) {
             return row;
         }
         Optional<LeaseRecord> record = present.flatMap(found -> LeaseRecord.decode(found.value()));
@@ -265,7 +257,7 @@
                 .map(LeaseRow.Observation::unchangedSince)
                 .orElseGet(tick::now);
         LeaseRow seen = row.withObservation(new LeaseRow.Observation(version, record, unchangedSince, tick.now()));
-        Optional<LeaseRow.Attempt> applied = record.flatMap(known -> unsettledAttempt(row, known));
+        Optional<LeaseRow.Attempt> applied = record.flatMap(known -> row.unsettledAttempt(known));
         if (applied.isPresent()) {
             return written(tick, seen, version.getAsLong(), applied.get());
         }
@@ -273,32 +265,6 @@
         return mine ? seen : lose(tick, seen, "the platform shows another holder or none");
     }
 
-    /**
-     * Returns whether a version is older than what the platform showed before, as a lagging replica of it may show.
-     *
-     * @param row The lease.
-     * @param version The version.
-     * @return {@code true} if the version is older.
-     */
-    private static boolean isOlder(LeaseRow row, long version) {
-        return row.observation()
-                .filter(seen -> seen.version().isPresent() && seen.version().getAsLong() > version)
-                .isPresent();
-    }
-
-    /**
-     * Finds the write of this node that brought about a record.
-     *
-     * @param row The lease.
-     * @param record The record.
-     * @return The write, or empty if none that is unsettled did.
-     */
-    private static Optional<LeaseRow.Attempt> unsettledAttempt(LeaseRow row, LeaseRecord record) {
-        return row.unsettled().stream()
-                .filter(attempt -> attempt.written().equals(record))
-                .findFirst();
-    }
-
     /**
      * Takes in that a write of this node took effect.
      *
@@ -399,7 +365,7 @@
      */
     private LeaseRow call(Tick tick, LeaseRow row, LeaseSettings present) {
         if (row.doubtful()) {
-            return read(tick, row);
+            return calls.read(tick, row);
         }
         if (row.holding().isPresent()) {
             return renew(tick, row, row.holding().get());
@@ -408,12 +374,12 @@
         if (mine || succession.actedLately(row.name(), tick.now(), present)) {
             return acquire(tick, row);
         }
-        if (!candidates(row.name()).contains(self())) {
+        if (!calls.candidates(row.name()).contains(self())) {
             return row.withoutCall(tick.now().plus(pause()));
         }
         boolean takeable =
                 row.observation().filter(seen -> isTakeable(seen, tick.now())).isPresent();
-        return takeable ? acquire(tick, row) : read(tick, row);
+        return takeable ? acquire(tick, row) : calls.read(tick, row);
     }
 
     /**
@@ -446,9 +412,9 @@
             return row.withoutCall(due);
         }
         List<NodeIdentity> named = row.record().map(LeaseRecord::successors).orElseGet(List::of);
-        List<NodeIdentity> successors = successors(row.name());
+        List<NodeIdentity> successors = calls.successors(row.name());
         long base = named.equals(successors) ? holding.base() : 0;
-        return write(tick, row, Optional.of(self()), base, successors);
+        return calls.write(tick, row, duration(), Optional.of(self()), base, successors);
     }
 
     /**
@@ -459,7 +425,7 @@
      * @return The changed lease.
      */
     private LeaseRow acquire(Tick tick, LeaseRow row) {
-        return write(tick, row, Optional.of(self()), 0, successors(row.name()));
+        return calls.write(tick, row, duration(), Optional.of(self()), 0, calls.successors(row.name()));
     }
 
     /**
@@ -471,82 +437,10 @@
      */
     private LeaseRow release(Tick tick, LeaseRow row) {
         if (row.doubtful()) {
-            return read(tick, row);
+            return calls.read(tick, row);
         }
         boolean mine = row.record().filter(record -> record.isHeldBy(self())).isPresent();
-        return mine ? write(tick, row, Optional.empty(), 0, List.of()) : row;
-    }
-
-    /**
-     * Reads a lease.
-     *
-     * @param tick The tick.
-     * @param row The lease.
-     * @return The changed lease.
-     */
-    private LeaseRow read(Tick tick, LeaseRow row) {
-        long token = tokens.next();
-        tick.emit(new PlatformEffect.Read(token, PlatformPurpose.LEASE, key(row)));
-        return row.withCall(new LeaseRow.Call(token, Optional.empty()));
-    }
-
-    /**
-     * Writes a lease if the platform still shows what it last showed.
-     *
-     * @param tick The tick.
-     * @param row The lease.
-     * @param holder The holder, or empty to release the lease.
-     * @param base The base of the fencing number, or zero for a new one.
-     * @param successors The successors of the holder.
-     * @return The changed lease.
-     */
-    private LeaseRow write(
-            Tick tick, LeaseRow row, Optional<NodeIdentity> holder, long base, List<NodeIdentity> successors) {
-        Duration duration = settings.orElseThrow().duration();
-        LeaseRecord record = new LeaseRecord(holder, base, ++lastAttempt, duration, successors);
-        OptionalLong expected =
-                row.observation().map(LeaseRow.Observation::version).orElseGet(OptionalLong::empty);
-        long token = tokens.next();
-        tick.emit(new PlatformEffect.Write(token, PlatformPurpose.LEASE, key(row), expected, record.encode()));
-        LeaseRow.Attempt attempt = new LeaseRow.Attempt(tick.now(), record);
-        return row.withCall(new LeaseRow.Call(token, Optional.of(attempt)));
-    }
-
-    /**
-     * Returns the nodes that may try for a lease.
-     *
-     * @param name The lease's name.
-     * @return At most two nodes.
-     */
-    private List<NodeIdentity> candidates(LeaseName name) {
-        return RendezvousRanking.pair(KIND + '/' + name, members.working()).stream()
-                .map(Member::identity)
-                .toList();
-    }
-
-    /**
-     * Returns the nodes that act in turn after this one while the platform is silent.
-     *
-     * @param name The lease's name.
-     * @return At most two nodes.
-     */
-    private List<NodeIdentity> successors(LeaseName name) {
-        List<Member> others = members.working().stream()
-                .filter(member -> !member.identity().equals(self()))
-                .toList();
-        return RendezvousRanking.pair(KIND + '/' + name, others).stream()
-                .map(Member::identity)
-                .toList();
-    }
-
-    /**
-     * Returns the key of a lease's object.
-     *
-     * @param row The lease.
-     * @return The key.
-     */
-    private static ObjectKey key(LeaseRow row) {
-        return new ObjectKey(KIND, row.name().value());
+        return mine ? calls.write(tick, row, duration(), Optional.empty(), 0, List.of()) : row;
     }
 
     /**
@@ -560,13 +454,22 @@
                 .orElseGet(() -> settings.orElseThrow().duration());
     }
 
+    /**
+     * Returns the duration of leases.
+     *
+     * @return The duration as the configuration says.
+     */
+    private Duration duration() {
+        return settings.orElseThrow().duration();
+    }
+
     /**
      * Returns the pause between two calls about a lease.
      *
      * @return The pause.
      */
     private Duration pause() {
-        return settings.orElseThrow().duration().dividedBy(CALLS_PER_DURATION);
+        return duration().dividedBy(CALLS_PER_DURATION);
     }
 
     /**
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/weight/LeaseFaultTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/weight/LeaseFaultTest.java
@@ -129,6 +129,21 @@
         site.run(Duration.ofSeconds(90), present -> assertThat(present.holder()).contains(holder));
     }
 
+    @Test
+    void aChallengerStartsToWatchAnewAfterAnOutage() {
+        site.run(Duration.ofSeconds(20));
+        TestNode holder = site.holder().orElseThrow();
+        site.platform.silent = true;
+        site.run(Duration.ofMinutes(2));
+        holder.cutFromPlatform = true;
+        site.platform.silent = false;
+        site.run(TestSite.LEASE, present -> assertThat(present.nodes.values())
+                .allMatch(node ->
+                        node == holder || node.held(TestSite.POOL, present.now).isEmpty()));
+        site.run(Duration.ofSeconds(10));
+        assertThat(site.holder()).isPresent().isNotEqualTo(Optional.of(holder));
+    }
+
     @Test
     void aFencingNumberIsNotReusedAfterTheObjectWasDeleted() {
         site.run(Duration.ofSeconds(2));
