Hand over only what is safe against partitions

Ways that the interleaving property found, each needing a partition and a trainer that goes back to an old cursor: a keeper cut off alone took a cursor that nobody else learned, and a keeper in the majority did not learn what a cut-off one had made safe on the platform. Now what a trainer has taken must be known in a second availability zone within sight of more than half of the nodes, or on the platform, before anything follows it; a minority asks the platform at every pull, and a keeper that knows of a dead node reads the platform before it trusts a presented cursor.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/CursorStore.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/CursorStore.java
@@ -66,6 +66,19 @@
                 .map(stored -> CursorCodec.decodeOrStart(trainer, stored.value().toUtf8()));
     }
 
+    /**
+     * Returns whether the platform holds a cursor, as of the latest call.
+     *
+     * @param cursor The cursor.
+     * @return {@code true} if the platform holds all of it.
+     */
+    boolean holds(Cursor cursor) {
+        return rows.find(cursor.trainer())
+                .flatMap(Row::known)
+                .filter(known -> known.covers(cursor))
+                .isPresent();
+    }
+
     /**
      * Takes the answer to a call of this store.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/CursorSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/CursorSystem.java
@@ -49,6 +49,9 @@
     /** The inquiries by trainer, the latest of each. */
     private final EntityTable<TrainerName, Inquiry> inquiries = new EntityTable<>();
 
+    /** The latest questions to the platform about cursors that trainers presented, by trainer. */
+    private final EntityTable<TrainerName, Confirmation> confirmations = new EntityTable<>();
+
     /** The names of all nodes that ever took work in this life of this node. */
     private final Set<NodeName> seen = new HashSet<>();
 
@@ -91,13 +94,24 @@
     @Override
     public void run(Tick tick) {
         context.roles.working().forEach(member -> seen.add(member.identity().name()));
-        seen.removeIf(this::leaves);
+        seen.removeIf(this::handedOff);
         for (PlatformEvent event : tick.events(PlatformEvent.class)) {
             store.take(tick, event).ifPresent(read -> join(tick, read.trainer(), read));
-            inquiries.rows().stream()
-                    .filter(inquiry -> inquiry.token() == event.token())
-                    .findFirst()
-                    .ifPresent(inquiry -> answered(tick, inquiry, event));
+            for (Inquiry inquiry : inquiries.rows()) {
+                if (inquiry.token() == event.token()) {
+                    learnFromPlatform(tick, inquiry.trainer(), event);
+                    boolean read = event instanceof PlatformEvent.ObjectRead;
+                    inquiries.put(
+                            inquiry.trainer(),
+                            inquiry.withPlatform(read ? Inquiry.Platform.ANSWERED : Inquiry.Platform.UNAVAILABLE));
+                }
+            }
+            for (Confirmation confirmation : confirmations.rows()) {
+                if (confirmation.token() == event.token()) {
+                    learnFromPlatform(tick, confirmation.trainer(), event);
+                    confirmations.put(confirmation.trainer(), confirmation.withAnswer());
+                }
+            }
         }
         for (Inquiry inquiry : inquiries.rows()) {
             if (inquiry.platform() == Inquiry.Platform.DUE && !tick.now().isBefore(inquiry.readAt())) {
@@ -151,6 +165,32 @@
         return certainty;
     }
 
+    /**
+     * Returns whether a cursor that a trainer presents may be trusted now by a keeper that has followed the trainer.
+     * While any node is gone the platform is asked first, as a keeper out of sight makes what it hands over safe there.
+     *
+     * @param tick The current tick.
+     * @param trainer The trainer.
+     * @param since The time since when the asking must have begun.
+     * @return {@code true} if the cursor may be trusted, {@code false} if the platform has yet to answer.
+     */
+    boolean confirmed(Tick tick, TrainerName trainer, MonotonicTime since) {
+        if (!anyGone()) {
+            return true;
+        }
+        Optional<Confirmation> current = confirmations
+                .find(trainer)
+                .filter(confirmation -> !confirmation.startedAt().isBefore(since));
+        if (current.isEmpty()) {
+            Confirmation begun = new Confirmation(trainer, tick.now(), context.tokens.next(), false);
+            confirmations.put(trainer, begun);
+            tick.emit(new PlatformEffect.Read(begun.token(), PlatformPurpose.SAMPLE, CursorStore.key(trainer)));
+            return false;
+        }
+        return current.get().answered()
+                || tick.now().since(current.get().startedAt()).compareTo(MEMBER_PATIENCE) > 0;
+    }
+
     /**
      * Takes in how far a trainer has come.
      *
@@ -219,7 +259,8 @@
         if (inquiry.platform() == Inquiry.Platform.ANSWERED && keepers && (all || !patient)) {
             return Inquiry.Certainty.CERTAIN;
         }
-        if (inquiry.platform() == Inquiry.Platform.UNAVAILABLE && all && inquiry.sure() && !anyGone()) {
+        boolean alone = anyGone() || inMinority();
+        if (inquiry.platform() == Inquiry.Platform.UNAVAILABLE && all && inquiry.sure() && !alone) {
             return Inquiry.Certainty.CERTAIN;
         }
         return age.compareTo(INQUIRY_PATIENCE) < 0 ? Inquiry.Certainty.PENDING : Inquiry.Certainty.UNKNOWN;
@@ -237,16 +278,17 @@
     }
 
     /**
-     * Returns whether a node said that it leaves, such that it has handed off what it knew.
+     * Returns whether a node can't serve trainers unseen, because it said that it leaves, or has been gone for so long
+     * that the members have forgotten it.
      *
      * @param name The node.
-     * @return {@code true} if the node leaves.
+     * @return {@code true} if the node has handed off what it knew, or is forgotten.
      */
-    private boolean leaves(NodeName name) {
+    private boolean handedOff(NodeName name) {
         return context.membership
                 .find(name)
                 .map(member -> member.condition() == MemberCondition.LEAVING)
-                .orElse(false);
+                .orElse(true);
     }
 
     /**
@@ -258,24 +300,45 @@
         return seen.stream().anyMatch(name -> context.membership
                 .find(name)
                 .map(member -> member.condition() == MemberCondition.DEAD)
-                .orElse(true));
+                .orElse(false));
+    }
+
+    /**
+     * Returns whether at most half of the nodes are in sight, such that the others could serve trainers unseen. Then
+     * only the platform can tell what a trainer has taken.
+     *
+     * @return {@code true} if at most half of the nodes are in sight.
+     */
+    boolean inMinority() {
+        return context.roles.working().size() * 2 <= seen.size();
     }
 
     /**
-     * Takes the platform's answer to an inquiry.
+     * Returns whether what a trainer has taken would survive the loss of this node: it is known to the other keeper, in
+     * another availability zone if the site has several, or to the platform.
+     *
+     * @param trainer The trainer.
+     * @return {@code true} if it is safe.
+     */
+    boolean safe(TrainerName trainer) {
+        CursorState state = context.cursor(trainer);
+        List<Member> keepers = context.roles.keepers(trainer);
+        boolean shared = context.roles.others(keepers).stream().allMatch(member -> state.sharedWith(member.identity()));
+        boolean apart = context.inTwoZones(keepers) && !inMinority();
+        return (apart && shared) || store.holds(state.acknowledged());
+    }
+
+    /**
+     * Takes what the platform knows.
      *
      * @param tick The current tick.
-     * @param inquiry The inquiry.
-     * @param event The answer.
+     * @param trainer The trainer.
+     * @param event The platform's answer.
      */
-    private void answered(Tick tick, Inquiry inquiry, PlatformEvent event) {
-        Inquiry.Platform answer = Inquiry.Platform.UNAVAILABLE;
+    private void learnFromPlatform(Tick tick, TrainerName trainer, PlatformEvent event) {
         if (event instanceof PlatformEvent.ObjectRead read) {
-            answer = Inquiry.Platform.ANSWERED;
-            CursorStore.cursor(inquiry.trainer(), read.object())
-                    .ifPresent(cursor -> join(tick, inquiry.trainer(), cursor));
+            CursorStore.cursor(trainer, read.object()).ifPresent(cursor -> join(tick, trainer, cursor));
         }
-        inquiries.put(inquiry.trainer(), inquiry.withPlatform(answer));
     }
 
     /**
@@ -375,4 +438,24 @@
         CursorState state = context.cursor(trainer);
         return new SampleMessage.CursorKnown(trainer, CursorCodec.encode(state.acknowledged()), state.sure());
     }
+
+    /**
+     * A question to the platform about a cursor that a trainer presented.
+     *
+     * @param trainer The trainer.
+     * @param startedAt The time at which the platform was asked.
+     * @param token The token of the call.
+     * @param answered {@code true} once the call ended.
+     */
+    private record Confirmation(TrainerName trainer, MonotonicTime startedAt, long token, boolean answered) {
+
+        /**
+         * Returns this question after its call ended.
+         *
+         * @return The changed question.
+         */
+        private Confirmation withAnswer() {
+            return new Confirmation(trainer, startedAt, token, true);
+        }
+    }
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/HandOverSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/HandOverSystem.java
@@ -107,7 +107,7 @@
             return;
         }
         progress(tick, pull);
-        if (!safe(pull.trainer())) {
+        if (!cursors.safe(pull.trainer())) {
             keepWaiting(tick, row, SampleReport.IdleCause.ACKNOWLEDGEMENT);
             return;
         }
@@ -134,12 +134,16 @@
             return Inquiry.Certainty.CERTAIN;
         }
         boolean presented = !pull.cursor().isEmpty();
-        Inquiry.Certainty certainty =
-                presented && context.cursor(pull.trainer()).sure()
-                        ? Inquiry.Certainty.CERTAIN
-                        : cursors.inquire(tick, pull.trainer(), row.arrivedAt());
-        if (certainty == Inquiry.Certainty.PENDING || (certainty == Inquiry.Certainty.UNKNOWN && !presented)) {
-            return certainty;
+        boolean trusted = presented && !cursors.inMinority();
+        if (trusted && context.cursor(pull.trainer()).sure()) {
+            if (!cursors.confirmed(tick, pull.trainer(), row.arrivedAt())) {
+                return Inquiry.Certainty.PENDING;
+            }
+        } else {
+            Inquiry.Certainty certainty = cursors.inquire(tick, pull.trainer(), row.arrivedAt());
+            if (certainty == Inquiry.Certainty.PENDING || (certainty == Inquiry.Certainty.UNKNOWN && !trusted)) {
+                return certainty;
+            }
         }
         if (presented) {
             cursors.present(tick, CursorCodec.decodeOrStart(pull.trainer(), pull.cursor()));
@@ -148,18 +152,6 @@
         return Inquiry.Certainty.CERTAIN;
     }
 
-    /**
-     * Returns whether the other keeper knows what a trainer has taken.
-     *
-     * @param trainer The trainer.
-     * @return {@code true} if it knows, or there is no other keeper.
-     */
-    private boolean safe(TrainerName trainer) {
-        CursorState state = context.cursor(trainer);
-        return context.roles.others(context.roles.keepers(trainer)).stream()
-                .allMatch(member -> state.sharedWith(member.identity()));
-    }
-
     /**
      * Takes in how far a trainer has come, and tells the other nodes.
      *
@@ -307,6 +299,10 @@
             waiting.update(row.key(), current -> current.withCause(cause));
             return;
         }
+        if (cause == SampleReport.IdleCause.ACKNOWLEDGEMENT) {
+            refuse(tick, row, "cursor-unsafe", "What the trainer has taken is not yet safe.", RETRY_AFTER_MILLIS);
+            return;
+        }
         String cursor = CursorCodec.encode(context.cursor(row.pull().trainer()).acknowledged());
         answer(tick, row, new SampleMessage.PullAnswered(row.pull().token(), cursor, List.of(), 0));
     }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/SampleContext.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/SampleContext.java
@@ -9,9 +9,11 @@
 import io.yuccaswitch.core.identity.NodeIdentity;
 import io.yuccaswitch.core.identity.PoolName;
 import io.yuccaswitch.core.identity.TrainerName;
+import io.yuccaswitch.core.membership.Member;
 import io.yuccaswitch.core.membership.MembershipView;
 import io.yuccaswitch.core.platform.PlatformTokens;
 import io.yuccaswitch.core.weight.WeightEvent;
+import java.util.List;
 import java.util.Optional;
 
 /** The tables that the systems of this package share, and what they know of the rest of the node. */
@@ -118,12 +120,24 @@
         return configuration.map(current -> current.pools().get(pool));
     }
 
+    /**
+     * Returns whether a pair lies in two availability zones, or the site has only one.
+     *
+     * @param pair The members of the pair.
+     * @return {@code true} if what the pair holds survives the loss of an availability zone, as far as the site can.
+     */
+    boolean inTwoZones(List<Member> pair) {
+        return singleZone()
+                || (pair.size() == 2
+                        && !pair.get(0).availabilityZone().equals(pair.get(1).availabilityZone()));
+    }
+
     /**
      * Returns whether the site has a single availability zone, such that no second one can hold a copy.
      *
      * @return {@code true} if the configuration in force names at most one availability zone.
      */
-    boolean singleZone() {
+    private boolean singleZone() {
         return configuration
                 .map(current -> current.availabilityZones().size() <= 1)
                 .orElse(false);
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/SubmissionSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/SubmissionSystem.java
@@ -126,7 +126,7 @@
             return;
         }
         List<Member> pair = context.roles.holders(row.group().key());
-        if (!inTwoZones(pair)) {
+        if (!context.inTwoZones(pair)) {
             refuse(tick, row, "no-second-zone", row.sentTo().isEmpty(), Optional.of(RETRY_AFTER));
             return;
         }
@@ -144,18 +144,6 @@
         }
     }
 
-    /**
-     * Returns whether a pair lies in two availability zones, or the site has only one.
-     *
-     * @param pair The driver and the backup.
-     * @return {@code true} if groups may be accepted on this pair.
-     */
-    private boolean inTwoZones(List<Member> pair) {
-        return context.singleZone()
-                || (pair.size() == 2
-                        && !pair.get(0).availabilityZone().equals(pair.get(1).availabilityZone()));
-    }
-
     /**
      * Accepts a group.
      *
