Close gaps in the tests of membership and configuration, number all messages

Guards were taken out one by one on a scratch copy. Six went unnoticed: waiting for the second source before serving, not declaring anyone dead while doubtful, stale answers after a pause, contacting dead members, probes through others, and leaving dead members out of the hashes. Each has a test now.

--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/configuration/distribution/ConfigurationSystemTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/configuration/distribution/ConfigurationSystemTest.java
@@ -146,6 +146,18 @@
         assertThat(node.configuration().generation()).isEqualTo(4);
     }
 
+    @Test
+    void aFreshNodeWaitsForASlowPlatformAlthoughANodeThatIsBehindVouches() {
+        List<DrivenNode> behind = serving(4, 1, 1);
+        driver.platform().downFor(behind::contains);
+        driver.platform().configure(Envelopes.of(2));
+        driver.platform().slow(Duration.ofMillis(1500));
+        DrivenNode late = driver.start("late", "zone-0", 1, List.of(DrivenNode.address("vm-1")));
+
+        driver.runUntil(() -> late.configuration().isReady(), LONG);
+        assertThat(late.configuration().generation()).isEqualTo(2);
+    }
+
     @Test
     void anOldSnapshotGivesWayAndANewerOneThanALaggingPlatformStays() {
         driver.platform().configure(Envelopes.of(6));
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/driver/DrivenPlatform.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/driver/DrivenPlatform.java
@@ -5,6 +5,7 @@
 import io.yuccaswitch.core.platform.PlatformEvent;
 import io.yuccaswitch.core.platform.StoredObject;
 import io.yuccaswitch.core.value.Bytes;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.EnumMap;
@@ -17,7 +18,6 @@
 /** A small platform for a {@link CoreDriver}: objects with versions, watches, outages and a replica that is behind. */
 public final class DrivenPlatform {
 
-    private static final long CALL_MILLIS = 5;
     private static final long TIMEOUT_MILLIS = 200;
     private static final long WATCH_MILLIS = 10_000;
 
@@ -28,6 +28,7 @@
     private Predicate<DrivenNode> unreachable = _node -> false;
     private Optional<Map<String, StoredObject>> replica = Optional.empty();
     private List<PlatformEvent.VirtualMachine> virtualMachines = List.of();
+    private long callMillis = 5;
     private long version = 100;
 
     DrivenPlatform(CoreDriver driver) {
@@ -42,6 +43,10 @@
         unreachable = _node -> false;
     }
 
+    public void slow(Duration delay) {
+        callMillis = delay.toMillis();
+    }
+
     public void downFor(Predicate<DrivenNode> nodes) {
         unreachable = nodes;
     }
@@ -143,7 +148,7 @@
     }
 
     private void answer(DrivenNode node, PlatformEvent event) {
-        driver.later(CALL_MILLIS, () -> node.accept(event));
+        driver.later(callMillis, () -> node.accept(event));
     }
 
     private static void fail(DrivenNode node, long token) {
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/membership/MembershipSystemTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/membership/MembershipSystemTest.java
@@ -6,6 +6,7 @@
 import io.yuccaswitch.core.driver.DrivenNode;
 import io.yuccaswitch.core.driver.DrivenPlatform;
 import io.yuccaswitch.core.identity.NodeIdentity;
+import io.yuccaswitch.core.peer.PeerEvent;
 import io.yuccaswitch.core.platform.PlatformEvent.VirtualMachine;
 import io.yuccaswitch.core.platform.PlatformEvent.VirtualMachinesListed;
 import io.yuccaswitch.core.value.Bytes;
@@ -13,6 +14,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicInteger;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -101,6 +103,35 @@
         assertThat(paused.membership().working()).hasSize(4);
     }
 
+    @Test
+    void anAnswerFromBeforeAPauseDoesNotRestoreTrust() {
+        List<DrivenNode> fleet = joined(4, 2);
+        DrivenNode paused = isolateWhilePaused(fleet.get(1));
+        ExchangeDigest digest = new ExchangeDigest(0, 0, false, OptionalLong.empty(), Optional.empty());
+        paused.accept(new PeerEvent.Received(
+                fleet.get(0).identity(), new MembershipMessage.ExchangeAnswer(1, digest, List.of(), List.of())));
+        paused.resume();
+
+        driver.run(Duration.ofSeconds(1));
+        assertThat(paused.membership().isDoubtful()).isTrue();
+    }
+
+    @Test
+    void aDoubtfulNodeDeclaresNobodyDeadThatItSuspectedBefore() {
+        List<DrivenNode> fleet = joined(4, 2);
+        DrivenNode dead = fleet.get(3);
+        DrivenNode doubtful = fleet.get(1);
+        driver.kill(dead);
+        driver.runUntil(() -> doubtful.sees(dead) == MemberCondition.SUSPECTED, LONG);
+        isolateWhilePaused(doubtful).resume();
+
+        driver.run(Duration.ofMillis(4500));
+        assertThat(doubtful.sees(dead)).isEqualTo(MemberCondition.SUSPECTED);
+        driver.heal();
+        assertThat(driver.runUntil(() -> doubtful.sees(dead) == MemberCondition.DEAD, LONG))
+                .isLessThan(Duration.ofSeconds(10));
+    }
+
     @Test
     void bothSidesOfAHealedCutFindEachOtherAgain() {
         joined(12, 3);
@@ -116,6 +147,43 @@
         assertThat(driver.runUntil(() -> allSeeAll(driver.nodes()), LONG)).isLessThan(Duration.ofSeconds(15));
     }
 
+    @Test
+    void aHealedCutIsFoundWithoutSeedsAndWithoutThePlatform() {
+        driver.platform().down();
+        List<DrivenNode> fleet = joined(9, 3);
+        driver.kill(fleet.get(0));
+        driver.runUntil(() -> allSee(fleet.get(0), MemberCondition.DEAD), LONG);
+        driver.cutZone("zone-1");
+        driver.run(Duration.ofSeconds(20));
+        driver.heal();
+
+        assertThat(driver.runUntil(() -> allSeeAll(driver.nodes()), LONG)).isLessThan(Duration.ofSeconds(30));
+    }
+
+    @Test
+    void aNodeThatOnlyOneOtherCannotReachIsNotSuspected() {
+        List<DrivenNode> fleet = joined(6, 2);
+        driver.cut((from, to) -> from == fleet.get(1) && to == fleet.get(2));
+        driver.run(Duration.ofSeconds(30));
+
+        assertThat(fleet)
+                .allSatisfy(node ->
+                        assertThat(node.membership().statistics().suspicions()).isZero());
+    }
+
+    @Test
+    void nodesThatRememberDifferentDeadMembersStillBelieveTheSame() {
+        List<DrivenNode> fleet = joined(6, 2);
+        driver.kill(fleet.get(5));
+        driver.runUntil(() -> allSee(fleet.get(5), MemberCondition.DEAD), LONG);
+        DrivenNode late = driver.start("late", "zone-0", 1, List.of(DrivenNode.address("vm-1")));
+        driver.run(Duration.ofSeconds(10));
+        assertThat(late.membership().find(fleet.get(5).name())).isEmpty();
+
+        driver.observe((_node, message) -> assertThat(message).isNotInstanceOf(MembershipMessage.Summaries.class));
+        driver.run(Duration.ofSeconds(10));
+    }
+
     @Test
     void anIsolatedNodeTakesLongerToDeclareAllOthersDeadThanTheyNeedForIt() {
         List<DrivenNode> fleet = joined(8, 2);
@@ -368,6 +436,13 @@
         return driver.nodes().stream().allMatch(other -> other == node || other.sees(node) == condition);
     }
 
+    private DrivenNode isolateWhilePaused(DrivenNode node) {
+        node.pause();
+        driver.cut((from, _to) -> from == node);
+        driver.run(Duration.ofSeconds(2));
+        return node;
+    }
+
     private static MembershipOptions shortMemory() {
         MembershipOptions options = MembershipOptions.DEFAULT;
         return new MembershipOptions(
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/peer/PeerMessages.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/peer/PeerMessages.java
@@ -1,9 +1,11 @@
 package io.yuccaswitch.node.peer;
 
 import io.yuccaswitch.core.configuration.ConfigurationMessage;
+import io.yuccaswitch.core.endpoint.EndpointMessage;
 import io.yuccaswitch.core.lease.LeaseMessage;
 import io.yuccaswitch.core.membership.MembershipMessage;
 import io.yuccaswitch.core.request.RequestMessage;
+import io.yuccaswitch.core.sample.SampleMessage;
 import io.yuccaswitch.core.weight.WeightMessage;
 import io.yuccaswitch.protocol.PeerMessageRange;
 import io.yuccaswitch.protocol.PeerMessageRegistry;
@@ -27,7 +29,9 @@
         registerMembership(builder);
         registerConfiguration(builder);
         registerRequest(builder);
+        registerSample(builder);
         registerWeight(builder);
+        registerEndpoint(builder);
         return builder.build();
     }
 
@@ -82,4 +86,38 @@
                 .register(PeerMessageRange.WEIGHT, 90, LeaseMessage.Acting.class)
                 .register(PeerMessageRange.WEIGHT, 91, LeaseMessage.Recorded.class);
     }
+
+    /**
+     * Registers the messages about groups, samples and cursors.
+     *
+     * @param builder The builder to register with.
+     */
+    private static void registerSample(PeerMessageRegistry.Builder builder) {
+        builder.register(PeerMessageRange.SAMPLE, 60, SampleMessage.Store.class)
+                .register(PeerMessageRange.SAMPLE, 61, SampleMessage.Stored.class)
+                .register(PeerMessageRange.SAMPLE, 62, SampleMessage.StoreRefused.class)
+                .register(PeerMessageRange.SAMPLE, 63, SampleMessage.Keep.class)
+                .register(PeerMessageRange.SAMPLE, 64, SampleMessage.Kept.class)
+                .register(PeerMessageRange.SAMPLE, 65, SampleMessage.Reconcile.class)
+                .register(PeerMessageRange.SAMPLE, 66, SampleMessage.Reconciled.class)
+                .register(PeerMessageRange.SAMPLE, 67, SampleMessage.Discarded.class)
+                .register(PeerMessageRange.SAMPLE, 68, SampleMessage.Pull.class)
+                .register(PeerMessageRange.SAMPLE, 69, SampleMessage.PullAnswered.class)
+                .register(PeerMessageRange.SAMPLE, 70, SampleMessage.PullRefused.class)
+                .register(PeerMessageRange.SAMPLE, 71, SampleMessage.Acknowledge.class)
+                .register(PeerMessageRange.SAMPLE, 72, SampleMessage.AskCursor.class)
+                .register(PeerMessageRange.SAMPLE, 73, SampleMessage.CursorKnown.class)
+                .register(PeerMessageRange.SAMPLE, 74, SampleMessage.Progress.class);
+    }
+
+    /**
+     * Registers the messages about endpoints.
+     *
+     * @param builder The builder to register with.
+     */
+    private static void registerEndpoint(PeerMessageRegistry.Builder builder) {
+        builder.register(PeerMessageRange.ENDPOINT, 100, EndpointMessage.Leaving.class)
+                .register(PeerMessageRange.ENDPOINT, 101, EndpointMessage.Listed.class)
+                .register(PeerMessageRange.ENDPOINT, 102, EndpointMessage.ListedQuery.class);
+    }
 }
