--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/membership/MembershipSystemTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/membership/MembershipSystemTest.java
@@ -118,6 +118,7 @@
 
     @Test
     void aDoubtfulNodeDeclaresNobodyDeadThatItSuspectedBefore() {
+        driver.options(options(Duration.ofMinutes(2), MembershipOptions.DEFAULT.tombstoneTime()));
         List<DrivenNode> fleet = joined(4, 2);
         DrivenNode dead = fleet.get(3);
         DrivenNode doubtful = fleet.get(1);
@@ -125,11 +126,11 @@
         driver.runUntil(() -> doubtful.sees(dead) == MemberCondition.SUSPECTED, LONG);
         isolateWhilePaused(doubtful).resume();
 
-        driver.run(Duration.ofMillis(4500));
+        driver.run(Duration.ofSeconds(50));
         assertThat(doubtful.sees(dead)).isEqualTo(MemberCondition.SUSPECTED);
         driver.heal();
         assertThat(driver.runUntil(() -> doubtful.sees(dead) == MemberCondition.DEAD, LONG))
-                .isLessThan(Duration.ofSeconds(10));
+                .isLessThan(Duration.ofSeconds(20));
     }
 
     @Test
@@ -330,7 +331,7 @@
 
     @Test
     void deadMembersAreForgottenInTheEndAndTheirObjectsDeleted() {
-        driver.options(shortMemory());
+        driver.options(options(MembershipOptions.DEFAULT.doubtTime(), Duration.ofMinutes(1)));
         List<DrivenNode> fleet = joined(4, 2);
         DrivenNode dead = fleet.get(3);
         driver.kill(dead);
@@ -443,18 +444,18 @@
         return node;
     }
 
-    private static MembershipOptions shortMemory() {
+    private static MembershipOptions options(Duration doubtTime, Duration tombstoneTime) {
         MembershipOptions options = MembershipOptions.DEFAULT;
         return new MembershipOptions(
                 options.probeTimeout(),
                 options.indirectTimeout(),
                 options.indirectProbes(),
                 options.pauseThreshold(),
-                options.doubtTime(),
+                doubtTime,
                 options.contactInterval(),
                 options.reconnectInterval(),
                 options.aloneTime(),
-                Duration.ofMinutes(1),
+                tombstoneTime,
                 options.tombstones());
     }
 
