--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/SampleSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/SampleSystem.java
@@ -7,6 +7,7 @@
 import io.yuccaswitch.core.peer.PeerEvent;
 import io.yuccaswitch.core.platform.PlatformTokens;
 import io.yuccaswitch.core.request.RequestClock;
+import io.yuccaswitch.core.weight.WeightEvent;
 import java.util.List;
 import java.util.Optional;
 
@@ -96,6 +97,25 @@
         return context.statistics.report(context);
     }
 
+    /**
+     * Returns whether this node holds a group as its driver or backup.
+     *
+     * @param key The identity of the group.
+     * @return {@code true} if this node holds the group.
+     */
+    public boolean holds(GroupKey key) {
+        return context.held.contains(key);
+    }
+
+    /**
+     * Returns whether no other node takes work, such that nothing can be handed off.
+     *
+     * @return {@code true} if this node is the last one.
+     */
+    public boolean isLast() {
+        return context.roles.others(context.roles.working()).isEmpty();
+    }
+
     /**
      * Returns whether other nodes hold all that this one held, such that it may stop. It never becomes true while this
      * node itself takes work, as far as its members know.
@@ -112,6 +132,12 @@
      * @param tick The current tick.
      */
     private void run(Tick tick) {
+        for (WeightEvent.PublicationSafe event : tick.events(WeightEvent.PublicationSafe.class)) {
+            tick.emit(new PublicationEffect.Safe(event.trainer(), event.version()));
+        }
+        for (WeightEvent.PublicationRefused event : tick.events(WeightEvent.PublicationRefused.class)) {
+            tick.emit(new PublicationEffect.Refused(event.trainer(), event.version(), event.newestVersion()));
+        }
         for (PeerEvent.Received event : tick.events(PeerEvent.Received.class)) {
             if (event.message() instanceof SampleMessage message) {
                 dispatch(tick, event.sender(), message);
