--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/EndpointStatus.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/EndpointStatus.java
@@ -2,10 +2,7 @@
 
 import io.yuccaswitch.core.endpoint.Endpoint;
 import io.yuccaswitch.core.endpoint.EndpointTable;
-import io.yuccaswitch.core.weight.PublishedVersion;
-import io.yuccaswitch.core.weight.VersionTable;
 import io.yuccaswitch.node.operator.StatusSection;
-import java.util.List;
 import java.util.Map;
 
 /** The part of the status document that shows endpoints and the weight versions that they hold. */
@@ -14,18 +11,13 @@
     /** The table of endpoints. */
     private final EndpointTable endpoints;
 
-    /** The newest versions of the trainers. */
-    private final VersionTable versions;
-
     /**
      * Creates a new section.
      *
      * @param endpoints The table of endpoints.
-     * @param versions The newest versions of the trainers.
      */
-    EndpointStatus(EndpointTable endpoints, VersionTable versions) {
+    EndpointStatus(EndpointTable endpoints) {
         this.endpoints = endpoints;
-        this.versions = versions;
     }
 
     /** {@inheritDoc} */
@@ -37,9 +29,7 @@
     /** {@inheritDoc} */
     @Override
     public Object content() {
-        return new Content(
-                List.copyOf(versions.view()),
-                endpoints.view().stream().map(EndpointStatus::row).toList());
+        return endpoints.view().stream().map(EndpointStatus::row).toList();
     }
 
     /**
@@ -57,14 +47,6 @@
                 endpoint.loadedVersions());
     }
 
-    /**
-     * The content of the section.
-     *
-     * @param published The newest versions of the trainers.
-     * @param endpoints The endpoints.
-     */
-    private record Content(List<PublishedVersion> published, List<Row> endpoints) {}
-
     /**
      * An endpoint.
      *
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/Node.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/Node.java
@@ -34,6 +34,8 @@
 import io.yuccaswitch.node.trainer.SampleMetrics;
 import io.yuccaswitch.node.trainer.SampleStatus;
 import io.yuccaswitch.node.trainer.TrainerRoutes;
+import io.yuccaswitch.node.weight.LeaseStatus;
+import io.yuccaswitch.node.weight.WeightStatus;
 import io.yuccaswitch.platform.CallRates;
 import io.yuccaswitch.platform.PlatformClient;
 import io.yuccaswitch.platform.PlatformClientSettings;
@@ -259,7 +261,9 @@
                         new NodeStatus(settings, observer),
                         new MembershipStatus(core.membership()),
                         new ConfigurationStatus(core.configuration()),
-                        new EndpointStatus(core.endpoints(), core.versions()),
+                        new EndpointStatus(core.endpoints()),
+                        new LeaseStatus(core.leases(), DecisionLoop::now),
+                        new WeightStatus(core.versions(), core.weights()),
                         new SampleStatus(core.samples())),
                 shutdown,
                 this::drain,
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/NodeCore.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/NodeCore.java
@@ -130,6 +130,15 @@
         return versions;
     }
 
+    /**
+     * Returns the engines and models of the pools.
+     *
+     * @return The engines and models.
+     */
+    WeightTables weights() {
+        return weights;
+    }
+
     /**
      * Returns the membership.
      *
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/peer/PeerMessages.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/peer/PeerMessages.java
@@ -7,7 +7,6 @@
 import io.yuccaswitch.core.request.RequestMessage;
 import io.yuccaswitch.core.sample.SampleMessage;
 import io.yuccaswitch.core.weight.WeightMessage;
-import io.yuccaswitch.node.trainer.SampleMessages;
 import io.yuccaswitch.protocol.PeerMessageRange;
 import io.yuccaswitch.protocol.PeerMessageRegistry;
 
@@ -33,10 +32,6 @@
         registerSample(builder);
         registerWeight(builder);
         registerEndpoint(builder);
-<<<<<<< HEAD
-=======
-        SampleMessages.register(builder);
->>>>>>> origin/main
         return builder.build();
     }
 
@@ -93,7 +88,6 @@
     }
 
     /**
-<<<<<<< HEAD
      * Registers the messages about groups, samples and cursors.
      *
      * @param builder The builder to register with.
@@ -117,8 +111,6 @@
     }
 
     /**
-=======
->>>>>>> origin/main
      * Registers the messages about endpoints.
      *
      * @param builder The builder to register with.
