--- a/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/TestkitCommands.java
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/TestkitCommands.java
@@ -7,6 +7,7 @@
 import io.yuccaswitch.testkit.proxy.ProxyCommand;
 import io.yuccaswitch.testkit.scorer.ScorerCommand;
 import io.yuccaswitch.testkit.service.ServiceCommand;
+import io.yuccaswitch.testkit.trainer.TrainerCommand;
 import io.yuccaswitch.testkit.weightstore.WeightStoreCommand;
 import java.util.List;
 
@@ -30,6 +31,7 @@
                 new ProxyCommand(),
                 new ScorerCommand(),
                 new ServiceCommand(),
+                new TrainerCommand(),
                 new WeightStoreCommand());
     }
 }
