--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/configuration/RoutingSettings.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/configuration/RoutingSettings.java
@@ -14,7 +14,7 @@
 public record RoutingSettings(
         @Setting(
                         description = "The policy that picks an endpoint among the candidates.",
-                        defaultValue = "power-of-two-choices")
+                        defaultValue = "iteration-time-estimate")
                 RoutingPolicyKind policy,
         @Setting(
                         description = "The number of endpoints that one node routes to.",
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/limit/ConcurrencyLimit.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/limit/ConcurrencyLimit.java
@@ -51,22 +51,25 @@
      *
      * @param value The limit before rounding.
      * @param maximum The largest limit.
-     * @param baselineSeconds The lowest latency seen lately, or zero before the first sample.
+     * @param tolerance The multiple of the baseline above which latency counts as overload.
+     * @param baselineSeconds The lowest smoothed latency seen lately, or zero before the first sample.
      * @param smoothedSeconds The smoothed latency, or zero before the first sample.
      * @param samplesSinceDecrease The number of samples since the limit shrank.
      */
     record AdditiveIncrease(
-            double value, int maximum, double baselineSeconds, double smoothedSeconds, int samplesSinceDecrease)
+            double value,
+            int maximum,
+            double tolerance,
+            double baselineSeconds,
+            double smoothedSeconds,
+            int samplesSinceDecrease)
             implements ConcurrencyLimit {
 
-        /** The multiple of the baseline above which latency counts as overload. */
-        private static final double TOLERANCE = 4;
-
         /** The factor by which the limit shrinks. */
         private static final double DECREASE = 0.85;
 
         /** The share at which the baseline forgets, for each sample. */
-        private static final double BASELINE_DRIFT = 0.002;
+        private static final double BASELINE_DRIFT = 0.0002;
 
         /** The share of a new sample in the smoothed latency. */
         private static final double SMOOTHING = 0.1;
@@ -79,9 +82,10 @@
          *
          * @param initial The limit to begin with.
          * @param maximum The largest limit.
+         * @param tolerance The multiple of the baseline above which latency counts as overload.
          */
-        public AdditiveIncrease(int initial, int maximum) {
-            this(initial, maximum, 0, 0, 0);
+        public AdditiveIncrease(int initial, int maximum, double tolerance) {
+            this(initial, maximum, tolerance, 0, 0, 0);
         }
 
         /** {@inheritDoc} */
@@ -96,17 +100,16 @@
             if (sample.overloaded()) {
                 return decreased(baselineSeconds, smoothedSeconds);
             }
-            double baseline = baselineSeconds == 0
-                    ? sample.latencySeconds()
-                    : Math.min(baselineSeconds * (1 + BASELINE_DRIFT), sample.latencySeconds());
             double smoothed = smoothedSeconds == 0
                     ? sample.latencySeconds()
                     : smoothedSeconds + SMOOTHING * (sample.latencySeconds() - smoothedSeconds);
-            if (smoothed > TOLERANCE * baseline) {
+            double baseline =
+                    baselineSeconds == 0 ? smoothed : Math.min(baselineSeconds * (1 + BASELINE_DRIFT), smoothed);
+            if (smoothed > tolerance * baseline) {
                 return decreased(baseline, smoothed);
             }
             double grown = sample.inFlight() >= USE_TO_GROW * value ? Math.min(maximum, value + 1 / value) : value;
-            return new AdditiveIncrease(grown, maximum, baseline, smoothed, samplesSinceDecrease + 1);
+            return new AdditiveIncrease(grown, maximum, tolerance, baseline, smoothed, samplesSinceDecrease + 1);
         }
 
         /**
@@ -118,9 +121,9 @@
          */
         private AdditiveIncrease decreased(double baseline, double smoothed) {
             if (samplesSinceDecrease < limit()) {
-                return new AdditiveIncrease(value, maximum, baseline, smoothed, samplesSinceDecrease + 1);
+                return new AdditiveIncrease(value, maximum, tolerance, baseline, smoothed, samplesSinceDecrease + 1);
             }
-            return new AdditiveIncrease(Math.max(1, value * DECREASE), maximum, baseline, smoothed, 0);
+            return new AdditiveIncrease(Math.max(1, value * DECREASE), maximum, tolerance, baseline, smoothed, 0);
         }
     }
 
@@ -130,7 +133,7 @@
      *
      * @param value The limit before rounding.
      * @param maximum The largest limit.
-     * @param baselineSeconds The lowest latency seen lately, or zero before the first sample.
+     * @param baselineSeconds The lowest smoothed latency seen lately, or zero before the first sample.
      * @param smoothedSeconds The smoothed latency, or zero before the first sample.
      */
     record Gradient(double value, int maximum, double baselineSeconds, double smoothedSeconds)
@@ -146,7 +149,7 @@
         private static final double SMOOTHING = 0.1;
 
         /** The share at which the baseline forgets, for each sample. */
-        private static final double BASELINE_DRIFT = 0.002;
+        private static final double BASELINE_DRIFT = 0.0002;
 
         /**
          * Creates a limit that has learned nothing yet.
@@ -171,12 +174,11 @@
                 double shrunk = Math.max(1, value * (1 - SMOOTHING));
                 return new Gradient(shrunk, maximum, baselineSeconds, smoothedSeconds);
             }
-            double baseline = baselineSeconds == 0
-                    ? sample.latencySeconds()
-                    : Math.min(baselineSeconds * (1 + BASELINE_DRIFT), sample.latencySeconds());
             double smoothed = smoothedSeconds == 0
                     ? sample.latencySeconds()
                     : smoothedSeconds + SMOOTHING * (sample.latencySeconds() - smoothedSeconds);
+            double baseline =
+                    baselineSeconds == 0 ? smoothed : Math.min(baselineSeconds * (1 + BASELINE_DRIFT), smoothed);
             double gradient = Math.max(SMALLEST_STEP, Math.min(1, TOLERANCE * baseline / smoothed));
             double target = gradient * value + Math.sqrt(value);
             double next = value + SMOOTHING * (target - value);
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/Attempt.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/Attempt.java
@@ -14,6 +14,7 @@
  * @param inFlightAtStart The number of requests of this node at the endpoint at that time, this one included.
  * @param loadAtStart The estimated number of requests of all nodes at the endpoint at that time, this one included.
  * @param tokensAtStart The number of tokens that the attempt resumes from.
+ * @param deadline The deadline of the request.
  * @param abandoned Whether the attempt's result no longer counts.
  */
 record Attempt(
@@ -24,6 +25,7 @@
         int inFlightAtStart,
         double loadAtStart,
         int tokensAtStart,
+        MonotonicTime deadline,
         boolean abandoned) {
 
     /**
@@ -32,6 +34,7 @@
      * @return The changed attempt.
      */
     Attempt withAbandoned() {
-        return new Attempt(number, id, endpoint, startedAt, inFlightAtStart, loadAtStart, tokensAtStart, true);
+        return new Attempt(
+                number, id, endpoint, startedAt, inFlightAtStart, loadAtStart, tokensAtStart, deadline, true);
     }
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/AttemptObserver.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/AttemptObserver.java
@@ -66,10 +66,21 @@
             return load;
         }
         if (attempt.abandoned()) {
-            return load;
+            boolean late = !tick.now().isBefore(attempt.deadline());
+            return late ? load.withLimit(load.limit().after(overload(attempt))) : load;
         }
         return load.withHealth(load.health().afterFailure(pool.settings.retry(), tick.now()))
-                .withLimit(load.limit().after(new ConcurrencyLimit.Sample(0, attempt.inFlightAtStart(), true)));
+                .withLimit(load.limit().after(overload(attempt)));
+    }
+
+    /**
+     * Describes an attempt that met an overloaded endpoint.
+     *
+     * @param attempt The attempt.
+     * @return The sample.
+     */
+    private static ConcurrencyLimit.Sample overload(Attempt attempt) {
+        return new ConcurrencyLimit.Sample(0, attempt.inFlightAtStart(), true);
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/DispatchSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/DispatchSystem.java
@@ -1,5 +1,6 @@
 package io.yuccaswitch.core.request;
 
+import io.yuccaswitch.core.configuration.PriorityClass;
 import io.yuccaswitch.core.configuration.RoutingSettings;
 import io.yuccaswitch.core.decision.Decision;
 import io.yuccaswitch.core.decision.DecisionSystem;
@@ -29,16 +30,24 @@
      */
     static final Duration LATE_ANSWER_GRACE = Duration.ofSeconds(30);
 
+    /** The time after which a caller may ask again when its request waited too long. */
+    private static final Duration LATE_RETRY_AFTER = Duration.ofMillis(500);
+
     /** The tables. */
     private final RequestTables tables;
 
+    /** What brings requests to their outcome. */
+    private final Conclusions conclusions;
+
     /**
      * Creates a new system.
      *
      * @param tables The tables.
+     * @param conclusions What brings requests to their outcome.
      */
-    DispatchSystem(RequestTables tables) {
+    DispatchSystem(RequestTables tables, Conclusions conclusions) {
         this.tables = tables;
+        this.conclusions = conclusions;
     }
 
     /** {@inheritDoc} */
@@ -66,8 +75,33 @@
             if (next.isEmpty()) {
                 return;
             }
-            tables.requests.find(next.get().key()).ifPresent(row -> send(tick, pool, row, inUse));
+            tables.requests.find(next.get().key()).ifPresent(row -> sendInTime(tick, pool, row, inUse));
+        }
+    }
+
+    /**
+     * Sends a request whose turn it is. While others wait, one that would not be answered in time is refused instead,
+     * such that endpoints do not work for nothing; without others it is sent, such that the estimate is renewed.
+     *
+     * @param tick The tick.
+     * @param pool The pool.
+     * @param row The request's row.
+     * @param inUse The endpoints in use.
+     */
+    private void sendInTime(Tick tick, PoolState pool, RequestRow row, List<Endpoint> inUse) {
+        MonotonicTime expected = tick.now().plus(pool.times.service(row.request()));
+        boolean late = row.request().deadline().isBefore(expected);
+        boolean sheddable = row.request().priority() != PriorityClass.URGENT
+                && row.history().attempts() == 0;
+        if (late && sheddable && pool.queue.size() > 0) {
+            Outcome refusal = new Outcome.NotRun(
+                    "deadline-unreachable",
+                    "The request waited too long to be in time.",
+                    Optional.of(LATE_RETRY_AFTER));
+            conclusions.conclude(tick, row, refusal);
+            return;
         }
+        send(tick, pool, row, inUse);
     }
 
     /**
@@ -225,6 +259,7 @@
                         load.inFlight(),
                         chosen.load() + 1,
                         row.history().partialTokens(),
+                        row.request().deadline(),
                         false));
         RequestRow sent = row.withHistory(row.history().afterSend(number, endpoint.name()))
                 .withStage(RequestStage.SENT, tick.now());
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/RequestSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/RequestSystem.java
@@ -2,6 +2,8 @@
 
 import io.yuccaswitch.core.configuration.ConfigurationEvent;
 import io.yuccaswitch.core.configuration.LimitSettings;
+import io.yuccaswitch.core.configuration.PoolKind;
+import io.yuccaswitch.core.configuration.PoolSettings;
 import io.yuccaswitch.core.decision.DecisionSystem;
 import io.yuccaswitch.core.decision.Tick;
 import io.yuccaswitch.core.endpoint.EndpointView;
@@ -22,6 +24,12 @@
  */
 public final class RequestSystem implements DecisionSystem {
 
+    /** The multiple of its best latency at which an engine counts as overloaded. */
+    private static final double ENGINE_TOLERANCE = 4;
+
+    /** The multiple of its best latency at which a plain service counts as overloaded. */
+    private static final double SERVICE_TOLERANCE = 2;
+
     /** The tables. */
     private final RequestTables tables;
 
@@ -54,10 +62,10 @@
             EndpointView endpoints,
             RequestClock clock,
             PlatformTokens tokens,
-            Function<LimitSettings, ConcurrencyLimit> limits) {
+            Function<PoolSettings, ConcurrencyLimit> limits) {
         tables = new RequestTables(membership, endpoints, clock, limits);
         Conclusions conclusions = new Conclusions(tables);
-        DispatchSystem dispatch = new DispatchSystem(tables);
+        DispatchSystem dispatch = new DispatchSystem(tables, conclusions);
         Admission admission = new Admission(tables, conclusions, dispatch);
         ResolutionSystem resolution = new ResolutionSystem(tables, conclusions);
         ForwardingSystem forwarding = new ForwardingSystem(tables, conclusions, resolution);
@@ -71,13 +79,16 @@
     }
 
     /**
-     * Creates the limit of an endpoint that was not used yet.
+     * Creates the limit of an endpoint that was not used yet. Engines are tolerated to slow down by their batching.
      *
-     * @param settings The limits of the pool.
+     * @param settings The settings of the pool.
      * @return The limit.
      */
-    private static ConcurrencyLimit additiveIncrease(LimitSettings settings) {
-        return new ConcurrencyLimit.AdditiveIncrease(settings.initialConcurrency(), settings.maximumConcurrency());
+    static ConcurrencyLimit additiveIncrease(PoolSettings settings) {
+        LimitSettings limits = settings.limits();
+        double tolerance = settings.kind() == PoolKind.ENGINE ? ENGINE_TOLERANCE : SERVICE_TOLERANCE;
+        return new ConcurrencyLimit.AdditiveIncrease(
+                limits.initialConcurrency(), limits.maximumConcurrency(), tolerance);
     }
 
     /** {@inheritDoc} */
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/RequestTables.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/RequestTables.java
@@ -2,7 +2,6 @@
 
 import io.yuccaswitch.core.configuration.CallerSettings;
 import io.yuccaswitch.core.configuration.FleetConfiguration;
-import io.yuccaswitch.core.configuration.LimitSettings;
 import io.yuccaswitch.core.configuration.PoolSettings;
 import io.yuccaswitch.core.configuration.TrainerSettings;
 import io.yuccaswitch.core.decision.EntityTable;
@@ -33,7 +32,7 @@
     final RequestClock clock;
 
     /** Creates the limit of an endpoint that was not used yet. */
-    final Function<LimitSettings, ConcurrencyLimit> limits;
+    final Function<PoolSettings, ConcurrencyLimit> limits;
 
     /** The requests in progress. */
     final EntityTable<RequestId, RequestRow> requests = new EntityTable<>();
@@ -77,7 +76,7 @@
             MembershipView membership,
             EndpointView endpoints,
             RequestClock clock,
-            Function<LimitSettings, ConcurrencyLimit> limits) {
+            Function<PoolSettings, ConcurrencyLimit> limits) {
         this.limits = limits;
         this.membership = membership;
         this.endpoints = endpoints;
@@ -130,7 +129,7 @@
      * @return The load.
      */
     EndpointLoad load(EndpointName endpoint, PoolState pool) {
-        return loads.find(endpoint).orElseGet(() -> EndpointLoad.unused(limits.apply(pool.settings.limits())));
+        return loads.find(endpoint).orElseGet(() -> EndpointLoad.unused(limits.apply(pool.settings)));
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/routing/EndpointLoad.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/routing/EndpointLoad.java
@@ -25,6 +25,9 @@
         EndpointHealth health,
         IterationTimeModel model) {
 
+    /** The share at which the requests of other nodes count, by the measurements in docs/MEASUREMENTS.md. */
+    private static final double REPORT_WEIGHT = 0.3;
+
     /**
      * Creates the load of an endpoint that was not used yet.
      *
@@ -109,8 +112,9 @@
     }
 
     /**
-     * Estimates the number of requests of all nodes at the endpoint: the report and what this node has sent since, less
-     * what has ended. The report counts less the older it is, and not at all past its maximum age.
+     * Estimates the load of an endpoint: this node's own requests in progress, which are known without delay, and a
+     * share of those that the report tells of other nodes. The report counts less the older it is, and not at all past
+     * its maximum age. Taken in full, reports that lag make all nodes rush to the endpoint that was idle a while ago.
      *
      * @param report The latest report, or empty if there is none.
      * @param now The time.
@@ -124,7 +128,7 @@
         double age = (double) now.since(report.get().receivedAt()).toNanos() / maximumAge.toNanos();
         double trust = Math.max(0, 1 - age);
         double reported = report.get().active() + report.get().waiting() + (inFlight - inFlightAtReport);
-        return Math.max(inFlight, trust * reported + (1 - trust) * inFlight);
+        return inFlight + REPORT_WEIGHT * trust * Math.max(0, reported - inFlight);
     }
 
     /**
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/request/AtMostOnceTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/request/AtMostOnceTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.yuccaswitch.core.configuration.PriorityClass;
+import io.yuccaswitch.core.endpoint.EndpointCondition;
 import io.yuccaswitch.core.membership.MemberCondition;
 import io.yuccaswitch.core.platform.PlatformEffect;
 import io.yuccaswitch.core.platform.PlatformEvent;
@@ -313,4 +314,39 @@
 
         assertThat(home.sends).hasSize(4);
     }
+
+    @Test
+    void aRebornHomeDoesNotTakeWhatItsEarlierLifeClaimed() {
+        home.arrive(site.request("made-by-caller", false));
+        site.answerCalls();
+        other.arrive(site.request("made-by-caller", false));
+        site.answerCalls();
+        TestSite.Node reborn = site.start("n0");
+        site.deliverAll();
+        site.advance(Duration.ofSeconds(2));
+        site.deliverAll();
+        site.advance(Duration.ofSeconds(2));
+
+        assertThat(reborn.sends).isEmpty();
+        assertThat(other.lastOutcome()).isInstanceOf(Outcome.Unknown.class);
+    }
+
+    @Test
+    void aRepeatedMessageThatArrivesAfterTheRefusalRunsNothing() {
+        TestConfigurations.endpointNames(3).forEach(name -> home.conditions.put(name, EndpointCondition.DOWN));
+        other.arrive(site.request(home.id("a"), false));
+        site.advance(Duration.ofMillis(600));
+        TestSite.Letter repeated = site.letters.remove(1);
+        site.deliverAll();
+        site.advance(Duration.ofMillis(600));
+        site.deliverAll();
+        assertThat(other.lastOutcome()).isInstanceOf(Outcome.NotRun.class);
+        home.conditions.clear();
+        site.deliver(repeated);
+
+        assertThat(home.sends).isEmpty();
+        other.arrive(site.request(home.id("a"), false));
+        site.deliverAll();
+        assertThat(home.sends).hasSize(1);
+    }
 }
