--- a/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/TestkitCommands.java
+++ b/yuccaswitch-testkit/src/main/java/io/yuccaswitch/testkit/TestkitCommands.java
@@ -4,8 +4,10 @@
 import io.yuccaswitch.testkit.engine.EngineCommand;
 import io.yuccaswitch.testkit.load.LoadCommand;
 import io.yuccaswitch.testkit.platform.PlatformCommand;
+import io.yuccaswitch.testkit.proxy.ProxyCommand;
 import io.yuccaswitch.testkit.scorer.ScorerCommand;
 import io.yuccaswitch.testkit.service.ServiceCommand;
+import io.yuccaswitch.testkit.trainer.TrainerCommand;
 import io.yuccaswitch.testkit.weightstore.WeightStoreCommand;
 import java.util.List;
 
@@ -26,8 +28,10 @@
                 new EngineCommand(),
                 new LoadCommand(),
                 new PlatformCommand(),
+                new ProxyCommand(),
                 new ScorerCommand(),
                 new ServiceCommand(),
+                new TrainerCommand(),
                 new WeightStoreCommand());
     }
 }
