--- a/yuccaswitch-integration/src/test/java/io/yuccaswitch/integration/site/ConfigurationReader.java
+++ b/yuccaswitch-integration/src/test/java/io/yuccaswitch/integration/site/ConfigurationReader.java
@@ -10,6 +10,9 @@
 
     private static final long INTERVAL_MILLIS = 200;
 
+    /** What a node names that has started and has no configuration in force yet, and so serves nobody. */
+    private static final long NONE = 0;
+
     private final Thread thread;
 
     private volatile boolean stopped;
@@ -29,6 +32,7 @@
         JsonNode generation = node.status()
                 .map(status -> status.path("configuration").path("generation"))
                 .filter(JsonNode::isIntegralNumber)
+                .filter(number -> number.asLong() != NONE)
                 .orElse(null);
         return generation == null ? OptionalLong.empty() : OptionalLong.of(generation.asLong());
     }
