Close an id whose refusal went to another node

Cause: a refusal told to another node may arrive after the same id, sent again at its home, has begun to run; the caller then reads 'not run' of a request that runs. Change: the home remembers such an id as refused and gives the same refusal again. Conclusion: a caller goes on with a new id after a refusal.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/ArrivalSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/ArrivalSystem.java
@@ -204,7 +204,8 @@
             return;
         }
         Outcome outcome = kept.outcome().outcome();
-        if (outcome instanceof Outcome.Answered || tables.configuration.isEmpty()) {
+        boolean settled = outcome instanceof Outcome.Answered || outcome instanceof Outcome.NotRun;
+        if (settled || tables.configuration.isEmpty()) {
             conclusions.tell(tick, again.id(), again.waiters(), outcome);
             return;
         }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/Conclusions.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/Conclusions.java
@@ -38,7 +38,7 @@
             pool.queue.remove(row.id());
         }
         abandonAttempts(tick, row);
-        if (!row.request().idempotent() && row.history().attempts() > 0) {
+        if (!row.request().idempotent() && mustBeRemembered(row, outcome)) {
             remember(tick, row, outcome);
         }
         tell(tick, row.id(), row.waiters(), outcome);
@@ -81,17 +81,27 @@
     }
 
     /**
-     * Remembers that a non-idempotent request was sent, and keeps its outcome here and at a peer. A request that surely
-     * did not run is not remembered, such that it may be sent again.
+     * Returns whether a non-idempotent request must not be sent after its outcome. A request that surely did not run may
+     * be sent again, unless the refusal goes to a peer: it may arrive there late, and has to be true when it does.
+     *
+     * @param row The request's row.
+     * @param outcome The outcome.
+     * @return {@code true} if the id is closed by this outcome.
+     */
+    private static boolean mustBeRemembered(RequestRow row, Outcome outcome) {
+        return outcome instanceof Outcome.NotRun
+                ? !row.waiters().peers().isEmpty()
+                : row.history().attempts() > 0;
+    }
+
+    /**
+     * Remembers the outcome of a non-idempotent request, and keeps it here and at a peer.
      *
      * @param tick The tick.
      * @param row The request's row.
      * @param outcome The outcome.
      */
     private void remember(Tick tick, RequestRow row, Outcome outcome) {
-        if (outcome instanceof Outcome.NotRun) {
-            return;
-        }
         RecordedOutcome recorded = RecordedOutcome.of(outcome);
         tables.concluded.record(row.id(), row.window());
         tables.kept.keep(new KeptAnswer(row.id(), row.request().caller(), row.fingerprint(), recorded, tick.now()));
