Ask a trainer to come back when a keeper has just started

Change: without any configuration the refusal is 'not-ready' with a time to come back. Conclusion: not knowing yet is not the same as knowing that there is none.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/Conclusions.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/Conclusions.java
@@ -81,8 +81,8 @@
     }
 
     /**
-     * Returns whether a non-idempotent request must not be sent after its outcome. A request that surely did not run may
-     * be sent again, unless the refusal goes to a peer: it may arrive there late, and has to be true when it does.
+     * Returns whether a non-idempotent request must not be sent after its outcome. A request that surely did not run
+     * may be sent again, unless the refusal goes to a peer: it may arrive there late, and has to be true when it does.
      *
      * @param row The request's row.
      * @param outcome The outcome.
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/HandOverSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/HandOverSystem.java
@@ -94,7 +94,7 @@
         SampleMessage.Pull pull = row.pull();
         Optional<TrainerSettings> settings = context.trainer(pull.trainer());
         if (settings.isEmpty()) {
-            refuse(tick, row, "trainer-unknown", "The trainer is not configured.", 0);
+            refuseWithoutSettings(tick, row);
             return;
         }
         Inquiry.Certainty certainty = certainty(tick, row);
@@ -120,6 +120,21 @@
         }
     }
 
+    /**
+     * Refuses a pull of a trainer whose settings are not known. A node that has just started knows none yet, which must
+     * not be taken for good.
+     *
+     * @param tick The current tick.
+     * @param row The pull.
+     */
+    private void refuseWithoutSettings(Tick tick, WaitingPull row) {
+        if (context.isConfigured()) {
+            refuse(tick, row, "trainer-unknown", "The trainer is not configured.", 0);
+        } else {
+            refuse(tick, row, "not-ready", "The node has no configuration yet.", RETRY_AFTER_MILLIS);
+        }
+    }
+
     /**
      * Returns whether it is known what the trainer of a pull has taken. A trainer that presents a cursor says it
      * itself; a keeper that has not followed the trainer asks around first, as the cursor may be an old one.
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/SampleContext.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/SampleContext.java
@@ -100,6 +100,15 @@
         return membership.self().identity();
     }
 
+    /**
+     * Returns whether a configuration is in force.
+     *
+     * @return {@code true} if a configuration is in force.
+     */
+    boolean isConfigured() {
+        return configuration.isPresent();
+    }
+
     /**
      * Finds the settings of a trainer.
      *
