--- a/yuccaswitch-integration/src/test/java/io/yuccaswitch/integration/ControlFaultsIT.java
+++ b/yuccaswitch-integration/src/test/java/io/yuccaswitch/integration/ControlFaultsIT.java
@@ -17,6 +17,8 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
@@ -31,6 +33,8 @@
 
     private static final Set<String> WITHOUT_EFFECT = Set.of("refused", "failed");
 
+    private static final ExecutorService operators = Executors.newFixedThreadPool(2);
+
     private static Site site;
 
     @BeforeAll
@@ -40,6 +44,7 @@
 
     @AfterAll
     static void stop() {
+        operators.shutdownNow();
         if (site != null) {
             site.close();
         }
@@ -49,9 +54,10 @@
     void ofTwoOperatorsAtOnceEachIsToldTheTruth() {
         long before = generation(site.nodes().get(0)).orElseThrow();
         try (ConfigurationReader reader = ConfigurationReader.start(site)) {
-            CompletableFuture<CommandResult> first = CompletableFuture.supplyAsync(() -> site.applyChange("rina", 11));
+            CompletableFuture<CommandResult> first =
+                    CompletableFuture.supplyAsync(() -> site.applyChange("rina", 11), operators);
             CompletableFuture<CommandResult> second =
-                    CompletableFuture.supplyAsync(() -> site.applyChange("sujoy", 12));
+                    CompletableFuture.supplyAsync(() -> site.applyChange("sujoy", 12), operators);
             long accepted = List.of(first.join(), second.join()).stream()
                     .filter(result -> result.exitCode() == 0)
                     .count();
