--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/AttemptOutcome.java
@@ -0,0 +1,29 @@
+package io.yuccaswitch.core.batch;
+
+/** What became of one attempt to run an item at an engine. */
+public sealed interface AttemptOutcome {
+
+    /** The output is whole. */
+    record Completed() implements AttemptOutcome {}
+
+    /**
+     * The attempt broke off, and another one may go on behind its events.
+     *
+     * @param reason The reason, for logs.
+     * @param unreachable Whether the engine could not even be connected to.
+     */
+    record Interrupted(String reason, boolean unreachable) implements AttemptOutcome {}
+
+    /**
+     * The engine said that it did not run the item.
+     *
+     * @param reason The reason, for logs.
+     */
+    record Refused(String reason) implements AttemptOutcome {}
+
+    /** The engine failed while it ran the item, which counts as an attempt. */
+    record Failed() implements AttemptOutcome {}
+
+    /** The engine said that the item can never be done. */
+    record Impossible() implements AttemptOutcome {}
+}
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchAdmissionSystem.java
@@ -0,0 +1,247 @@
+package io.yuccaswitch.core.batch;
+
+import io.yuccaswitch.core.decision.Decision;
+import io.yuccaswitch.core.decision.DecisionSystem;
+import io.yuccaswitch.core.decision.Tick;
+import io.yuccaswitch.core.platform.ObjectKey;
+import io.yuccaswitch.core.platform.PlatformEffect;
+import io.yuccaswitch.core.platform.PlatformEvent;
+import io.yuccaswitch.core.platform.PlatformPurpose;
+import io.yuccaswitch.core.platform.StoredObject;
+import io.yuccaswitch.core.value.Bytes;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * Accepts batch jobs: writes the job, then its entry in the index, each by a conditional creation. The creation of the
+ * entry accepts the job, such that a job of which only the first part was written never runs.
+ */
+final class BatchAdmissionSystem implements DecisionSystem {
+
+    /** When a submitter whose job was not accepted should come back: about as long as a short outage. */
+    private static final Duration RETRY_AFTER = Duration.ofMillis(400);
+
+    /** How often an entry is read back whose creation was not answered. */
+    private static final int READ_BACKS = 3;
+
+    /** The tables of the batch system. */
+    private final BatchState state;
+
+    /** Finds out when a job is given up. */
+    private final GiveUpTimes giveUpTimes;
+
+    /** The jobs whose admission is in progress here, with the ticket that is answered. */
+    private final Map<BatchJobId, Long> admitting = new HashMap<>();
+
+    /**
+     * Creates a system without submissions.
+     *
+     * @param state The tables of the batch system.
+     * @param giveUpTimes Finds out when a job is given up.
+     */
+    BatchAdmissionSystem(BatchState state, GiveUpTimes giveUpTimes) {
+        this.state = state;
+        this.giveUpTimes = giveUpTimes;
+    }
+
+    @Override
+    public void run(Tick tick) {
+        for (BatchEvent.Submitted submitted : tick.events(BatchEvent.Submitted.class)) {
+            submit(tick, new Submission(submitted.ticket(), submitted.job()));
+        }
+    }
+
+    /**
+     * Begins to admit a job.
+     *
+     * @param tick The tick.
+     * @param submission The submission.
+     */
+    private void submit(Tick tick, Submission submission) {
+        BatchJobId id = submission.job().id();
+        Optional<RunningJob> known = state.running().find(id);
+        if (known.isPresent()) {
+            boolean same = known.get().job().asksTheSame(submission.job());
+            reply(tick, submission, same ? new BatchAnswer.Accepted() : new BatchAnswer.Mismatch(), "runs here");
+            return;
+        }
+        if (admitting.putIfAbsent(id, submission.ticket()) != null) {
+            reply(tick, submission, new BatchAnswer.Unsure("already being admitted"), "an earlier call is in progress");
+            return;
+        }
+        create(tick, BatchObjects.job(id), state.codec().writeJob(submission.job()), (later, event) -> {
+            if (event instanceof PlatformEvent.Accepted) {
+                createEntry(later, submission);
+            } else if (event instanceof PlatformEvent.Conflict conflict) {
+                compare(later, submission, conflict.current());
+            } else {
+                finish(later, submission, notAccepted("the job was not kept"), describe(event));
+            }
+        });
+    }
+
+    /**
+     * Goes on after the job turned out to be written already.
+     *
+     * @param tick The tick.
+     * @param submission The submission.
+     * @param current The object that is there.
+     */
+    private void compare(Tick tick, Submission submission, Optional<StoredObject> current) {
+        Optional<BatchJob> written =
+                current.flatMap(object -> state.codec().readJob(object.value()));
+        if (written.isPresent() && !written.get().asksTheSame(submission.job())) {
+            finish(tick, submission, new BatchAnswer.Mismatch(), "the identifier is taken by other work");
+            return;
+        }
+        createEntry(tick, submission);
+    }
+
+    /**
+     * Creates the entry that accepts the job.
+     *
+     * @param tick The tick.
+     * @param submission The submission.
+     */
+    private void createEntry(Tick tick, Submission submission) {
+        BatchJob job = submission.job();
+        BatchIndexEntry entry = new BatchIndexEntry(
+                job.id(), state.membership().self().identity().name(), false, job.items().size());
+        create(tick, BatchObjects.index(job.id()), state.codec().writeEntry(entry), (later, event) -> {
+            if (event instanceof PlatformEvent.Accepted) {
+                accept(later, submission);
+            } else if (event instanceof PlatformEvent.Conflict) {
+                finish(later, submission, new BatchAnswer.Accepted(), "accepted before");
+            } else if (event instanceof PlatformEvent.Unavailable failure && failure.maybeApplied()) {
+                readBack(later, submission, READ_BACKS);
+            } else {
+                finish(later, submission, notAccepted("the entry was not kept"), describe(event));
+            }
+        });
+    }
+
+    /**
+     * Finds out whether an entry was created though its creation was not answered.
+     *
+     * @param tick The tick.
+     * @param submission The submission.
+     * @param left How often it is read.
+     */
+    private void readBack(Tick tick, Submission submission, int left) {
+        ObjectKey key = BatchObjects.index(submission.job().id());
+        state.calls()
+                .call(
+                        tick,
+                        token -> new PlatformEffect.Read(token, PlatformPurpose.BATCH, key),
+                        (later, event) -> {
+                            if (event instanceof PlatformEvent.ObjectRead read
+                                    && read.object().isPresent()) {
+                                accept(later, submission);
+                            } else if (left > 1) {
+                                readBack(later, submission, left - 1);
+                            } else {
+                                finish(
+                                        later,
+                                        submission,
+                                        new BatchAnswer.Unsure("the platform did not answer"),
+                                        describe(event));
+                            }
+                        });
+    }
+
+    /**
+     * Runs a job that this node has accepted.
+     *
+     * @param tick The tick.
+     * @param submission The submission.
+     */
+    private void accept(Tick tick, Submission submission) {
+        BatchJob job = submission.job();
+        if (!state.running().contains(job.id()) && !state.finished().contains(job.id())) {
+            ResultLog log = state.log(job.id(), job.items().size(), tick.now());
+            state.run(tick, job, log, giveUpTimes.of(job, tick.now()));
+        }
+        finish(tick, submission, new BatchAnswer.Accepted(), "kept on the platform");
+    }
+
+    /**
+     * Ends an admission.
+     *
+     * @param tick The tick.
+     * @param submission The submission.
+     * @param answer The answer.
+     * @param reason Why, for logs.
+     */
+    private void finish(Tick tick, Submission submission, BatchAnswer answer, String reason) {
+        admitting.remove(submission.job().id());
+        reply(tick, submission, answer, reason);
+    }
+
+    /**
+     * Answers a submission.
+     *
+     * @param tick The tick.
+     * @param submission The submission.
+     * @param answer The answer.
+     * @param reason Why, for logs.
+     */
+    private static void reply(Tick tick, Submission submission, BatchAnswer answer, String reason) {
+        tick.emit(new BatchEffect.Reply(submission.ticket(), answer));
+        tick.decide(Decision.of(
+                "batch-admission",
+                submission.job().id().value(),
+                answer.getClass().getSimpleName(),
+                reason));
+    }
+
+    /**
+     * Creates an object.
+     *
+     * @param tick The tick.
+     * @param key The key.
+     * @param value The value.
+     * @param then What follows the answer.
+     */
+    private void create(
+            Tick tick, ObjectKey key, Bytes value, java.util.function.BiConsumer<Tick, PlatformEvent> then) {
+        state.calls()
+                .call(
+                        tick,
+                        token -> new PlatformEffect.Write(
+                                token, PlatformPurpose.BATCH, key, OptionalLong.empty(), value),
+                        then);
+    }
+
+    /**
+     * Creates the answer that nothing of a job runs.
+     *
+     * @param reason The reason, for logs.
+     * @return The answer.
+     */
+    private static BatchAnswer notAccepted(String reason) {
+        return new BatchAnswer.NotAccepted(reason, RETRY_AFTER);
+    }
+
+    /**
+     * Describes an answer of the platform, for logs.
+     *
+     * @param event The answer.
+     * @return The description.
+     */
+    private static String describe(PlatformEvent event) {
+        return event instanceof PlatformEvent.Unavailable failure
+                ? failure.reason()
+                : event.getClass().getSimpleName();
+    }
+
+    /**
+     * A submission.
+     *
+     * @param ticket The ticket of its call.
+     * @param job The job.
+     */
+    private record Submission(long ticket, BatchJob job) {}
+}
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchAnswer.java
@@ -0,0 +1,52 @@
+package io.yuccaswitch.core.batch;
+
+import io.yuccaswitch.core.value.Bytes;
+import java.time.Duration;
+import java.util.List;
+
+/** The answers to calls about batch jobs. */
+public sealed interface BatchAnswer {
+
+    /** The job is accepted: from now on it is kept and run. */
+    record Accepted() implements BatchAnswer {}
+
+    /**
+     * Nothing of the job runs because of this call.
+     *
+     * @param reason The reason, for logs.
+     * @param retryAfter When to come back.
+     */
+    record NotAccepted(String reason, Duration retryAfter) implements BatchAnswer {}
+
+    /**
+     * Whether the call took effect is not known; the caller has to ask again.
+     *
+     * @param reason The reason, for logs.
+     */
+    record Unsure(String reason) implements BatchAnswer {}
+
+    /** The identifier belongs to a job that asks for other work. */
+    record Mismatch() implements BatchAnswer {}
+
+    /** There is no such job or item. */
+    record Unknown() implements BatchAnswer {}
+
+    /**
+     * Results of a job.
+     *
+     * @param total The number of items of the job.
+     * @param next The position behind the results.
+     * @param results The results, in the order of their positions.
+     */
+    record Results(int total, int next, List<BatchResult> results) implements BatchAnswer {}
+
+    /**
+     * The body of an item.
+     *
+     * @param body The body.
+     */
+    record Body(Bytes body) implements BatchAnswer {}
+
+    /** The job is ended. */
+    record Ended() implements BatchAnswer {}
+}
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchEndSystem.java
@@ -0,0 +1,134 @@
+package io.yuccaswitch.core.batch;
+
+import io.yuccaswitch.core.decision.Decision;
+import io.yuccaswitch.core.decision.DecisionSystem;
+import io.yuccaswitch.core.decision.Tick;
+import io.yuccaswitch.core.peer.PeerEffect;
+import io.yuccaswitch.core.peer.PeerEvent;
+import io.yuccaswitch.core.platform.PlatformEffect;
+import io.yuccaswitch.core.platform.PlatformEvent;
+import io.yuccaswitch.core.platform.PlatformPurpose;
+import io.yuccaswitch.core.platform.StoredObject;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/** Ends batch jobs: marks the entry in the index, and tells the runner, which breaks the items in progress off. */
+final class BatchEndSystem implements DecisionSystem {
+
+    /** How often the end of a job is tried again after another change of its entry came first. */
+    private static final int ATTEMPTS = 4;
+
+    /** The tables of the batch system. */
+    private final BatchState state;
+
+    /**
+     * Creates a system without calls.
+     *
+     * @param state The tables of the batch system.
+     */
+    BatchEndSystem(BatchState state) {
+        this.state = state;
+    }
+
+    @Override
+    public void run(Tick tick) {
+        for (PeerEvent.Received received : tick.events(PeerEvent.Received.class)) {
+            if (received.message() instanceof BatchMessage.Ended ended) {
+                stop(tick, new BatchJobId(ended.id()), "told by " + received.sender().name());
+            }
+        }
+        for (BatchEvent.EndRequested request : tick.events(BatchEvent.EndRequested.class)) {
+            state.calls()
+                    .call(
+                            tick,
+                            token -> new PlatformEffect.Read(
+                                    token, PlatformPurpose.BATCH, BatchObjects.index(request.id())),
+                            (later, event) -> mark(later, request, event, ATTEMPTS));
+        }
+    }
+
+    /**
+     * Marks a job as ended, given its entry as it is.
+     *
+     * @param tick The tick.
+     * @param request The call.
+     * @param event The answer that bears the entry.
+     * @param left How often the mark may be tried.
+     */
+    private void mark(Tick tick, BatchEvent.EndRequested request, PlatformEvent event, int left) {
+        if (event instanceof PlatformEvent.Unavailable failure) {
+            reply(tick, request, new BatchAnswer.Unsure(failure.reason()));
+            return;
+        }
+        Optional<StoredObject> object = event instanceof PlatformEvent.ObjectRead read
+                ? read.object()
+                : event instanceof PlatformEvent.Conflict conflict ? conflict.current() : Optional.empty();
+        Optional<BatchIndexEntry> entry =
+                object.flatMap(stored -> state.codec().readEntry(stored.value()));
+        if (entry.isEmpty()) {
+            reply(tick, request, new BatchAnswer.Unknown());
+            return;
+        }
+        if (entry.get().ended() || left == 0) {
+            reply(tick, request, entry.get().ended() ? new BatchAnswer.Ended() : new BatchAnswer.Unsure("contended"));
+            return;
+        }
+        state.calls()
+                .call(
+                        tick,
+                        token -> new PlatformEffect.Write(
+                                token,
+                                PlatformPurpose.BATCH,
+                                BatchObjects.index(request.id()),
+                                OptionalLong.of(object.get().version()),
+                                state.codec().writeEntry(entry.get().withEnd())),
+                        (later, answer) -> {
+                            if (answer instanceof PlatformEvent.Accepted) {
+                                announce(later, entry.get());
+                                reply(later, request, new BatchAnswer.Ended());
+                            } else {
+                                mark(later, request, answer, left - 1);
+                            }
+                        });
+    }
+
+    /**
+     * Tells the runner that its job is ended.
+     *
+     * @param tick The tick.
+     * @param entry The job's entry.
+     */
+    private void announce(Tick tick, BatchIndexEntry entry) {
+        if (entry.runner().equals(state.membership().self().identity().name())) {
+            stop(tick, entry.id(), "ended by its submitter");
+            return;
+        }
+        tick.emit(new PeerEffect.Send(
+                entry.runner(), new BatchMessage.Ended(entry.id().value())));
+    }
+
+    /**
+     * Stops a job that runs here.
+     *
+     * @param tick The tick.
+     * @param id The job.
+     * @param reason Why.
+     */
+    private void stop(Tick tick, BatchJobId id, String reason) {
+        state.stop(tick, id, reason);
+        state.finished().add(id);
+    }
+
+    /**
+     * Answers a call.
+     *
+     * @param tick The tick.
+     * @param request The call.
+     * @param answer The answer.
+     */
+    private static void reply(Tick tick, BatchEvent.EndRequested request, BatchAnswer answer) {
+        tick.emit(new BatchEffect.Reply(request.ticket(), answer));
+        tick.decide(Decision.of(
+                "batch-end", request.id().value(), answer.getClass().getSimpleName(), "asked by a caller"));
+    }
+}
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchEvent.java
@@ -0,0 +1,58 @@
+package io.yuccaswitch.core.batch;
+
+import io.yuccaswitch.core.decision.Event;
+import io.yuccaswitch.core.time.MonotonicTime;
+
+/** What callers ask about batch jobs, and what becomes of the attempts at engines. */
+public sealed interface BatchEvent extends Event {
+
+    /**
+     * A batch job was submitted.
+     *
+     * @param ticket Identifies the call, which the answer bears.
+     * @param job The job.
+     */
+    record Submitted(long ticket, BatchJob job) implements BatchEvent {}
+
+    /**
+     * Results are asked for.
+     *
+     * @param ticket Identifies the call.
+     * @param id The job.
+     * @param position The position from which results are asked for.
+     * @param until Until when the answer may wait for a result.
+     */
+    record ResultsRequested(long ticket, BatchJobId id, int position, MonotonicTime until) implements BatchEvent {}
+
+    /**
+     * The body of an item is asked for.
+     *
+     * @param ticket Identifies the call.
+     * @param id The job.
+     * @param item The item.
+     */
+    record BodyRequested(long ticket, BatchJobId id, String item) implements BatchEvent {}
+
+    /**
+     * A job is to be ended.
+     *
+     * @param ticket Identifies the call.
+     * @param id The job.
+     */
+    record EndRequested(long ticket, BatchJobId id) implements BatchEvent {}
+
+    /**
+     * An attempt to run an item has ended.
+     *
+     * @param id The job.
+     * @param item The item.
+     * @param attempt The number of the attempt.
+     * @param outcome What became of it.
+     * @param text The events that arrived.
+     */
+    record AttemptEnded(BatchJobId id, String item, int attempt, AttemptOutcome outcome, ItemText text)
+            implements BatchEvent {}
+
+    /** This node is about to stop: it takes no further jobs over. */
+    record Leaving() implements BatchEvent {}
+}
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchItem.java
@@ -0,0 +1,23 @@
+package io.yuccaswitch.core.batch;
+
+import io.yuccaswitch.core.value.Bytes;
+import java.util.Map;
+
+/**
+ * One item of a batch job.
+ *
+ * @param id The identifier, which is also that of its requests.
+ * @param path The path of its requests.
+ * @param headers The headers of its requests, by name.
+ * @param body The body of its requests.
+ * @param group The group, whose items share their prompt.
+ * @param expectedTokens The number of tokens that it is expected to make, by which long items start first.
+ */
+public record BatchItem(
+        String id, String path, Map<String, String> headers, Bytes body, String group, long expectedTokens) {
+
+    /** Copies the headers. */
+    public BatchItem {
+        headers = Map.copyOf(headers);
+    }
+}
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchJob.java
@@ -0,0 +1,62 @@
+package io.yuccaswitch.core.batch;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * A batch job as it was submitted.
+ *
+ * @param id The identifier.
+ * @param host The host of its route.
+ * @param path The path under which it was submitted, which selects its route.
+ * @param model The model whose weights generate its results.
+ * @param minimumVersion The oldest version of the weights that may generate its results.
+ * @param submittedAt When it was first submitted, in milliseconds since the epoch.
+ * @param items The items.
+ */
+public record BatchJob(
+        BatchJobId id,
+        String host,
+        String path,
+        String model,
+        long minimumVersion,
+        long submittedAt,
+        List<BatchItem> items) {
+
+    /** Copies the items and checks that no identifier stands twice. */
+    public BatchJob {
+        items = List.copyOf(items);
+        Set<String> seen = new HashSet<>();
+        for (BatchItem item : items) {
+            if (!seen.add(item.id())) {
+                throw new IllegalArgumentException("Item " + item.id() + " stands twice");
+            }
+        }
+    }
+
+    /**
+     * Finds an item.
+     *
+     * @param item The item's identifier.
+     * @return The item, or empty if the job has none with that identifier.
+     */
+    public Optional<BatchItem> find(String item) {
+        return items.stream().filter(candidate -> candidate.id().equals(item)).findFirst();
+    }
+
+    /**
+     * Returns whether a job asks for the same work, apart from when it was submitted.
+     *
+     * @param other The other job.
+     * @return {@code true} if it does.
+     */
+    public boolean asksTheSame(BatchJob other) {
+        return model.equals(other.model)
+                && minimumVersion == other.minimumVersion
+                && items.stream().map(BatchItem::id).toList().equals(other.items.stream()
+                        .map(BatchItem::id)
+                        .toList());
+    }
+}
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchOwnershipSystem.java
@@ -0,0 +1,277 @@
+package io.yuccaswitch.core.batch;
+
+import io.yuccaswitch.core.decision.Decision;
+import io.yuccaswitch.core.decision.DecisionSystem;
+import io.yuccaswitch.core.decision.Tick;
+import io.yuccaswitch.core.identity.NodeName;
+import io.yuccaswitch.core.membership.Member;
+import io.yuccaswitch.core.membership.MembershipEvent;
+import io.yuccaswitch.core.membership.RendezvousRanking;
+import io.yuccaswitch.core.platform.CallBackOff;
+import io.yuccaswitch.core.platform.PlatformEffect;
+import io.yuccaswitch.core.platform.PlatformEvent;
+import io.yuccaswitch.core.platform.PlatformPurpose;
+import io.yuccaswitch.core.platform.StoredObject;
+import io.yuccaswitch.core.time.MonotonicTime;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+
+/**
+ * Sees to it that each accepted job is run by a living node: takes back the jobs of this node's earlier life, takes over
+ * those of nodes that are gone, and gives up those that another node has taken over. A claim only saves work; the order
+ * of results is safe without it.
+ */
+final class BatchOwnershipSystem implements DecisionSystem {
+
+    /** The interval at which the index is read. Stale answers are cheap, and a claim is checked by the platform. */
+    private static final Duration INTERVAL = Duration.ofMillis(1200);
+
+    /** The first wait after a failed call. */
+    private static final Duration FIRST_BACK_OFF = Duration.ofMillis(200);
+
+    /** The longest wait after failed calls. */
+    private static final Duration LONGEST_BACK_OFF = Duration.ofSeconds(1);
+
+    /** For how long a runner must be missing before its jobs are taken over, as a restarted one takes them back. */
+    private static final Duration ORPHAN_TIME = Duration.ofMillis(700);
+
+    /** The tables of the batch system. */
+    private final BatchState state;
+
+    /** Finds out when a job is given up. */
+    private final GiveUpTimes giveUpTimes;
+
+    /** When the index may be read. */
+    private final CallBackOff backOff = new CallBackOff(FIRST_BACK_OFF, LONGEST_BACK_OFF);
+
+    /** Since when the runner of a job has been missing. */
+    private final Map<BatchJobId, MonotonicTime> orphanedSince = new HashMap<>();
+
+    /** The jobs that are being taken over. */
+    private final Set<BatchJobId> taking = new HashSet<>();
+
+    /** Whether the index is being read. */
+    private boolean reading;
+
+    /** Whether the index was read once, before which no stale answer is good enough. */
+    private boolean read;
+
+    /** Whether this node knows the other nodes. */
+    private boolean joined;
+
+    /** Whether this node is about to stop. */
+    private boolean leaving;
+
+    /**
+     * Creates a system that knows no jobs.
+     *
+     * @param state The tables of the batch system.
+     * @param giveUpTimes Finds out when a job is given up.
+     */
+    BatchOwnershipSystem(BatchState state, GiveUpTimes giveUpTimes) {
+        this.state = state;
+        this.giveUpTimes = giveUpTimes;
+    }
+
+    @Override
+    public void run(Tick tick) {
+        joined |= !tick.events(MembershipEvent.SelfJoined.class).isEmpty();
+        leaving |= !tick.events(BatchEvent.Leaving.class).isEmpty();
+        if (!reading && !leaving && backOff.allows(tick.now())) {
+            reading = true;
+            boolean stale = read && state.running().size() == 0;
+            state.calls()
+                    .call(
+                            tick,
+                            token -> new PlatformEffect.ListKind(
+                                    token, PlatformPurpose.BATCH, BatchObjects.INDEX, Optional.empty(), stale),
+                            this::receive);
+        }
+    }
+
+    /**
+     * Takes the index.
+     *
+     * @param tick The tick.
+     * @param event The platform's answer.
+     */
+    private void receive(Tick tick, PlatformEvent event) {
+        reading = false;
+        if (!(event instanceof PlatformEvent.ObjectsListed listed)) {
+            backOff.failed(tick);
+            return;
+        }
+        read = true;
+        backOff.succeeded(tick.now(), INTERVAL);
+        for (StoredObject object : listed.objects()) {
+            state.codec().readEntry(object.value()).ifPresent(entry -> judge(tick, entry, object.version()));
+        }
+    }
+
+    /**
+     * Decides what an entry of the index means for this node.
+     *
+     * @param tick The tick.
+     * @param entry The entry.
+     * @param version The entry's version.
+     */
+    private void judge(Tick tick, BatchIndexEntry entry, long version) {
+        BatchJobId id = entry.id();
+        boolean own = entry.runner().equals(state.membership().self().identity().name());
+        if (entry.ended()) {
+            state.stop(tick, id, "ended by its submitter");
+            state.finished().add(id);
+            orphanedSince.remove(id);
+            return;
+        }
+        if (state.running().contains(id)) {
+            if (!own) {
+                state.stop(tick, id, "taken over by " + entry.runner());
+            }
+            return;
+        }
+        if (state.finished().contains(id) || taking.contains(id)) {
+            return;
+        }
+        if (own) {
+            load(tick, entry, "accepted by an earlier life of this node");
+        } else if (isOrphaned(tick, entry) && isFirst(id)) {
+            claim(tick, entry, version);
+        }
+    }
+
+    /**
+     * Returns whether a job's runner has been missing for long enough.
+     *
+     * @param tick The tick.
+     * @param entry The job's entry.
+     * @return {@code true} if it has.
+     */
+    private boolean isOrphaned(Tick tick, BatchIndexEntry entry) {
+        if (!joined || isWorking(entry.runner())) {
+            orphanedSince.remove(entry.id());
+            return false;
+        }
+        MonotonicTime since = orphanedSince.computeIfAbsent(entry.id(), _id -> tick.now());
+        return tick.now().since(since).compareTo(ORPHAN_TIME) >= 0;
+    }
+
+    /**
+     * Returns whether a node is one of the working ones.
+     *
+     * @param node The node.
+     * @return {@code true} if it takes part in the site's work.
+     */
+    private boolean isWorking(NodeName node) {
+        return state.membership().working().stream()
+                .anyMatch(member -> member.identity().name().equals(node));
+    }
+
+    /**
+     * Returns whether this node is the one that should take a job over.
+     *
+     * @param id The job.
+     * @return {@code true} if it ranks first among the working nodes.
+     */
+    private boolean isFirst(BatchJobId id) {
+        Member self = state.membership().self();
+        return RendezvousRanking.rank(id.value(), state.membership().working()).stream()
+                .findFirst()
+                .filter(self::equals)
+                .isPresent();
+    }
+
+    /**
+     * Takes a job over.
+     *
+     * @param tick The tick.
+     * @param entry The job's entry.
+     * @param version The entry's version.
+     */
+    private void claim(Tick tick, BatchIndexEntry entry, long version) {
+        taking.add(entry.id());
+        BatchIndexEntry own = entry.withRunner(state.membership().self().identity().name());
+        state.calls()
+                .call(
+                        tick,
+                        token -> new PlatformEffect.Write(
+                                token,
+                                PlatformPurpose.BATCH,
+                                BatchObjects.index(entry.id()),
+                                OptionalLong.of(version),
+                                state.codec().writeEntry(own)),
+                        (later, event) -> {
+                            taking.remove(entry.id());
+                            boolean granted = event instanceof PlatformEvent.Accepted;
+                            later.decide(Decision.of(
+                                    "batch-claim",
+                                    entry.id().value(),
+                                    granted ? "granted" : "not granted",
+                                    "runner " + entry.runner() + " is gone, entry version " + version));
+                            if (granted) {
+                                load(later, own, "taken over from " + entry.runner());
+                            }
+                        });
+    }
+
+    /**
+     * Reads a job and its listed results from the platform, and runs it.
+     *
+     * @param tick The tick.
+     * @param entry The job's entry.
+     * @param reason Why this node runs it.
+     */
+    private void load(Tick tick, BatchIndexEntry entry, String reason) {
+        BatchJobId id = entry.id();
+        taking.add(id);
+        state.calls()
+                .call(
+                        tick,
+                        token -> new PlatformEffect.Read(token, PlatformPurpose.BATCH, BatchObjects.job(id)),
+                        (later, event) -> {
+                            Optional<BatchJob> job = event instanceof PlatformEvent.ObjectRead found
+                                    ? found.object().flatMap(object -> state.codec().readJob(object.value()))
+                                    : Optional.empty();
+                            if (job.isEmpty()) {
+                                taking.remove(id);
+                                later.decide(Decision.of("batch-job", id.value(), "not loaded", reason));
+                                return;
+                            }
+                            loadResults(later, job.get(), reason);
+                        });
+    }
+
+    /**
+     * Reads a job's listed results from the platform, and runs the rest.
+     *
+     * @param tick The tick.
+     * @param job The job.
+     * @param reason Why this node runs it.
+     */
+    private void loadResults(Tick tick, BatchJob job, String reason) {
+        String kind = BatchObjects.results(job.id());
+        state.calls()
+                .call(
+                        tick,
+                        token -> new PlatformEffect.ListKind(token, PlatformPurpose.BATCH, kind),
+                        (later, event) -> {
+                            taking.remove(job.id());
+                            if (!(event instanceof PlatformEvent.ObjectsListed listed)) {
+                                later.decide(Decision.of("batch-job", job.id().value(), "not loaded", reason));
+                                return;
+                            }
+                            ResultLog log = state.log(job.id(), job.items().size(), later.now());
+                            log.take(listed.objects(), listed.version(), state.codec());
+                            if (log.isComplete()) {
+                                state.finished().add(job.id());
+                                return;
+                            }
+                            state.run(later, job, log, giveUpTimes.of(job, later.now()));
+                        });
+    }
+}
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchReadSystem.java
@@ -0,0 +1,308 @@
+package io.yuccaswitch.core.batch;
+
+import io.yuccaswitch.core.decision.DecisionSystem;
+import io.yuccaswitch.core.decision.EntityTable;
+import io.yuccaswitch.core.decision.Tick;
+import io.yuccaswitch.core.platform.PlatformEffect;
+import io.yuccaswitch.core.platform.PlatformEvent;
+import io.yuccaswitch.core.platform.PlatformPurpose;
+import io.yuccaswitch.core.value.Bytes;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+
+/**
+ * Answers calls for results and bodies at any node: from the log of a job that runs here, else from what lies on the
+ * platform. No call for a job that another node runs is answered with less than the platform has.
+ */
+final class BatchReadSystem implements DecisionSystem {
+
+    /** How long one watch for results waits at most. */
+    private static final Duration LONGEST_WATCH = Duration.ofSeconds(1);
+
+    /** A wait below which a watch is not worth its price. */
+    private static final Duration SHORTEST_WATCH = Duration.ofMillis(100);
+
+    /** The tables of the batch system. */
+    private final BatchState state;
+
+    /** The calls that wait for results, by their tickets. */
+    private final EntityTable<Long, BatchEvent.ResultsRequested> waiting = new EntityTable<>();
+
+    /** The jobs that are being read. */
+    private final Set<BatchJobId> reading = new HashSet<>();
+
+    /**
+     * Creates a system without calls.
+     *
+     * @param state The tables of the batch system.
+     */
+    BatchReadSystem(BatchState state) {
+        this.state = state;
+    }
+
+    @Override
+    public void run(Tick tick) {
+        for (BatchEvent.ResultsRequested request : tick.events(BatchEvent.ResultsRequested.class)) {
+            waiting.put(request.ticket(), request);
+            begin(tick, request);
+        }
+        waiting.rows().forEach(request -> answerIfReady(tick, request));
+        tick.events(BatchEvent.BodyRequested.class).forEach(request -> readBody(tick, request));
+        state.trimLogs();
+    }
+
+    /**
+     * Begins to answer a call for results.
+     *
+     * @param tick The tick.
+     * @param request The call.
+     */
+    private void begin(Tick tick, BatchEvent.ResultsRequested request) {
+        Optional<ResultLog> log = state.logs().find(request.id());
+        log.ifPresent(known -> known.use(tick.now()));
+        if (log.isPresent() && (log.get().size() > request.position() || isLocal(request.id(), log.get()))) {
+            return;
+        }
+        refresh(tick, request.id(), request);
+    }
+
+    /**
+     * Returns whether the log known here is all there is.
+     *
+     * @param id The job.
+     * @param log The log.
+     * @return {@code true} if the job runs here or all its results are known.
+     */
+    private boolean isLocal(BatchJobId id, ResultLog log) {
+        return log.isComplete() || state.running().contains(id);
+    }
+
+    /**
+     * Answers a waiting call if there is a result, or if its time is up and the log is known to be current.
+     *
+     * @param tick The tick.
+     * @param request The call.
+     */
+    private void answerIfReady(Tick tick, BatchEvent.ResultsRequested request) {
+        Optional<ResultLog> log = state.logs().find(request.id());
+        if (log.isEmpty()) {
+            return;
+        }
+        boolean found = log.get().size() > request.position();
+        boolean late = !tick.now().isBefore(request.until());
+        if (found || log.get().isComplete() || (late && isLocal(request.id(), log.get()))) {
+            reply(tick, request, log.get().page(request.position()));
+        }
+    }
+
+    /**
+     * Reads what lies behind the known results of a job, unless that is in progress.
+     *
+     * @param tick The tick.
+     * @param id The job.
+     * @param request The call that needs it.
+     */
+    private void refresh(Tick tick, BatchJobId id, BatchEvent.ResultsRequested request) {
+        if (!reading.add(id)) {
+            return;
+        }
+        Optional<ResultLog> log = state.logs().find(id);
+        if (log.isEmpty()) {
+            readEntry(tick, id);
+        } else if (log.get().version().isEmpty()) {
+            list(tick, id, log.get());
+        } else {
+            watch(tick, id, log.get(), request);
+        }
+    }
+
+    /**
+     * Finds out whether there is such a job.
+     *
+     * @param tick The tick.
+     * @param id The job.
+     */
+    private void readEntry(Tick tick, BatchJobId id) {
+        state.calls()
+                .call(
+                        tick,
+                        token -> new PlatformEffect.Read(token, PlatformPurpose.BATCH, BatchObjects.index(id)),
+                        (later, event) -> {
+                            if (!(event instanceof PlatformEvent.ObjectRead read)) {
+                                failAll(later, id, "the platform did not answer");
+                                return;
+                            }
+                            Optional<BatchIndexEntry> entry = read.object()
+                                    .flatMap(object -> state.codec().readEntry(object.value()));
+                            if (entry.isEmpty()) {
+                                reading.remove(id);
+                                replyAll(later, id, new BatchAnswer.Unknown());
+                                return;
+                            }
+                            list(later, id, state.log(id, entry.get().items(), later.now()));
+                        });
+    }
+
+    /**
+     * Lists the objects behind the known ones.
+     *
+     * @param tick The tick.
+     * @param id The job.
+     * @param log The job's log.
+     */
+    private void list(Tick tick, BatchJobId id, ResultLog log) {
+        Optional<String> after =
+                log.objects() == 0 ? Optional.empty() : Optional.of(BatchObjects.name(log.objects() - 1));
+        state.calls()
+                .call(
+                        tick,
+                        token -> new PlatformEffect.ListKind(
+                                token, PlatformPurpose.BATCH, BatchObjects.results(id), after, false),
+                        (later, event) -> receive(later, id, log, event));
+    }
+
+    /**
+     * Waits for objects behind the known ones.
+     *
+     * @param tick The tick.
+     * @param id The job.
+     * @param log The job's log.
+     * @param request The call that waits.
+     */
+    private void watch(Tick tick, BatchJobId id, ResultLog log, BatchEvent.ResultsRequested request) {
+        Duration left = request.until().since(tick.now());
+        if (left.compareTo(SHORTEST_WATCH) < 0) {
+            list(tick, id, log);
+            return;
+        }
+        Duration wait = left.compareTo(LONGEST_WATCH) < 0 ? left : LONGEST_WATCH;
+        OptionalLong version = log.version();
+        state.calls()
+                .call(
+                        tick,
+                        token -> new PlatformEffect.Watch(
+                                token,
+                                PlatformPurpose.BATCH,
+                                BatchObjects.results(id),
+                                version.orElse(0),
+                                Optional.of(wait)),
+                        (later, event) -> receive(later, id, log, event));
+    }
+
+    /**
+     * Takes listed or changed objects, and answers the calls that wait for them.
+     *
+     * @param tick The tick.
+     * @param id The job.
+     * @param log The job's log.
+     * @param event The platform's answer.
+     */
+    private void receive(Tick tick, BatchJobId id, ResultLog log, PlatformEvent event) {
+        if (!(event instanceof PlatformEvent.ObjectsListed listed)) {
+            failAll(tick, id, "the platform did not answer");
+            return;
+        }
+        if (listed.reset()) {
+            log.forgetVersion();
+            list(tick, id, log);
+            return;
+        }
+        reading.remove(id);
+        log.take(listed.objects(), listed.version(), state.codec());
+        for (BatchEvent.ResultsRequested request : waiting.rows()) {
+            if (!request.id().equals(id)) {
+                continue;
+            }
+            boolean waits = log.size() <= request.position()
+                    && !log.isComplete()
+                    && tick.now().isBefore(request.until());
+            if (waits) {
+                refresh(tick, id, request);
+            } else {
+                reply(tick, request, log.page(request.position()));
+            }
+        }
+    }
+
+    /**
+     * Answers a call for a body.
+     *
+     * @param tick The tick.
+     * @param request The call.
+     */
+    private void readBody(Tick tick, BatchEvent.BodyRequested request) {
+        Optional<Bytes> body = state.running()
+                .find(request.id())
+                .flatMap(job -> job.job().find(request.item()))
+                .map(BatchItem::body);
+        if (body.isPresent()) {
+            tick.emit(new BatchEffect.Reply(request.ticket(), new BatchAnswer.Body(body.get())));
+            return;
+        }
+        state.calls()
+                .call(
+                        tick,
+                        token -> new PlatformEffect.Read(
+                                token, PlatformPurpose.BATCH, BatchObjects.job(request.id())),
+                        (later, event) ->
+                                later.emit(new BatchEffect.Reply(request.ticket(), bodyOf(request.item(), event))));
+    }
+
+    /**
+     * Finds a body in a job that was read.
+     *
+     * @param item The item.
+     * @param event The platform's answer.
+     * @return The answer to the call.
+     */
+    private BatchAnswer bodyOf(String item, PlatformEvent event) {
+        if (!(event instanceof PlatformEvent.ObjectRead read)) {
+            return new BatchAnswer.Unsure("the platform did not answer");
+        }
+        return read.object()
+                .flatMap(object -> state.codec().readJob(object.value()))
+                .flatMap(job -> job.find(item))
+                .<BatchAnswer>map(found -> new BatchAnswer.Body(found.body()))
+                .orElseGet(BatchAnswer.Unknown::new);
+    }
+
+    /**
+     * Tells all calls for a job that nothing is sure.
+     *
+     * @param tick The tick.
+     * @param id The job.
+     * @param reason Why.
+     */
+    private void failAll(Tick tick, BatchJobId id, String reason) {
+        reading.remove(id);
+        replyAll(tick, id, new BatchAnswer.Unsure(reason));
+    }
+
+    /**
+     * Answers all calls for the results of a job.
+     *
+     * @param tick The tick.
+     * @param id The job.
+     * @param answer The answer.
+     */
+    private void replyAll(Tick tick, BatchJobId id, BatchAnswer answer) {
+        waiting.rows().stream()
+                .filter(request -> request.id().equals(id))
+                .forEach(request -> reply(tick, request, answer));
+    }
+
+    /**
+     * Answers a call for results.
+     *
+     * @param tick The tick.
+     * @param request The call.
+     * @param answer The answer.
+     */
+    private void reply(Tick tick, BatchEvent.ResultsRequested request, BatchAnswer answer) {
+        waiting.remove(request.ticket());
+        tick.emit(new BatchEffect.Reply(request.ticket(), answer));
+    }
+}
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchResult.java
@@ -0,0 +1,30 @@
+package io.yuccaswitch.core.batch;
+
+import io.yuccaswitch.core.value.Bytes;
+import java.util.List;
+
+/**
+ * The result of one item.
+ *
+ * @param item The identifier of the item.
+ * @param completed Whether the output is whole. A result that is not completed was given up.
+ * @param output The data of all events in order, separated by line feeds, or nothing if it was given up.
+ * @param versions All versions of the weights that generated an event of the output, in ascending order.
+ */
+public record BatchResult(String item, boolean completed, Bytes output, List<Long> versions) {
+
+    /** Copies the versions. */
+    public BatchResult {
+        versions = List.copyOf(versions);
+    }
+
+    /**
+     * Creates the result of an item that was given up.
+     *
+     * @param item The identifier of the item.
+     * @return The result.
+     */
+    static BatchResult givenUp(String item) {
+        return new BatchResult(item, false, Bytes.EMPTY, List.of());
+    }
+}
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchRunSystem.java
@@ -0,0 +1,299 @@
+package io.yuccaswitch.core.batch;
+
+import io.yuccaswitch.core.decision.Decision;
+import io.yuccaswitch.core.decision.DecisionSystem;
+import io.yuccaswitch.core.decision.Tick;
+import io.yuccaswitch.core.identity.EndpointName;
+import io.yuccaswitch.core.registry.RegisteredEndpoint;
+import io.yuccaswitch.core.route.Route;
+import io.yuccaswitch.core.route.RouteConfiguration;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/** Runs the items of jobs at engines, and takes what becomes of the attempts. */
+final class BatchRunSystem implements DecisionSystem {
+
+    /** How long an engine that refused an item gets none of the model: about a fifth of the loading of a version. */
+    private static final Duration REFUSAL_PAUSE = Duration.ofMillis(150);
+
+    /** How long an engine that broke an attempt off gets no item of the model. */
+    private static final Duration INTERRUPTION_PAUSE = Duration.ofMillis(400);
+
+    /** How long an engine that can't be connected to gets no item of the model. */
+    private static final Duration UNREACHABLE_PAUSE = Duration.ofSeconds(1);
+
+    /** The tables of the batch system. */
+    private final BatchState state;
+
+    /**
+     * Creates a system that runs nothing.
+     *
+     * @param state The tables of the batch system.
+     */
+    BatchRunSystem(BatchState state) {
+        this.state = state;
+    }
+
+    @Override
+    public void run(Tick tick) {
+        tick.events(BatchEvent.AttemptEnded.class).forEach(ended -> take(tick, ended));
+        Optional<RouteConfiguration> routes = state.routes().inForce();
+        if (routes.isEmpty()) {
+            return;
+        }
+        state.running().rows().stream()
+                .sorted(Comparator.comparingLong(job -> job.job().submittedAt()))
+                .forEach(job -> advance(tick, job, routes.get()));
+    }
+
+    /**
+     * Gives up or starts the waiting items of a job.
+     *
+     * @param tick The tick.
+     * @param job The job.
+     * @param routes The configuration in force.
+     */
+    private void advance(Tick tick, RunningJob job, RouteConfiguration routes) {
+        Optional<Route> route = routes.find(job.job().host(), job.job().path());
+        if (route.isEmpty() || job.isOverdue(tick.now())) {
+            giveUp(tick, job, route.isEmpty() ? "the route is gone" : "its time is up");
+            return;
+        }
+        Optional<Route.PoolShare> pool = route.get().pools().stream()
+                .filter(share -> share.weight() > 0)
+                .max(Comparator.comparingDouble(Route.PoolShare::weight));
+        if (pool.isEmpty()) {
+            return;
+        }
+        List<RegisteredEndpoint> engines = state.registry().working(pool.get().pool()).stream()
+                .filter(engine -> engine.servesAtLeast(job.job().model(), job.job().minimumVersion()))
+                .filter(engine -> !state.loads().isPaused(engine.name(), job.job().model(), tick.now()))
+                .toList();
+        for (RunningItem item : job.items()) {
+            if (item.isWaiting()) {
+                choose(job, item, engines).ifPresent(engine -> start(tick, job, item, engine, route.get()));
+            }
+        }
+    }
+
+    /**
+     * Chooses the engine for an item: that of its group, which has read the prompt, else the one with the newest
+     * version and the fewest items.
+     *
+     * @param job The job.
+     * @param item The item.
+     * @param engines The engines that may run it.
+     * @return The engine, or empty if all have enough to do.
+     */
+    private Optional<RegisteredEndpoint> choose(RunningJob job, RunningItem item, List<RegisteredEndpoint> engines) {
+        List<RegisteredEndpoint> free = engines.stream()
+                .filter(engine -> state.loads().running(engine.name()) < engine.slots())
+                .toList();
+        Optional<EndpointName> last = job.lastEngine(item.item().group());
+        Optional<RegisteredEndpoint> same = free.stream()
+                .filter(engine -> last.filter(engine.name()::equals).isPresent())
+                .findFirst();
+        if (same.isPresent() && item.text().isEmpty()) {
+            return same;
+        }
+        String model = job.job().model();
+        return free.stream()
+                .min(Comparator.comparingLong((RegisteredEndpoint engine) ->
+                                -engine.version(model).orElse(0))
+                        .thenComparingDouble(engine ->
+                                (double) state.loads().running(engine.name()) / Math.max(1, engine.slots())));
+    }
+
+    /**
+     * Starts an item.
+     *
+     * @param tick The tick.
+     * @param job The job.
+     * @param item The item.
+     * @param engine The engine.
+     * @param route The job's route.
+     */
+    private void start(Tick tick, RunningJob job, RunningItem item, RegisteredEndpoint engine, Route route) {
+        if (!route.resumable() || breaksSingleVersion(route, item, engine, job.job().model())) {
+            item.keep(ItemText.EMPTY);
+        }
+        int attempt = item.begin(engine.name());
+        state.loads().begin(engine.name());
+        job.remember(item.item().group(), engine.name());
+        tick.emit(new BatchEffect.Run(
+                job.job().id(),
+                item.item(),
+                attempt,
+                job.job().host(),
+                engine,
+                item.text().lastEventId(),
+                job.giveUpAt().since(tick.now())));
+        tick.decide(Decision.of(
+                "batch-item",
+                item.item().id(),
+                engine.name().value(),
+                "job " + job.job().id() + " attempt " + attempt + " behind event " + item.text().lastEventId()
+                        + " engine version " + engine.version(job.job().model()).orElse(0)));
+    }
+
+    /**
+     * Returns whether going on at an engine would mix versions on a route that forbids it.
+     *
+     * @param route The route.
+     * @param item The item.
+     * @param engine The engine.
+     * @param model The model.
+     * @return {@code true} if the item has to begin anew there.
+     */
+    private static boolean breaksSingleVersion(
+            Route route, RunningItem item, RegisteredEndpoint engine, String model) {
+        boolean single = route.batch().filter(Route.BatchTerms::singleVersion).isPresent();
+        return single
+                && !item.text().isEmpty()
+                && !item.text().versions().equals(List.of(engine.version(model).orElse(0)));
+    }
+
+    /**
+     * Gives up all items of a job that have no result.
+     *
+     * @param tick The tick.
+     * @param job The job.
+     * @param reason Why.
+     */
+    private void giveUp(Tick tick, RunningJob job, String reason) {
+        for (RunningItem item : job.items()) {
+            if (item.result().isEmpty()) {
+                if (item.endpoint().isPresent()) {
+                    tick.emit(new BatchEffect.Cancel(job.job().id(), item.item().id(), item.attempt()));
+                    item.stop().ifPresent(state.loads()::end);
+                }
+                finish(tick, item, BatchResult.givenUp(item.item().id()), reason);
+            }
+        }
+    }
+
+    /**
+     * Takes the end of an attempt.
+     *
+     * @param tick The tick.
+     * @param ended The end of the attempt.
+     */
+    private void take(Tick tick, BatchEvent.AttemptEnded ended) {
+        Optional<RunningJob> job = state.running().find(ended.id());
+        Optional<RunningItem> item =
+                job.flatMap(found -> found.find(ended.item())).filter(found -> found.isCurrent(ended.attempt()));
+        if (item.isEmpty()) {
+            return;
+        }
+        EndpointName engine = item.get().stop().orElseThrow();
+        state.loads().end(engine);
+        String model = job.get().job().model();
+        ended.text().versions().stream()
+                .max(Comparator.naturalOrder())
+                .ifPresent(version -> state.registry().noteVersion(tick, engine, model, version));
+        item.get().keep(item.get().text().append(ended.text()));
+        AttemptOutcome outcome = ended.outcome();
+        if (outcome instanceof AttemptOutcome.Completed) {
+            complete(tick, job.get(), item.get(), engine);
+        } else if (outcome instanceof AttemptOutcome.Impossible) {
+            finish(tick, item.get(), BatchResult.givenUp(ended.item()), "the engine can never run it");
+        } else if (outcome instanceof AttemptOutcome.Failed) {
+            fail(tick, job.get(), item.get(), engine);
+        } else if (outcome instanceof AttemptOutcome.Refused refused) {
+            again(tick, job.get(), item.get(), engine, REFUSAL_PAUSE, refused.reason());
+        } else if (outcome instanceof AttemptOutcome.Interrupted interrupted) {
+            Duration pause = interrupted.unreachable() ? UNREACHABLE_PAUSE : INTERRUPTION_PAUSE;
+            again(tick, job.get(), item.get(), engine, pause, interrupted.reason());
+        }
+    }
+
+    /**
+     * Takes a whole output, if its versions are allowed.
+     *
+     * @param tick The tick.
+     * @param job The job.
+     * @param item The item.
+     * @param engine The engine.
+     */
+    private void complete(Tick tick, RunningJob job, RunningItem item, EndpointName engine) {
+        List<Long> versions = item.text().versions();
+        boolean single = state.routes()
+                .inForce()
+                .flatMap(routes -> routes.find(job.job().host(), job.job().path()))
+                .flatMap(Route::batch)
+                .filter(Route.BatchTerms::singleVersion)
+                .isPresent();
+        boolean allowed = !versions.isEmpty()
+                && versions.get(0) >= job.job().minimumVersion()
+                && (!single || versions.size() == 1);
+        if (!allowed) {
+            item.keep(ItemText.EMPTY);
+            again(tick, job, item, engine, INTERRUPTION_PAUSE, "versions " + versions + " are not allowed");
+            return;
+        }
+        finish(
+                tick,
+                item,
+                new BatchResult(item.item().id(), true, item.text().output(), versions),
+                "whole, versions " + versions + " from " + engine.value());
+    }
+
+    /**
+     * Takes a failure of an engine, and gives the item up after as many as the route allows.
+     *
+     * @param tick The tick.
+     * @param job The job.
+     * @param item The item.
+     * @param engine The engine.
+     */
+    private void fail(Tick tick, RunningJob job, RunningItem item, EndpointName engine) {
+        int failures = item.fail();
+        int allowed = state.routes()
+                .inForce()
+                .flatMap(routes -> routes.find(job.job().host(), job.job().path()))
+                .map(Route::maximumAttempts)
+                .orElse(1);
+        if (failures >= allowed) {
+            finish(tick, item, BatchResult.givenUp(item.item().id()), "failed " + failures + " times");
+            return;
+        }
+        again(tick, job, item, engine, INTERRUPTION_PAUSE, "the engine failed");
+    }
+
+    /**
+     * Lets an item wait for another attempt.
+     *
+     * @param tick The tick.
+     * @param job The job.
+     * @param item The item.
+     * @param engine The engine of the last attempt.
+     * @param pause How long that engine gets no item of the model.
+     * @param reason Why.
+     */
+    private void again(
+            Tick tick, RunningJob job, RunningItem item, EndpointName engine, Duration pause, String reason) {
+        state.loads().pause(engine, job.job().model(), tick.now(), pause);
+        tick.decide(Decision.of(
+                "batch-item",
+                item.item().id(),
+                "wait",
+                "attempt " + item.attempt() + " at " + engine.value() + ": " + reason + ", events kept to "
+                        + item.text().lastEventId()));
+    }
+
+    /**
+     * Finishes an item.
+     *
+     * @param tick The tick.
+     * @param item The item.
+     * @param result The result.
+     * @param reason Why.
+     */
+    private static void finish(Tick tick, RunningItem item, BatchResult result, String reason) {
+        item.finish(result);
+        tick.decide(Decision.of(
+                "batch-item", item.item().id(), result.completed() ? "completed" : "given up", reason));
+    }
+}
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
@@ -0,0 +1,160 @@
+package io.yuccaswitch.core.batch;
+
+import io.yuccaswitch.core.decision.Decision;
+import io.yuccaswitch.core.decision.EntityTable;
+import io.yuccaswitch.core.decision.Tick;
+import io.yuccaswitch.core.membership.MembershipView;
+import io.yuccaswitch.core.platform.PlatformCalls;
+import io.yuccaswitch.core.registry.EndpointRegistrySystem;
+import io.yuccaswitch.core.route.RouteConfigurationSystem;
+import io.yuccaswitch.core.time.MonotonicTime;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * The tables that the parts of the batch system share.
+ *
+ * @param membership The nodes of the site.
+ * @param registry The engines.
+ * @param routes The configuration of routes.
+ * @param codec Writes and reads what is kept on the platform.
+ * @param calls The calls to the platform that wait for their answers.
+ * @param running The jobs that this node runs.
+ * @param finished The jobs that this node ran to their ends, or that were ended.
+ * @param logs The results that are listed, as far as they are known here.
+ * @param loads How many items run at each engine.
+ */
+record BatchState(
+        MembershipView membership,
+        EndpointRegistrySystem registry,
+        RouteConfigurationSystem routes,
+        BatchCodec codec,
+        PlatformCalls calls,
+        EntityTable<BatchJobId, RunningJob> running,
+        Set<BatchJobId> finished,
+        EntityTable<BatchJobId, ResultLog> logs,
+        EngineLoads loads) {
+
+    /** The largest size of the outputs that are kept here, in bytes. Others are read from the platform again. */
+    private static final long LOG_BYTES = 6L << 20;
+
+    /**
+     * Creates empty tables.
+     *
+     * @param membership The nodes of the site.
+     * @param registry The engines.
+     * @param routes The configuration of routes.
+     * @param codec Writes and reads what is kept on the platform.
+     * @param calls The calls to the platform that wait for their answers.
+     * @return The tables.
+     */
+    static BatchState empty(
+            MembershipView membership,
+            EndpointRegistrySystem registry,
+            RouteConfigurationSystem routes,
+            BatchCodec codec,
+            PlatformCalls calls) {
+        return new BatchState(
+                membership,
+                registry,
+                routes,
+                codec,
+                calls,
+                new EntityTable<>(),
+                new HashSet<>(),
+                new EntityTable<>(),
+                new EngineLoads());
+    }
+
+    /**
+     * Returns the log of a job, which is created where none is known.
+     *
+     * @param id The job.
+     * @param total The number of its items.
+     * @param now The present.
+     * @return The log.
+     */
+    ResultLog log(BatchJobId id, int total, MonotonicTime now) {
+        Optional<ResultLog> known = logs.find(id);
+        if (known.isPresent()) {
+            return known.get();
+        }
+        ResultLog log = new ResultLog(total, now);
+        logs.put(id, log);
+        return log;
+    }
+
+    /** Forgets the logs that were not used for longest, as long as the outputs take too much memory. */
+    void trimLogs() {
+        long bytes = logs.view().stream().mapToLong(ResultLog::bytes).sum();
+        if (bytes <= LOG_BYTES) {
+            return;
+        }
+        List<ResultLog> oldestFirst = logs.rows().stream()
+                .sorted(Comparator.comparing(ResultLog::usedAt))
+                .toList();
+        for (ResultLog log : oldestFirst) {
+            if (bytes <= LOG_BYTES) {
+                return;
+            }
+            if (logs.removeIf(candidate -> candidate == log && !isRunning(candidate))) {
+                bytes -= log.bytes();
+            }
+        }
+    }
+
+    /**
+     * Starts to run a job.
+     *
+     * @param tick The tick.
+     * @param job The job.
+     * @param log The results that are listed already.
+     * @param giveUpAt When the job is given up.
+     */
+    void run(Tick tick, BatchJob job, ResultLog log, MonotonicTime giveUpAt) {
+        running.put(job.id(), new RunningJob(job, log, tick.now(), giveUpAt));
+        tick.decide(Decision.of(
+                "batch-job",
+                job.id().value(),
+                "run here",
+                "model " + job.model() + " minimum version " + job.minimumVersion() + " items "
+                        + job.items().size() + " listed " + log.size()));
+    }
+
+    /**
+     * Stops running a job and breaks off its items.
+     *
+     * @param tick The tick.
+     * @param id The job.
+     * @param reason Why.
+     */
+    void stop(Tick tick, BatchJobId id, String reason) {
+        Optional<RunningJob> job = running.remove(id);
+        if (job.isEmpty()) {
+            return;
+        }
+        int broken = 0;
+        for (RunningItem item : job.get().items()) {
+            if (item.endpoint().isPresent()) {
+                tick.emit(new BatchEffect.Cancel(id, item.item().id(), item.attempt()));
+                item.stop().ifPresent(loads::end);
+                broken++;
+            }
+        }
+        tick.decide(Decision.of("batch-job", id.value(), "stop here", reason + ", items broken off " + broken));
+    }
+
+    /**
+     * Returns whether a log belongs to a job that runs here.
+     *
+     * @param log The log.
+     * @return {@code true} if it does.
+     */
+    private boolean isRunning(ResultLog log) {
+        return running.view().stream()
+                .anyMatch(job -> logs.find(job.job().id()).filter(own -> own == log).isPresent());
+    }
+}
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchSystem.java
@@ -0,0 +1,64 @@
+package io.yuccaswitch.core.batch;
+
+import io.yuccaswitch.core.decision.DecisionSystem;
+import io.yuccaswitch.core.decision.Tick;
+import io.yuccaswitch.core.membership.MembershipView;
+import io.yuccaswitch.core.platform.PlatformCalls;
+import io.yuccaswitch.core.platform.PlatformTokens;
+import io.yuccaswitch.core.registry.EndpointRegistrySystem;
+import io.yuccaswitch.core.route.RouteConfigurationSystem;
+import java.util.List;
+import java.util.function.LongSupplier;
+
+/** Accepts, runs, lists, and ends batch jobs. What has to last lies on the platform; a node keeps none of it. */
+public final class BatchSystem implements DecisionSystem {
+
+    /** The tables that the parts share. */
+    private final BatchState state;
+
+    /** The parts, in the order in which they run. */
+    private final List<DecisionSystem> parts;
+
+    /**
+     * Creates a system without jobs.
+     *
+     * @param membership The nodes of the site.
+     * @param registry The engines.
+     * @param routes The configuration of routes.
+     * @param codec Writes and reads what is kept on the platform.
+     * @param tokens Hands out the tokens of calls.
+     * @param timeOfDay Tells the time of day in milliseconds since the epoch.
+     */
+    public BatchSystem(
+            MembershipView membership,
+            EndpointRegistrySystem registry,
+            RouteConfigurationSystem routes,
+            BatchCodec codec,
+            PlatformTokens tokens,
+            LongSupplier timeOfDay) {
+        state = BatchState.empty(membership, registry, routes, codec, new PlatformCalls(tokens));
+        GiveUpTimes giveUpTimes = new GiveUpTimes(routes, timeOfDay);
+        parts = List.of(
+                new BatchAdmissionSystem(state, giveUpTimes),
+                new BatchOwnershipSystem(state, giveUpTimes),
+                new BatchEndSystem(state),
+                new BatchRunSystem(state),
+                new BatchCommitSystem(state),
+                new BatchReadSystem(state));
+    }
+
+    @Override
+    public void run(Tick tick) {
+        state.calls().answer(tick);
+        parts.forEach(part -> part.run(tick));
+    }
+
+    /**
+     * Returns the number of jobs that this node runs.
+     *
+     * @return The number.
+     */
+    public int runningJobs() {
+        return state.running().size();
+    }
+}
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningItem.java
@@ -0,0 +1,151 @@
+package io.yuccaswitch.core.batch;
+
+import io.yuccaswitch.core.identity.EndpointName;
+import java.util.Optional;
+
+/** An item of a job that this node runs, until its result is listed. */
+final class RunningItem {
+
+    /** The item. */
+    private final BatchItem item;
+
+    /** The number of attempts that were begun. */
+    private int attempts;
+
+    /** The number of attempts at which an engine failed. */
+    private int failures;
+
+    /** The engine that runs it, if any. */
+    private Optional<EndpointName> endpoint = Optional.empty();
+
+    /** The events so far. */
+    private ItemText text = ItemText.EMPTY;
+
+    /** The result, once there is one. */
+    private Optional<BatchResult> result = Optional.empty();
+
+    /**
+     * Creates an item that waits.
+     *
+     * @param item The item.
+     */
+    RunningItem(BatchItem item) {
+        this.item = item;
+    }
+
+    /**
+     * Returns the item.
+     *
+     * @return The item.
+     */
+    BatchItem item() {
+        return item;
+    }
+
+    /**
+     * Returns whether the item waits for an engine.
+     *
+     * @return {@code true} if it neither runs nor has a result.
+     */
+    boolean isWaiting() {
+        return endpoint.isEmpty() && result.isEmpty();
+    }
+
+    /**
+     * Begins an attempt.
+     *
+     * @param chosen The engine.
+     * @return The number of the attempt.
+     */
+    int begin(EndpointName chosen) {
+        endpoint = Optional.of(chosen);
+        attempts++;
+        return attempts;
+    }
+
+    /**
+     * Ends the attempt in progress.
+     *
+     * @return The engine that ran it.
+     */
+    Optional<EndpointName> stop() {
+        Optional<EndpointName> before = endpoint;
+        endpoint = Optional.empty();
+        return before;
+    }
+
+    /**
+     * Returns whether an attempt is the one in progress.
+     *
+     * @param attempt The number of the attempt.
+     * @return {@code true} if it is.
+     */
+    boolean isCurrent(int attempt) {
+        return endpoint.isPresent() && attempts == attempt;
+    }
+
+    /**
+     * Returns the number of the last attempt.
+     *
+     * @return The number.
+     */
+    int attempt() {
+        return attempts;
+    }
+
+    /**
+     * Returns the engine that runs the item.
+     *
+     * @return The engine, or empty while it waits.
+     */
+    Optional<EndpointName> endpoint() {
+        return endpoint;
+    }
+
+    /**
+     * Counts an attempt at which the engine failed.
+     *
+     * @return The number of such attempts.
+     */
+    int fail() {
+        failures++;
+        return failures;
+    }
+
+    /**
+     * Returns the events so far.
+     *
+     * @return The text.
+     */
+    ItemText text() {
+        return text;
+    }
+
+    /**
+     * Replaces the events so far.
+     *
+     * @param replacement The text.
+     */
+    void keep(ItemText replacement) {
+        text = replacement;
+    }
+
+    /**
+     * Returns the result.
+     *
+     * @return The result, or empty while there is none.
+     */
+    Optional<BatchResult> result() {
+        return result;
+    }
+
+    /**
+     * Finishes the item.
+     *
+     * @param finished The result.
+     */
+    void finish(BatchResult finished) {
+        result = Optional.of(finished);
+        text = ItemText.EMPTY;
+    }
+}
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningJob.java
@@ -0,0 +1,175 @@
+package io.yuccaswitch.core.batch;
+
+import io.yuccaswitch.core.identity.EndpointName;
+import io.yuccaswitch.core.time.MonotonicTime;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** A job that this node runs. */
+final class RunningJob {
+
+    /** The job. */
+    private final BatchJob job;
+
+    /** The items whose results are not listed, those that are expected to be long first. */
+    private final Map<String, RunningItem> items = new LinkedHashMap<>();
+
+    /** The engines that last ran an item of a group, which keep the group's prompt in their memory. */
+    private final Map<String, EndpointName> groups = new HashMap<>();
+
+    /** When the job is given up, as far as items are left. */
+    private final MonotonicTime giveUpAt;
+
+    /** Whether results are on their way to the platform. */
+    private boolean committing;
+
+    /** When the next results may be sent to the platform. */
+    private MonotonicTime commitAt;
+
+    /**
+     * Creates a job of which nothing ran here.
+     *
+     * @param job The job.
+     * @param log The results that are listed already.
+     * @param now The present.
+     * @param giveUpAt When the job is given up.
+     */
+    RunningJob(BatchJob job, ResultLog log, MonotonicTime now, MonotonicTime giveUpAt) {
+        this.job = job;
+        this.giveUpAt = giveUpAt;
+        commitAt = now;
+        List<BatchItem> ordered = new ArrayList<>(job.items());
+        ordered.sort(Comparator.comparingLong(BatchItem::expectedTokens).reversed());
+        for (BatchItem item : ordered) {
+            if (!log.contains(item.id())) {
+                items.put(item.id(), new RunningItem(item));
+            }
+        }
+    }
+
+    /**
+     * Returns the job.
+     *
+     * @return The job.
+     */
+    BatchJob job() {
+        return job;
+    }
+
+    /**
+     * Returns the items whose results are not listed.
+     *
+     * @return The items.
+     */
+    List<RunningItem> items() {
+        return List.copyOf(items.values());
+    }
+
+    /**
+     * Finds an item whose result is not listed.
+     *
+     * @param id The item's identifier.
+     * @return The item.
+     */
+    Optional<RunningItem> find(String id) {
+        return Optional.ofNullable(items.get(id));
+    }
+
+    /**
+     * Drops items whose results are listed.
+     *
+     * @param listed The results.
+     */
+    void drop(List<BatchResult> listed) {
+        listed.forEach(result -> items.remove(result.item()));
+    }
+
+    /**
+     * Returns the results that are not listed yet.
+     *
+     * @return The results.
+     */
+    List<BatchResult> pending() {
+        List<BatchResult> pending = new ArrayList<>();
+        items.values().forEach(item -> item.result().ifPresent(pending::add));
+        return pending;
+    }
+
+    /**
+     * Returns whether all items have results.
+     *
+     * @return {@code true} if none waits or runs.
+     */
+    boolean isFinished() {
+        return items.values().stream().allMatch(item -> item.result().isPresent());
+    }
+
+    /**
+     * Returns whether the time for the job has passed.
+     *
+     * @param now The present.
+     * @return {@code true} if what is left is to be given up.
+     */
+    boolean isOverdue(MonotonicTime now) {
+        return !now.isBefore(giveUpAt);
+    }
+
+    /**
+     * Returns when the job is given up.
+     *
+     * @return The time.
+     */
+    MonotonicTime giveUpAt() {
+        return giveUpAt;
+    }
+
+    /**
+     * Returns the engine that last ran an item of a group.
+     *
+     * @param group The group.
+     * @return The engine, or empty if none did.
+     */
+    Optional<EndpointName> lastEngine(String group) {
+        return Optional.ofNullable(groups.get(group));
+    }
+
+    /**
+     * Notes that an engine runs an item of a group.
+     *
+     * @param group The group.
+     * @param endpoint The engine.
+     */
+    void remember(String group, EndpointName endpoint) {
+        groups.put(group, endpoint);
+    }
+
+    /**
+     * Returns whether results may be sent to the platform.
+     *
+     * @param now The present.
+     * @return {@code true} if none are on their way and the pause has passed.
+     */
+    boolean mayCommit(MonotonicTime now) {
+        return !committing && !now.isBefore(commitAt);
+    }
+
+    /** Notes that results are on their way. */
+    void beginCommit() {
+        committing = true;
+    }
+
+    /**
+     * Notes that the platform answered, or that no answer will come.
+     *
+     * @param next When the next results may be sent.
+     */
+    void endCommit(MonotonicTime next) {
+        committing = false;
+        commitAt = next;
+    }
+}
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/MembershipState.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/MembershipState.java
@@ -4,7 +4,6 @@
 import io.yuccaswitch.core.configuration.MembershipSettings;
 import io.yuccaswitch.core.decision.EntityTable;
 import io.yuccaswitch.core.identity.NodeName;
-import java.time.Duration;
 
 /**
  * What the systems of the membership share.
@@ -19,6 +18,7 @@
  * @param platform When the platform last answered any node.
  * @param reports What other nodes last said of themselves.
  * @param counters The counters.
+ * @param initialSettings The settings until a configuration is in force.
  */
 record MembershipState(
         MembershipOptions options,
@@ -30,11 +30,8 @@
         SelfHealth health,
         PlatformSilence platform,
         EntityTable<NodeName, PeerReport> reports,
-        MembershipCounters counters) {
-
-    /** The settings until a configuration is in force. */
-    private static final MembershipSettings INITIAL_SETTINGS =
-            new MembershipSettings(Duration.ofMillis(250), Duration.ofSeconds(3), Duration.ofSeconds(10));
+        MembershipCounters counters,
+        MembershipSettings initialSettings) {
 
     /**
      * Creates the state of a node that knows only itself.
@@ -42,9 +39,10 @@
      * @param self This node.
      * @param configuration The configuration of this node.
      * @param options The times and bounds that need no tuning.
+     * @param initialSettings The settings until a configuration is in force.
      * @return The state.
      */
-    static MembershipState of(Member self, ConfigurationView configuration, MembershipOptions options) {
+    static MembershipState of(Member self, ConfigurationView configuration, MembershipOptions options, MembershipSettings initialSettings) {
         MemberTable table = new MemberTable(new MemberRow(self, 0));
         NewsQueue news = new NewsQueue();
         MemberTimers timers = new MemberTimers();
@@ -60,7 +58,8 @@
                 health,
                 new PlatformSilence(table, health),
                 new EntityTable<>(),
-                counters);
+                counters,
+                initialSettings);
     }
 
     /**
@@ -69,6 +68,6 @@
      * @return The settings in force.
      */
     MembershipSettings settings() {
-        return configuration.inForce().map(fleet -> fleet.membership()).orElse(INITIAL_SETTINGS);
+        return configuration.inForce().map(fleet -> fleet.membership()).orElse(initialSettings);
     }
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/MembershipSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/MembershipSystem.java
@@ -1,11 +1,13 @@
 package io.yuccaswitch.core.membership;
 
 import io.yuccaswitch.core.configuration.ConfigurationView;
+import io.yuccaswitch.core.configuration.MembershipSettings;
 import io.yuccaswitch.core.decision.DecisionSystem;
 import io.yuccaswitch.core.decision.Tick;
 import io.yuccaswitch.core.identity.NodeName;
 import io.yuccaswitch.core.platform.PlatformNews;
 import io.yuccaswitch.core.platform.PlatformTokens;
+import java.time.Duration;
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
@@ -16,6 +18,10 @@
  */
 public final class MembershipSystem implements DecisionSystem, MembershipView {
 
+    /** The settings until a configuration is in force. */
+    private static final MembershipSettings INITIAL_SETTINGS =
+            new MembershipSettings(Duration.ofMillis(250), Duration.ofSeconds(3), Duration.ofSeconds(10));
+
     /** The state of the membership. */
     private final MembershipState state;
 
@@ -40,7 +46,27 @@
             ConfigurationView configuration,
             PlatformTokens tokens,
             MembershipOptions options) {
-        state = MembershipState.of(self, configuration, options);
+        this(self, seeds, configuration, tokens, options, INITIAL_SETTINGS);
+    }
+
+    /**
+     * Creates a system that knows only this node and has its own settings until a configuration is in force.
+     *
+     * @param self This node.
+     * @param seeds The peer addresses of nodes to contact first.
+     * @param configuration The configuration of this node.
+     * @param tokens Hands out the tokens of calls to the platform.
+     * @param options The times and bounds that need no tuning.
+     * @param initialSettings The settings until a configuration is in force.
+     */
+    public MembershipSystem(
+            Member self,
+            List<String> seeds,
+            ConfigurationView configuration,
+            PlatformTokens tokens,
+            MembershipOptions options,
+            MembershipSettings initialSettings) {
+        state = MembershipState.of(self, configuration, options, initialSettings);
         ExchangeContent content = new ExchangeContent(state);
         PartnerRotation rotation = new PartnerRotation(state.table());
         ProbeSystem probes = new ProbeSystem(state, content, rotation);
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/NamedVersionSystem.java
@@ -0,0 +1,83 @@
+package io.yuccaswitch.core.modelversion;
+
+import io.yuccaswitch.core.decision.Decision;
+import io.yuccaswitch.core.decision.DecisionSystem;
+import io.yuccaswitch.core.decision.Tick;
+import io.yuccaswitch.core.platform.KindWatch;
+import io.yuccaswitch.core.platform.PlatformPurpose;
+import io.yuccaswitch.core.platform.PlatformTokens;
+import io.yuccaswitch.core.platform.StoredObject;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Function;
+
+/** Follows the versions that trainers name, while this node has to know them. */
+final class NamedVersionSystem implements DecisionSystem {
+
+    /** No gathering: a step waits for its version, and few nodes watch. */
+    private static final Duration GATHERING = Duration.ofMillis(20);
+
+    /** The watch of the versions. */
+    private final KindWatch watch;
+
+    /** Reads a version. */
+    private final Function<StoredObject, Optional<NamedVersion>> decoder;
+
+    /** Whether this node gives orders. */
+    private final OrderLease lease;
+
+    /** The newest versions, by model. */
+    private final Map<String, Long> named = new TreeMap<>();
+
+    /**
+     * Creates a system that knows no versions.
+     *
+     * @param tokens Hands out the tokens of calls.
+     * @param decoder Reads a version, or returns empty where it can't be read.
+     * @param lease Whether this node gives orders.
+     */
+    NamedVersionSystem(
+            PlatformTokens tokens, Function<StoredObject, Optional<NamedVersion>> decoder, OrderLease lease) {
+        watch = new KindWatch(VersionSystems.KIND, PlatformPurpose.WEIGHT, tokens, GATHERING);
+        this.decoder = decoder;
+        this.lease = lease;
+    }
+
+    @Override
+    public void run(Tick tick) {
+        if (lease.isHeld()) {
+            watch.run(tick).ifPresent(news -> news.objects().forEach(object -> take(tick, object)));
+        }
+    }
+
+    /**
+     * Returns the newest versions.
+     *
+     * @return The versions by model.
+     */
+    Map<String, Long> named() {
+        return named;
+    }
+
+    /**
+     * Takes a version.
+     *
+     * @param tick The tick.
+     * @param object The object.
+     */
+    private void take(Tick tick, StoredObject object) {
+        if (object.deleted()) {
+            return;
+        }
+        decoder.apply(object).ifPresent(version -> {
+            long before = named.getOrDefault(version.model(), 0L);
+            if (version.version() > before) {
+                named.put(version.model(), version.version());
+                tick.decide(Decision.of(
+                        "version", version.model(), Long.toString(version.version()), "named after " + before));
+            }
+        });
+    }
+}
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/OrderLease.java
@@ -0,0 +1,329 @@
+package io.yuccaswitch.core.modelversion;
+
+import io.yuccaswitch.core.decision.Decision;
+import io.yuccaswitch.core.decision.DecisionSystem;
+import io.yuccaswitch.core.decision.Tick;
+import io.yuccaswitch.core.identity.NodeName;
+import io.yuccaswitch.core.membership.Member;
+import io.yuccaswitch.core.membership.MembershipEvent;
+import io.yuccaswitch.core.membership.MembershipView;
+import io.yuccaswitch.core.membership.RendezvousRanking;
+import io.yuccaswitch.core.platform.CallBackOff;
+import io.yuccaswitch.core.platform.ObjectKey;
+import io.yuccaswitch.core.platform.PlatformCalls;
+import io.yuccaswitch.core.platform.PlatformEffect;
+import io.yuccaswitch.core.platform.PlatformEvent;
+import io.yuccaswitch.core.platform.PlatformPurpose;
+import io.yuccaswitch.core.platform.PlatformTokens;
+import io.yuccaswitch.core.platform.StoredObject;
+import io.yuccaswitch.core.time.MonotonicTime;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * The lease of the node that gives orders to engines. Engines don't check fencing numbers, so a permission to give
+ * orders ends a short time after the sending of the last renewal that the platform granted, and a successor lets the
+ * former holder's last permission and a further safety time pass. While the platform is away nobody gives orders.
+ */
+final class OrderLease implements DecisionSystem {
+
+    /** The key of the lease's object. */
+    private static final ObjectKey KEY = new ObjectKey("order-lease", "engines");
+
+    /** How long orders are permitted after the sending of a renewal: some renewals may fail, few do. */
+    private static final Duration PERMISSION = Duration.ofMillis(1500);
+
+    /** The interval of renewals. */
+    private static final Duration RENEWAL_INTERVAL = Duration.ofMillis(700);
+
+    /** The interval at which nodes that may follow read the lease. Stale answers are good enough and cheap. */
+    private static final Duration FOLLOWER_INTERVAL = Duration.ofSeconds(1);
+
+    /** What the successor waits beyond all else, for timers that fire late. */
+    private static final Duration MARGIN = Duration.ofMillis(300);
+
+    /** The first wait after a failed call. */
+    private static final Duration FIRST_BACK_OFF = Duration.ofMillis(150);
+
+    /** The longest wait after failed calls. */
+    private static final Duration LONGEST_BACK_OFF = Duration.ofMillis(700);
+
+    /** The number of nodes that stand by to take the lease. */
+    private static final int FOLLOWERS = 2;
+
+    /** The nodes of the site. */
+    private final MembershipView membership;
+
+    /** The calls to the platform that wait for their answers. */
+    private final PlatformCalls calls;
+
+    /** The least time between orders of two holders. */
+    private final Duration safetyTime;
+
+    /** When the next call may be made. */
+    private final CallBackOff backOff = new CallBackOff(FIRST_BACK_OFF, LONGEST_BACK_OFF);
+
+    /** The lease as it was last seen. */
+    private Optional<Observation> observed = Optional.empty();
+
+    /** Whether this node holds the lease. */
+    private boolean held;
+
+    /** Until when this node may give orders. */
+    private MonotonicTime permittedUntil = new MonotonicTime(Long.MIN_VALUE);
+
+    /** Whether a call waits for its answer. */
+    private boolean calling;
+
+    /** Whether this node gives the lease back and takes it no more. */
+    private boolean leaving;
+
+    /** The present, as of the last tick. */
+    private MonotonicTime now = MonotonicTime.ZERO;
+
+    /**
+     * Creates a lease that this node does not hold.
+     *
+     * @param membership The nodes of the site.
+     * @param tokens Hands out the tokens of calls.
+     * @param safetyTime The least time between orders of two holders.
+     */
+    OrderLease(MembershipView membership, PlatformTokens tokens, Duration safetyTime) {
+        this.membership = membership;
+        this.safetyTime = safetyTime;
+        calls = new PlatformCalls(tokens);
+    }
+
+    @Override
+    public void run(Tick tick) {
+        now = tick.now();
+        calls.answer(tick);
+        leaving |= !tick.events(MembershipEvent.LeaveRequested.class).isEmpty();
+        if (calling || !backOff.allows(now)) {
+            return;
+        }
+        if (held && leaving) {
+            giveBack(tick);
+        } else if (held) {
+            write(tick, observed.orElseThrow().value().renewed(), version());
+        } else if (!leaving && isFollower()) {
+            follow(tick);
+        }
+    }
+
+    /**
+     * Returns whether this node holds the lease, such that it should know what orders need.
+     *
+     * @return {@code true} if it does. Orders need a permission beside.
+     */
+    boolean isHeld() {
+        return held;
+    }
+
+    /**
+     * Returns the fencing number under which orders may be given now.
+     *
+     * @return The number, or empty if no order may be given.
+     */
+    OptionalLong permission() {
+        return held && now.isBefore(permittedUntil)
+                ? OptionalLong.of(observed.orElseThrow().value().fence())
+                : OptionalLong.empty();
+    }
+
+    /**
+     * Returns this node's name, which orders bear.
+     *
+     * @return The name.
+     */
+    NodeName holderName() {
+        return membership.self().identity().name();
+    }
+
+    /**
+     * Returns whether this node stands by to take the lease.
+     *
+     * @return {@code true} if it ranks among the first.
+     */
+    private boolean isFollower() {
+        Member self = membership.self();
+        List<Member> ranked = RendezvousRanking.rank(KEY.name(), membership.working());
+        return ranked.stream().limit(FOLLOWERS).anyMatch(self::equals);
+    }
+
+    /**
+     * Reads the lease, or takes it if its holder is past all permissions.
+     *
+     * @param tick The tick.
+     */
+    private void follow(Tick tick) {
+        if (observed.isPresent() && observed.get().isFree(now, holderName(), safetyTime)) {
+            LeaseValue taken = observed.get().value().takenBy(holderName());
+            write(tick, taken, version());
+            return;
+        }
+        calling = true;
+        calls.call(
+                tick,
+                token -> new PlatformEffect.ListKind(
+                        token, PlatformPurpose.LEASE, KEY.kind(), Optional.empty(), observed.isPresent()),
+                (later, event) -> {
+                    calling = false;
+                    if (!(event instanceof PlatformEvent.ObjectsListed listed)) {
+                        backOff.failed(later);
+                        return;
+                    }
+                    backOff.succeeded(later.now(), FOLLOWER_INTERVAL);
+                    Optional<StoredObject> object = listed.objects().stream()
+                            .filter(found -> found.key().name().equals(KEY.name()))
+                            .findFirst();
+                    if (object.isPresent()) {
+                        observe(later, object.get());
+                    } else if (observed.isEmpty()) {
+                        write(later, new LeaseValue(holderName(), 1, false, 0), OptionalLong.empty());
+                    }
+                });
+    }
+
+    /**
+     * Takes note of the lease as it is.
+     *
+     * @param tick The tick.
+     * @param object The lease's object.
+     */
+    private void observe(Tick tick, StoredObject object) {
+        boolean newer = observed.isEmpty() || observed.get().version() < object.version();
+        Optional<LeaseValue> value = LeaseValue.decode(object.value());
+        if (newer && value.isPresent()) {
+            observed = Optional.of(new Observation(value.get(), object.version(), tick.now()));
+        }
+    }
+
+    /**
+     * Returns the version of the lease as it was last seen.
+     *
+     * @return The version.
+     */
+    private OptionalLong version() {
+        return OptionalLong.of(observed.orElseThrow().version());
+    }
+
+    /**
+     * Takes or renews the lease.
+     *
+     * @param tick The tick.
+     * @param value The new value.
+     * @param expected The version that the lease must have, or empty if there must be none.
+     */
+    private void write(Tick tick, LeaseValue value, OptionalLong expected) {
+        MonotonicTime sentAt = tick.now();
+        calling = true;
+        calls.call(
+                tick,
+                token ->
+                        new PlatformEffect.Write(token, PlatformPurpose.LEASE, KEY, expected, value.encode()),
+                (later, event) -> {
+                    calling = false;
+                    if (event instanceof PlatformEvent.Accepted accepted) {
+                        grant(later, new Observation(value, accepted.version(), later.now()), sentAt);
+                    } else if (event instanceof PlatformEvent.Conflict conflict) {
+                        contest(later, conflict.current());
+                    } else {
+                        backOff.failed(later);
+                    }
+                });
+    }
+
+    /**
+     * Takes a granted renewal.
+     *
+     * @param tick The tick.
+     * @param granted The lease as it is.
+     * @param sentAt When the renewal was sent.
+     */
+    private void grant(Tick tick, Observation granted, MonotonicTime sentAt) {
+        observed = Optional.of(granted);
+        if (!held) {
+            tick.decide(Decision.of("order-lease", holderName().value(), "held", "fence "
+                    + granted.value().fence() + " version " + granted.version()));
+        }
+        held = true;
+        permittedUntil = sentAt.plus(PERMISSION);
+        backOff.succeeded(tick.now(), RENEWAL_INTERVAL);
+    }
+
+    /**
+     * Takes note that the lease changed meanwhile: by an earlier renewal of this node whose answer was lost, or by
+     * another node.
+     *
+     * @param tick The tick.
+     * @param current The lease's object.
+     */
+    private void contest(Tick tick, Optional<StoredObject> current) {
+        Optional<LeaseValue> value = current.flatMap(object -> LeaseValue.decode(object.value()));
+        backOff.succeeded(tick.now(), Duration.ZERO);
+        if (value.isEmpty()) {
+            return;
+        }
+        boolean own = held
+                && value.get().holder().equals(holderName())
+                && value.get().fence() == observed.orElseThrow().value().fence();
+        observed = Optional.of(new Observation(value.get(), current.get().version(), tick.now()));
+        if (held && !own) {
+            tick.decide(Decision.of(
+                    "order-lease",
+                    holderName().value(),
+                    "lost",
+                    "taken by " + value.get().holder() + " with fence " + value.get().fence()));
+        }
+        held = own;
+    }
+
+    /**
+     * Gives the lease back, such that a successor need not wait for permissions.
+     *
+     * @param tick The tick.
+     */
+    private void giveBack(Tick tick) {
+        permittedUntil = new MonotonicTime(Long.MIN_VALUE);
+        OptionalLong expected = version();
+        LeaseValue value = observed.orElseThrow().value().givenBack();
+        held = false;
+        calls.call(
+                tick,
+                token -> new PlatformEffect.Write(token, PlatformPurpose.LEASE, KEY, expected, value.encode()),
+                (later, event) -> later.decide(Decision.of(
+                        "order-lease",
+                        holderName().value(),
+                        "given back",
+                        event.getClass().getSimpleName())));
+    }
+
+    /**
+     * The lease as it was seen.
+     *
+     * @param value What it said.
+     * @param version The version of its object.
+     * @param at When this version was first seen.
+     */
+    private record Observation(LeaseValue value, long version, MonotonicTime at) {
+
+        /**
+         * Returns whether the lease may be taken.
+         *
+         * @param now The present.
+         * @param self The node that would take it.
+         * @param safetyTime The least time between orders of two holders.
+         * @return {@code true} if its holder is past all permissions, or is this VM's earlier process.
+         */
+        boolean isFree(MonotonicTime now, NodeName self, Duration safetyTime) {
+            if (value.holder().equals(self)) {
+                return true;
+            }
+            Duration lastPermission = value.released() ? Duration.ZERO : PERMISSION;
+            return now.since(at).compareTo(lastPermission.plus(safetyTime).plus(MARGIN)) >= 0;
+        }
+    }
+}
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/package-info.java
@@ -0,0 +1,2 @@
+/** Versions of model weights that trainers name, and the orders that bring engines to them. */
+package io.yuccaswitch.core.modelversion;
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/platform/PlatformEffect.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/platform/PlatformEffect.java
@@ -2,6 +2,8 @@
 
 import io.yuccaswitch.core.decision.Effect;
 import io.yuccaswitch.core.value.Bytes;
+import java.time.Duration;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 /**
@@ -38,8 +40,33 @@
      * @param token The token that the answer bears.
      * @param purpose The purpose of the call.
      * @param kind The kind of the objects.
+     * @param after The name behind which the list begins, or empty for all objects.
+     * @param stale Whether an answer may be some seconds old, which is cheaper.
      */
-    record ListKind(long token, PlatformPurpose purpose, String kind) implements PlatformEffect {}
+    record ListKind(long token, PlatformPurpose purpose, String kind, Optional<String> after, boolean stale)
+            implements PlatformEffect {
+
+        /**
+         * Creates a call that lists all objects of a kind as they are now.
+         *
+         * @param token The token that the answer bears.
+         * @param purpose The purpose of the call.
+         * @param kind The kind of the objects.
+         */
+        public ListKind(long token, PlatformPurpose purpose, String kind) {
+            this(token, purpose, kind, Optional.empty(), false);
+        }
+
+        /**
+         * Returns the call for the objects behind a name.
+         *
+         * @param name The name behind which the list begins.
+         * @return The call.
+         */
+        public ListKind withAfter(String name) {
+            return new ListKind(token, purpose, kind, Optional.of(name), stale);
+        }
+    }
 
     /**
      * Writes an object if its version is still the expected one.
@@ -71,8 +98,23 @@
      * @param purpose The purpose of the call.
      * @param kind The kind to watch.
      * @param afterVersion The version after which changes count.
+     * @param waitTime How long the platform waits for changes, or empty for the client's setting.
      */
-    record Watch(long token, PlatformPurpose purpose, String kind, long afterVersion) implements PlatformEffect {}
+    record Watch(long token, PlatformPurpose purpose, String kind, long afterVersion, Optional<Duration> waitTime)
+            implements PlatformEffect {
+
+        /**
+         * Creates a call that waits as long as the client's settings say.
+         *
+         * @param token The token that the answer bears.
+         * @param purpose The purpose of the call.
+         * @param kind The kind to watch.
+         * @param afterVersion The version after which changes count.
+         */
+        public Watch(long token, PlatformPurpose purpose, String kind, long afterVersion) {
+            this(token, purpose, kind, afterVersion, Optional.empty());
+        }
+    }
 
     /**
      * Lists the VMs of the site with their states. The list lags behind what happens.
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/platform/PlatformEvent.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/platform/PlatformEvent.java
@@ -30,9 +30,23 @@
      * @param version The version up to which the answer is complete, from which a watch goes on.
      * @param reset {@code true} if the platform no longer knows all changes since the version that was asked for, such
      *     that the caller must list the kind anew.
+     * @param more {@code true} if the list goes on behind the last object's name.
      */
-    record ObjectsListed(long token, List<StoredObject> objects, long version, boolean reset)
-            implements PlatformEvent {}
+    record ObjectsListed(long token, List<StoredObject> objects, long version, boolean reset, boolean more)
+            implements PlatformEvent {
+
+        /**
+         * Creates an answer that is complete.
+         *
+         * @param token The token of the call.
+         * @param objects The objects.
+         * @param version The version up to which the answer is complete.
+         * @param reset Whether the caller must list the kind anew.
+         */
+        public ObjectsListed(long token, List<StoredObject> objects, long version, boolean reset) {
+            this(token, objects, version, reset, false);
+        }
+    }
 
     /**
      * A write or deletion took effect.
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/platform/PlatformPurpose.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/platform/PlatformPurpose.java
@@ -13,5 +13,9 @@
     /** Request identifiers that callers made themselves. */
     REQUEST,
     /** The platform's list of VMs, and where a starting node finds its peers. */
-    MEMBERSHIP
+    MEMBERSHIP,
+    /** The registry in which endpoints say where they are. */
+    DISCOVERY,
+    /** Accepted batch jobs and their results. */
+    BATCH
 }
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/proxy/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions on plain requests: which endpoint, how long, and what follows a failure. */
+package io.yuccaswitch.core.proxy;
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/registry/RegistryEffect.java
@@ -0,0 +1,15 @@
+package io.yuccaswitch.core.registry;
+
+import io.yuccaswitch.core.decision.Effect;
+import java.util.List;
+
+/** What the registry tells the shell. */
+public sealed interface RegistryEffect extends Effect {
+
+    /**
+     * The endpoints that may get new work have changed.
+     *
+     * @param working The endpoints that are not leaving.
+     */
+    record Changed(List<RegisteredEndpoint> working) implements RegistryEffect {}
+}
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/route/RouteConfiguration.java
@@ -0,0 +1,113 @@
+package io.yuccaswitch.core.route;
+
+import io.yuccaswitch.core.identity.PoolName;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** All routes of a site at one version. */
+public final class RouteConfiguration {
+
+    /** The version, which grows with each change. */
+    private final long version;
+
+    /** The routes of each host, those with the longest paths first. */
+    private final Map<String, List<Route>> byHost = new HashMap<>();
+
+    /** The models that each pool of engines serves. */
+    private final Map<PoolName, Set<String>> models;
+
+    /** What callers may send. */
+    private final CallerLimits limits;
+
+    /**
+     * Creates a configuration.
+     *
+     * @param version The version.
+     * @param routes The routes.
+     * @param models The models that each pool of engines serves.
+     * @param limits What callers may send.
+     */
+    public RouteConfiguration(
+            long version, List<Route> routes, Map<PoolName, Set<String>> models, CallerLimits limits) {
+        this.version = version;
+        this.models = Map.copyOf(models);
+        this.limits = limits;
+        routes.forEach(route ->
+                byHost.computeIfAbsent(route.host(), _host -> new ArrayList<>()).add(route));
+        byHost.values()
+                .forEach(list -> list.sort(Comparator.comparingInt(
+                                (Route route) -> route.pathPrefix().length())
+                        .reversed()));
+    }
+
+    /**
+     * Returns the version.
+     *
+     * @return The version.
+     */
+    public long version() {
+        return version;
+    }
+
+    /**
+     * Returns what callers may send.
+     *
+     * @return The limits.
+     */
+    public CallerLimits limits() {
+        return limits;
+    }
+
+    /**
+     * Returns the models that each pool of engines serves.
+     *
+     * @return The models by pool.
+     */
+    public Map<PoolName, Set<String>> models() {
+        return models;
+    }
+
+    /**
+     * Finds the route of a request, which is the one with the longest path that begins the request's path.
+     *
+     * @param host The host, with or without a port.
+     * @param path The path, without a query.
+     * @return The route, or empty if there is none.
+     */
+    public Optional<Route> find(String host, String path) {
+        int colon = host.indexOf(':');
+        String name = (colon < 0 ? host : host.substring(0, colon)).toLowerCase(Locale.ROOT);
+        return byHost.getOrDefault(name, List.of()).stream()
+                .filter(route -> path.startsWith(route.pathPrefix()))
+                .findFirst();
+    }
+
+    /**
+     * Returns whether any route of a model's pool demands results from one version alone.
+     *
+     * @param pool The pool.
+     * @return {@code true} if a route of the pool does.
+     */
+    public boolean demandsSingleVersion(PoolName pool) {
+        return byHost.values().stream()
+                .flatMap(List::stream)
+                .filter(route -> route.pools().stream().anyMatch(share -> share.pool().equals(pool)))
+                .anyMatch(route -> route.batch().filter(Route.BatchTerms::singleVersion).isPresent());
+    }
+
+    /**
+     * What callers may send, and how long they may take.
+     *
+     * @param maximumHeaderBytes The largest size of a request's headers, in bytes.
+     * @param maximumBodyBytes The largest size of a request's body, in bytes.
+     * @param idleTimeout The time after which an idle connection is closed.
+     */
+    public record CallerLimits(int maximumHeaderBytes, long maximumBodyBytes, Duration idleTimeout) {}
+}
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/route/RouteConfigurationSystem.java
@@ -0,0 +1,81 @@
+package io.yuccaswitch.core.route;
+
+import io.yuccaswitch.core.decision.Decision;
+import io.yuccaswitch.core.decision.DecisionSystem;
+import io.yuccaswitch.core.decision.Tick;
+import io.yuccaswitch.core.platform.KindWatch;
+import io.yuccaswitch.core.platform.PlatformPurpose;
+import io.yuccaswitch.core.platform.PlatformTokens;
+import io.yuccaswitch.core.platform.StoredObject;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Function;
+
+/** Follows the configuration of routes. A version is only ever replaced by a higher one. */
+public final class RouteConfigurationSystem implements DecisionSystem {
+
+    /** The kind of the configuration's object. */
+    public static final String KIND = "route-configuration";
+
+    /** Gathers quick successions of versions. Far below the time in which a version has to be in force. */
+    private static final Duration GATHERING = Duration.ofMillis(100);
+
+    /** The watch of the configuration. */
+    private final KindWatch watch;
+
+    /** Reads a configuration. */
+    private final Function<StoredObject, Optional<RouteConfiguration>> decoder;
+
+    /** The configuration in force, if any. */
+    private Optional<RouteConfiguration> inForce = Optional.empty();
+
+    /**
+     * Creates a system that has no configuration.
+     *
+     * @param tokens Hands out the tokens of calls.
+     * @param decoder Reads a configuration, or returns empty where it can't be read.
+     */
+    public RouteConfigurationSystem(
+            PlatformTokens tokens, Function<StoredObject, Optional<RouteConfiguration>> decoder) {
+        watch = new KindWatch(KIND, PlatformPurpose.CONFIGURATION, tokens, GATHERING);
+        this.decoder = decoder;
+    }
+
+    @Override
+    public void run(Tick tick) {
+        watch.run(tick).ifPresent(news -> news.objects().forEach(object -> take(tick, object)));
+    }
+
+    /**
+     * Returns the configuration in force.
+     *
+     * @return The configuration, or empty before the first one was read.
+     */
+    public Optional<RouteConfiguration> inForce() {
+        return inForce;
+    }
+
+    /**
+     * Takes a version, if it is newer than the one in force.
+     *
+     * @param tick The tick.
+     * @param object The object.
+     */
+    private void take(Tick tick, StoredObject object) {
+        if (object.deleted()) {
+            return;
+        }
+        Optional<RouteConfiguration> decoded = decoder.apply(object);
+        if (decoded.isEmpty()) {
+            return;
+        }
+        long held = inForce.map(RouteConfiguration::version).orElse(-1L);
+        if (decoded.get().version() <= held) {
+            return;
+        }
+        inForce = decoded;
+        tick.emit(new RouteEffect.InForce(decoded.get()));
+        tick.decide(Decision.of(
+                "configuration", Long.toString(decoded.get().version()), "in force", "replaces version " + held));
+    }
+}
--- a/yuccaswitch-endpoint/src/main/java/io/yuccaswitch/endpoint/EndpointHttp.java
+++ b/yuccaswitch-endpoint/src/main/java/io/yuccaswitch/endpoint/EndpointHttp.java
@@ -68,7 +68,7 @@
      * @param timeout The time after which the call is given up.
      * @return The call, not begun yet.
      */
-    Call call(Request.Builder request, Transmission transmission, Duration timeout) {
+    public Call call(Request.Builder request, Transmission transmission, Duration timeout) {
         Call call = client.newCall(request.header("Accept-Encoding", "identity")
                 .tag(Transmission.class, transmission)
                 .build());
--- a/yuccaswitch-endpoint/src/main/java/io/yuccaswitch/endpoint/OneShotBody.java
+++ b/yuccaswitch-endpoint/src/main/java/io/yuccaswitch/endpoint/OneShotBody.java
@@ -7,7 +7,7 @@
 import okio.BufferedSink;
 
 /** The body of a request that is written once at most. */
-final class OneShotBody extends RequestBody {
+public final class OneShotBody extends RequestBody {
 
     /** The content type, or {@code null} for none. */
     private final MediaType contentType;
@@ -21,7 +21,7 @@
      * @param contentType The content type, or an empty text.
      * @param content The content.
      */
-    OneShotBody(String contentType, Bytes content) {
+    public OneShotBody(String contentType, Bytes content) {
         this.contentType = contentType.isEmpty() ? null : MediaType.parse(contentType);
         this.content = content;
     }
--- a/yuccaswitch-endpoint/src/main/java/io/yuccaswitch/endpoint/Transmission.java
+++ b/yuccaswitch-endpoint/src/main/java/io/yuccaswitch/endpoint/Transmission.java
@@ -15,7 +15,7 @@
  * Watches one call, such that it can be told whether any byte of the request may have left, and makes sure that the
  * request is sent once at most: OkHttp sends a request again after some answers, whatever its settings.
  */
-final class Transmission extends EventListener {
+public final class Transmission extends EventListener {
 
     /** The header whose value of zero makes OkHttp send a request again. */
     private static final String RETRY_AFTER = "Retry-After";
@@ -33,7 +33,7 @@
     private volatile Optional<Connection> connection = Optional.empty();
 
     /** Creates the watcher of a request that may be sent at any time. */
-    Transmission() {
+    public Transmission() {
         this(() -> true);
     }
 
@@ -42,7 +42,7 @@
      *
      * @param maySend Says, right before the first byte, whether the request may still be sent.
      */
-    Transmission(BooleanSupplier maySend) {
+    public Transmission(BooleanSupplier maySend) {
         this.maySend = maySend;
     }
 
@@ -51,12 +51,12 @@
      *
      * @return {@code false} if surely no byte has left.
      */
-    boolean begun() {
+    public boolean begun() {
         return begun;
     }
 
     /** Closes the connection, such that no other request uses it. */
-    void closeConnection() {
+    public void closeConnection() {
         try {
             Optional<Socket> socket = connection.map(Connection::socket);
             if (socket.isPresent()) {
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/decision/DecisionLog.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/decision/DecisionLog.java
@@ -33,6 +33,16 @@
      * @param decision The decision.
      */
     public void record(Decision decision) {
+        write(decision);
+        decisions.asMap().merge(decision.subject(), List.of(decision), DecisionLog::append);
+    }
+
+    /**
+     * Writes a decision's line without keeping the decision.
+     *
+     * @param decision The decision.
+     */
+    public static void write(Decision decision) {
         LOGGER.infof(
                 "event=decision kind=%s subject=%s choice=%s reason=\"%s\" candidates=%s",
                 decision.kind(),
@@ -40,7 +50,6 @@
                 decision.choice(),
                 decision.reason(),
                 describe(decision.candidates()));
-        decisions.asMap().merge(decision.subject(), List.of(decision), DecisionLog::append);
     }
 
     /**
--- /dev/null
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/AttemptResult.java
@@ -0,0 +1,33 @@
+package io.yuccaswitch.node.gateway;
+
+import okhttp3.Headers;
+
+/** What became of one attempt to have a plain request answered by an endpoint. */
+sealed interface AttemptResult {
+
+    /**
+     * The endpoint answered, and the answer is whole.
+     *
+     * @param status The status.
+     * @param headers The headers.
+     * @param body The body.
+     */
+    record Whole(int status, Headers headers, byte[] body) implements AttemptResult {}
+
+    /** The answer was a stream, which was passed on to its end or broken off for good. */
+    record Relayed() implements AttemptResult {}
+
+    /**
+     * The request was surely not run.
+     *
+     * @param reason The reason, for logs.
+     */
+    record NotRun(String reason) implements AttemptResult {}
+
+    /**
+     * The request may have run, and there is no answer that can be passed on.
+     *
+     * @param reason The reason, for logs.
+     */
+    record MayHaveRun(String reason) implements AttemptResult {}
+}
--- /dev/null
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/DisconnectWatch.java
@@ -0,0 +1,104 @@
+package io.yuccaswitch.node.gateway;
+
+import io.reactivex.rxjava3.core.Observable;
+import io.reactivex.rxjava3.disposables.Disposable;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import okhttp3.Call;
+
+/** Looks at regular intervals whether callers have gone, and then breaks off what is done for them. */
+final class DisconnectWatch implements AutoCloseable {
+
+    /** The interval, well below the half second after which an endpoint should be idle again. */
+    private static final Duration INTERVAL = Duration.ofMillis(120);
+
+    /** The requests in progress. */
+    private final Map<Watched, Boolean> watched = new ConcurrentHashMap<>();
+
+    /** The timer. */
+    private final Disposable timer;
+
+    /** Creates a watch without requests and starts its timer. */
+    DisconnectWatch() {
+        timer = Observable.interval(INTERVAL.toMillis(), TimeUnit.MILLISECONDS)
+                .subscribe(_tick -> watched.keySet().forEach(Watched::look));
+    }
+
+    /**
+     * Watches a request.
+     *
+     * @param connection The caller's connection.
+     * @return The watched request.
+     */
+    Watched watch(ClientConnection connection) {
+        Watched added = new Watched(connection);
+        watched.put(added, true);
+        return added;
+    }
+
+    @Override
+    public void close() {
+        timer.dispose();
+    }
+
+    /** A request whose caller is watched. */
+    final class Watched implements AutoCloseable {
+
+        /** The caller's connection. */
+        private final ClientConnection connection;
+
+        /** The call to an endpoint in progress, if any. */
+        private volatile Call call;
+
+        /** Whether the caller has gone. */
+        private volatile boolean gone;
+
+        /**
+         * Creates a watched request.
+         *
+         * @param connection The caller's connection.
+         */
+        Watched(ClientConnection connection) {
+            this.connection = connection;
+        }
+
+        /**
+         * Notes the call that is to be broken off when the caller goes.
+         *
+         * @param current The call.
+         */
+        void attach(Call current) {
+            call = current;
+            if (gone) {
+                current.cancel();
+            }
+        }
+
+        /**
+         * Returns whether the caller has gone.
+         *
+         * @return {@code true} if it has.
+         */
+        boolean isGone() {
+            return gone;
+        }
+
+        /** Looks whether the caller has gone. */
+        void look() {
+            if (!gone && connection.isGone()) {
+                gone = true;
+                Call current = call;
+                if (current != null) {
+                    current.cancel();
+                }
+            }
+        }
+
+        @Override
+        public void close() {
+            watched.remove(this);
+        }
+    }
+}
--- /dev/null
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointAttempts.java
@@ -0,0 +1,212 @@
+package io.yuccaswitch.node.gateway;
+
+import io.reactivex.rxjava3.disposables.Disposable;
+import io.reactivex.rxjava3.schedulers.Schedulers;
+import io.yuccaswitch.core.registry.RegisteredEndpoint;
+import io.yuccaswitch.core.value.Bytes;
+import io.yuccaswitch.endpoint.EndpointHttp;
+import io.yuccaswitch.endpoint.OneShotBody;
+import io.yuccaswitch.endpoint.Transmission;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import okhttp3.Call;
+import okhttp3.HttpUrl;
+import okhttp3.Request;
+import okhttp3.Response;
+
+/** Sends plain requests to endpoints and judges whether an answer is whole and belongs to its request. */
+final class EndpointAttempts {
+
+    /** The largest answer that is passed on, in bytes. */
+    private static final long MAXIMUM_ANSWER_BYTES = 16L << 20;
+
+    /** The status of an endpoint that has too much to do, and of one that runs nothing now. */
+    private static final java.util.Set<Integer> PROMISING = java.util.Set.of(408, 421, 429, 503);
+
+    /** The class of statuses that mean success. */
+    private static final int SUCCESS_CLASS = 2;
+
+    /** The methods whose requests bear no body. */
+    private static final java.util.Set<String> BODILESS = java.util.Set.of("GET", "HEAD");
+
+    /** The connections to endpoints. */
+    private final EndpointHttp http;
+
+    /** How endpoints speak. */
+    private final EndpointDialect dialect;
+
+    /**
+     * Creates a sender.
+     *
+     * @param http The connections to endpoints.
+     * @param dialect How endpoints speak.
+     */
+    EndpointAttempts(EndpointHttp http, EndpointDialect dialect) {
+        this.http = http;
+        this.dialect = dialect;
+    }
+
+    /**
+     * Sends a request and waits for the head of the answer.
+     *
+     * @param request The request.
+     * @param endpoint The endpoint.
+     * @param times The times that the attempt may take.
+     * @param lastEventId The event behind which a stream goes on, or empty to begin anew.
+     * @param watched Breaks the attempt off when the caller goes.
+     * @return The attempt in progress.
+     */
+    Opened open(
+            PlainRequest request,
+            RegisteredEndpoint endpoint,
+            Times times,
+            Optional<Long> lastEventId,
+            DisconnectWatch.Watched watched) {
+        Transmission transmission = new Transmission();
+        HttpUrl url = HttpUrl.parse("http://" + endpoint.address() + request.target());
+        if (url == null) {
+            return Opened.failed(new AttemptResult.NotRun("the path can't be sent"));
+        }
+        Request.Builder builder = new Request.Builder().url(url).method(request.method(), bodyOf(request));
+        for (Map.Entry<String, String> header : request.headers()) {
+            builder.addHeader(header.getKey(), header.getValue());
+        }
+        dialect.address(builder, endpoint.name(), times.whole());
+        lastEventId.ifPresent(id -> dialect.resume(builder, id));
+        Call call = http.call(builder, transmission, times.whole());
+        watched.attach(call);
+        Disposable watchdog = Schedulers.computation()
+                .scheduleDirect(call::cancel, times.untilHead().toNanos(), TimeUnit.NANOSECONDS);
+        try {
+            Response response = call.execute();
+            watchdog.dispose();
+            return judge(request, new Opened(Optional.of(response), Optional.empty(), transmission, call));
+        } catch (IOException exception) {
+            watchdog.dispose();
+            return Opened.failed(
+                    transmission.begun()
+                            ? new AttemptResult.MayHaveRun(describe(exception))
+                            : new AttemptResult.NotRun(describe(exception)));
+        }
+    }
+
+    /**
+     * Reads an answer that is passed on as a whole.
+     *
+     * @param opened The attempt in progress.
+     * @return The answer, or why there is none.
+     */
+    AttemptResult readWhole(Opened opened) {
+        Response response = opened.response().orElseThrow();
+        try (response) {
+            byte[] body = response.body().source().request(MAXIMUM_ANSWER_BYTES + 1)
+                    ? new byte[0]
+                    : response.body().source().readByteArray();
+            if (body.length == 0 && !response.body().source().exhausted()) {
+                opened.discard();
+                return new AttemptResult.MayHaveRun("the answer is too large");
+            }
+            return new AttemptResult.Whole(response.code(), response.headers(), body);
+        } catch (IOException exception) {
+            opened.discard();
+            return new AttemptResult.MayHaveRun("the answer broke off: " + describe(exception));
+        }
+    }
+
+    /**
+     * Describes an exception in one line.
+     *
+     * @param exception The exception.
+     * @return The description.
+     */
+    static String describe(IOException exception) {
+        return exception.getClass().getSimpleName() + " " + exception.getMessage();
+    }
+
+    /**
+     * Judges the head of an answer.
+     *
+     * @param request The request.
+     * @param opened The attempt in progress.
+     * @return The attempt, which has failed if the answer can't be passed on.
+     */
+    private Opened judge(PlainRequest request, Opened opened) {
+        Response response = opened.response().orElseThrow();
+        String echoed = response.header(dialect.requestIdHeader());
+        if (!request.id().isEmpty() && echoed != null && !echoed.equals(request.id())) {
+            opened.discard();
+            return Opened.failed(new AttemptResult.MayHaveRun("the answer belongs to another request"));
+        }
+        if (dialect.saysNotRun(response.code(), response.headers()) || dialect.isMisdirected(response.code())) {
+            response.close();
+            return Opened.failed(new AttemptResult.NotRun("refused with status " + response.code()));
+        }
+        if (PROMISING.contains(response.code())) {
+            response.close();
+            return Opened.failed(new AttemptResult.MayHaveRun("status " + response.code() + " without a promise"));
+        }
+        boolean success = response.code() / 100 == SUCCESS_CLASS;
+        if (success && !dialect.isSigned(response.headers())) {
+            opened.discard();
+            return Opened.failed(new AttemptResult.MayHaveRun("the answer is not signed"));
+        }
+        if (success && echoed == null) {
+            opened.discard();
+            return Opened.failed(new AttemptResult.MayHaveRun("the answer names no request"));
+        }
+        return opened;
+    }
+
+    /**
+     * Returns the body of a request for the client library.
+     *
+     * @param request The request.
+     * @return The body, or {@code null} where the method allows none.
+     */
+    private static OneShotBody bodyOf(PlainRequest request) {
+        if (BODILESS.contains(request.method()) && request.body().length == 0) {
+            return null;
+        }
+        return new OneShotBody("", Bytes.wrap(request.body()));
+    }
+
+    /**
+     * The times that an attempt may take.
+     *
+     * @param untilHead The time until the head of the answer is there.
+     * @param whole The time until the answer is whole.
+     */
+    record Times(Duration untilHead, Duration whole) {}
+
+    /**
+     * An attempt whose answer has begun, or has failed to.
+     *
+     * @param response The answer, unless the attempt failed.
+     * @param failure Why the attempt failed, if it did.
+     * @param transmission The watcher of the call.
+     * @param call The call.
+     */
+    record Opened(
+            Optional<Response> response, Optional<AttemptResult> failure, Transmission transmission, Call call) {
+
+        /**
+         * Creates an attempt that failed.
+         *
+         * @param failure Why.
+         * @return The attempt.
+         */
+        static Opened failed(AttemptResult failure) {
+            return new Opened(Optional.empty(), Optional.of(failure), new Transmission(), null);
+        }
+
+        /** Breaks the answer off, and closes its connection. */
+        void discard() {
+            call.cancel();
+            transmission.closeConnection();
+            response.ifPresent(Response::close);
+        }
+    }
+}
--- /dev/null
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
@@ -0,0 +1,293 @@
+package io.yuccaswitch.node.gateway;
+
+import com.codahale.metrics.MetricRegistry;
+import io.reactivex.rxjava3.exceptions.UndeliverableException;
+import io.reactivex.rxjava3.plugins.RxJavaPlugins;
+import io.yuccaswitch.core.batch.BatchEvent;
+import io.yuccaswitch.core.identity.NodeIdentity;
+import io.yuccaswitch.core.membership.Member;
+import io.yuccaswitch.core.membership.MemberCondition;
+import io.yuccaswitch.core.membership.MembershipEvent;
+import io.yuccaswitch.core.platform.PlatformEffect;
+import io.yuccaswitch.core.proxy.EndpointSelection;
+import io.yuccaswitch.core.registry.RegistryEffect;
+import io.yuccaswitch.core.route.RouteEffect;
+import io.yuccaswitch.endpoint.EndpointClientSettings;
+import io.yuccaswitch.endpoint.EndpointHttp;
+import io.yuccaswitch.node.NodeSettings;
+import io.yuccaswitch.node.decision.DecisionLog;
+import io.yuccaswitch.node.decision.DecisionLoop;
+import io.yuccaswitch.node.membership.MembershipService;
+import io.yuccaswitch.node.peer.LearnedAddresses;
+import io.yuccaswitch.node.peer.PeerMessages;
+import io.yuccaswitch.platform.CallRates;
+import io.yuccaswitch.platform.CircuitSettings;
+import io.yuccaswitch.platform.PlatformClient;
+import io.yuccaswitch.platform.PlatformClientSettings;
+import io.yuccaswitch.protocol.PeerAddresses;
+import io.yuccaswitch.protocol.PeerTransport;
+import io.yuccaswitch.protocol.PeerTransportSettings;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import org.jboss.logging.Logger;
+
+/** A node that serves as a gateway: the core, and the shell around it. */
+public final class Gateway {
+
+    /** The exit status after a broken invariant. */
+    private static final int EXIT_BROKEN_INVARIANT = 70;
+
+    /** How long a call to the platform may take. A slow platform answers within a quarter of it. */
+    private static final Duration PLATFORM_TIMEOUT = Duration.ofMillis(1200);
+
+    /** How long a watch waits at the platform. */
+    private static final Duration WATCH_TIME = Duration.ofSeconds(20);
+
+    /** When the platform is tried again after failures: within a second of its return. */
+    private static final CircuitSettings CIRCUIT = new CircuitSettings(
+            4, Duration.ofMillis(150), Duration.ofMillis(700), Duration.ofMillis(500));
+
+    /** How connections to endpoints behave. They are in the same region, and close idle connections after seconds. */
+    private static final EndpointClientSettings ENDPOINTS = new EndpointClientSettings(
+            Duration.ofMillis(300), Duration.ofMillis(500), Duration.ofSeconds(2), 48, 16L << 20, 1L << 20);
+
+    /** How long callers may still come to a stopping node: three times the validity of the directory's answers. */
+    private static final Duration LINGERING_TIME = Duration.ofMillis(3300);
+
+    /** The time before the end of a planned stop at which the process ends whatever is in progress. */
+    private static final Duration STOP_MARGIN = Duration.ofMillis(900);
+
+    /** The interval at which a stopping node looks whether it is done. */
+    private static final Duration STOP_INTERVAL = Duration.ofMillis(50);
+
+    /** How long the last messages to other nodes may take. */
+    private static final Duration DEPARTURE_TIME = Duration.ofMillis(150);
+
+    /** The logger. */
+    private static final Logger LOGGER = Logger.getLogger(Gateway.class);
+
+    /** The settings. */
+    private final GatewaySettings settings;
+
+    /** What the threads that serve callers see of the core. */
+    private final GatewayView view = new GatewayView();
+
+    /** The core's systems. */
+    private final GatewayCore core;
+
+    /** Runs the core. */
+    private final DecisionLoop loop;
+
+    /** The client of the platform. */
+    private final PlatformClient platform;
+
+    /** The connections to other nodes. */
+    private final PeerTransport transport;
+
+    /** Connects the membership to the other nodes. */
+    private final MembershipService membership;
+
+    /** The connections to endpoints. */
+    private final EndpointHttp http = new EndpointHttp(ENDPOINTS);
+
+    /** Chooses endpoints for plain requests. */
+    private final EndpointSelection selection;
+
+    /** Runs items. */
+    private final ItemRunner items;
+
+    /** Gives orders. */
+    private final OrderCaller orders;
+
+    /** The calls about batch jobs that wait. */
+    private final PendingReplies replies;
+
+    /** Serves callers. */
+    private final GatewayServer server;
+
+    /**
+     * Creates a node that does not run yet.
+     *
+     * @param settings The settings.
+     * @param dialects How others speak.
+     */
+    public Gateway(GatewaySettings settings, GatewayDialects dialects) {
+        this.settings = settings;
+        MetricRegistry metrics = new MetricRegistry();
+        Member self = self(settings);
+        core = new GatewayCore(self, settings, dialects, view);
+        loop = new DecisionLoop(core.core(), () -> Runtime.getRuntime().halt(EXIT_BROKEN_INVARIANT));
+        NodeSettings.PlatformSettings limits = settings.platform();
+        platform = new PlatformClient(
+                PlatformClientSettings.of("http://" + limits.address())
+                        .withToken(limits.token())
+                        .withTimes(PLATFORM_TIMEOUT, WATCH_TIME)
+                        .withCircuit(CIRCUIT)
+                        .withRates(new CallRates(limits.writesPerSecond(), limits.readsPerSecond())
+                                .shareOf(settings.nodes())),
+                metrics,
+                dialects.platform());
+        LearnedAddresses addresses = new LearnedAddresses();
+        transport = new PeerTransport(
+                PeerTransportSettings.of(peerAddress(settings), settings.site(), ""),
+                PeerMessages.registry(),
+                self.identity(),
+                addresses,
+                loop::accept,
+                metrics);
+        membership = new MembershipService(loop, transport, addresses);
+        selection = new EndpointSelection(settings.availabilityZone());
+        items = new ItemRunner(http, dialects.endpoints(), loop);
+        orders = new OrderCaller(http, dialects.endpoints(), loop);
+        replies = new PendingReplies(loop);
+        EndpointAttempts attempts = new EndpointAttempts(http, dialects.endpoints());
+        server = new GatewayServer(
+                settings,
+                dialects,
+                view,
+                new PlainRequestHandler(view, attempts, dialects.endpoints(), selection, metrics),
+                new BatchHandler(replies, dialects.callers(), metrics),
+                new MetricsText(metrics));
+    }
+
+    /** Starts the node. */
+    public void start() {
+        RxJavaPlugins.setErrorHandler(Gateway::unhandled);
+        subscribe();
+        membership.start();
+        transport.start();
+        server.start();
+        loop.start();
+        LOGGER.infof(
+                "event=node-started node=%s availabilityZone=%s entryAddress=%s peerAddress=%s platform=%s",
+                settings.name(),
+                settings.availabilityZone(),
+                settings.entryAddress(),
+                settings.peerAddress(),
+                settings.platform().address());
+    }
+
+    /**
+     * Stops the node as planned: leaves the directory, serves those who still come, lets requests and items end, and
+     * hands what is left to other nodes.
+     */
+    public void stopGracefully() {
+        long begun = System.nanoTime();
+        LOGGER.infof("event=stop-begun node=%s", settings.name());
+        view.leave();
+        loop.accept(new MembershipEvent.LeaveRequested());
+        loop.accept(new BatchEvent.Leaving());
+        try {
+            sleepUntil(begun, LINGERING_TIME);
+            awaitIdle(begun);
+            server.stopAccepting();
+            loop.accept(new MembershipEvent.Departing());
+            TimeUnit.MILLISECONDS.sleep(DEPARTURE_TIME.toMillis());
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+            LOGGER.warn("event=stop-interrupted", exception);
+        }
+        close();
+        LOGGER.infof("event=node-stopped node=%s", settings.name());
+    }
+
+    /** Ends everything at once. */
+    public void close() {
+        items.close();
+        orders.close();
+        replies.close();
+        server.close();
+        transport.close();
+        platform.close();
+        http.close();
+        loop.close();
+    }
+
+    /** Connects the core to the shell. */
+    @SuppressWarnings("CheckReturnValue")
+    private void subscribe() {
+        loop.decisions().subscribe(DecisionLog::write);
+        loop.effects(PlatformEffect.class)
+                .subscribe(effect -> platform.execute(effect).subscribe(loop::accept));
+        loop.effects(RouteEffect.InForce.class).subscribe(effect -> {
+            view.replace(effect.configuration());
+            server.apply(effect.configuration());
+        });
+        loop.effects(RegistryEffect.Changed.class).subscribe(effect -> {
+            view.replace(effect.working());
+            synchronized (selection) {
+                selection.retain(effect.working());
+            }
+        });
+    }
+
+    /**
+     * Waits until a moment of a planned stop.
+     *
+     * @param begun When the stop began, in nanoseconds.
+     * @param time The time from then on.
+     * @throws InterruptedException If the thread is interrupted.
+     */
+    private static void sleepUntil(long begun, Duration time) throws InterruptedException {
+        long left = begun + time.toNanos() - System.nanoTime();
+        if (left > 0) {
+            TimeUnit.NANOSECONDS.sleep(left);
+        }
+    }
+
+    /**
+     * Waits until no request and no batch job is in progress, or the time of a planned stop is nearly up.
+     *
+     * @param begun When the stop began, in nanoseconds.
+     * @throws InterruptedException If the thread is interrupted.
+     */
+    private void awaitIdle(long begun) throws InterruptedException {
+        long end = begun + settings.stopTime().minus(STOP_MARGIN).toNanos();
+        while (System.nanoTime() < end && (server.inProgress() > 0 || core.batches().runningJobs() > 0)) {
+            TimeUnit.MILLISECONDS.sleep(STOP_INTERVAL.toMillis());
+        }
+    }
+
+    /**
+     * Ends the process after an exception that nothing handled.
+     *
+     * @param exception The exception.
+     */
+    private static void unhandled(Throwable exception) {
+        if (exception instanceof UndeliverableException) {
+            LOGGER.warn("event=late-exception", exception);
+            return;
+        }
+        LOGGER.fatal("event=broken-invariant", exception);
+        Runtime.getRuntime().halt(EXIT_BROKEN_INVARIANT);
+    }
+
+    /**
+     * Describes this node to the others.
+     *
+     * @param settings The settings.
+     * @return The node.
+     */
+    private static Member self(GatewaySettings settings) {
+        return new Member(
+                new NodeIdentity(settings.name(), System.currentTimeMillis()),
+                settings.availabilityZone(),
+                settings.region(),
+                settings.peerAddress(),
+                settings.entryAddress(),
+                settings.metricsAddress(),
+                MemberCondition.ALIVE);
+    }
+
+    /**
+     * Returns the address for other nodes.
+     *
+     * @param settings The settings.
+     * @return The address.
+     */
+    private static InetSocketAddress peerAddress(GatewaySettings settings) {
+        return PeerAddresses.parse(settings.peerAddress())
+                .orElseThrow(() -> new IllegalArgumentException("Not an address: " + settings.peerAddress()));
+    }
+}
--- /dev/null
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayServer.java
@@ -0,0 +1,433 @@
+package io.yuccaswitch.node.gateway;
+
+import io.javalin.Javalin;
+import io.javalin.config.JavalinConfig;
+import io.javalin.config.RoutesConfig;
+import io.javalin.http.Context;
+import io.yuccaswitch.core.batch.BatchJob;
+import io.yuccaswitch.core.route.RequestKind;
+import io.yuccaswitch.core.route.Route;
+import io.yuccaswitch.core.route.RouteConfiguration;
+import io.yuccaswitch.core.time.MonotonicTime;
+import io.yuccaswitch.node.HostAndPort;
+import io.yuccaswitch.node.decision.DecisionLoop;
+import java.io.IOException;
+import java.io.InputStream;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.eclipse.jetty.http.UriCompliance;
+import org.eclipse.jetty.server.Connector;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.jboss.logging.Logger;
+
+/** The HTTP server of a gateway, with one address for requests, one for readiness and one for the directory. */
+final class GatewayServer implements AutoCloseable {
+
+    /** The largest number of threads. A thread serves one plain request at a time. */
+    private static final int THREADS = 96;
+
+    /** The number of threads that are kept when idle. */
+    private static final int IDLE_THREADS = 6;
+
+    /** The largest size of a request's headers, in bytes, until a configuration tells one. */
+    private static final int HEADER_BYTES = 16 * 1024;
+
+    /** The time after which an idle connection is closed, until a configuration tells one. */
+    private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(15);
+
+    /** How long an answer of the directory may be used: a VM that stops serves at least three times as long. */
+    private static final Duration ADDRESS_VALIDITY = Duration.ofSeconds(1);
+
+    /** When to come back to a node that has no configuration yet. */
+    private static final Duration NOT_READY_RETRY_AFTER = Duration.ofMillis(300);
+
+    /** The time that a caller waits if it does not tell. */
+    private static final Duration DEFAULT_TIME = Duration.ofSeconds(30);
+
+    /** The path of the metrics. */
+    private static final String METRICS_PATH = "/metrics";
+
+    /** The status of success. */
+    private static final int OK = 200;
+
+    /** The status of a malformed call. */
+    private static final int BAD_REQUEST = 400;
+
+    /** The status of a request that no route serves. */
+    private static final int NOT_FOUND = 404;
+
+    /** The status of a body that is too large. */
+    private static final int TOO_LARGE = 413;
+
+    /** The status of a node that has no configuration yet. */
+    private static final int UNAVAILABLE = 503;
+
+    /** The logger. */
+    private static final Logger LOGGER = Logger.getLogger(GatewayServer.class);
+
+    /** The settings. */
+    private final GatewaySettings settings;
+
+    /** How callers speak. */
+    private final CallerDialect callers;
+
+    /** How endpoints speak. */
+    private final EndpointDialect endpoints;
+
+    /** What the core knows. */
+    private final GatewayView view;
+
+    /** Serves plain requests. */
+    private final PlainRequestHandler plain;
+
+    /** Serves calls about batch jobs. */
+    private final BatchHandler batches;
+
+    /** Writes the metrics. */
+    private final MetricsText metrics;
+
+    /** Tells when callers go. */
+    private final DisconnectWatch disconnects = new DisconnectWatch();
+
+    /** The number of requests in progress at the address for requests. */
+    private final AtomicInteger inProgress = new AtomicInteger();
+
+    /** The connectors. */
+    private final List<ServerConnector> connectors = new ArrayList<>();
+
+    /** The server. */
+    private final Javalin server;
+
+    /**
+     * Creates a server that does not listen yet.
+     *
+     * @param settings The settings.
+     * @param dialects How others speak.
+     * @param view What the core knows.
+     * @param plain Serves plain requests.
+     * @param batches Serves calls about batch jobs.
+     * @param metrics Writes the metrics.
+     */
+    GatewayServer(
+            GatewaySettings settings,
+            GatewayDialects dialects,
+            GatewayView view,
+            PlainRequestHandler plain,
+            BatchHandler batches,
+            MetricsText metrics) {
+        this.settings = settings;
+        callers = dialects.callers();
+        endpoints = dialects.endpoints();
+        this.view = view;
+        this.plain = plain;
+        this.batches = batches;
+        this.metrics = metrics;
+        server = Javalin.create(this::configure);
+    }
+
+    /** Starts to listen. */
+    void start() {
+        server.start();
+    }
+
+    /**
+     * Returns the number of requests in progress.
+     *
+     * @return The number.
+     */
+    int inProgress() {
+        return inProgress.get();
+    }
+
+    /** Accepts no further connections, and keeps serving those that there are. */
+    void stopAccepting() {
+        connectors.forEach(connector -> {
+            try {
+                connector.shutdown();
+            } catch (RuntimeException exception) {
+                LOGGER.infof("event=connector-shutdown reason=\"%s\"", exception.getMessage());
+            }
+        });
+    }
+
+    /**
+     * Applies the limits of a configuration to new connections.
+     *
+     * @param configuration The configuration.
+     */
+    void apply(RouteConfiguration configuration) {
+        RouteConfiguration.CallerLimits limits = configuration.limits();
+        connectors.forEach(connector -> {
+            connector.setIdleTimeout(limits.idleTimeout().toMillis());
+            connector
+                    .getConnectionFactory(HttpConnectionFactory.class)
+                    .getHttpConfiguration()
+                    .setRequestHeaderSize(limits.maximumHeaderBytes());
+        });
+    }
+
+    @Override
+    public void close() {
+        disconnects.close();
+        server.stop();
+    }
+
+    /**
+     * Configures the server.
+     *
+     * @param config The configuration of the library.
+     */
+    private void configure(JavalinConfig config) {
+        config.startup.showJavalinBanner = false;
+        config.http.compressionStrategy = io.javalin.compression.CompressionStrategy.NONE;
+        config.jetty.threadPool = new QueuedThreadPool(THREADS, IDLE_THREADS);
+        config.jetty.modifyHttpConfiguration(http -> {
+            http.setUriCompliance(UriCompliance.UNSAFE);
+            http.setSendServerVersion(false);
+            http.setSendDateHeader(false);
+            http.setRequestHeaderSize(HEADER_BYTES);
+        });
+        for (String address :
+                Set.of(
+                        settings.entryAddress(),
+                        settings.readinessAddress(),
+                        settings.directoryAddress(),
+                        settings.metricsAddress())) {
+            config.jetty.addConnector((jetty, http) -> connector(jetty, http, HostAndPort.parse(address)));
+        }
+        route(config.routes, "/");
+        route(config.routes, "/<path>");
+        config.routes.exception(MalformedCallException.class, (exception, context) -> {
+            LOGGER.infof("event=malformed-call code=%s reason=\"%s\"", exception.code(), exception.getMessage());
+            context.status(BAD_REQUEST).result(exception.code() + ": " + exception.getMessage());
+        });
+    }
+
+    /**
+     * Creates a connector.
+     *
+     * @param jetty The server.
+     * @param http The configuration of HTTP.
+     * @param address The address.
+     * @return The connector.
+     */
+    private Connector connector(Server jetty, HttpConfiguration http, HostAndPort address) {
+        ServerConnector connector = new ServerConnector(jetty, 1, 1, new HttpConnectionFactory(http));
+        connector.setHost(address.host());
+        connector.setPort(address.port());
+        connector.setIdleTimeout(IDLE_TIMEOUT.toMillis());
+        connectors.add(connector);
+        return connector;
+    }
+
+    /**
+     * Routes all methods of a path to this server.
+     *
+     * @param routes The library's routes.
+     * @param path The path.
+     */
+    private void route(RoutesConfig routes, String path) {
+        routes.get(path, this::handle);
+        routes.head(path, this::handle);
+        routes.post(path, this::handle);
+        routes.put(path, this::handle);
+        routes.patch(path, this::handle);
+        routes.delete(path, this::handle);
+        routes.options(path, this::handle);
+    }
+
+    /**
+     * Serves a request at any address.
+     *
+     * @param context The request.
+     * @throws IOException If the caller has gone.
+     */
+    private void handle(Context context) throws IOException {
+        int port = context.req().getLocalPort();
+        String path = context.req().getRequestURI();
+        if (port == portOf(settings.entryAddress())) {
+            serve(context, path);
+        } else if (port == portOf(settings.readinessAddress()) && callers.asksForReadiness(path)) {
+            context.status(view.isReady() ? OK : UNAVAILABLE);
+        } else if (port == portOf(settings.directoryAddress()) && callers.asksForAddresses(path)) {
+            answerDirectory(context);
+        } else if (port == portOf(settings.metricsAddress()) && path.equals(METRICS_PATH)) {
+            context.contentType(MetricsText.CONTENT_TYPE).result(metrics.write());
+        } else {
+            context.status(NOT_FOUND);
+        }
+    }
+
+    /**
+     * Answers which entry addresses to use.
+     *
+     * @param context The request.
+     */
+    private void answerDirectory(Context context) {
+        List<String> addresses = new ArrayList<>(view.addresses());
+        if (addresses.isEmpty()) {
+            context.status(UNAVAILABLE);
+            return;
+        }
+        Collections.shuffle(addresses);
+        context.contentType("application/json").result(callers.writeAddresses(addresses, ADDRESS_VALIDITY));
+    }
+
+    /**
+     * Serves a request at the address for requests.
+     *
+     * @param context The request.
+     * @param path The path.
+     * @throws IOException If the caller has gone.
+     */
+    private void serve(Context context, String path) throws IOException {
+        inProgress.incrementAndGet();
+        boolean answersLater = false;
+        try {
+            answersLater = dispatch(context, path);
+        } finally {
+            if (!answersLater) {
+                inProgress.decrementAndGet();
+            }
+        }
+    }
+
+    /**
+     * Finds out what a request asks for, and serves it.
+     *
+     * @param context The request.
+     * @param path The path.
+     * @return Whether the answer follows later, on another thread.
+     * @throws IOException If the caller has gone.
+     */
+    private boolean dispatch(Context context, String path) throws IOException {
+        MonotonicTime arrived = DecisionLoop.now();
+        Optional<RouteConfiguration> routes = view.routes();
+        long maximumBody = routes.map(found -> found.limits().maximumBodyBytes()).orElse(Long.MAX_VALUE);
+        Optional<byte[]> body = readBody(context, maximumBody);
+        ClientConnection connection = ClientConnection.of(context.req());
+        CallerResponse caller = new CallerResponse(context, connection, view.isLeaving());
+        if (routes.isEmpty() || !view.hasEndpoints()) {
+            caller.refuse(UNAVAILABLE, "no configuration yet", Optional.of(NOT_READY_RETRY_AFTER));
+            return false;
+        }
+        if (body.isEmpty()) {
+            caller.refuse(TOO_LARGE, "the body is too large", Optional.empty());
+            return false;
+        }
+        Optional<CallerDialect.BatchCall> call =
+                callers.batchCall(context.req().getMethod(), path, context::queryParam, context::header);
+        if (call.isPresent()) {
+            batches.serve(context, caller, call.get(), inProgress::decrementAndGet);
+            return true;
+        }
+        String host = Optional.ofNullable(context.header("Host")).orElse("");
+        Optional<Route> route = routes.get().find(host, path);
+        if (route.isEmpty()) {
+            LOGGER.infof(
+                    "event=no-route host=%s path=%s configuration=%d",
+                    host, path, routes.get().version());
+            caller.refuse(NOT_FOUND, "no route", Optional.empty());
+            return false;
+        }
+        if (route.get().kind() == RequestKind.BATCH) {
+            submit(context, caller, host, path, body.get());
+            return true;
+        }
+        PlainRequest request = plainRequest(context, route.get(), body.get(), arrived);
+        try (DisconnectWatch.Watched watched = disconnects.watch(connection)) {
+            plain.serve(request, caller, watched);
+        }
+        return false;
+    }
+
+    /**
+     * Serves the submission of a batch job.
+     *
+     * @param context The request.
+     * @param caller Writes the answer.
+     * @param host The host.
+     * @param path The path.
+     * @param body The body.
+     */
+    private void submit(Context context, CallerResponse caller, String host, String path, byte[] body) {
+        String id = Optional.ofNullable(context.header(callers.requestIdHeader())).orElse("");
+        BatchJob job =
+                callers.readJob(new CallerDialect.Envelope(id, host, path, System.currentTimeMillis()), body);
+        batches.submit(context, caller, job, inProgress::decrementAndGet);
+    }
+
+    /**
+     * Reads a plain request.
+     *
+     * @param context The request.
+     * @param route The route.
+     * @param body The body.
+     * @param arrived When the request arrived.
+     * @return The request.
+     */
+    private PlainRequest plainRequest(Context context, Route route, byte[] body, MonotonicTime arrived) {
+        Duration told = callers.timeLeft(context::header).orElse(DEFAULT_TIME);
+        Duration allowed = told.compareTo(route.timeout()) < 0 ? told : route.timeout();
+        String query = context.req().getQueryString();
+        String target = context.req().getRequestURI() + (query == null ? "" : "?" + query);
+        return new PlainRequest(
+                Optional.ofNullable(context.header(callers.requestIdHeader())).orElse(""),
+                context.req().getMethod(),
+                target,
+                headersOf(context),
+                body,
+                route,
+                arrived.plus(allowed));
+    }
+
+    /**
+     * Returns the headers that are passed on.
+     *
+     * @param context The request.
+     * @return The headers, in order.
+     */
+    private List<Map.Entry<String, String>> headersOf(Context context) {
+        List<Map.Entry<String, String>> headers = new ArrayList<>();
+        for (String name : Collections.list(context.req().getHeaderNames())) {
+            if (endpoints.passesOn(name)) {
+                Collections.list(context.req().getHeaders(name)).forEach(value -> headers.add(Map.entry(name, value)));
+            }
+        }
+        return headers;
+    }
+
+    /**
+     * Reads the body of a request.
+     *
+     * @param context The request.
+     * @param maximum The largest size in bytes.
+     * @return The body, or empty if it is too large.
+     * @throws IOException If it breaks off.
+     */
+    private static Optional<byte[]> readBody(Context context, long maximum) throws IOException {
+        InputStream input = context.req().getInputStream();
+        byte[] body = input.readNBytes((int) Math.min(Integer.MAX_VALUE - 8, maximum));
+        return input.read() < 0 ? Optional.of(body) : Optional.empty();
+    }
+
+    /**
+     * Returns the port of an address.
+     *
+     * @param address The address as host:port.
+     * @return The port.
+     */
+    private static int portOf(String address) {
+        return HostAndPort.parse(address).port();
+    }
+}
--- /dev/null
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewaySettings.java
@@ -0,0 +1,69 @@
+package io.yuccaswitch.node.gateway;
+
+import io.yuccaswitch.core.configuration.Setting;
+import io.yuccaswitch.core.identity.AvailabilityZone;
+import io.yuccaswitch.core.identity.NodeName;
+import io.yuccaswitch.node.NodeSettings;
+import io.yuccaswitch.node.logging.LogSettings;
+import java.time.Duration;
+import java.util.List;
+
+/**
+ * The settings of a node that serves as a gateway.
+ *
+ * @param name The node's name.
+ * @param site The name of the site.
+ * @param availabilityZone The availability zone.
+ * @param region The region.
+ * @param entryAddress The address for requests and batch jobs.
+ * @param readinessAddress The address for the question whether the node is ready.
+ * @param directoryAddress The address for the question which entry addresses to use.
+ * @param peerAddress The address for other nodes.
+ * @param metricsAddress The address that serves metrics.
+ * @param seeds The peer addresses to ask first.
+ * @param platform How the platform is reached.
+ * @param nodes The number of nodes that share the platform's rates.
+ * @param orderSafetyTime The least time between orders of two nodes.
+ * @param stopTime The time in which a planned stop must be done.
+ * @param log How the node writes its logs.
+ */
+public record GatewaySettings(
+        @Setting(description = "The node's name, unique within the site.") NodeName name,
+        @Setting(description = "The name of the site, which all nodes of the site share.", defaultValue = "default")
+                String site,
+        @Setting(description = "The availability zone that the VM lies in.") AvailabilityZone availabilityZone,
+        @Setting(description = "The region that the VM lies in.", defaultValue = "local") String region,
+        @Setting(description = "The address for requests and batch jobs as host:port.") String entryAddress,
+        @Setting(description = "The address that tells whether the node is ready, as host:port.")
+                String readinessAddress,
+        @Setting(description = "The address that tells which entry addresses to use, as host:port.")
+                String directoryAddress,
+        @Setting(description = "The address for other nodes as host:port.") String peerAddress,
+        @Setting(description = "The address that serves metrics as host:port.") String metricsAddress,
+        @Setting(description = "The peer addresses of nodes to ask first.") List<String> seeds,
+        @Setting(description = "How the platform is reached.") NodeSettings.PlatformSettings platform,
+        @Setting(
+                        description = "The number of nodes that share the platform's rates.",
+                        defaultValue = "10",
+                        minimum = "1",
+                        maximum = "10000")
+                int nodes,
+        @Setting(
+                        description = "The least time between orders of two nodes to engines.",
+                        defaultValue = "3s",
+                        minimum = "0s",
+                        maximum = "10m")
+                Duration orderSafetyTime,
+        @Setting(
+                        description = "The time after which a planned stop is ended by force.",
+                        defaultValue = "8s",
+                        minimum = "1s",
+                        maximum = "1h")
+                Duration stopTime,
+        @Setting(description = "How the node writes its logs.") LogSettings log) {
+
+    /** Copies the seeds. */
+    public GatewaySettings {
+        seeds = List.copyOf(seeds);
+    }
+}
--- /dev/null
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayView.java
@@ -0,0 +1,153 @@
+package io.yuccaswitch.node.gateway;
+
+import io.yuccaswitch.core.configuration.ConfigurationView;
+import io.yuccaswitch.core.configuration.FleetConfiguration;
+import io.yuccaswitch.core.decision.DecisionSystem;
+import io.yuccaswitch.core.decision.Tick;
+import io.yuccaswitch.core.identity.PoolName;
+import io.yuccaswitch.core.membership.Member;
+import io.yuccaswitch.core.membership.MemberCondition;
+import io.yuccaswitch.core.membership.MembershipSystem;
+import io.yuccaswitch.core.registry.RegisteredEndpoint;
+import io.yuccaswitch.core.route.RouteConfiguration;
+import io.yuccaswitch.core.time.MonotonicTime;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * What the threads that serve callers see of the core: the configuration in force, the working endpoints, and the nodes
+ * that take requests. All of it is replaced as a whole, never changed.
+ */
+final class GatewayView implements ConfigurationView {
+
+    /** The configuration in force, if any. */
+    private volatile Optional<RouteConfiguration> routes = Optional.empty();
+
+    /** The working endpoints, or empty before the registry was read. */
+    private volatile Optional<List<RegisteredEndpoint>> endpoints = Optional.empty();
+
+    /** The entry addresses of the nodes that take requests. */
+    private volatile List<String> addresses = List.of();
+
+    /** Whether this node is about to stop. */
+    private volatile boolean leaving;
+
+    /**
+     * Returns a system that keeps the entry addresses of the nodes that take requests.
+     *
+     * @param membership The nodes of the site.
+     * @return The system.
+     */
+    DecisionSystem observer(MembershipSystem membership) {
+        return (Tick _tick) -> {
+            List<String> current = new ArrayList<>();
+            for (Member member : membership.working()) {
+                boolean own = member.identity().equals(membership.self().identity());
+                boolean serves = own ? isReady() : member.condition() == MemberCondition.ALIVE;
+                if (serves) {
+                    current.add(member.entryAddress());
+                }
+            }
+            if (!current.equals(addresses)) {
+                addresses = List.copyOf(current);
+            }
+        };
+    }
+
+    /**
+     * Brings a configuration into force.
+     *
+     * @param configuration The configuration.
+     */
+    void replace(RouteConfiguration configuration) {
+        routes = Optional.of(configuration);
+    }
+
+    /**
+     * Replaces the working endpoints.
+     *
+     * @param working The endpoints.
+     */
+    void replace(List<RegisteredEndpoint> working) {
+        endpoints = Optional.of(working);
+    }
+
+    /** Notes that this node is about to stop. */
+    void leave() {
+        leaving = true;
+    }
+
+    /**
+     * Returns whether this node is about to stop.
+     *
+     * @return {@code true} if it is.
+     */
+    boolean isLeaving() {
+        return leaving;
+    }
+
+    /**
+     * Returns the configuration in force.
+     *
+     * @return The configuration, or empty if there is none.
+     */
+    Optional<RouteConfiguration> routes() {
+        return routes;
+    }
+
+    /**
+     * Returns whether the registry of endpoints was read.
+     *
+     * @return {@code true} if it was.
+     */
+    boolean hasEndpoints() {
+        return endpoints.isPresent();
+    }
+
+    /**
+     * Returns the working endpoints of a pool.
+     *
+     * @param pool The pool.
+     * @return The endpoints.
+     */
+    List<RegisteredEndpoint> endpoints(PoolName pool) {
+        return endpoints.orElse(List.of()).stream()
+                .filter(endpoint -> endpoint.pool().equals(pool))
+                .toList();
+    }
+
+    /**
+     * Returns the entry addresses of the nodes that take requests.
+     *
+     * @return The addresses.
+     */
+    List<String> addresses() {
+        return addresses;
+    }
+
+    @Override
+    public boolean isReady() {
+        return routes.isPresent() && endpoints.isPresent() && !leaving;
+    }
+
+    @Override
+    public long heldGeneration() {
+        return generation();
+    }
+
+    @Override
+    public long generation() {
+        return 0;
+    }
+
+    @Override
+    public Optional<FleetConfiguration> inForce() {
+        return Optional.empty();
+    }
+
+    @Override
+    public Optional<MonotonicTime> inForceSince() {
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/JsonBatchCodec.java
@@ -0,0 +1,221 @@
+package io.yuccaswitch.node.gateway;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.yuccaswitch.core.batch.BatchCodec;
+import io.yuccaswitch.core.batch.BatchIndexEntry;
+import io.yuccaswitch.core.batch.BatchItem;
+import io.yuccaswitch.core.batch.BatchJob;
+import io.yuccaswitch.core.batch.BatchJobId;
+import io.yuccaswitch.core.batch.BatchResult;
+import io.yuccaswitch.core.identity.NodeName;
+import io.yuccaswitch.core.value.Bytes;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Base64;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.jboss.logging.Logger;
+
+/** Keeps batch jobs as JSON. Outputs are kept as text where they are UTF-8, which is the usual case, else in base64. */
+public final class JsonBatchCodec implements BatchCodec {
+
+    /** The logger. */
+    private static final Logger LOGGER = Logger.getLogger(JsonBatchCodec.class);
+
+    /** The codec of documents. */
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    @Override
+    public Bytes writeJob(BatchJob job) {
+        return write(new JobDocument(
+                job.id().value(),
+                job.host(),
+                job.path(),
+                job.model(),
+                job.minimumVersion(),
+                job.submittedAt(),
+                job.items().stream()
+                        .map(item -> new ItemDocument(
+                                item.id(),
+                                item.path(),
+                                item.headers(),
+                                item.body().unsafeArray(),
+                                item.group(),
+                                item.expectedTokens()))
+                        .toList()));
+    }
+
+    @Override
+    public Optional<BatchJob> readJob(Bytes value) {
+        return read(value, JobDocument.class)
+                .map(document -> new BatchJob(
+                        new BatchJobId(document.id()),
+                        document.host(),
+                        document.path(),
+                        document.model(),
+                        document.minimumVersion(),
+                        document.submittedAt(),
+                        document.items().stream()
+                                .map(item -> new BatchItem(
+                                        item.id(),
+                                        item.path(),
+                                        item.headers(),
+                                        Bytes.wrap(item.body()),
+                                        item.group(),
+                                        item.expectedTokens()))
+                                .toList()));
+    }
+
+    @Override
+    public Bytes writeEntry(BatchIndexEntry entry) {
+        return write(new EntryDocument(entry.id().value(), entry.runner().value(), entry.ended(), entry.items()));
+    }
+
+    @Override
+    public Optional<BatchIndexEntry> readEntry(Bytes value) {
+        return read(value, EntryDocument.class)
+                .map(document -> new BatchIndexEntry(
+                        new BatchJobId(document.id()),
+                        new NodeName(document.runner()),
+                        document.ended(),
+                        document.items()));
+    }
+
+    @Override
+    public Bytes writeResults(List<BatchResult> results) {
+        return write(new ResultsDocument(
+                results.stream().map(JsonBatchCodec::document).toList()));
+    }
+
+    @Override
+    public Optional<List<BatchResult>> readResults(Bytes value) {
+        return read(value, ResultsDocument.class)
+                .map(document -> document.results().stream()
+                        .map(result -> new BatchResult(
+                                result.item(), result.completed(), outputOf(result), result.versions()))
+                        .toList());
+    }
+
+    /**
+     * Returns the document of a result.
+     *
+     * @param result The result.
+     * @return The document.
+     */
+    private static ResultDocument document(BatchResult result) {
+        String text = result.output().toUtf8();
+        boolean exact = Bytes.ofUtf8(text).equals(result.output());
+        return new ResultDocument(
+                result.item(),
+                result.completed(),
+                exact ? text : "",
+                exact ? "" : Base64.getEncoder().encodeToString(result.output().unsafeArray()),
+                result.versions());
+    }
+
+    /**
+     * Returns the output in a document.
+     *
+     * @param document The document.
+     * @return The output.
+     */
+    private static Bytes outputOf(ResultDocument document) {
+        return document.bytes().isEmpty()
+                ? Bytes.wrap(document.text().getBytes(StandardCharsets.UTF_8))
+                : Bytes.wrap(Base64.getDecoder().decode(document.bytes()));
+    }
+
+    /**
+     * Writes a document.
+     *
+     * @param document The document.
+     * @return The bytes.
+     */
+    private static Bytes write(Object document) {
+        try {
+            return Bytes.wrap(MAPPER.writeValueAsBytes(document));
+        } catch (IOException exception) {
+            throw new UncheckedIOException("A document of this class can always be written", exception);
+        }
+    }
+
+    /**
+     * Reads a document.
+     *
+     * @param value The bytes.
+     * @param type The type of the document.
+     * @param <T> The type of the document.
+     * @return The document, or empty if it can't be read.
+     */
+    private static <T> Optional<T> read(Bytes value, Class<T> type) {
+        try {
+            return Optional.of(MAPPER.readValue(value.unsafeArray(), type));
+        } catch (IOException | IllegalArgumentException exception) {
+            LOGGER.warnf("event=document-unreadable type=%s reason=\"%s\"", type.getSimpleName(), exception);
+            return Optional.empty();
+        }
+    }
+
+    /**
+     * A job.
+     *
+     * @param id The identifier.
+     * @param host The host of its route.
+     * @param path The path of its submission.
+     * @param model The model.
+     * @param minimumVersion The oldest version.
+     * @param submittedAt When it was submitted, in milliseconds since the epoch.
+     * @param items The items.
+     */
+    private record JobDocument(
+            String id,
+            String host,
+            String path,
+            String model,
+            long minimumVersion,
+            long submittedAt,
+            List<ItemDocument> items) {}
+
+    /**
+     * An item.
+     *
+     * @param id The identifier.
+     * @param path The path.
+     * @param headers The headers.
+     * @param body The body.
+     * @param group The group.
+     * @param expectedTokens The number of tokens that it is expected to make.
+     */
+    private record ItemDocument(
+            String id, String path, Map<String, String> headers, byte[] body, String group, long expectedTokens) {}
+
+    /**
+     * An entry of the index.
+     *
+     * @param id The identifier of the job.
+     * @param runner The node that runs it.
+     * @param ended Whether it is ended.
+     * @param items The number of its items.
+     */
+    private record EntryDocument(String id, String runner, boolean ended, int items) {}
+
+    /**
+     * Results.
+     *
+     * @param results The results.
+     */
+    private record ResultsDocument(List<ResultDocument> results) {}
+
+    /**
+     * A result.
+     *
+     * @param item The identifier of the item.
+     * @param completed Whether the output is whole.
+     * @param text The output, if it is UTF-8.
+     * @param bytes The output in base64, if it is not.
+     * @param versions The versions.
+     */
+    private record ResultDocument(String item, boolean completed, String text, String bytes, List<Long> versions) {}
+}
--- /dev/null
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/OrderCaller.java
@@ -0,0 +1,150 @@
+package io.yuccaswitch.node.gateway;
+
+import io.reactivex.rxjava3.disposables.CompositeDisposable;
+import io.yuccaswitch.core.identity.EndpointName;
+import io.yuccaswitch.core.modelversion.EngineReport;
+import io.yuccaswitch.core.modelversion.OrderEffect;
+import io.yuccaswitch.core.modelversion.OrderEvent;
+import io.yuccaswitch.core.modelversion.OrderOutcome;
+import io.yuccaswitch.core.registry.RegisteredEndpoint;
+import io.yuccaswitch.endpoint.EndpointHttp;
+import io.yuccaswitch.endpoint.Transmission;
+import io.yuccaswitch.node.decision.DecisionLoop;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Consumer;
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.Request;
+import okhttp3.Response;
+import org.jboss.logging.Logger;
+
+/** Reads reports of engines and gives them orders, and tells the core what they answered. */
+final class OrderCaller implements AutoCloseable {
+
+    /** How long an engine may take to answer. */
+    private static final Duration TIMEOUT = Duration.ofMillis(500);
+
+    /** The status of success. */
+    private static final int OK = 200;
+
+    /** The logger. */
+    private static final Logger LOGGER = Logger.getLogger(OrderCaller.class);
+
+    /** The connections to engines. */
+    private final EndpointHttp http;
+
+    /** How engines speak. */
+    private final EndpointDialect dialect;
+
+    /** The core. */
+    private final DecisionLoop loop;
+
+    /** The subscriptions. */
+    private final CompositeDisposable subscriptions = new CompositeDisposable();
+
+    /**
+     * Creates a caller and connects it to the core.
+     *
+     * @param http The connections to engines.
+     * @param dialect How engines speak.
+     * @param loop The core.
+     */
+    OrderCaller(EndpointHttp http, EndpointDialect dialect, DecisionLoop loop) {
+        this.http = http;
+        this.dialect = dialect;
+        this.loop = loop;
+        subscriptions.add(loop.effects(OrderEffect.ReadReport.class).subscribe(this::readReport));
+        subscriptions.add(loop.effects(OrderEffect.LoadVersion.class).subscribe(this::order));
+    }
+
+    @Override
+    public void close() {
+        subscriptions.dispose();
+    }
+
+    /**
+     * Reads a report.
+     *
+     * @param effect What is asked.
+     */
+    private void readReport(OrderEffect.ReadReport effect) {
+        EndpointName engine = effect.engine().name();
+        Request.Builder request = dialect.report(effect.engine().address());
+        send(request, effect.engine(), answer -> loop.accept(new OrderEvent.ReportRead(engine, report(engine, answer))));
+    }
+
+    /**
+     * Gives an order.
+     *
+     * @param effect The order.
+     */
+    private void order(OrderEffect.LoadVersion effect) {
+        EndpointName engine = effect.engine().name();
+        send(dialect.order(effect), effect.engine(), answer -> {
+            OrderOutcome outcome = answer.map(received -> dialect.orderOutcome(received.status())
+                            .orElse(OrderOutcome.REJECTED))
+                    .orElse(OrderOutcome.UNANSWERED);
+            loop.accept(new OrderEvent.Ordered(engine, outcome));
+        });
+    }
+
+    /**
+     * Reads a report from an answer.
+     *
+     * @param engine The engine.
+     * @param answer The answer, if one arrived.
+     * @return The report.
+     */
+    private Optional<EngineReport> report(EndpointName engine, Optional<Answer> answer) {
+        if (answer.isEmpty() || answer.get().status() != OK) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(dialect.readReport(answer.get().body()));
+        } catch (IOException exception) {
+            LOGGER.warnf("event=report-unreadable endpoint=%s reason=\"%s\"", engine, exception.getMessage());
+            return Optional.empty();
+        }
+    }
+
+    /**
+     * Sends a call.
+     *
+     * @param request The call.
+     * @param engine The engine.
+     * @param then What follows the answer, or its absence.
+     */
+    private void send(Request.Builder request, RegisteredEndpoint engine, Consumer<Optional<Answer>> then) {
+        dialect.address(request, engine.name(), TIMEOUT);
+        http.call(request, new Transmission(), TIMEOUT).enqueue(new Callback() {
+
+            @Override
+            public void onFailure(Call _call, IOException exception) {
+                LOGGER.infof(
+                        "event=engine-call-failed endpoint=%s reason=\"%s\"",
+                        engine.name(), EndpointAttempts.describe(exception));
+                then.accept(Optional.empty());
+            }
+
+            @Override
+            public void onResponse(Call call, Response response) {
+                try (response) {
+                    then.accept(Optional.of(
+                            new Answer(response.code(), response.body().bytes())));
+                } catch (IOException exception) {
+                    onFailure(call, exception);
+                }
+            }
+        });
+    }
+
+    /**
+     * An answer.
+     *
+     * @param status The status.
+     * @param body The body.
+     */
+    private record Answer(int status, byte[] body) {}
+}
--- /dev/null
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/PendingReplies.java
@@ -0,0 +1,78 @@
+package io.yuccaswitch.node.gateway;
+
+import io.reactivex.rxjava3.disposables.Disposable;
+import io.yuccaswitch.core.batch.BatchAnswer;
+import io.yuccaswitch.core.batch.BatchEffect;
+import io.yuccaswitch.core.decision.Event;
+import io.yuccaswitch.node.decision.DecisionLoop;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongFunction;
+
+/** Calls about batch jobs that wait for the core's answer. */
+final class PendingReplies implements AutoCloseable {
+
+    /** The core. */
+    private final DecisionLoop loop;
+
+    /** The last ticket. */
+    private final AtomicLong tickets = new AtomicLong();
+
+    /** The calls, by their tickets. */
+    private final Map<Long, CompletableFuture<BatchAnswer>> waiting = new ConcurrentHashMap<>();
+
+    /** The subscription to answers. */
+    private final Disposable subscription;
+
+    /**
+     * Creates a table without calls and connects it to the core.
+     *
+     * @param loop The core.
+     */
+    PendingReplies(DecisionLoop loop) {
+        this.loop = loop;
+        subscription = loop.effects(BatchEffect.Reply.class).subscribe(this::complete);
+    }
+
+    /**
+     * Asks the core.
+     *
+     * @param call Builds the call from its ticket.
+     * @return The answer.
+     */
+    CompletableFuture<BatchAnswer> ask(LongFunction<Event> call) {
+        long ticket = tickets.incrementAndGet();
+        CompletableFuture<BatchAnswer> answer = new CompletableFuture<>();
+        waiting.put(ticket, answer);
+        loop.accept(call.apply(ticket));
+        return answer;
+    }
+
+    /**
+     * Returns the number of calls that wait.
+     *
+     * @return The number.
+     */
+    int size() {
+        return waiting.size();
+    }
+
+    @Override
+    public void close() {
+        subscription.dispose();
+    }
+
+    /**
+     * Answers a call.
+     *
+     * @param reply The answer.
+     */
+    private void complete(BatchEffect.Reply reply) {
+        CompletableFuture<BatchAnswer> answer = waiting.remove(reply.ticket());
+        if (answer != null) {
+            answer.completeAsync(reply::answer);
+        }
+    }
+}
--- /dev/null
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/PlainRequestHandler.java
@@ -0,0 +1,355 @@
+package io.yuccaswitch.node.gateway;
+
+import com.codahale.metrics.MetricRegistry;
+import io.yuccaswitch.core.identity.EndpointName;
+import io.yuccaswitch.core.identity.PoolName;
+import io.yuccaswitch.core.proxy.EndpointSelection;
+import io.yuccaswitch.core.proxy.RequestPlan;
+import io.yuccaswitch.core.registry.RegisteredEndpoint;
+import io.yuccaswitch.core.time.MonotonicTime;
+import io.yuccaswitch.node.decision.DecisionLoop;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.jboss.logging.Logger;
+
+/** Serves plain requests: sends each to endpoints as its plan allows, and passes the answer on whole or not at all. */
+final class PlainRequestHandler {
+
+    /** The status that tells that nothing ran, and when to come back. */
+    private static final int UNAVAILABLE = 503;
+
+    /** The status of an answer that was not usable, after the request may have run. */
+    private static final int BAD_GATEWAY = 502;
+
+    /** The status of a request whose time ran out after it may have run. */
+    private static final int GATEWAY_TIMEOUT = 504;
+
+    /** The lowest status that means an endpoint failed. */
+    private static final int SERVER_ERROR = 500;
+
+    /** When a caller whose request did not run should come back: about the time in which a place becomes free. */
+    private static final Duration RETRY_AFTER = Duration.ofMillis(50);
+
+    /** The least time that is worth an attempt. */
+    private static final Duration LEAST_TIME = Duration.ofMillis(5);
+
+    /** The headers of an answer that concern one connection only. */
+    private static final Set<String> HOP_HEADERS = Set.of(
+            "connection", "keep-alive", "transfer-encoding", "content-length", "te", "trailer", "upgrade",
+            "proxy-connection");
+
+    /** The logger. */
+    private static final Logger LOGGER = Logger.getLogger("io.yuccaswitch.request");
+
+    /** What the core knows. */
+    private final GatewayView view;
+
+    /** Sends requests to endpoints. */
+    private final EndpointAttempts attempts;
+
+    /** How endpoints speak. */
+    private final EndpointDialect dialect;
+
+    /** Chooses endpoints. It is guarded by itself. */
+    private final EndpointSelection selection;
+
+    /** The metrics. */
+    private final MetricRegistry metrics;
+
+    /**
+     * Creates a handler.
+     *
+     * @param view What the core knows.
+     * @param attempts Sends requests to endpoints.
+     * @param dialect How endpoints speak.
+     * @param selection Chooses endpoints.
+     * @param metrics The metrics.
+     */
+    PlainRequestHandler(
+            GatewayView view,
+            EndpointAttempts attempts,
+            EndpointDialect dialect,
+            EndpointSelection selection,
+            MetricRegistry metrics) {
+        this.view = view;
+        this.attempts = attempts;
+        this.dialect = dialect;
+        this.selection = selection;
+        this.metrics = metrics;
+    }
+
+    /**
+     * Serves a request on the calling thread.
+     *
+     * @param request The request.
+     * @param caller The caller.
+     * @param watched Tells when the caller goes.
+     * @throws IOException If the caller has gone.
+     */
+    void serve(PlainRequest request, CallerResponse caller, DisconnectWatch.Watched watched) throws IOException {
+        MonotonicTime arrived = DecisionLoop.now();
+        Optional<PoolName> pool = request.route().pick(ThreadLocalRandom.current().nextDouble());
+        Exchange exchange = new Exchange(request, caller, watched, pool);
+        String outcome = exchange.run();
+        long micros = DecisionLoop.now().since(arrived).toNanos() / 1000;
+        metrics.counter("gateway.requests." + outcome.replace(' ', '-')).inc();
+        metrics.timer("gateway.request-time").update(micros, TimeUnit.MICROSECONDS);
+        LOGGER.infof(
+                "event=request id=%s route=%s pool=%s outcome=\"%s\" attempts=\"%s\" configuration=%d micros=%d",
+                request.id(),
+                request.route().name(),
+                pool.map(PoolName::value).orElse("none"),
+                outcome,
+                exchange.history,
+                view.routes().map(routes -> routes.version()).orElse(0L),
+                micros);
+    }
+
+    /**
+     * Returns whether a header of an answer is passed on to the caller.
+     *
+     * @param name The header's name.
+     * @return {@code false} for headers that concern one connection only.
+     */
+    private static boolean passesBack(String name) {
+        return !HOP_HEADERS.contains(name.toLowerCase(Locale.ROOT));
+    }
+
+    /** One request on its way through one or more attempts. */
+    private final class Exchange {
+
+        /** The request. */
+        private final PlainRequest request;
+
+        /** The caller. */
+        private final CallerResponse caller;
+
+        /** Tells when the caller goes. */
+        private final DisconnectWatch.Watched watched;
+
+        /** The pool that serves the request. */
+        private final Optional<PoolName> pool;
+
+        /** The attempts. */
+        private final RequestPlan plan;
+
+        /** Passes the events of a stream on. */
+        private final EventRelay relay;
+
+        /** The endpoints and results of the attempts, for logs. */
+        private final StringBuilder history = new StringBuilder();
+
+        /**
+         * Creates an exchange.
+         *
+         * @param request The request.
+         * @param caller The caller.
+         * @param watched Tells when the caller goes.
+         * @param pool The pool that serves the request.
+         */
+        Exchange(
+                PlainRequest request,
+                CallerResponse caller,
+                DisconnectWatch.Watched watched,
+                Optional<PoolName> pool) {
+            this.request = request;
+            this.caller = caller;
+            this.watched = watched;
+            this.pool = pool;
+            plan = new RequestPlan(request.route());
+            relay = new EventRelay(dialect, caller, PlainRequestHandler::passesBack);
+        }
+
+        /**
+         * Makes attempts until the request is answered.
+         *
+         * @return The outcome, for logs.
+         * @throws IOException If the caller has gone.
+         */
+        String run() throws IOException {
+            while (true) {
+                Duration left = request.left(DecisionLoop.now());
+                if (left.compareTo(LEAST_TIME) < 0) {
+                    return giveUp("time is up", GATEWAY_TIMEOUT);
+                }
+                Optional<RegisteredEndpoint> endpoint = choose();
+                if (endpoint.isEmpty()) {
+                    return giveUp("no endpoint", BAD_GATEWAY);
+                }
+                AttemptResult result = attempt(endpoint.get(), left);
+                note(endpoint.get(), result);
+                if (watched.isGone()) {
+                    caller.abort();
+                    return "caller gone";
+                }
+                if (result instanceof AttemptResult.Relayed) {
+                    return "streamed";
+                }
+                if (result instanceof AttemptResult.Whole whole && !shouldRepeat(whole)) {
+                    caller.pass(whole, PlainRequestHandler::passesBack);
+                    return "answered";
+                }
+                if (!(result instanceof AttemptResult.NotRun)) {
+                    plan.mayHaveRun();
+                }
+                if (!plan.mayTryAgain()) {
+                    if (result instanceof AttemptResult.Whole whole) {
+                        caller.pass(whole, PlainRequestHandler::passesBack);
+                        return "answered";
+                    }
+                    return giveUp("attempts used up", BAD_GATEWAY);
+                }
+            }
+        }
+
+        /**
+         * Returns whether an answer is worth another attempt.
+         *
+         * @param whole The answer.
+         * @return {@code true} if the endpoint failed and another one may do better.
+         */
+        private boolean shouldRepeat(AttemptResult.Whole whole) {
+            return whole.status() >= SERVER_ERROR && request.route().mayRepeat();
+        }
+
+        /**
+         * Chooses the endpoint of the next attempt.
+         *
+         * @return The endpoint, or empty if there is none.
+         */
+        private Optional<RegisteredEndpoint> choose() {
+            List<RegisteredEndpoint> working = pool.map(view::endpoints).orElse(List.of());
+            synchronized (selection) {
+                Optional<RegisteredEndpoint> chosen = selection.choose(working, plan.tried(), DecisionLoop.now());
+                chosen.ifPresent(selection::begin);
+                return chosen;
+            }
+        }
+
+        /**
+         * Makes one attempt.
+         *
+         * @param endpoint The endpoint.
+         * @param left The time that is left.
+         * @return What became of it.
+         */
+        private AttemptResult attempt(RegisteredEndpoint endpoint, Duration left) {
+            EndpointName name = endpoint.name();
+            plan.begin(name);
+            MonotonicTime begun = DecisionLoop.now();
+            EndpointAttempts.Times times = new EndpointAttempts.Times(plan.attemptTime(left), left);
+            EndpointAttempts.Opened opened =
+                    attempts.open(request, endpoint, times, relay.lastEventId(), watched);
+            AttemptResult result = opened.failure().orElseGet(() -> receive(opened));
+            MonotonicTime now = DecisionLoop.now();
+            synchronized (selection) {
+                selection.end(endpoint);
+                measure(endpoint, result, now.since(begun), times, now);
+                opened.response()
+                        .map(response -> dialect.load(response.headers()))
+                        .ifPresent(load -> load.ifPresent(running -> selection.tell(endpoint, running, now)));
+            }
+            return result;
+        }
+
+        /**
+         * Takes what an attempt says of its endpoint.
+         *
+         * @param endpoint The endpoint.
+         * @param result What became of the attempt.
+         * @param took How long it took.
+         * @param times How long it might have taken.
+         * @param now The present.
+         */
+        private void measure(
+                RegisteredEndpoint endpoint,
+                AttemptResult result,
+                Duration took,
+                EndpointAttempts.Times times,
+                MonotonicTime now) {
+            if (result instanceof AttemptResult.Whole || result instanceof AttemptResult.Relayed) {
+                selection.succeed(endpoint, took, now);
+            } else if (took.compareTo(times.untilHead()) >= 0) {
+                selection.slow(endpoint, took, now);
+            } else if (!watched.isGone()) {
+                selection.fail(endpoint, now);
+            }
+        }
+
+        /**
+         * Reads or passes on an answer that has begun.
+         *
+         * @param opened The attempt in progress.
+         * @return What became of it.
+         */
+        private AttemptResult receive(EndpointAttempts.Opened opened) {
+            boolean success = opened.response().orElseThrow().isSuccessful();
+            if (relay.hasBegun() && !success) {
+                opened.discard();
+                return new AttemptResult.MayHaveRun("the stream was not resumed");
+            }
+            if (!success || !request.route().streaming()) {
+                return attempts.readWhole(opened);
+            }
+            try {
+                if (relay.relay(opened.response().get())) {
+                    opened.response().get().close();
+                    return new AttemptResult.Relayed();
+                }
+                opened.discard();
+                return new AttemptResult.MayHaveRun("the stream broke off");
+            } catch (EventRelay.CallerGoneException _exception) {
+                opened.discard();
+                return new AttemptResult.Relayed();
+            }
+        }
+
+        /**
+         * Notes an attempt for logs.
+         *
+         * @param endpoint The endpoint.
+         * @param result What became of it.
+         */
+        private void note(RegisteredEndpoint endpoint, AttemptResult result) {
+            String text = "answered";
+            if (result instanceof AttemptResult.NotRun notRun) {
+                text = "not run: " + notRun.reason();
+            } else if (result instanceof AttemptResult.MayHaveRun mayHaveRun) {
+                text = "may have run: " + mayHaveRun.reason();
+            } else if (result instanceof AttemptResult.Whole whole) {
+                text = "status " + whole.status();
+            }
+            history.append(history.length() > 0 ? "; " : "")
+                    .append(endpoint.name().value())
+                    .append(' ')
+                    .append(text);
+        }
+
+        /**
+         * Answers a request for which no attempt is left.
+         *
+         * @param reason Why, for logs.
+         * @param status The status if the request may have run.
+         * @return The outcome, for logs.
+         * @throws IOException If the caller has gone.
+         */
+        private String giveUp(String reason, int status) throws IOException {
+            if (relay.hasBegun()) {
+                caller.abort();
+                return "stream broken off, " + reason;
+            }
+            if (plan.hasMaybeRun()) {
+                caller.refuse(status, "the request may have run: " + reason, Optional.empty());
+                return "failed, " + reason;
+            }
+            caller.refuse(UNAVAILABLE, "the request has not run: " + reason, Optional.of(RETRY_AFTER));
+            return "not run, " + reason;
+        }
+    }
+}
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/peer/PeerMessages.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/peer/PeerMessages.java
@@ -1,5 +1,6 @@
 package io.yuccaswitch.node.peer;
 
+import io.yuccaswitch.core.batch.BatchMessage;
 import io.yuccaswitch.core.configuration.ConfigurationMessage;
 import io.yuccaswitch.core.endpoint.EndpointMessage;
 import io.yuccaswitch.core.lease.LeaseMessage;
@@ -32,6 +33,7 @@
         registerSample(builder);
         registerWeight(builder);
         registerEndpoint(builder);
+        builder.register(PeerMessageRange.BATCH, 120, BatchMessage.Ended.class);
         return builder.build();
     }
 
