--- a/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/PlatformClient.java
+++ b/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/PlatformClient.java
@@ -5,7 +5,11 @@
 import io.reactivex.rxjava3.schedulers.Schedulers;
 import io.yuccaswitch.core.platform.PlatformEffect;
 import io.yuccaswitch.core.platform.PlatformEvent;
+import io.yuccaswitch.core.platform.PlatformPurpose;
+import io.yuccaswitch.core.platform.StoredObject;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -43,8 +47,8 @@
     /** The sender of requests. */
     private final HttpTransport transport;
 
-    /** The builder of requests. */
-    private final PlatformRequests requests;
+    /** How calls are written and answers read. */
+    private final ObjectApiDialect dialect;
 
     /** The calls that may be made now. */
     private final CallBudget budget;
@@ -71,8 +75,19 @@
      * @param registry The registry that takes the client's metrics.
      */
     public PlatformClient(PlatformClientSettings settings, MetricRegistry registry) {
+        this(settings, registry, new StandardDialect(settings));
+    }
+
+    /**
+     * Creates a client that speaks another dialect.
+     *
+     * @param settings The settings.
+     * @param registry The registry of metrics.
+     * @param dialect How calls are written and answers read.
+     */
+    public PlatformClient(PlatformClientSettings settings, MetricRegistry registry, ObjectApiDialect dialect) {
         transport = new HttpTransport(settings);
-        requests = new PlatformRequests(settings);
+        this.dialect = dialect;
         budget = new CallBudget(settings.rates(), clock);
         RetrySettings retry = settings.retry();
         retryBudget = new RetryBudget(retry.share());
@@ -106,7 +121,63 @@
                     retryBudget.earn();
                     return attempt(effect, 1);
                 })
-                .map(Attempt::event);
+                .map(Attempt::event)
+                .flatMap(event -> remainingPages(effect, event))
+                .flatMap(event -> conflictingObject(effect, event));
+    }
+
+    /**
+     * Reads the object that a write conflicts with, if the answer did not bear it.
+     *
+     * @param effect The call.
+     * @param event The answer to the call.
+     * @return The answer with the object, if there is one.
+     */
+    private Single<PlatformEvent> conflictingObject(PlatformEffect effect, PlatformEvent event) {
+        if (!(effect instanceof PlatformEffect.Write write)
+                || !(event instanceof PlatformEvent.Conflict conflict)
+                || conflict.current().isPresent()) {
+            return Single.just(event);
+        }
+        return execute(new PlatformEffect.Read(write.token(), write.purpose(), write.key()))
+                .map(read -> read instanceof PlatformEvent.ObjectRead found
+                        ? new PlatformEvent.Conflict(write.token(), found.object())
+                        : event);
+    }
+
+    /**
+     * Reads the further pages of a list.
+     *
+     * @param effect The call.
+     * @param event The answer to the call.
+     * @return The answer with the objects of all pages and the version of the first one, from which a watch misses
+     *     nothing.
+     */
+    private Single<PlatformEvent> remainingPages(PlatformEffect effect, PlatformEvent event) {
+        if (!(effect instanceof PlatformEffect.ListKind list)
+                || !(event instanceof PlatformEvent.ObjectsListed page)
+                || !page.more()
+                || page.objects().isEmpty()) {
+            return Single.just(event);
+        }
+        String last = page.objects().get(page.objects().size() - 1).key().name();
+        return execute(list.withAfter(last)).map(rest -> join(page, rest));
+    }
+
+    /**
+     * Joins a page with the answer for the pages behind it.
+     *
+     * @param page The page.
+     * @param rest The answer for the pages behind it.
+     * @return The joined list, or the failure of the further pages.
+     */
+    private static PlatformEvent join(PlatformEvent.ObjectsListed page, PlatformEvent rest) {
+        if (!(rest instanceof PlatformEvent.ObjectsListed further)) {
+            return rest;
+        }
+        List<StoredObject> objects = new ArrayList<>(page.objects());
+        objects.addAll(further.objects());
+        return new PlatformEvent.ObjectsListed(page.token(), objects, page.version(), false);
     }
 
     /**
@@ -197,10 +268,10 @@
         long sentAt = clock.getAsLong();
         boolean watches = effect instanceof PlatformEffect.Watch;
         return transport
-                .send(requests.build(effect, admission == Circuit.Admission.PROBE), watches)
+                .send(dialect.request(effect, admission == Circuit.Admission.PROBE), watches)
                 .doOnDispose(() -> circuit.abandoned(admission))
                 .map(reply -> {
-                    Attempt attempt = PlatformReplies.decode(effect, reply);
+                    Attempt attempt = PlatformReplies.decode(dialect, effect, reply);
                     if (reply instanceof Reply.Answered) {
                         metrics.heard(effect.purpose(), sentAt, !watches);
                     }
--- a/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/PlatformRequests.java
+++ b/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/PlatformRequests.java
@@ -70,7 +70,7 @@
             condition(request, OptionalLong.of(delete.expectedVersion()));
             request.url(object(delete.key())).delete();
         } else if (effect instanceof PlatformEffect.Watch watch) {
-            request.url(watch(watch, probe ? Duration.ZERO : watchWait));
+            request.url(watch(watch, probe ? Duration.ZERO : watch.waitTime().orElse(watchWait)));
         } else {
             request.url(address.newBuilder().addPathSegment("virtual-machines").build());
         }
--- a/yuccaswitch-protocol/src/main/java/io/yuccaswitch/protocol/PeerMessageRange.java
+++ b/yuccaswitch-protocol/src/main/java/io/yuccaswitch/protocol/PeerMessageRange.java
@@ -13,7 +13,9 @@
     /** Messages about weight versions and leases. */
     WEIGHT(80, 99),
     /** Messages about endpoints. */
-    ENDPOINT(100, 119);
+    ENDPOINT(100, 119),
+    /** Messages about batch jobs. */
+    BATCH(120, 139);
 
     /** The first number of the range. */
     private final int first;
