--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchAdmissionSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchAdmissionSystem.java
@@ -91,8 +91,7 @@
      * @param current The object that is there.
      */
     private void compare(Tick tick, Submission submission, Optional<StoredObject> current) {
-        Optional<BatchJob> written =
-                current.flatMap(object -> state.codec().readJob(object.value()));
+        Optional<BatchJob> written = current.flatMap(object -> state.codec().readJob(object.value()));
         if (written.isPresent() && !written.get().asksTheSame(submission.job())) {
             finish(tick, submission, new BatchAnswer.Mismatch(), "the identifier is taken by other work");
             return;
@@ -109,7 +108,10 @@
     private void createEntry(Tick tick, Submission submission) {
         BatchJob job = submission.job();
         BatchIndexEntry entry = new BatchIndexEntry(
-                job.id(), state.membership().self().identity().name(), false, job.items().size());
+                job.id(),
+                state.membership().self().identity().name(),
+                false,
+                job.items().size());
         create(tick, BatchObjects.index(job.id()), state.codec().writeEntry(entry), (later, event) -> {
             if (event instanceof PlatformEvent.Accepted) {
                 accept(later, submission);
@@ -133,23 +135,20 @@
     private void readBack(Tick tick, Submission submission, int left) {
         ObjectKey key = BatchObjects.index(submission.job().id());
         state.calls()
-                .call(
-                        tick,
-                        token -> new PlatformEffect.Read(token, PlatformPurpose.BATCH, key),
-                        (later, event) -> {
-                            if (event instanceof PlatformEvent.ObjectRead read
-                                    && read.object().isPresent()) {
-                                accept(later, submission);
-                            } else if (left > 1) {
-                                readBack(later, submission, left - 1);
-                            } else {
-                                finish(
-                                        later,
-                                        submission,
-                                        new BatchAnswer.Unsure("the platform did not answer"),
-                                        describe(event));
-                            }
-                        });
+                .call(tick, token -> new PlatformEffect.Read(token, PlatformPurpose.BATCH, key), (later, event) -> {
+                    if (event instanceof PlatformEvent.ObjectRead read
+                            && read.object().isPresent()) {
+                        accept(later, submission);
+                    } else if (left > 1) {
+                        readBack(later, submission, left - 1);
+                    } else {
+                        finish(
+                                later,
+                                submission,
+                                new BatchAnswer.Unsure("the platform did not answer"),
+                                describe(event));
+                    }
+                });
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchCommitSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchCommitSystem.java
@@ -14,8 +14,8 @@
 import java.util.OptionalLong;
 
 /**
- * Lists results on the platform. Each object of results is created under the number behind the last known one, such that
- * of two nodes that run one job only one creates it; the other reads the winner's and goes on behind it.
+ * Lists results on the platform. Each object of results is created under the number behind the last known one, such
+ * that of two nodes that run one job only one creates it; the other reads the winner's and goes on behind it.
  */
 final class BatchCommitSystem implements DecisionSystem {
 
@@ -82,8 +82,7 @@
      * @param results The results that were sent.
      * @param event The answer.
      */
-    private void receive(
-            Tick tick, RunningJob job, ResultLog log, List<BatchResult> results, PlatformEvent event) {
+    private void receive(Tick tick, RunningJob job, ResultLog log, List<BatchResult> results, PlatformEvent event) {
         BatchJobId id = job.job().id();
         if (event instanceof PlatformEvent.Accepted) {
             append(tick, job, log, results, "listed");
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchEndSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchEndSystem.java
@@ -34,7 +34,10 @@
     public void run(Tick tick) {
         for (PeerEvent.Received received : tick.events(PeerEvent.Received.class)) {
             if (received.message() instanceof BatchMessage.Ended ended) {
-                stop(tick, new BatchJobId(ended.id()), "told by " + received.sender().name());
+                stop(
+                        tick,
+                        new BatchJobId(ended.id()),
+                        "told by " + received.sender().name());
             }
         }
         for (BatchEvent.EndRequested request : tick.events(BatchEvent.EndRequested.class)) {
@@ -63,8 +66,7 @@
         Optional<StoredObject> object = event instanceof PlatformEvent.ObjectRead read
                 ? read.object()
                 : event instanceof PlatformEvent.Conflict conflict ? conflict.current() : Optional.empty();
-        Optional<BatchIndexEntry> entry =
-                object.flatMap(stored -> state.codec().readEntry(stored.value()));
+        Optional<BatchIndexEntry> entry = object.flatMap(stored -> state.codec().readEntry(stored.value()));
         if (entry.isEmpty()) {
             reply(tick, request, new BatchAnswer.Unknown());
             return;
@@ -128,7 +130,7 @@
      */
     private static void reply(Tick tick, BatchEvent.EndRequested request, BatchAnswer answer) {
         tick.emit(new BatchEffect.Reply(request.ticket(), answer));
-        tick.decide(Decision.of(
-                "batch-end", request.id().value(), answer.getClass().getSimpleName(), "asked by a caller"));
+        tick.decide(
+                Decision.of("batch-end", request.id().value(), answer.getClass().getSimpleName(), "asked by a caller"));
     }
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchJob.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchJob.java
@@ -55,8 +55,9 @@
     public boolean asksTheSame(BatchJob other) {
         return model.equals(other.model)
                 && minimumVersion == other.minimumVersion
-                && items.stream().map(BatchItem::id).toList().equals(other.items.stream()
+                && items.stream()
                         .map(BatchItem::id)
-                        .toList());
+                        .toList()
+                        .equals(other.items.stream().map(BatchItem::id).toList());
     }
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchOwnershipSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchOwnershipSystem.java
@@ -22,9 +22,9 @@
 import java.util.Set;
 
 /**
- * Sees to it that each accepted job is run by a living node: takes back the jobs of this node's earlier life, takes over
- * those of nodes that are gone, and gives up those that another node has taken over. A claim only saves work; the order
- * of results is safe without it.
+ * Sees to it that each accepted job is run by a living node: takes back the jobs of this node's earlier life, takes
+ * over those of nodes that are gone, and gives up those that another node has taken over. A claim only saves work; the
+ * order of results is safe without it.
  */
 final class BatchOwnershipSystem implements DecisionSystem {
 
@@ -195,7 +195,8 @@
      */
     private void claim(Tick tick, BatchIndexEntry entry, long version) {
         taking.add(entry.id());
-        BatchIndexEntry own = entry.withRunner(state.membership().self().identity().name());
+        BatchIndexEntry own =
+                entry.withRunner(state.membership().self().identity().name());
         state.calls()
                 .call(
                         tick,
@@ -235,7 +236,8 @@
                         token -> new PlatformEffect.Read(token, PlatformPurpose.BATCH, BatchObjects.job(id)),
                         (later, event) -> {
                             Optional<BatchJob> job = event instanceof PlatformEvent.ObjectRead found
-                                    ? found.object().flatMap(object -> state.codec().readJob(object.value()))
+                                    ? found.object()
+                                            .flatMap(object -> state.codec().readJob(object.value()))
                                     : Optional.empty();
                             if (job.isEmpty()) {
                                 taking.remove(id);
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchReadSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchReadSystem.java
@@ -245,8 +245,7 @@
         state.calls()
                 .call(
                         tick,
-                        token -> new PlatformEffect.Read(
-                                token, PlatformPurpose.BATCH, BatchObjects.job(request.id())),
+                        token -> new PlatformEffect.Read(token, PlatformPurpose.BATCH, BatchObjects.job(request.id())),
                         (later, event) ->
                                 later.emit(new BatchEffect.Reply(request.ticket(), bodyOf(request.item(), event))));
     }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchRunSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchRunSystem.java
@@ -68,8 +68,10 @@
             return;
         }
         List<RegisteredEndpoint> engines = state.registry().working(pool.get().pool()).stream()
-                .filter(engine -> engine.servesAtLeast(job.job().model(), job.job().minimumVersion()))
-                .filter(engine -> !state.loads().isPaused(engine.name(), job.job().model(), tick.now()))
+                .filter(engine ->
+                        engine.servesAtLeast(job.job().model(), job.job().minimumVersion()))
+                .filter(engine ->
+                        !state.loads().isPaused(engine.name(), job.job().model(), tick.now()))
                 .toList();
         for (RunningItem item : job.items()) {
             if (item.isWaiting()) {
@@ -102,8 +104,8 @@
         return free.stream()
                 .min(Comparator.comparingLong((RegisteredEndpoint engine) ->
                                 -engine.version(model).orElse(0))
-                        .thenComparingDouble(engine ->
-                                (double) state.loads().running(engine.name()) / Math.max(1, engine.slots())));
+                        .thenComparingDouble(
+                                engine -> (double) state.loads().running(engine.name()) / Math.max(1, engine.slots())));
     }
 
     /**
@@ -116,7 +118,8 @@
      * @param route The job's route.
      */
     private void start(Tick tick, RunningJob job, RunningItem item, RegisteredEndpoint engine, Route route) {
-        if (!route.resumable() || breaksSingleVersion(route, item, engine, job.job().model())) {
+        if (!route.resumable()
+                || breaksSingleVersion(route, item, engine, job.job().model())) {
             item.keep(ItemText.EMPTY);
         }
         int attempt = item.begin(engine.name());
@@ -134,8 +137,9 @@
                 "batch-item",
                 item.item().id(),
                 engine.name().value(),
-                "job " + job.job().id() + " attempt " + attempt + " behind event " + item.text().lastEventId()
-                        + " engine version " + engine.version(job.job().model()).orElse(0)));
+                "job " + job.job().id() + " attempt " + attempt + " behind event "
+                        + item.text().lastEventId() + " engine version "
+                        + engine.version(job.job().model()).orElse(0)));
     }
 
     /**
@@ -147,8 +151,7 @@
      * @param model The model.
      * @return {@code true} if the item has to begin anew there.
      */
-    private static boolean breaksSingleVersion(
-            Route route, RunningItem item, RegisteredEndpoint engine, String model) {
+    private static boolean breaksSingleVersion(Route route, RunningItem item, RegisteredEndpoint engine, String model) {
         boolean single = route.batch().filter(Route.BatchTerms::singleVersion).isPresent();
         return single
                 && !item.text().isEmpty()
@@ -190,9 +193,8 @@
         EndpointName engine = item.get().stop().orElseThrow();
         state.loads().end(engine);
         String model = job.get().job().model();
-        ended.text().versions().stream()
-                .max(Comparator.naturalOrder())
-                .ifPresent(version -> state.registry().noteVersion(tick, engine, model, version));
+        ended.text().versions().stream().max(Comparator.naturalOrder()).ifPresent(version -> state.registry()
+                .noteVersion(tick, engine, model, version));
         item.get().keep(item.get().text().append(ended.text()));
         AttemptOutcome outcome = ended.outcome();
         if (outcome instanceof AttemptOutcome.Completed) {
@@ -293,7 +295,6 @@
      */
     private static void finish(Tick tick, RunningItem item, BatchResult result, String reason) {
         item.finish(result);
-        tick.decide(Decision.of(
-                "batch-item", item.item().id(), result.completed() ? "completed" : "given up", reason));
+        tick.decide(Decision.of("batch-item", item.item().id(), result.completed() ? "completed" : "given up", reason));
     }
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
@@ -155,6 +155,7 @@
      */
     private boolean isRunning(ResultLog log) {
         return running.view().stream()
-                .anyMatch(job -> logs.find(job.job().id()).filter(own -> own == log).isPresent());
+                .anyMatch(job ->
+                        logs.find(job.job().id()).filter(own -> own == log).isPresent());
     }
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/MembershipState.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/MembershipState.java
@@ -42,7 +42,11 @@
      * @param initialSettings The settings until a configuration is in force.
      * @return The state.
      */
-    static MembershipState of(Member self, ConfigurationView configuration, MembershipOptions options, MembershipSettings initialSettings) {
+    static MembershipState of(
+            Member self,
+            ConfigurationView configuration,
+            MembershipOptions options,
+            MembershipSettings initialSettings) {
         MemberTable table = new MemberTable(new MemberRow(self, 0));
         NewsQueue news = new NewsQueue();
         MemberTimers timers = new MemberTimers();
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/EngineAssignment.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/EngineAssignment.java
@@ -65,8 +65,7 @@
      * @param share The number of engines of a full share.
      * @return The model.
      */
-    private String bestFor(
-            RegisteredEndpoint engine, Collection<String> served, Map<String, Long> named, int share) {
+    private String bestFor(RegisteredEndpoint engine, Collection<String> served, Map<String, Long> named, int share) {
         return served.stream()
                 .min(Comparator.comparing((String model) -> count(model) >= share)
                         .thenComparingLong(model -> lag(engine, model, named))
@@ -105,8 +104,10 @@
      */
     private void balance(Collection<String> served) {
         while (true) {
-            String largest = served.stream().max(Comparator.comparingLong(this::count)).orElseThrow();
-            String smallest = served.stream().min(Comparator.comparingLong(this::count)).orElseThrow();
+            String largest =
+                    served.stream().max(Comparator.comparingLong(this::count)).orElseThrow();
+            String smallest =
+                    served.stream().min(Comparator.comparingLong(this::count)).orElseThrow();
             if (count(largest) - count(smallest) < 2) {
                 return;
             }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/LeaseValue.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/LeaseValue.java
@@ -27,11 +27,7 @@
      */
     Bytes encode() {
         return Bytes.ofUtf8(String.join(
-                SEPARATOR,
-                holder.value(),
-                Long.toString(fence),
-                Boolean.toString(released),
-                Long.toString(renewal)));
+                SEPARATOR, holder.value(), Long.toString(fence), Boolean.toString(released), Long.toString(renewal)));
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/OrderLease.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/OrderLease.java
@@ -222,8 +222,7 @@
         calling = true;
         calls.call(
                 tick,
-                token ->
-                        new PlatformEffect.Write(token, PlatformPurpose.LEASE, KEY, expected, value.encode()),
+                token -> new PlatformEffect.Write(token, PlatformPurpose.LEASE, KEY, expected, value.encode()),
                 (later, event) -> {
                     calling = false;
                     if (event instanceof PlatformEvent.Accepted accepted) {
@@ -246,8 +245,11 @@
     private void grant(Tick tick, Observation granted, MonotonicTime sentAt) {
         observed = Optional.of(granted);
         if (!held) {
-            tick.decide(Decision.of("order-lease", holderName().value(), "held", "fence "
-                    + granted.value().fence() + " version " + granted.version()));
+            tick.decide(Decision.of(
+                    "order-lease",
+                    holderName().value(),
+                    "held",
+                    "fence " + granted.value().fence() + " version " + granted.version()));
         }
         held = true;
         permittedUntil = sentAt.plus(PERMISSION);
@@ -276,7 +278,8 @@
                     "order-lease",
                     holderName().value(),
                     "lost",
-                    "taken by " + value.get().holder() + " with fence " + value.get().fence()));
+                    "taken by " + value.get().holder() + " with fence "
+                            + value.get().fence()));
         }
         held = own;
     }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/VersionOrderSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/VersionOrderSystem.java
@@ -22,8 +22,8 @@
 
 /**
  * Brings engines to the versions that trainers name, a few at a time, as long as this node is permitted to give orders.
- * Each order follows a report of the engine, names the number of orders that the engine has accepted, and is followed by
- * reports until the version is there.
+ * Each order follows a report of the engine, names the number of orders that the engine has accepted, and is followed
+ * by reports until the version is there.
  */
 final class VersionOrderSystem implements DecisionSystem {
 
@@ -37,7 +37,7 @@
     private static final Duration ORDER_TIME = Duration.ofMillis(600);
 
     /** How long a load takes at least, before which no report is worth its price. */
-    private static final Duration LOADING_TIME = Duration.ofMillis(1000);
+    private static final Duration LOADING_TIME = Duration.ofSeconds(1);
 
     /** The pause between reports while an engine loads, or after an answer that did not help. */
     private static final Duration REPORT_INTERVAL = Duration.ofMillis(300);
@@ -205,9 +205,8 @@
      * @param read The report.
      */
     private void takeReport(Tick tick, OrderEvent.ReportRead read) {
-        read.report()
-                .ifPresent(report -> report.versions()
-                        .forEach((model, version) -> registry.noteVersion(tick, read.engine(), model, version)));
+        read.report().ifPresent(report -> report.versions()
+                .forEach((model, version) -> registry.noteVersion(tick, read.engine(), model, version)));
         Optional<EngineOrderRow> row =
                 rows.find(read.engine()).filter(found -> found.stage() == EngineOrderRow.Stage.READING);
         if (row.isEmpty()) {
@@ -248,13 +247,7 @@
                 .isPresent();
         rows.put(row.engine().name(), row.withStage(EngineOrderRow.Stage.ORDERING, tick.now(), ORDER_TIME));
         tick.emit(new OrderEffect.LoadVersion(
-                row.engine(),
-                row.model(),
-                row.version(),
-                retains,
-                lease.holderName(),
-                fence.getAsLong(),
-                sequence));
+                row.engine(), row.model(), row.version(), retains, lease.holderName(), fence.getAsLong(), sequence));
         tick.decide(Decision.of(
                 "order",
                 row.engine().name().value(),
@@ -281,18 +274,17 @@
                 row.get().model() + " version " + row.get().version()));
         EndpointName name = ordered.engine();
         switch (ordered.outcome()) {
-            case STARTED -> rows.put(
-                    name, row.get().withStage(EngineOrderRow.Stage.LOADING, tick.now(), LOADING_TIME));
+            case STARTED -> rows.put(name, row.get().withStage(EngineOrderRow.Stage.LOADING, tick.now(), LOADING_TIME));
             case HOLDS -> {
                 registry.noteVersion(tick, name, row.get().model(), row.get().version());
                 rows.remove(name);
             }
-            case CONFLICT -> rows.put(
-                    name, row.get().withStage(EngineOrderRow.Stage.WAITING, tick.now(), REPORT_INTERVAL));
-            case UNANSWERED -> rows.put(
-                    name, row.get().withStage(EngineOrderRow.Stage.WAITING, tick.now(), UNANSWERED_PAUSE));
-            case REJECTED, GONE -> rows.put(
-                    name, row.get().withStage(EngineOrderRow.Stage.WAITING, tick.now(), FAILURE_PAUSE));
+            case CONFLICT ->
+                rows.put(name, row.get().withStage(EngineOrderRow.Stage.WAITING, tick.now(), REPORT_INTERVAL));
+            case UNANSWERED ->
+                rows.put(name, row.get().withStage(EngineOrderRow.Stage.WAITING, tick.now(), UNANSWERED_PAUSE));
+            case REJECTED, GONE ->
+                rows.put(name, row.get().withStage(EngineOrderRow.Stage.WAITING, tick.now(), FAILURE_PAUSE));
         }
     }
 
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/proxy/EndpointSelection.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/proxy/EndpointSelection.java
@@ -14,8 +14,8 @@
 import java.util.Set;
 
 /**
- * Chooses endpoints for plain requests by this node's own measurements and the loads that endpoints tell. Endpoints that
- * failed are left alone for a while, unless all of them did.
+ * Chooses endpoints for plain requests by this node's own measurements and the loads that endpoints tell. Endpoints
+ * that failed are left alone for a while, unless all of them did.
  */
 public final class EndpointSelection {
 
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/registry/EndpointRegistrySystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/registry/EndpointRegistrySystem.java
@@ -55,8 +55,7 @@
      * @param tokens Hands out the tokens of calls.
      * @param decoder Reads an entry, or returns empty where it can't be read.
      */
-    public EndpointRegistrySystem(
-            PlatformTokens tokens, Function<StoredObject, Optional<RegisteredEndpoint>> decoder) {
+    public EndpointRegistrySystem(PlatformTokens tokens, Function<StoredObject, Optional<RegisteredEndpoint>> decoder) {
         watch = new KindWatch(KIND, PlatformPurpose.DISCOVERY, tokens, GATHERING);
         this.decoder = decoder;
     }
@@ -114,7 +113,11 @@
         if (row.isEmpty() || row.get().endpoint().servesAtLeast(model, version)) {
             return;
         }
-        entries.put(name.value(), new Row(row.get().endpoint().withVersion(model, version), row.get().lapsedAt()));
+        entries.put(
+                name.value(),
+                new Row(
+                        row.get().endpoint().withVersion(model, version),
+                        row.get().lapsedAt()));
         tick.emit(new RegistryEffect.Changed(working()));
     }
 
@@ -163,8 +166,11 @@
         entries.put(name, new Row(endpoint, Optional.empty()));
         boolean news = before.isEmpty() || before.get().leaving() != endpoint.leaving();
         if (news) {
-            decide(tick, endpoint.name(), endpoint.leaving() ? "leaving" : "working", "entry version "
-                    + object.version());
+            decide(
+                    tick,
+                    endpoint.name(),
+                    endpoint.leaving() ? "leaving" : "working",
+                    "entry version " + object.version());
         }
         return before.isEmpty() || !before.get().equals(endpoint);
     }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/route/RouteConfiguration.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/route/RouteConfiguration.java
@@ -98,8 +98,10 @@
     public boolean demandsSingleVersion(PoolName pool) {
         return byHost.values().stream()
                 .flatMap(List::stream)
-                .filter(route -> route.pools().stream().anyMatch(share -> share.pool().equals(pool)))
-                .anyMatch(route -> route.batch().filter(Route.BatchTerms::singleVersion).isPresent());
+                .filter(route ->
+                        route.pools().stream().anyMatch(share -> share.pool().equals(pool)))
+                .anyMatch(route ->
+                        route.batch().filter(Route.BatchTerms::singleVersion).isPresent());
     }
 
     /**
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/AttemptResult.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/AttemptResult.java
@@ -1,5 +1,6 @@
 package io.yuccaswitch.node.gateway;
 
+import io.yuccaswitch.core.value.Bytes;
 import okhttp3.Headers;
 
 /** What became of one attempt to have a plain request answered by an endpoint. */
@@ -12,7 +13,7 @@
      * @param headers The headers.
      * @param body The body.
      */
-    record Whole(int status, Headers headers, byte[] body) implements AttemptResult {}
+    record Whole(int status, Headers headers, Bytes body) implements AttemptResult {}
 
     /** The answer was a stream, which was passed on to its end or broken off for good. */
     record Relayed() implements AttemptResult {}
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/CallerResponse.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/CallerResponse.java
@@ -52,9 +52,9 @@
      */
     void pass(AttemptResult.Whole answer, Predicate<String> passes) throws IOException {
         begin(answer.status(), answer.headers(), passes);
-        response.setContentLength(answer.body().length);
+        response.setContentLength(answer.body().size());
         connection.release();
-        response.getOutputStream().write(answer.body());
+        response.getOutputStream().write(answer.body().unsafeArray());
         response.getOutputStream().close();
     }
 
@@ -112,8 +112,8 @@
     void refuse(int status, String text, Optional<Duration> retryAfter) throws IOException {
         byte[] body = text.getBytes(java.nio.charset.StandardCharsets.UTF_8);
         response.setStatus(status);
-        retryAfter.ifPresent(time ->
-                response.setHeader(RETRY_AFTER, String.format(Locale.ROOT, "%.2f", time.toMillis() / MILLIS)));
+        retryAfter.ifPresent(
+                time -> response.setHeader(RETRY_AFTER, String.format(Locale.ROOT, "%.2f", time.toMillis() / MILLIS)));
         answer("text/plain", body);
     }
 
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/DisconnectWatch.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/DisconnectWatch.java
@@ -3,8 +3,10 @@
 import io.reactivex.rxjava3.core.Observable;
 import io.reactivex.rxjava3.disposables.Disposable;
 import java.time.Duration;
-import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
+import java.util.Collections;
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import okhttp3.Call;
 
@@ -15,15 +17,15 @@
     private static final Duration INTERVAL = Duration.ofMillis(120);
 
     /** The requests in progress. */
-    private final Map<Watched, Boolean> watched = new ConcurrentHashMap<>();
+    private final Set<Watched> watched =
+            Collections.newSetFromMap(Collections.synchronizedMap(new IdentityHashMap<>()));
 
     /** The timer. */
     private final Disposable timer;
 
     /** Creates a watch without requests and starts its timer. */
     DisconnectWatch() {
-        timer = Observable.interval(INTERVAL.toMillis(), TimeUnit.MILLISECONDS)
-                .subscribe(_tick -> watched.keySet().forEach(Watched::look));
+        timer = Observable.interval(INTERVAL.toMillis(), TimeUnit.MILLISECONDS).subscribe(_tick -> look());
     }
 
     /**
@@ -34,7 +36,7 @@
      */
     Watched watch(ClientConnection connection) {
         Watched added = new Watched(connection);
-        watched.put(added, true);
+        watched.add(added);
         return added;
     }
 
@@ -43,6 +45,15 @@
         timer.dispose();
     }
 
+    /** Looks at all requests in progress. */
+    private void look() {
+        List<Watched> current;
+        synchronized (watched) {
+            current = List.copyOf(watched);
+        }
+        current.forEach(Watched::look);
+    }
+
     /** A request whose caller is watched. */
     final class Watched implements AutoCloseable {
 
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointAttempts.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointAttempts.java
@@ -109,7 +109,7 @@
                 opened.discard();
                 return new AttemptResult.MayHaveRun("the answer is too large");
             }
-            return new AttemptResult.Whole(response.code(), response.headers(), body);
+            return new AttemptResult.Whole(response.code(), response.headers(), Bytes.wrap(body));
         } catch (IOException exception) {
             opened.discard();
             return new AttemptResult.MayHaveRun("the answer broke off: " + describe(exception));
@@ -167,10 +167,10 @@
      * @return The body, or {@code null} where the method allows none.
      */
     private static OneShotBody bodyOf(PlainRequest request) {
-        if (BODILESS.contains(request.method()) && request.body().length == 0) {
+        if (BODILESS.contains(request.method()) && request.body().size() == 0) {
             return null;
         }
-        return new OneShotBody("", Bytes.wrap(request.body()));
+        return new OneShotBody("", request.body());
     }
 
     /**
@@ -189,8 +189,7 @@
      * @param transmission The watcher of the call.
      * @param call The call.
      */
-    record Opened(
-            Optional<Response> response, Optional<AttemptResult> failure, Transmission transmission, Call call) {
+    record Opened(Optional<Response> response, Optional<AttemptResult> failure, Transmission transmission, Call call) {
 
         /**
          * Creates an attempt that failed.
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EventRelay.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EventRelay.java
@@ -107,9 +107,7 @@
      * @return {@code false} if an event is missing or comes twice.
      */
     private boolean isNext(ServerSentEvents.Event event) {
-        return lastEventId.isEmpty()
-                || event.id().isEmpty()
-                || event.id().getAsLong() == lastEventId.get() + 1;
+        return lastEventId.isEmpty() || event.id().isEmpty() || event.id().getAsLong() == lastEventId.get() + 1;
     }
 
     /** Tells that the caller has gone. */
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
@@ -45,8 +45,8 @@
     private static final Duration WATCH_TIME = Duration.ofSeconds(20);
 
     /** When the platform is tried again after failures: within a second of its return. */
-    private static final CircuitSettings CIRCUIT = new CircuitSettings(
-            4, Duration.ofMillis(150), Duration.ofMillis(700), Duration.ofMillis(500));
+    private static final CircuitSettings CIRCUIT =
+            new CircuitSettings(4, Duration.ofMillis(150), Duration.ofMillis(700), Duration.ofMillis(500));
 
     /** How connections to endpoints behave. They are in the same region, and close idle connections after seconds. */
     private static final EndpointClientSettings ENDPOINTS = new EndpointClientSettings(
@@ -244,7 +244,8 @@
      */
     private void awaitIdle(long begun) throws InterruptedException {
         long end = begun + settings.stopTime().minus(STOP_MARGIN).toNanos();
-        while (System.nanoTime() < end && (server.inProgress() > 0 || core.batches().runningJobs() > 0)) {
+        while (System.nanoTime() < end
+                && (server.inProgress() > 0 || core.batches().runningJobs() > 0)) {
             TimeUnit.MILLISECONDS.sleep(STOP_INTERVAL.toMillis());
         }
     }
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayCore.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayCore.java
@@ -18,8 +18,8 @@
 final class GatewayCore {
 
     /**
-     * The times of the membership. A VM that is gone has to be known within about two seconds, as callers are sent to it
-     * and its batch jobs wait meanwhile.
+     * The times of the membership. A VM that is gone has to be known within about two seconds, as callers are sent to
+     * it and its batch jobs wait meanwhile.
      */
     private static final MembershipSettings MEMBERSHIP =
             new MembershipSettings(Duration.ofMillis(250), Duration.ofMillis(700), Duration.ofSeconds(5));
@@ -67,8 +67,8 @@
         RouteConfigurationSystem routes = new RouteConfigurationSystem(tokens, dialects.routeConfigurations());
         versions = new VersionSystems(
                 membership, registry, routes, tokens, dialects.namedVersions(), settings.orderSafetyTime());
-        batches = new BatchSystem(
-                membership, registry, routes, new JsonBatchCodec(), tokens, System::currentTimeMillis);
+        batches =
+                new BatchSystem(membership, registry, routes, new JsonBatchCodec(), tokens, System::currentTimeMillis);
         core = new DecisionCore(
                 List.of(
                         routes,
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayServer.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayServer.java
@@ -9,6 +9,7 @@
 import io.yuccaswitch.core.route.Route;
 import io.yuccaswitch.core.route.RouteConfiguration;
 import io.yuccaswitch.core.time.MonotonicTime;
+import io.yuccaswitch.core.value.Bytes;
 import io.yuccaswitch.node.HostAndPort;
 import io.yuccaswitch.node.decision.DecisionLoop;
 import java.io.IOException;
@@ -151,13 +152,7 @@
 
     /** Accepts no further connections, and keeps serving those that there are. */
     void stopAccepting() {
-        connectors.forEach(connector -> {
-            try {
-                connector.shutdown();
-            } catch (RuntimeException exception) {
-                LOGGER.infof("event=connector-shutdown reason=\"%s\"", exception.getMessage());
-            }
-        });
+        connectors.forEach(ServerConnector::close);
     }
 
     /**
@@ -197,12 +192,11 @@
             http.setSendDateHeader(false);
             http.setRequestHeaderSize(HEADER_BYTES);
         });
-        for (String address :
-                Set.of(
-                        settings.entryAddress(),
-                        settings.readinessAddress(),
-                        settings.directoryAddress(),
-                        settings.metricsAddress())) {
+        for (String address : Set.of(
+                settings.entryAddress(),
+                settings.readinessAddress(),
+                settings.directoryAddress(),
+                settings.metricsAddress())) {
             config.jetty.addConnector((jetty, http) -> connector(jetty, http, HostAndPort.parse(address)));
         }
         route(config.routes, "/");
@@ -313,8 +307,9 @@
     private boolean dispatch(Context context, String path) throws IOException {
         MonotonicTime arrived = DecisionLoop.now();
         Optional<RouteConfiguration> routes = view.routes();
-        long maximumBody = routes.map(found -> found.limits().maximumBodyBytes()).orElse(Long.MAX_VALUE);
-        Optional<byte[]> body = readBody(context, maximumBody);
+        long maximumBody =
+                routes.map(found -> found.limits().maximumBodyBytes()).orElse(Long.MAX_VALUE);
+        Optional<Bytes> body = readBody(context, maximumBody);
         ClientConnection connection = ClientConnection.of(context.req());
         CallerResponse caller = new CallerResponse(context, connection, view.isLeaving());
         if (routes.isEmpty() || !view.hasEndpoints()) {
@@ -360,10 +355,11 @@
      * @param path The path.
      * @param body The body.
      */
-    private void submit(Context context, CallerResponse caller, String host, String path, byte[] body) {
-        String id = Optional.ofNullable(context.header(callers.requestIdHeader())).orElse("");
-        BatchJob job =
-                callers.readJob(new CallerDialect.Envelope(id, host, path, System.currentTimeMillis()), body);
+    private void submit(Context context, CallerResponse caller, String host, String path, Bytes body) {
+        String id =
+                Optional.ofNullable(context.header(callers.requestIdHeader())).orElse("");
+        BatchJob job = callers.readJob(
+                new CallerDialect.Envelope(id, host, path, System.currentTimeMillis()), body.unsafeArray());
         batches.submit(context, caller, job, inProgress::decrementAndGet);
     }
 
@@ -376,7 +372,7 @@
      * @param arrived When the request arrived.
      * @return The request.
      */
-    private PlainRequest plainRequest(Context context, Route route, byte[] body, MonotonicTime arrived) {
+    private PlainRequest plainRequest(Context context, Route route, Bytes body, MonotonicTime arrived) {
         Duration told = callers.timeLeft(context::header).orElse(DEFAULT_TIME);
         Duration allowed = told.compareTo(route.timeout()) < 0 ? told : route.timeout();
         String query = context.req().getQueryString();
@@ -415,10 +411,10 @@
      * @return The body, or empty if it is too large.
      * @throws IOException If it breaks off.
      */
-    private static Optional<byte[]> readBody(Context context, long maximum) throws IOException {
+    private static Optional<Bytes> readBody(Context context, long maximum) throws IOException {
         InputStream input = context.req().getInputStream();
         byte[] body = input.readNBytes((int) Math.min(Integer.MAX_VALUE - 8, maximum));
-        return input.read() < 0 ? Optional.of(body) : Optional.empty();
+        return input.read() < 0 ? Optional.of(Bytes.wrap(body)) : Optional.empty();
     }
 
     /**
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayView.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayView.java
@@ -112,7 +112,7 @@
      * @return The endpoints.
      */
     List<RegisteredEndpoint> endpoints(PoolName pool) {
-        return endpoints.orElse(List.of()).stream()
+        return endpoints.orElseGet(List::of).stream()
                 .filter(endpoint -> endpoint.pool().equals(pool))
                 .toList();
     }
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ItemRunner.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ItemRunner.java
@@ -97,8 +97,7 @@
             end(run, new AttemptOutcome.Impossible(), ItemText.EMPTY);
             return;
         }
-        Request.Builder request =
-                new Request.Builder().url(url).post(new OneShotBody("", item.body()));
+        Request.Builder request = new Request.Builder().url(url).post(new OneShotBody("", item.body()));
         item.headers().forEach((name, value) -> {
             if (dialect.passesOn(name)) {
                 request.header(name, value);
@@ -274,8 +273,7 @@
          */
         private void read(Response response) throws IOException {
             OptionalLong version = dialect.version(response.headers());
-            ServerSentEvents stream =
-                    new ServerSentEvents(response.body().source(), dialect);
+            ServerSentEvents stream = new ServerSentEvents(response.body().source(), dialect);
             Optional<ServerSentEvents.Event> event = stream.next();
             while (event.isPresent()) {
                 heardAt = System.nanoTime();
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/JsonBatchCodec.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/JsonBatchCodec.java
@@ -41,7 +41,7 @@
                                 item.id(),
                                 item.path(),
                                 item.headers(),
-                                item.body().unsafeArray(),
+                                Base64.getEncoder().encodeToString(item.body().unsafeArray()),
                                 item.group(),
                                 item.expectedTokens()))
                         .toList()));
@@ -62,7 +62,7 @@
                                         item.id(),
                                         item.path(),
                                         item.headers(),
-                                        Bytes.wrap(item.body()),
+                                        Bytes.wrap(Base64.getDecoder().decode(item.body())),
                                         item.group(),
                                         item.expectedTokens()))
                                 .toList()));
@@ -91,11 +91,9 @@
 
     @Override
     public Optional<List<BatchResult>> readResults(Bytes value) {
-        return read(value, ResultsDocument.class)
-                .map(document -> document.results().stream()
-                        .map(result -> new BatchResult(
-                                result.item(), result.completed(), outputOf(result), result.versions()))
-                        .toList());
+        return read(value, ResultsDocument.class).map(document -> document.results().stream()
+                .map(result -> new BatchResult(result.item(), result.completed(), outputOf(result), result.versions()))
+                .toList());
     }
 
     /**
@@ -184,12 +182,12 @@
      * @param id The identifier.
      * @param path The path.
      * @param headers The headers.
-     * @param body The body.
+     * @param body The body in base64.
      * @param group The group.
      * @param expectedTokens The number of tokens that it is expected to make.
      */
     private record ItemDocument(
-            String id, String path, Map<String, String> headers, byte[] body, String group, long expectedTokens) {}
+            String id, String path, Map<String, String> headers, String body, String group, long expectedTokens) {}
 
     /**
      * An entry of the index.
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/OrderCaller.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/OrderCaller.java
@@ -7,6 +7,7 @@
 import io.yuccaswitch.core.modelversion.OrderEvent;
 import io.yuccaswitch.core.modelversion.OrderOutcome;
 import io.yuccaswitch.core.registry.RegisteredEndpoint;
+import io.yuccaswitch.core.value.Bytes;
 import io.yuccaswitch.endpoint.EndpointHttp;
 import io.yuccaswitch.endpoint.Transmission;
 import io.yuccaswitch.node.decision.DecisionLoop;
@@ -72,7 +73,10 @@
     private void readReport(OrderEffect.ReadReport effect) {
         EndpointName engine = effect.engine().name();
         Request.Builder request = dialect.report(effect.engine().address());
-        send(request, effect.engine(), answer -> loop.accept(new OrderEvent.ReportRead(engine, report(engine, answer))));
+        send(
+                request,
+                effect.engine(),
+                answer -> loop.accept(new OrderEvent.ReportRead(engine, report(engine, answer))));
     }
 
     /**
@@ -83,8 +87,8 @@
     private void order(OrderEffect.LoadVersion effect) {
         EndpointName engine = effect.engine().name();
         send(dialect.order(effect), effect.engine(), answer -> {
-            OrderOutcome outcome = answer.map(received -> dialect.orderOutcome(received.status())
-                            .orElse(OrderOutcome.REJECTED))
+            OrderOutcome outcome = answer.map(
+                            received -> dialect.orderOutcome(received.status()).orElse(OrderOutcome.REJECTED))
                     .orElse(OrderOutcome.UNANSWERED);
             loop.accept(new OrderEvent.Ordered(engine, outcome));
         });
@@ -102,7 +106,7 @@
             return Optional.empty();
         }
         try {
-            return Optional.of(dialect.readReport(answer.get().body()));
+            return Optional.of(dialect.readReport(answer.get().body().unsafeArray()));
         } catch (IOException exception) {
             LOGGER.warnf("event=report-unreadable endpoint=%s reason=\"%s\"", engine, exception.getMessage());
             return Optional.empty();
@@ -131,8 +135,8 @@
             @Override
             public void onResponse(Call call, Response response) {
                 try (response) {
-                    then.accept(Optional.of(
-                            new Answer(response.code(), response.body().bytes())));
+                    then.accept(Optional.of(new Answer(
+                            response.code(), Bytes.wrap(response.body().bytes()))));
                 } catch (IOException exception) {
                     onFailure(call, exception);
                 }
@@ -146,5 +150,5 @@
      * @param status The status.
      * @param body The body.
      */
-    private record Answer(int status, byte[] body) {}
+    private record Answer(int status, Bytes body) {}
 }
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/PendingReplies.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/PendingReplies.java
@@ -1,6 +1,8 @@
 package io.yuccaswitch.node.gateway;
 
+import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.disposables.Disposable;
+import io.reactivex.rxjava3.schedulers.Schedulers;
 import io.yuccaswitch.core.batch.BatchAnswer;
 import io.yuccaswitch.core.batch.BatchEffect;
 import io.yuccaswitch.core.decision.Event;
@@ -14,6 +16,9 @@
 /** Calls about batch jobs that wait for the core's answer. */
 final class PendingReplies implements AutoCloseable {
 
+    /** Where answers are written, such that the core does not wait for callers. */
+    private static final Scheduler ANSWERING = Schedulers.io();
+
     /** The core. */
     private final DecisionLoop loop;
 
@@ -72,7 +77,7 @@
     private void complete(BatchEffect.Reply reply) {
         CompletableFuture<BatchAnswer> answer = waiting.remove(reply.ticket());
         if (answer != null) {
-            answer.completeAsync(reply::answer);
+            ANSWERING.scheduleDirect(() -> answer.complete(reply.answer()));
         }
     }
 }
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/PlainRequest.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/PlainRequest.java
@@ -2,6 +2,7 @@
 
 import io.yuccaswitch.core.route.Route;
 import io.yuccaswitch.core.time.MonotonicTime;
+import io.yuccaswitch.core.value.Bytes;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -22,7 +23,7 @@
         String method,
         String target,
         List<Map.Entry<String, String>> headers,
-        byte[] body,
+        Bytes body,
         Route route,
         MonotonicTime deadline) {
 
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/PlainRequestHandler.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/PlainRequestHandler.java
@@ -41,7 +41,13 @@
 
     /** The headers of an answer that concern one connection only. */
     private static final Set<String> HOP_HEADERS = Set.of(
-            "connection", "keep-alive", "transfer-encoding", "content-length", "te", "trailer", "upgrade",
+            "connection",
+            "keep-alive",
+            "transfer-encoding",
+            "content-length",
+            "te",
+            "trailer",
+            "upgrade",
             "proxy-connection");
 
     /** The logger. */
@@ -94,7 +100,8 @@
      */
     void serve(PlainRequest request, CallerResponse caller, DisconnectWatch.Watched watched) throws IOException {
         MonotonicTime arrived = DecisionLoop.now();
-        Optional<PoolName> pool = request.route().pick(ThreadLocalRandom.current().nextDouble());
+        Optional<PoolName> pool =
+                request.route().pick(ThreadLocalRandom.current().nextDouble());
         Exchange exchange = new Exchange(request, caller, watched, pool);
         String outcome = exchange.run();
         long micros = DecisionLoop.now().since(arrived).toNanos() / 1000;
@@ -154,10 +161,7 @@
          * @param pool The pool that serves the request.
          */
         Exchange(
-                PlainRequest request,
-                CallerResponse caller,
-                DisconnectWatch.Watched watched,
-                Optional<PoolName> pool) {
+                PlainRequest request, CallerResponse caller, DisconnectWatch.Watched watched, Optional<PoolName> pool) {
             this.request = request;
             this.caller = caller;
             this.watched = watched;
@@ -224,7 +228,7 @@
          * @return The endpoint, or empty if there is none.
          */
         private Optional<RegisteredEndpoint> choose() {
-            List<RegisteredEndpoint> working = pool.map(view::endpoints).orElse(List.of());
+            List<RegisteredEndpoint> working = pool.map(view::endpoints).orElseGet(List::of);
             synchronized (selection) {
                 Optional<RegisteredEndpoint> chosen = selection.choose(working, plan.tried(), DecisionLoop.now());
                 chosen.ifPresent(selection::begin);
@@ -244,8 +248,7 @@
             plan.begin(name);
             MonotonicTime begun = DecisionLoop.now();
             EndpointAttempts.Times times = new EndpointAttempts.Times(plan.attemptTime(left), left);
-            EndpointAttempts.Opened opened =
-                    attempts.open(request, endpoint, times, relay.lastEventId(), watched);
+            EndpointAttempts.Opened opened = attempts.open(request, endpoint, times, relay.lastEventId(), watched);
             AttemptResult result = opened.failure().orElseGet(() -> receive(opened));
             MonotonicTime now = DecisionLoop.now();
             synchronized (selection) {
--- a/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/PlatformClient.java
+++ b/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/PlatformClient.java
@@ -5,7 +5,6 @@
 import io.reactivex.rxjava3.schedulers.Schedulers;
 import io.yuccaswitch.core.platform.PlatformEffect;
 import io.yuccaswitch.core.platform.PlatformEvent;
-import io.yuccaswitch.core.platform.PlatformPurpose;
 import io.yuccaswitch.core.platform.StoredObject;
 import java.time.Duration;
 import java.util.ArrayList;
--- a/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/PlatformReplies.java
+++ b/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/PlatformReplies.java
@@ -112,8 +112,8 @@
      */
     private static Attempt answered(ObjectApiDialect dialect, PlatformEffect effect, Reply.Answered answer)
             throws IOException {
-        PlatformEvent event = dialect.event(
-                effect, new ObjectApiDialect.Answer(answer.status(), answer.version(), answer.body()));
+        PlatformEvent event =
+                dialect.event(effect, new ObjectApiDialect.Answer(answer.status(), answer.version(), answer.body()));
         return new Attempt(event, answer.status() == CONFLICT ? Outcome.CONFLICT : Outcome.ANSWERED);
     }
 }
