--- /dev/null
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSite.java
@@ -0,0 +1,197 @@
+package io.yuccaswitch.core.batch;
+
+import io.yuccaswitch.core.identity.AvailabilityZone;
+import io.yuccaswitch.core.identity.EndpointName;
+import io.yuccaswitch.core.identity.PoolName;
+import io.yuccaswitch.core.membership.MembershipEvent;
+import io.yuccaswitch.core.platform.StoredObject;
+import io.yuccaswitch.core.registry.EndpointRegistrySystem;
+import io.yuccaswitch.core.registry.RegisteredEndpoint;
+import io.yuccaswitch.core.route.RequestKind;
+import io.yuccaswitch.core.route.Route;
+import io.yuccaswitch.core.route.RouteConfiguration;
+import io.yuccaswitch.core.route.RouteConfigurationSystem;
+import io.yuccaswitch.core.site.TestNode;
+import io.yuccaswitch.core.site.TestSite;
+import io.yuccaswitch.core.value.Bytes;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+
+/** Nodes that run batch jobs at two played engines. */
+final class BatchSite {
+
+    static final PoolName POOL = new PoolName("sampler");
+    static final String MODEL = "model-a";
+
+    final TestSite site = new TestSite();
+    final Map<String, Integer> runs = new HashMap<>();
+    final List<BatchEffect.Run> started = new ArrayList<>();
+    final List<BatchEffect.Cancel> cancelled = new ArrayList<>();
+    private final PlainBatchCodec codec = new PlainBatchCodec();
+    private final List<TestNode> nodes = new ArrayList<>();
+    private final Map<Long, BatchAnswer> answers = new HashMap<>();
+    private Function<BatchEffect.Run, Optional<BatchEvent.AttemptEnded>> engines = run -> Optional.of(whole(run, 1));
+    private boolean singleVersion;
+    private long tickets;
+
+    BatchSite() {
+        site.platform().put(RouteConfigurationSystem.KIND, "main", "1");
+        registerEngine("engine-1", 1);
+        registerEngine("engine-2", 1);
+        site.everyStep(_site -> play());
+    }
+
+    void demandSingleVersion() {
+        singleVersion = true;
+    }
+
+    void registerEngine(String name, long version) {
+        site.platform().put(EndpointRegistrySystem.KIND, name, Long.toString(version));
+    }
+
+    /** Plays the engines: what becomes of a run, or empty if the run goes on. */
+    void engines(Function<BatchEffect.Run, Optional<BatchEvent.AttemptEnded>> behaviour) {
+        engines = behaviour;
+    }
+
+    TestNode node(String name) {
+        nodes.removeIf(node -> node.name().equals(name));
+        TestNode started = site.start(name, (node, tokens) -> {
+            EndpointRegistrySystem registry = new EndpointRegistrySystem(tokens, BatchSite::endpoint);
+            RouteConfigurationSystem routes = new RouteConfigurationSystem(tokens, this::configuration);
+            return List.of(routes, registry, new BatchSystem(node, registry, routes, codec, tokens, () -> 1000));
+        });
+        started.accept(new MembershipEvent.SelfJoined(false));
+        nodes.add(started);
+        return started;
+    }
+
+    void kill(TestNode node) {
+        nodes.remove(node);
+        site.kill(node.name());
+    }
+
+    static BatchJob job(String id, int items) {
+        return job(id, items, 1);
+    }
+
+    static BatchJob job(String id, int items, long minimumVersion) {
+        List<BatchItem> list = new ArrayList<>();
+        for (int i = 0; i < items; i++) {
+            list.add(new BatchItem(id + "-" + i, "/rollouts/x", Map.of(), Bytes.ofUtf8("body" + i), "g" + i / 2, i));
+        }
+        return new BatchJob(new BatchJobId(id), "site.example", "/rollouts/x", MODEL, minimumVersion, 1000, list);
+    }
+
+    long submit(TestNode node, BatchJob job) {
+        node.accept(new BatchEvent.Submitted(++tickets, job));
+        return tickets;
+    }
+
+    long read(TestNode node, String id, int position, Duration wait) {
+        node.accept(new BatchEvent.ResultsRequested(
+                ++tickets, new BatchJobId(id), position, site.now().plus(wait)));
+        return tickets;
+    }
+
+    long end(TestNode node, String id) {
+        node.accept(new BatchEvent.EndRequested(++tickets, new BatchJobId(id)));
+        return tickets;
+    }
+
+    long body(TestNode node, String id, String item) {
+        node.accept(new BatchEvent.BodyRequested(++tickets, new BatchJobId(id), item));
+        return tickets;
+    }
+
+    Optional<BatchAnswer> answer(long ticket) {
+        return Optional.ofNullable(answers.get(ticket));
+    }
+
+    void run(int millis) {
+        site.run(Duration.ofMillis(millis));
+    }
+
+    /** Returns the items in the order in which they are listed on the platform. */
+    List<String> listed(String id) {
+        return site.platform().all(BatchObjects.results(new BatchJobId(id))).stream()
+                .flatMap(object -> codec.readResults(object.value()).orElseThrow().stream())
+                .map(BatchResult::item)
+                .toList();
+    }
+
+    List<BatchResult> results(String id) {
+        return site.platform().all(BatchObjects.results(new BatchJobId(id))).stream()
+                .flatMap(object -> codec.readResults(object.value()).orElseThrow().stream())
+                .toList();
+    }
+
+    static BatchEvent.AttemptEnded whole(BatchEffect.Run run, long version) {
+        return ended(run, new AttemptOutcome.Completed(), text(run, 3, version));
+    }
+
+    static BatchEvent.AttemptEnded ended(BatchEffect.Run run, AttemptOutcome outcome, ItemText text) {
+        return new BatchEvent.AttemptEnded(run.id(), run.item().id(), run.attempt(), outcome, text);
+    }
+
+    /** The events behind the last one that a run goes on from, up to a last one. */
+    static ItemText text(BatchEffect.Run run, long last, long version) {
+        List<Bytes> events = new ArrayList<>();
+        for (long event = run.lastEventId() + 1; event <= last; event++) {
+            events.add(Bytes.ofUtf8("e" + event));
+        }
+        return new ItemText(Math.max(run.lastEventId(), last), events, events.isEmpty() ? List.of() : List.of(version));
+    }
+
+    private void play() {
+        for (TestNode node : List.copyOf(nodes)) {
+            for (BatchEffect.Reply reply : node.take(BatchEffect.Reply.class)) {
+                answers.put(reply.ticket(), reply.answer());
+            }
+            cancelled.addAll(node.take(BatchEffect.Cancel.class));
+            for (BatchEffect.Run run : node.take(BatchEffect.Run.class)) {
+                started.add(run);
+                runs.merge(run.item().id(), 1, Integer::sum);
+                engines.apply(run).ifPresent(node::accept);
+            }
+        }
+    }
+
+    private static Optional<RegisteredEndpoint> endpoint(StoredObject object) {
+        String name = object.key().name();
+        return Optional.of(new RegisteredEndpoint(
+                new EndpointName(POOL, name),
+                name + ":80",
+                new AvailabilityZone("zone-a"),
+                4,
+                false,
+                Map.of(MODEL, Long.parseLong(object.value().toUtf8()))));
+    }
+
+    private Optional<RouteConfiguration> configuration(StoredObject object) {
+        Route route = new Route(
+                "rollouts",
+                "site.example",
+                "/rollouts/",
+                RequestKind.BATCH,
+                List.of(new Route.PoolShare(POOL, 1)),
+                Duration.ofSeconds(10),
+                Duration.ofMillis(400),
+                3,
+                1,
+                false,
+                true,
+                Optional.of(new Route.BatchTerms(Duration.ofSeconds(7), Duration.ofSeconds(40), singleVersion)));
+        return Optional.of(new RouteConfiguration(
+                Long.parseLong(object.value().toUtf8()),
+                List.of(route),
+                Map.of(POOL, Set.of(MODEL)),
+                new RouteConfiguration.CallerLimits(16384, 1 << 20, Duration.ofSeconds(15))));
+    }
+}
--- /dev/null
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSystemTest.java
@@ -0,0 +1,356 @@
+package io.yuccaswitch.core.batch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.yuccaswitch.core.peer.PeerEffect;
+import io.yuccaswitch.core.peer.PeerEvent;
+import io.yuccaswitch.core.platform.PlatformEffect;
+import io.yuccaswitch.core.site.TestNode;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BiPredicate;
+import org.junit.jupiter.api.Test;
+
+/** Batch jobs across nodes, with the platform and engines played. */
+final class BatchSystemTest {
+
+    private static final BiPredicate<String, PlatformEffect> NEVER = (_node, _call) -> false;
+
+    private final BatchSite site = new BatchSite();
+
+    @Test
+    void aJobIsAcceptedOnceItsEntryIsKeptAndAllItsItemsAreListed() {
+        TestNode node = site.node("node-1");
+        site.run(100);
+        long ticket = site.submit(node, BatchSite.job("job", 10));
+        site.run(2000);
+        assertThat(site.answer(ticket)).contains(new BatchAnswer.Accepted());
+        assertThat(site.listed("job")).hasSize(10).doesNotHaveDuplicates();
+    }
+
+    @Test
+    void aJobThatThePlatformDidNotTakeIsRefusedAndNeverRuns() {
+        TestNode node = site.node("node-1");
+        site.run(100);
+        site.site.platform().failWhere((_node, call) -> call instanceof PlatformEffect.Write);
+        long ticket = site.submit(node, BatchSite.job("job", 4));
+        site.run(200);
+        assertThat(site.answer(ticket).orElseThrow()).isInstanceOf(BatchAnswer.NotAccepted.class);
+        site.site.platform().failWhere(NEVER);
+        site.run(5000);
+        assertThat(site.runs).isEmpty();
+    }
+
+    @Test
+    void aSubmissionWhoseEntryMayBeAppliedLateIsNeverRefusedAsNotRun() {
+        TestNode node = site.node("node-1");
+        site.run(100);
+        site.site.platform().applyLateWhere((_node, call) -> writesTo(call, BatchObjects.INDEX));
+        long ticket = site.submit(node, BatchSite.job("job", 4));
+        site.run(300);
+        assertThat(site.answer(ticket).orElseThrow()).isInstanceOf(BatchAnswer.Unsure.class);
+        site.site.platform().applyLateWhere(NEVER);
+        site.site.platform().applyLate();
+        site.run(5000);
+        assertThat(site.listed("job"))
+                .as("an entry that came late is a promise as well")
+                .hasSize(4);
+    }
+
+    @Test
+    void anEntryWhoseAnswerWasLostIsReadBackAndAccepted() {
+        TestNode node = site.node("node-1");
+        site.run(100);
+        site.site.platform().loseAnswersWhere((_node, call) -> writesTo(call, BatchObjects.INDEX));
+        long ticket = site.submit(node, BatchSite.job("job", 4));
+        site.run(300);
+        assertThat(site.answer(ticket)).contains(new BatchAnswer.Accepted());
+    }
+
+    @Test
+    void aSecondSubmissionAtAnotherNodeIsAcceptedAndRunsNothingAgain() {
+        TestNode first = site.node("node-1");
+        TestNode second = site.node("node-2");
+        site.run(100);
+        site.submit(first, BatchSite.job("job", 6));
+        site.run(100);
+        long again = site.submit(second, BatchSite.job("job", 6));
+        site.run(3000);
+        assertThat(site.answer(again)).contains(new BatchAnswer.Accepted());
+        assertThat(site.runs.values()).containsOnly(1);
+    }
+
+    @Test
+    void anIdentifierThatBelongsToOtherWorkIsRefused() {
+        TestNode first = site.node("node-1");
+        TestNode second = site.node("node-2");
+        site.run(100);
+        site.submit(first, BatchSite.job("job", 6));
+        site.run(100);
+        long other = site.submit(second, BatchSite.job("job", 5));
+        site.run(100);
+        assertThat(site.answer(other)).contains(new BatchAnswer.Mismatch());
+    }
+
+    @Test
+    void noResultIsShownBeforeThePlatformKeepsIt() {
+        TestNode node = site.node("node-1");
+        site.run(100);
+        site.submit(node, BatchSite.job("job", 4));
+        site.site.platform().failWhere((_node, call) -> writesTo(call, BatchObjects.results(new BatchJobId("job"))));
+        site.run(2000);
+        assertThat(site.runs).hasSize(4);
+        long read = site.read(node, "job", 0, Duration.ofMillis(100));
+        site.run(300);
+        assertThat(site.answer(read)).contains(new BatchAnswer.Results(4, 0, List.of()));
+    }
+
+    @Test
+    void allNodesShowTheSameResultsAtTheSamePositions() {
+        TestNode first = site.node("node-1");
+        TestNode second = site.node("node-2");
+        site.run(100);
+        site.submit(first, BatchSite.job("job", 8));
+        site.run(2000);
+        long here = site.read(first, "job", 3, Duration.ZERO);
+        long there = site.read(second, "job", 3, Duration.ZERO);
+        site.run(300);
+        assertThat(site.answer(here)).isPresent().isEqualTo(site.answer(there));
+        assertThat(((BatchAnswer.Results) site.answer(there).orElseThrow()).results())
+                .hasSize(5);
+    }
+
+    @Test
+    void aReadThatWaitsIsAnsweredAsSoonAsAResultIsListed() {
+        TestNode first = site.node("node-1");
+        TestNode second = site.node("node-2");
+        site.run(100);
+        site.engines(_run -> Optional.empty());
+        site.submit(first, BatchSite.job("job", 2));
+        site.run(100);
+        long read = site.read(second, "job", 0, Duration.ofSeconds(1));
+        site.run(300);
+        assertThat(site.answer(read)).isEmpty();
+        first.accept(BatchSite.whole(site.started.get(0), 1));
+        site.run(300);
+        assertThat(((BatchAnswer.Results) site.answer(read).orElseThrow()).results())
+                .hasSize(1);
+    }
+
+    @Test
+    void aJobThatNobodyAcceptedIsUnknownAndNothingIsSureWhileThePlatformIsAway() {
+        TestNode node = site.node("node-1");
+        site.run(100);
+        long unknown = site.read(node, "none", 0, Duration.ZERO);
+        site.run(100);
+        assertThat(site.answer(unknown)).contains(new BatchAnswer.Unknown());
+        site.site.platform().failWhere((_node, _call) -> true);
+        long unsure = site.read(node, "other", 0, Duration.ZERO);
+        site.run(100);
+        assertThat(site.answer(unsure).orElseThrow()).isInstanceOf(BatchAnswer.Unsure.class);
+    }
+
+    @Test
+    void theBodyOfAnItemIsReadAtAnyNode() {
+        TestNode first = site.node("node-1");
+        TestNode second = site.node("node-2");
+        site.run(100);
+        site.engines(_run -> Optional.empty());
+        BatchJob job = BatchSite.job("job", 3);
+        site.submit(first, job);
+        site.run(100);
+        long here = site.body(first, "job", "job-1");
+        long there = site.body(second, "job", "job-1");
+        site.run(100);
+        BatchAnswer expected = new BatchAnswer.Body(job.items().get(1).body());
+        assertThat(site.answer(here)).contains(expected);
+        assertThat(site.answer(there)).contains(expected);
+    }
+
+    @Test
+    void aRestartedNodeTakesItsJobsBack() {
+        TestNode node = site.node("node-1");
+        site.run(100);
+        site.engines(_run -> Optional.empty());
+        site.submit(node, BatchSite.job("job", 4));
+        site.run(100);
+        site.engines(run -> Optional.of(BatchSite.whole(run, 1)));
+        site.kill(node);
+        site.node("node-1");
+        site.run(1000);
+        assertThat(site.listed("job")).hasSize(4).doesNotHaveDuplicates();
+    }
+
+    @Test
+    void theJobsOfANodeThatIsGoneAreTakenOverByOneOther() {
+        TestNode first = site.node("node-1");
+        site.node("node-2");
+        site.node("node-3");
+        site.run(100);
+        site.engines(_run -> Optional.empty());
+        site.submit(first, BatchSite.job("job", 4));
+        site.run(100);
+        site.engines(run -> Optional.of(BatchSite.whole(run, 1)));
+        site.kill(first);
+        site.run(5000);
+        assertThat(site.listed("job")).hasSize(4).doesNotHaveDuplicates();
+        assertThat(site.runs.values())
+                .as("run once by the lost node, once by its successor")
+                .containsOnly(2);
+    }
+
+    @Test
+    void twoNodesThatBothRunAJobNeverListAnItemTwice() {
+        TestNode first = site.node("node-1");
+        TestNode second = site.node("node-2");
+        site.run(100);
+        site.engines(_run -> Optional.empty());
+        site.submit(first, BatchSite.job("job", 8));
+        site.run(100);
+        first.freeze(true);
+        site.site.believeGone("node-1");
+        site.engines(run -> run.item().id().endsWith("3") ? Optional.empty() : Optional.of(BatchSite.whole(run, 1)));
+        site.run(4000);
+        List<BatchEffect.Run> ofFirst = site.started.subList(0, 8);
+        first.freeze(false);
+        ofFirst.forEach(run -> first.accept(BatchSite.whole(run, 1)));
+        site.run(3000);
+        site.started.stream()
+                .skip(8)
+                .filter(run -> run.item().id().endsWith("3"))
+                .forEach(run -> second.accept(BatchSite.whole(run, 1)));
+        site.run(1000);
+        assertThat(site.listed("job")).hasSize(8).doesNotHaveDuplicates();
+    }
+
+    @Test
+    void anEndAtAnyNodeStopsTheItemsAtTheRunner() {
+        TestNode first = site.node("node-1");
+        TestNode second = site.node("node-2");
+        site.run(100);
+        site.engines(_run -> Optional.empty());
+        site.submit(first, BatchSite.job("job", 4));
+        site.run(100);
+        long end = site.end(second, "job");
+        site.run(100);
+        assertThat(site.answer(end)).contains(new BatchAnswer.Ended());
+        PeerEffect.Send told = second.take(PeerEffect.Send.class).get(0);
+        first.accept(new PeerEvent.Received(second.self().identity(), told.message()));
+        site.run(50);
+        assertThat(site.cancelled).hasSize(4);
+        long again = site.end(first, "job");
+        site.run(100);
+        assertThat(site.answer(again)).contains(new BatchAnswer.Ended());
+    }
+
+    @Test
+    void aRunnerThatWasNotToldFindsTheEndInTheIndex() {
+        TestNode first = site.node("node-1");
+        TestNode second = site.node("node-2");
+        site.run(100);
+        site.engines(_run -> Optional.empty());
+        site.submit(first, BatchSite.job("job", 4));
+        site.run(100);
+        site.end(second, "job");
+        site.run(2500);
+        assertThat(site.cancelled).hasSize(4);
+    }
+
+    @Test
+    void anInterruptedItemGoesOnBehindItsLastEvent() {
+        TestNode node = site.node("node-1");
+        site.run(100);
+        site.engines(run -> Optional.of(
+                run.attempt() == 1
+                        ? BatchSite.ended(run, new AttemptOutcome.Interrupted("cut", false), BatchSite.text(run, 2, 1))
+                        : BatchSite.whole(run, 1)));
+        site.submit(node, BatchSite.job("job", 1));
+        site.run(2000);
+        assertThat(site.started.get(1).lastEventId()).isEqualTo(2);
+        assertThat(site.results("job").get(0).output().toUtf8()).isEqualTo("e1\ne2\ne3");
+    }
+
+    @Test
+    void anOutputOlderThanTheMinimumVersionIsNotListed() {
+        TestNode node = site.node("node-1");
+        site.registerEngine("engine-1", 2);
+        site.registerEngine("engine-2", 2);
+        site.run(100);
+        site.engines(run -> Optional.of(BatchSite.whole(run, run.attempt() == 1 ? 1 : 2)));
+        site.submit(node, BatchSite.job("job", 1, 2));
+        site.run(3000);
+        assertThat(site.results("job").get(0).versions()).containsExactly(2L);
+    }
+
+    @Test
+    void noItemStartsWhileAllEnginesAreOlderThanTheMinimumVersion() {
+        TestNode node = site.node("node-1");
+        site.run(100);
+        site.submit(node, BatchSite.job("job", 2, 5));
+        site.run(1000);
+        assertThat(site.runs).isEmpty();
+        site.registerEngine("engine-1", 5);
+        site.run(1000);
+        assertThat(site.runs).hasSize(2);
+    }
+
+    @Test
+    void aResultOfTwoVersionsIsNotListedWhereOneIsDemanded() {
+        site.demandSingleVersion();
+        TestNode node = site.node("node-1");
+        site.run(100);
+        ItemText mixed = new ItemText(1, List.of(io.yuccaswitch.core.value.Bytes.ofUtf8("x")), List.of(1L, 2L));
+        site.engines(run -> Optional.of(
+                run.attempt() == 1
+                        ? BatchSite.ended(run, new AttemptOutcome.Completed(), mixed)
+                        : BatchSite.whole(run, 1)));
+        site.submit(node, BatchSite.job("job", 1));
+        site.run(3000);
+        assertThat(site.results("job").get(0).versions()).containsExactly(1L);
+    }
+
+    @Test
+    void anItemIsGivenUpAfterAsManyFailuresAsTheRouteAllows() {
+        TestNode node = site.node("node-1");
+        site.run(100);
+        site.engines(run -> Optional.of(BatchSite.ended(run, new AttemptOutcome.Failed(), ItemText.EMPTY)));
+        site.submit(node, BatchSite.job("job", 1));
+        site.run(6000);
+        assertThat(site.runs).containsEntry("job-0", 3);
+        assertThat(site.results("job").get(0).completed()).isFalse();
+    }
+
+    @Test
+    void anItemThatCanNeverBeDoneIsGivenUpAtOnce() {
+        TestNode node = site.node("node-1");
+        site.run(100);
+        site.engines(run -> Optional.of(BatchSite.ended(run, new AttemptOutcome.Impossible(), ItemText.EMPTY)));
+        site.submit(node, BatchSite.job("job", 1));
+        site.run(1000);
+        assertThat(site.runs).containsEntry("job-0", 1);
+        assertThat(site.results("job").get(0).completed()).isFalse();
+    }
+
+    @Test
+    void resultsWhoseAnswersWereLostAreListedOnce() {
+        TestNode node = site.node("node-1");
+        site.run(100);
+        site.site
+                .platform()
+                .loseAnswersWhere((_node, call) -> writesTo(call, BatchObjects.results(new BatchJobId("job"))));
+        site.submit(node, BatchSite.job("job", 6));
+        site.run(1000);
+        site.site.platform().loseAnswersWhere(NEVER);
+        site.run(2000);
+        assertThat(site.listed("job")).hasSize(6).doesNotHaveDuplicates();
+        long read = site.read(node, "job", 0, Duration.ZERO);
+        site.run(100);
+        assertThat(((BatchAnswer.Results) site.answer(read).orElseThrow()).next())
+                .isEqualTo(6);
+    }
+
+    private static boolean writesTo(PlatformEffect call, String kind) {
+        return call instanceof PlatformEffect.Write write && write.key().kind().equals(kind);
+    }
+}
--- /dev/null
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/modelversion/VersionSystemsTest.java
@@ -0,0 +1,320 @@
+package io.yuccaswitch.core.modelversion;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.yuccaswitch.core.identity.AvailabilityZone;
+import io.yuccaswitch.core.identity.EndpointName;
+import io.yuccaswitch.core.identity.PoolName;
+import io.yuccaswitch.core.membership.MembershipEvent;
+import io.yuccaswitch.core.platform.PlatformEffect;
+import io.yuccaswitch.core.platform.StoredObject;
+import io.yuccaswitch.core.registry.EndpointRegistrySystem;
+import io.yuccaswitch.core.registry.RegisteredEndpoint;
+import io.yuccaswitch.core.route.RouteConfiguration;
+import io.yuccaswitch.core.route.RouteConfigurationSystem;
+import io.yuccaswitch.core.site.TestNode;
+import io.yuccaswitch.core.site.TestSite;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Who gives orders to engines, and which. */
+final class VersionSystemsTest {
+
+    private static final PoolName POOL = new PoolName("sampler");
+    private static final Duration SAFETY = Duration.ofSeconds(3);
+
+    private final TestSite site = new TestSite();
+    private final List<TestNode> nodes = new ArrayList<>();
+    private final List<Order> orders = new ArrayList<>();
+    private final Map<String, PlayedEngine> engines = new HashMap<>();
+    private boolean unanswered;
+
+    @BeforeEach
+    void startEngines() {
+        site.platform().put(RouteConfigurationSystem.KIND, "main", "1");
+        for (int i = 1; i <= 6; i++) {
+            engines.put("engine-" + i, new PlayedEngine());
+            register("engine-" + i);
+        }
+        site.everyStep(_site -> play());
+    }
+
+    @Test
+    void aNamedVersionIsBroughtToTheModelsShareOfTheEnginesOnly() {
+        start("node-1");
+        run(500);
+        name("model-a", 2);
+        run(5000);
+        assertThat(orders).hasSize(3).allMatch(order -> order.model().equals("model-a") && order.version() == 2);
+        assertThat(engines.values().stream().filter(engine -> engine.versions.get("model-a") == 2))
+                .hasSize(3);
+    }
+
+    @Test
+    void eachModelKeepsItsEnginesFromVersionToVersion() {
+        start("node-1");
+        run(500);
+        for (long version = 2; version <= 5; version++) {
+            name("model-a", version);
+            name("model-b", version);
+            run(6000);
+        }
+        assertThat(orders).hasSize(4 * 6);
+        assertThat(orders.stream().map(order -> order.engine() + order.model()).distinct())
+                .hasSize(6);
+    }
+
+    @Test
+    void noMoreEnginesThanAllowedLoadAtOnce() {
+        start("node-1");
+        run(500);
+        name("model-a", 2);
+        name("model-b", 2);
+        run(600);
+        assertThat(engines.values().stream().filter(engine -> engine.loadingUntil > 0))
+                .hasSizeLessThanOrEqualTo(2);
+        run(6000);
+        assertThat(orders).hasSize(6);
+    }
+
+    @Test
+    void eachOrderNamesTheNumberOfOrdersThatTheEngineHasAccepted() {
+        start("node-1");
+        run(500);
+        name("model-a", 2);
+        run(5000);
+        name("model-a", 3);
+        run(5000);
+        assertThat(orders.stream().map(Order::expected).distinct()).containsExactlyInAnyOrder(0L, 1L);
+    }
+
+    @Test
+    void anOrderWithoutAnAnswerIsFollowedByAReportBeforeTheNext() {
+        start("node-1");
+        run(500);
+        unanswered = true;
+        name("model-a", 2);
+        run(900);
+        unanswered = false;
+        run(6000);
+        assertThat(engines.values().stream().filter(engine -> engine.versions.get("model-a") == 2))
+                .hasSize(3);
+        assertThat(engines.values()).allMatch(engine -> engine.accepted <= 1);
+    }
+
+    @Test
+    void onlyOneNodeGivesOrders() {
+        start("node-1");
+        start("node-2");
+        start("node-3");
+        run(500);
+        name("model-a", 2);
+        run(5000);
+        assertThat(orders.stream().map(Order::holder).distinct()).hasSize(1);
+        assertThat(orders).hasSize(3);
+    }
+
+    @Test
+    void nobodyGivesOrdersWhileThePlatformIsAway() {
+        start("node-1");
+        run(500);
+        name("model-a", 2);
+        site.platform().failWhere((_node, call) -> call.purpose() != null);
+        run(2000);
+        int before = orders.size();
+        engines.put("engine-7", new PlayedEngine());
+        run(5000);
+        assertThat(orders).hasSize(before);
+    }
+
+    @Test
+    void aSuccessorWaitsUntilTheLastOrderOfTheFormerHolderIsLongPast() {
+        start("node-1");
+        run(500);
+        TestNode second = start("node-2");
+        name("model-a", 2);
+        run(300);
+        long lastOrder = site.now().nanoseconds();
+        assertThat(orders).isNotEmpty().allMatch(order -> order.holder().equals("node-1"));
+        nodes.removeIf(node -> node.name().equals("node-1"));
+        site.kill("node-1");
+        run(9000);
+        Order first = orders.stream()
+                .filter(order -> order.holder().equals(second.name()))
+                .findFirst()
+                .orElseThrow();
+        assertThat(Duration.ofNanos(first.at() - lastOrder)).isGreaterThan(SAFETY);
+        assertThat(first.fence()).isGreaterThan(orders.get(0).fence());
+    }
+
+    @Test
+    void aHolderThatWasFrozenGivesNoOrderAfterItsPermission() {
+        TestNode first = start("node-1");
+        run(500);
+        start("node-2");
+        run(100);
+        first.freeze(true);
+        run(8000);
+        name("model-a", 2);
+        first.freeze(false);
+        run(100);
+        assertThat(orders.stream().filter(order -> order.holder().equals("node-1")))
+                .isEmpty();
+        run(6000);
+        assertThat(orders).isNotEmpty().allMatch(order -> order.holder().equals("node-2"));
+    }
+
+    @Test
+    void aLeaseThatWasGivenBackIsTakenAfterTheSafetyTime() {
+        TestNode first = start("node-1");
+        run(500);
+        start("node-2");
+        run(100);
+        first.accept(new MembershipEvent.LeaveRequested());
+        site.believeGone("node-1");
+        run(5500);
+        name("model-a", 2);
+        run(1000);
+        assertThat(orders).isNotEmpty().allMatch(order -> order.holder().equals("node-2"));
+    }
+
+    @Test
+    void aRenewalWhoseAnswerWasLostDoesNotCostTheLease() {
+        start("node-1");
+        run(500);
+        site.platform().loseAnswersWhere((_node, call) -> call instanceof PlatformEffect.Write);
+        run(1500);
+        site.platform().loseAnswersWhere((_node, _call) -> false);
+        run(1500);
+        name("model-a", 2);
+        run(5000);
+        assertThat(orders).hasSize(3);
+    }
+
+    private TestNode start(String name) {
+        TestNode node = site.start(name, (self, tokens) -> {
+            EndpointRegistrySystem registry = new EndpointRegistrySystem(tokens, this::endpoint);
+            RouteConfigurationSystem routes = new RouteConfigurationSystem(tokens, VersionSystemsTest::configuration);
+            return List.of(
+                    routes,
+                    registry,
+                    new VersionSystems(self, registry, routes, tokens, VersionSystemsTest::version, SAFETY));
+        });
+        nodes.add(node);
+        return node;
+    }
+
+    private void name(String model, long version) {
+        site.platform().put(VersionSystems.KIND, model, Long.toString(version));
+    }
+
+    private void register(String engine) {
+        site.platform().put(EndpointRegistrySystem.KIND, engine, engine);
+    }
+
+    private void run(int millis) {
+        site.run(Duration.ofMillis(millis));
+    }
+
+    private void play() {
+        long now = site.now().nanoseconds();
+        engines.forEach((name, engine) -> {
+            if (engine.finish(now)) {
+                register(name);
+            }
+        });
+        for (TestNode node : List.copyOf(nodes)) {
+            for (OrderEffect.ReadReport read : node.take(OrderEffect.ReadReport.class)) {
+                PlayedEngine engine = engines.get(read.engine().name().value());
+                node.accept(new OrderEvent.ReportRead(read.engine().name(), Optional.of(engine.report())));
+            }
+            for (OrderEffect.LoadVersion order : node.take(OrderEffect.LoadVersion.class)) {
+                take(node, order, now);
+            }
+        }
+    }
+
+    private void take(TestNode node, OrderEffect.LoadVersion order, long now) {
+        EndpointName name = order.engine().name();
+        orders.add(new Order(
+                name.value(),
+                order.model(),
+                order.version(),
+                order.holder().value(),
+                order.fence(),
+                order.expectedSequence(),
+                now));
+        OrderOutcome outcome = engines.get(name.value()).accept(order, now);
+        node.accept(new OrderEvent.Ordered(name, unanswered ? OrderOutcome.UNANSWERED : outcome));
+    }
+
+    private Optional<RegisteredEndpoint> endpoint(StoredObject object) {
+        String name = object.key().name();
+        return Optional.of(new RegisteredEndpoint(
+                new EndpointName(POOL, name),
+                name + ":80",
+                new AvailabilityZone("zone-a"),
+                4,
+                false,
+                engines.get(name).versions));
+    }
+
+    private static Optional<RouteConfiguration> configuration(StoredObject _object) {
+        return Optional.of(new RouteConfiguration(
+                1,
+                List.of(),
+                Map.of(POOL, Set.of("model-a", "model-b")),
+                new RouteConfiguration.CallerLimits(16384, 1 << 20, Duration.ofSeconds(15))));
+    }
+
+    private static Optional<NamedVersion> version(StoredObject object) {
+        return Optional.of(new NamedVersion(
+                object.key().name(), Long.parseLong(object.value().toUtf8())));
+    }
+
+    private record Order(
+            String engine, String model, long version, String holder, long fence, long expected, long at) {}
+
+    /** An engine that loads for nine tenths of a second. */
+    private static final class PlayedEngine {
+
+        private static final long LOAD_NANOS = Duration.ofMillis(900).toNanos();
+
+        private final Map<String, Long> versions = new HashMap<>(Map.of("model-a", 1L, "model-b", 1L));
+        private long accepted;
+        private long loadingUntil;
+        private String model = "";
+        private long version;
+
+        EngineReport report() {
+            return new EngineReport(loadingUntil > 0, accepted, versions);
+        }
+
+        OrderOutcome accept(OrderEffect.LoadVersion order, long now) {
+            if (loadingUntil > 0 || order.expectedSequence() != accepted) {
+                return OrderOutcome.CONFLICT;
+            }
+            accepted++;
+            loadingUntil = now + LOAD_NANOS;
+            model = order.model();
+            version = order.version();
+            return OrderOutcome.STARTED;
+        }
+
+        boolean finish(long now) {
+            if (loadingUntil == 0 || now < loadingUntil) {
+                return false;
+            }
+            loadingUntil = 0;
+            versions.put(model, version);
+            return true;
+        }
+    }
+}
--- /dev/null
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/proxy/EndpointSelectionTest.java
@@ -0,0 +1,79 @@
+package io.yuccaswitch.core.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.yuccaswitch.core.identity.AvailabilityZone;
+import io.yuccaswitch.core.identity.EndpointName;
+import io.yuccaswitch.core.identity.PoolName;
+import io.yuccaswitch.core.registry.RegisteredEndpoint;
+import io.yuccaswitch.core.time.MonotonicTime;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Which endpoint a plain request is sent to. */
+final class EndpointSelectionTest {
+
+    private static final AvailabilityZone NEAR = new AvailabilityZone("near");
+    private static final AvailabilityZone FAR = new AvailabilityZone("far");
+
+    private final EndpointSelection selection = new EndpointSelection(NEAR);
+    private final RegisteredEndpoint near = endpoint("a-near", NEAR);
+    private final RegisteredEndpoint far = endpoint("b-far", FAR);
+    private final List<RegisteredEndpoint> both = List.of(near, far);
+    private MonotonicTime now = new MonotonicTime(Duration.ofMinutes(1).toNanos());
+
+    @Test
+    void betweenEqualEndpointsTheNearerOneIsTaken() {
+        assertThat(selection.choose(both, Set.of(), now)).contains(near);
+    }
+
+    @Test
+    void aBusyEndpointIsAvoided() {
+        selection.begin(near);
+        selection.begin(near);
+        assertThat(selection.choose(both, Set.of(), now)).contains(far);
+        selection.end(near);
+        selection.end(near);
+        assertThat(selection.choose(both, Set.of(), now)).contains(near);
+    }
+
+    @Test
+    void aLoadThatAnEndpointTellsCountsForAShortTime() {
+        selection.tell(near, 4, now);
+        assertThat(selection.choose(both, Set.of(), now)).contains(far);
+        now = now.plus(Duration.ofSeconds(1));
+        assertThat(selection.choose(both, Set.of(), now)).contains(near);
+    }
+
+    @Test
+    void aSlowEndpointIsAvoidedAndTriedAgainLater() {
+        selection.slow(near, Duration.ofMillis(100), now);
+        assertThat(selection.choose(both, Set.of(), now)).contains(far);
+        now = now.plus(Duration.ofSeconds(3));
+        assertThat(selection.choose(both, Set.of(), now)).contains(near);
+    }
+
+    @Test
+    void anEndpointThatFailedIsLeftAloneUnlessThereIsNoOther() {
+        selection.fail(near, now);
+        assertThat(selection.choose(both, Set.of(), now)).contains(far);
+        selection.fail(far, now);
+        assertThat(selection.choose(both, Set.of(), now)).isPresent();
+        assertThat(selection.choose(List.of(near), Set.of(), now)).contains(near);
+    }
+
+    @Test
+    void anEndpointThatWasTriedIsTakenAgainOnlyIfThereIsNoOther() {
+        assertThat(selection.choose(both, Set.of(near.name()), now)).contains(far);
+        assertThat(selection.choose(List.of(near), Set.of(near.name()), now)).contains(near);
+        assertThat(selection.choose(List.of(), Set.of(), now)).isEmpty();
+    }
+
+    private static RegisteredEndpoint endpoint(String name, AvailabilityZone zone) {
+        return new RegisteredEndpoint(
+                new EndpointName(new PoolName("pool"), name), name + ":80", zone, 4, false, Map.of());
+    }
+}
--- /dev/null
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/proxy/RequestPlanTest.java
@@ -0,0 +1,91 @@
+package io.yuccaswitch.core.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.yuccaswitch.core.identity.EndpointName;
+import io.yuccaswitch.core.identity.PoolName;
+import io.yuccaswitch.core.route.RequestKind;
+import io.yuccaswitch.core.route.Route;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/** How often a request is sent, and how long each attempt may take. */
+final class RequestPlanTest {
+
+    private static final PoolName POOL = new PoolName("pool");
+
+    @Test
+    void aRequestThatMayRunOnceIsNotSentAgainAfterItMayHaveRun() {
+        RequestPlan plan = plan(RequestKind.AT_MOST_ONCE, 3);
+        send(plan, "one");
+        plan.mayHaveRun();
+        assertThat(plan.mayTryAgain()).isFalse();
+        assertThat(plan.hasMaybeRun()).isTrue();
+    }
+
+    @Test
+    void aRequestThatSurelyDidNotRunIsSentAgainWhateverItsKind() {
+        RequestPlan plan = plan(RequestKind.AT_MOST_ONCE, 1);
+        send(plan, "one");
+        assertThat(plan.mayTryAgain()).isTrue();
+        assertThat(plan.hasMaybeRun()).isFalse();
+    }
+
+    @Test
+    void anIdempotentRequestRunsAtNoMoreEndpointsThanItsRouteAllows() {
+        RequestPlan plan = plan(RequestKind.IDEMPOTENT, 2);
+        send(plan, "one");
+        plan.mayHaveRun();
+        assertThat(plan.mayTryAgain()).isTrue();
+        send(plan, "two");
+        plan.mayHaveRun();
+        assertThat(plan.mayTryAgain()).isFalse();
+    }
+
+    @Test
+    void refusalsAreNotFollowedForEver() {
+        RequestPlan plan = plan(RequestKind.IDEMPOTENT, 2);
+        int sends = 0;
+        while (plan.mayTryAgain()) {
+            send(plan, "endpoint-" + sends++);
+        }
+        assertThat(sends).isEqualTo(4);
+    }
+
+    @Test
+    void anAttemptLeavesTimeForAnotherOneIfThatIsAllowed() {
+        RequestPlan plan = plan(RequestKind.IDEMPOTENT, 2);
+        assertThat(plan.attemptTime(Duration.ofMillis(800))).isEqualTo(Duration.ofMillis(100));
+        send(plan, "one");
+        plan.mayHaveRun();
+        assertThat(plan.attemptTime(Duration.ofMillis(700))).isEqualTo(Duration.ofMillis(700));
+    }
+
+    @Test
+    void aRequestThatMayRunOnceHasAllItsTimeForItsOnlyAttempt() {
+        assertThat(plan(RequestKind.AT_MOST_ONCE, 3).attemptTime(Duration.ofMillis(800)))
+                .isEqualTo(Duration.ofMillis(800));
+    }
+
+    private static void send(RequestPlan plan, String endpoint) {
+        plan.begin(new EndpointName(POOL, endpoint));
+    }
+
+    private static RequestPlan plan(RequestKind kind, int attempts) {
+        return new RequestPlan(new Route(
+                "route",
+                "site.example",
+                "/a/",
+                kind,
+                List.of(new Route.PoolShare(POOL, 1)),
+                Duration.ofSeconds(1),
+                Duration.ofMillis(200),
+                attempts,
+                0,
+                false,
+                false,
+                Optional.empty()));
+    }
+}
--- /dev/null
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/registry/EndpointRegistrySystemTest.java
@@ -0,0 +1,132 @@
+package io.yuccaswitch.core.registry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.yuccaswitch.core.identity.AvailabilityZone;
+import io.yuccaswitch.core.identity.EndpointName;
+import io.yuccaswitch.core.identity.PoolName;
+import io.yuccaswitch.core.platform.StoredObject;
+import io.yuccaswitch.core.site.TestSite;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The registry of endpoints, with entries written as "pool address state". */
+final class EndpointRegistrySystemTest {
+
+    private final TestSite site = new TestSite();
+    private EndpointRegistrySystem registry;
+
+    @BeforeEach
+    void startNode() {
+        site.start("node", (_node, tokens) -> {
+            registry = new EndpointRegistrySystem(tokens, EndpointRegistrySystemTest::decode);
+            return List.of(registry);
+        });
+        put("one", "ledger 10.0.0.1:80 ready");
+        put("two", "ledger 10.0.0.2:80 ready");
+        run(100);
+    }
+
+    @Test
+    void newEndpointsGetWorkWithinMoments() {
+        put("three", "ledger 10.0.0.3:80 ready");
+        run(400);
+        assertThat(names("ledger")).containsExactlyInAnyOrder("one", "two", "three");
+    }
+
+    @Test
+    void aLeavingEndpointGetsNoNewWork() {
+        put("one", "ledger 10.0.0.1:80 draining");
+        run(400);
+        assertThat(names("ledger")).containsExactly("two");
+    }
+
+    @Test
+    void anEntryThatIsRemovedWhileThePlatformAnswersIsGoneAtOnce() {
+        site.platform().remove(EndpointRegistrySystem.KIND, "one");
+        run(400);
+        assertThat(names("ledger")).containsExactly("two");
+    }
+
+    @Test
+    void anEntryThatLapsedDuringAnOutageIsKeptForAShortTimeAndThenGone() {
+        site.platform().failWhere((_node, _call) -> true);
+        put("other", "ledger 10.0.0.9:80 ready");
+        run(1500);
+        site.platform().remove(EndpointRegistrySystem.KIND, "one");
+        site.platform().failWhere((_node, _call) -> false);
+        run(1000);
+        assertThat(names("ledger")).contains("one");
+        run(2500);
+        assertThat(names("ledger")).doesNotContain("one");
+    }
+
+    @Test
+    void anEntryThatComesBackAfterAnOutageStays() {
+        site.platform().failWhere((_node, _call) -> true);
+        put("other", "ledger 10.0.0.9:80 ready");
+        run(1500);
+        site.platform().remove(EndpointRegistrySystem.KIND, "one");
+        site.platform().failWhere((_node, _call) -> false);
+        run(800);
+        put("one", "ledger 10.0.0.1:80 ready");
+        run(3000);
+        assertThat(names("ledger")).contains("one");
+    }
+
+    @Test
+    void anAddressThatAnotherServiceTookOverBelongsToItAlone() {
+        put("stranger", "catalogue 10.0.0.1:80 ready");
+        run(400);
+        assertThat(names("ledger")).containsExactly("two");
+        assertThat(names("catalogue")).containsExactly("stranger");
+    }
+
+    @Test
+    void aForgottenHistoryLeadsToANewList() {
+        put("three", "ledger 10.0.0.3:80 ready");
+        site.platform().remove(EndpointRegistrySystem.KIND, "two");
+        site.platform().compact();
+        run(1000);
+        assertThat(names("ledger")).containsExactlyInAnyOrder("one", "three");
+    }
+
+    @Test
+    void anEntryThatCantBeReadChangesNothing() {
+        put("one", "nonsense");
+        run(400);
+        assertThat(names("ledger")).containsExactlyInAnyOrder("one", "two");
+    }
+
+    private void put(String name, String value) {
+        site.platform().put(EndpointRegistrySystem.KIND, name, value);
+    }
+
+    private void run(int millis) {
+        site.run(Duration.ofMillis(millis));
+    }
+
+    private List<String> names(String pool) {
+        return registry.working(new PoolName(pool)).stream()
+                .map(endpoint -> endpoint.name().value())
+                .toList();
+    }
+
+    private static Optional<RegisteredEndpoint> decode(StoredObject object) {
+        String[] parts = object.value().toUtf8().split(" ", -1);
+        if (parts.length != 3) {
+            return Optional.empty();
+        }
+        return Optional.of(new RegisteredEndpoint(
+                new EndpointName(new PoolName(parts[0]), object.key().name()),
+                parts[1],
+                new AvailabilityZone("zone-a"),
+                4,
+                parts[2].equals("draining"),
+                Map.of()));
+    }
+}
--- /dev/null
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/site/SharedPlatform.java
@@ -0,0 +1,155 @@
+package io.yuccaswitch.core.site;
+
+import io.yuccaswitch.core.platform.ObjectKey;
+import io.yuccaswitch.core.platform.PlatformEffect;
+import io.yuccaswitch.core.platform.PlatformEvent;
+import io.yuccaswitch.core.platform.StoredObject;
+import io.yuccaswitch.core.value.Bytes;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.BiPredicate;
+
+/** The platform's objects as several cores share them, with outages, lost answers and calls that are applied late. */
+public final class SharedPlatform {
+
+    private final Map<String, StoredObject> objects = new TreeMap<>();
+    private final List<StoredObject> changes = new ArrayList<>();
+    private final List<PlatformEffect> log = new ArrayList<>();
+    private final List<PlatformEffect.Write> late = new ArrayList<>();
+    private BiPredicate<String, PlatformEffect> down = (_node, _call) -> false;
+    private BiPredicate<String, PlatformEffect> answerLost = (_node, _call) -> false;
+    private BiPredicate<String, PlatformEffect> appliedLate = (_node, _call) -> false;
+    private long version = 10;
+    private long oldestKnown;
+
+    /** Fails the calls that match. */
+    public void failWhere(BiPredicate<String, PlatformEffect> condition) {
+        down = condition;
+    }
+
+    /** Applies the calls that match, and loses their answers. */
+    public void loseAnswersWhere(BiPredicate<String, PlatformEffect> condition) {
+        answerLost = condition;
+    }
+
+    /** Answers the writes that match not at all, and applies them when {@link #applyLate()} is called. */
+    public void applyLateWhere(BiPredicate<String, PlatformEffect> condition) {
+        appliedLate = condition;
+    }
+
+    /** Applies the writes that were held back, as far as their conditions still hold. */
+    public void applyLate() {
+        late.forEach(this::write);
+        late.clear();
+    }
+
+    /** Forgets the history of changes. */
+    public void compact() {
+        changes.clear();
+        oldestKnown = version;
+    }
+
+    /** Puts an object as the operator, an endpoint or a trainer would. */
+    public void put(String kind, String name, String value) {
+        store(new ObjectKey(kind, name), Bytes.ofUtf8(value), false);
+    }
+
+    /** Removes an object. */
+    public void remove(String kind, String name) {
+        store(new ObjectKey(kind, name), Bytes.EMPTY, true);
+    }
+
+    /** Returns an object. */
+    public Optional<StoredObject> find(String kind, String name) {
+        return Optional.ofNullable(objects.get(new ObjectKey(kind, name).toString()));
+    }
+
+    /** Returns the objects of a kind. */
+    public List<StoredObject> all(String kind) {
+        return objects.values().stream()
+                .filter(object -> object.key().kind().equals(kind))
+                .toList();
+    }
+
+    /** Returns the calls so far. */
+    public List<PlatformEffect> log() {
+        return log;
+    }
+
+    /** Returns whether a watch has something to return. */
+    boolean isReady(PlatformEffect call) {
+        return !(call instanceof PlatformEffect.Watch watch)
+                || watch.afterVersion() < oldestKnown
+                || !changesAfter(watch).isEmpty();
+    }
+
+    /** Carries out a call of a node. */
+    PlatformEvent answer(String node, PlatformEffect call) {
+        log.add(call);
+        if (down.test(node, call)) {
+            return new PlatformEvent.Unavailable(call.token(), false, "outage");
+        }
+        if (call instanceof PlatformEffect.Write write && appliedLate.test(node, call)) {
+            late.add(write);
+            return new PlatformEvent.Unavailable(call.token(), true, "no answer");
+        }
+        PlatformEvent event = execute(call);
+        return answerLost.test(node, call) ? new PlatformEvent.Unavailable(call.token(), true, "answer lost") : event;
+    }
+
+    private PlatformEvent execute(PlatformEffect call) {
+        if (call instanceof PlatformEffect.Read read) {
+            return new PlatformEvent.ObjectRead(
+                    read.token(), Optional.ofNullable(objects.get(read.key().toString())));
+        }
+        if (call instanceof PlatformEffect.ListKind list) {
+            List<StoredObject> found = all(list.kind()).stream()
+                    .filter(object -> list.after()
+                            .filter(name -> object.key().name().compareTo(name) <= 0)
+                            .isEmpty())
+                    .toList();
+            return new PlatformEvent.ObjectsListed(list.token(), found, version, false);
+        }
+        if (call instanceof PlatformEffect.Watch watch) {
+            boolean gone = watch.afterVersion() < oldestKnown;
+            return new PlatformEvent.ObjectsListed(
+                    watch.token(), gone ? List.of() : changesAfter(watch), version, gone);
+        }
+        if (call instanceof PlatformEffect.Write write) {
+            return write(write);
+        }
+        throw new IllegalArgumentException("Not expected: " + call);
+    }
+
+    private PlatformEvent write(PlatformEffect.Write write) {
+        Optional<StoredObject> current =
+                Optional.ofNullable(objects.get(write.key().toString()));
+        long present = current.map(StoredObject::version).orElse(-1L);
+        if (present != write.expectedVersion().orElse(-1)) {
+            return new PlatformEvent.Conflict(write.token(), current);
+        }
+        store(write.key(), write.value(), false);
+        return new PlatformEvent.Accepted(write.token(), version);
+    }
+
+    private void store(ObjectKey key, Bytes value, boolean deleted) {
+        version++;
+        StoredObject object = new StoredObject(key, version, value, deleted);
+        if (deleted) {
+            objects.remove(key.toString());
+        } else {
+            objects.put(key.toString(), object);
+        }
+        changes.add(object);
+    }
+
+    private List<StoredObject> changesAfter(PlatformEffect.Watch watch) {
+        return changes.stream()
+                .filter(object -> object.key().kind().equals(watch.kind()))
+                .filter(object -> object.version() > watch.afterVersion())
+                .toList();
+    }
+}
--- /dev/null
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/site/TestNode.java
@@ -0,0 +1,119 @@
+package io.yuccaswitch.core.site;
+
+import io.yuccaswitch.core.decision.Decision;
+import io.yuccaswitch.core.decision.DecisionCore;
+import io.yuccaswitch.core.decision.DecisionSystem;
+import io.yuccaswitch.core.decision.Effect;
+import io.yuccaswitch.core.decision.Event;
+import io.yuccaswitch.core.decision.TickResult;
+import io.yuccaswitch.core.identity.AvailabilityZone;
+import io.yuccaswitch.core.identity.NodeIdentity;
+import io.yuccaswitch.core.identity.NodeName;
+import io.yuccaswitch.core.membership.Member;
+import io.yuccaswitch.core.membership.MemberCondition;
+import io.yuccaswitch.core.membership.MembershipView;
+import io.yuccaswitch.core.platform.PlatformEffect;
+import io.yuccaswitch.core.platform.PlatformTokens;
+import io.yuccaswitch.core.time.MonotonicTime;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BiFunction;
+
+/** One core with hand-fed events and a hand-moved clock. */
+public final class TestNode implements MembershipView {
+
+    private final TestSite site;
+    private final String name;
+    private final DecisionCore core;
+    private final List<Event> waiting = new ArrayList<>();
+    private final List<PlatformEffect> calls = new ArrayList<>();
+    private final List<Effect> effects = new ArrayList<>();
+    private final List<Decision> decisions = new ArrayList<>();
+    private boolean frozen;
+
+    TestNode(TestSite site, String name, BiFunction<TestNode, PlatformTokens, List<DecisionSystem>> systems) {
+        this.site = site;
+        this.name = name;
+        core = new DecisionCore(systems.apply(this, new PlatformTokens()), name.hashCode());
+    }
+
+    /** Returns the name. */
+    public String name() {
+        return name;
+    }
+
+    /** Gives the core an event with its next tick. */
+    public void accept(Event event) {
+        waiting.add(event);
+    }
+
+    /** Stops and resumes the node's ticks. */
+    public void freeze(boolean state) {
+        frozen = state;
+    }
+
+    /** Returns the effects of a type so far that were not taken yet, and takes them. */
+    public <T extends Effect> List<T> take(Class<T> type) {
+        List<T> taken = new ArrayList<>();
+        effects.removeIf(effect -> type.isInstance(effect) && taken.add(type.cast(effect)));
+        return taken;
+    }
+
+    /** Returns the decisions so far. */
+    public List<Decision> decisions() {
+        return decisions;
+    }
+
+    void step(MonotonicTime now) {
+        if (frozen) {
+            return;
+        }
+        for (PlatformEffect call : List.copyOf(calls)) {
+            if (site.platform().isReady(call)) {
+                calls.remove(call);
+                waiting.add(site.platform().answer(name, call));
+            }
+        }
+        List<Event> events = List.copyOf(waiting);
+        waiting.clear();
+        TickResult result = core.tick(now, events);
+        decisions.addAll(result.decisions());
+        for (Effect effect : result.effects()) {
+            if (effect instanceof PlatformEffect call) {
+                calls.add(call);
+            } else {
+                effects.add(effect);
+            }
+        }
+    }
+
+    @Override
+    public Member self() {
+        return site.member(name);
+    }
+
+    @Override
+    public Collection<Member> working() {
+        return site.workingAsSeenBy(name);
+    }
+
+    @Override
+    public Optional<Member> find(NodeName wanted) {
+        return working().stream()
+                .filter(member -> member.identity().name().equals(wanted))
+                .findFirst();
+    }
+
+    static Member member(String name) {
+        return new Member(
+                new NodeIdentity(new NodeName(name), 1),
+                new AvailabilityZone("zone-a"),
+                "region",
+                name + ":1",
+                name + ":2",
+                name + ":3",
+                MemberCondition.ALIVE);
+    }
+}
--- /dev/null
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/site/TestSite.java
@@ -0,0 +1,82 @@
+package io.yuccaswitch.core.site;
+
+import io.yuccaswitch.core.decision.DecisionSystem;
+import io.yuccaswitch.core.membership.Member;
+import io.yuccaswitch.core.platform.PlatformTokens;
+import io.yuccaswitch.core.time.MonotonicTime;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.BiFunction;
+import java.util.function.Consumer;
+
+/** Some cores that share a platform, moved by hand in ticks of ten milliseconds. */
+public final class TestSite {
+
+    private static final Duration STEP = Duration.ofMillis(10);
+
+    private final SharedPlatform platform = new SharedPlatform();
+    private final Map<String, TestNode> nodes = new LinkedHashMap<>();
+    private final Set<String> gone = new TreeSet<>();
+    private Consumer<TestSite> everyStep = _site -> {};
+    private MonotonicTime now = new MonotonicTime(Duration.ofSeconds(100).toNanos());
+
+    /** Returns the platform. */
+    public SharedPlatform platform() {
+        return platform;
+    }
+
+    /** Returns the present. */
+    public MonotonicTime now() {
+        return now;
+    }
+
+    /** Starts a node, or starts it anew under the same name. */
+    public TestNode start(String name, BiFunction<TestNode, PlatformTokens, List<DecisionSystem>> systems) {
+        TestNode node = new TestNode(this, name, systems);
+        gone.remove(name);
+        nodes.put(name, node);
+        return node;
+    }
+
+    /** Kills a node: it runs no more, and the others have noticed. */
+    public void kill(String name) {
+        nodes.remove(name);
+        gone.add(name);
+    }
+
+    /** Lets the others believe that a node is gone though it runs. */
+    public void believeGone(String name) {
+        gone.add(name);
+    }
+
+    /** Does something after each step, such as playing engines. */
+    public void everyStep(Consumer<TestSite> action) {
+        everyStep = action;
+    }
+
+    /** Moves the clock. */
+    public void run(Duration time) {
+        MonotonicTime end = now.plus(time);
+        while (now.isBefore(end)) {
+            now = now.plus(STEP);
+            List.copyOf(nodes.values()).forEach(node -> node.step(now));
+            everyStep.accept(this);
+        }
+    }
+
+    Member member(String name) {
+        return TestNode.member(name);
+    }
+
+    Collection<Member> workingAsSeenBy(String name) {
+        return nodes.keySet().stream()
+                .filter(other -> other.equals(name) || !gone.contains(other))
+                .map(TestNode::member)
+                .toList();
+    }
+}
