Break off watches when the path to the platform is cut, and let a former runner show what its successor listed

(3) 766 of 2626 arrivals at engines were refused while they loaded. Change: a call that fails without an answer breaks off the watches that wait and drops idle connections; a runner asks the platform before it says that there is nothing; results found by a reader are dropped from the run; the jobs of a node that is about to stop stay with it; an engine that refused an item is tried with one item after growing pauses. The new tests of the core failed before and pass now.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchCommitSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchCommitSystem.java
@@ -60,6 +60,7 @@
     private void commit(Tick tick, RunningJob job, List<BatchResult> results) {
         BatchJobId id = job.job().id();
         ResultLog log = state.log(id, job.job().items().size(), tick.now());
+        int number = log.objects();
         job.beginCommit();
         state.calls()
                 .call(
@@ -67,67 +68,63 @@
                         token -> new PlatformEffect.Write(
                                 token,
                                 PlatformPurpose.BATCH,
-                                BatchObjects.results(id, log.objects()),
+                                BatchObjects.results(id, number),
                                 OptionalLong.empty(),
                                 state.codec().writeResults(results)),
-                        (later, event) -> receive(later, job, log, results, event));
+                        (later, event) -> receive(later, new Commit(job, log, number), results, event));
     }
 
     /**
      * Takes the platform's answer.
      *
      * @param tick The tick.
-     * @param job The job.
-     * @param log The job's log.
+     * @param commit What was sent.
      * @param results The results that were sent.
      * @param event The answer.
      */
-    private void receive(Tick tick, RunningJob job, ResultLog log, List<BatchResult> results, PlatformEvent event) {
-        BatchJobId id = job.job().id();
+    private void receive(Tick tick, Commit commit, List<BatchResult> results, PlatformEvent event) {
         if (event instanceof PlatformEvent.Accepted) {
-            append(tick, job, log, results, "listed");
-        } else if (event instanceof PlatformEvent.Conflict conflict) {
-            Optional<List<BatchResult>> stored = conflict.current()
-                    .map(StoredObject::value)
-                    .flatMap(value -> state.codec().readResults(value));
-            stored.ifPresent(winner -> append(tick, job, log, winner, "listed before"));
-            job.endCommit(stored.isPresent() ? tick.now() : tick.now().plus(FAILURE_WAIT));
-        } else {
-            job.endCommit(tick.now().plus(FAILURE_WAIT));
-            tick.decide(Decision.of("batch-results", id.value(), "not listed", "the platform did not answer"));
+            append(tick, commit, results, "listed");
+            return;
+        }
+        Optional<List<BatchResult>> stored = Optional.empty();
+        if (event instanceof PlatformEvent.Conflict conflict) {
+            stored = conflict.current().map(StoredObject::value).flatMap(value -> state.codec()
+                    .readResults(value));
+        }
+        if (stored.isPresent()) {
+            append(tick, commit, stored.get(), "listed before");
+            return;
         }
+        commit.job().endCommit(tick.now().plus(FAILURE_WAIT));
+        tick.decide(Decision.of(
+                "batch-results",
+                commit.job().job().id().value(),
+                "not listed",
+                "the platform answered " + event.getClass().getSimpleName()));
     }
 
     /**
-     * Takes results that lie on the platform.
+     * Takes results that lie on the platform, unless a reader has found them there already.
      *
      * @param tick The tick.
-     * @param job The job.
-     * @param log The job's log.
+     * @param commit What was sent.
      * @param results The results.
      * @param choice What happened, for logs.
      */
-    private void append(Tick tick, RunningJob job, ResultLog log, List<BatchResult> results, String choice) {
-        BatchJobId id = job.job().id();
-        log.append(results);
-        for (BatchResult result : results) {
-            job.find(result.item()).ifPresent(item -> item.stop().ifPresent(engine -> {
-                tick.emit(new BatchEffect.Cancel(id, result.item(), item.attempt()));
-                state.loads().end(engine);
-            }));
+    private void append(Tick tick, Commit commit, List<BatchResult> results, String choice) {
+        BatchJobId id = commit.job().job().id();
+        if (commit.log().objects() == commit.number()) {
+            commit.log().append(results);
         }
-        job.drop(results);
-        job.endCommit(tick.now().plus(job.isFinished() ? Duration.ZERO : INTERVAL));
         tick.decide(Decision.of(
                 "batch-results",
                 id.value(),
                 choice,
-                "object " + (log.objects() - 1) + " with " + results.size() + " results, " + log.size() + " in all"));
-        if (log.isComplete()) {
-            state.running().remove(id);
-            state.finished().add(id);
-            tick.decide(Decision.of("batch-job", id.value(), "finished", "all results are listed"));
-        }
+                "object " + commit.number() + " with " + results.size() + " results, "
+                        + commit.log().size() + " in all"));
+        state.drop(tick, id, results);
+        commit.job().endCommit(tick.now().plus(commit.job().isFinished() ? Duration.ZERO : INTERVAL));
     }
 
     /**
@@ -148,4 +145,13 @@
         }
         return first;
     }
+
+    /**
+     * Results that were sent to the platform.
+     *
+     * @param job The job.
+     * @param log The job's log.
+     * @param number The number of the object.
+     */
+    private record Commit(RunningJob job, ResultLog log, int number) {}
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchEvent.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchEvent.java
@@ -41,6 +41,16 @@
      */
     record EndRequested(long ticket, BatchJobId id) implements BatchEvent {}
 
+    /**
+     * An engine has begun to answer an attempt, such that it takes items of the model.
+     *
+     * @param id The job.
+     * @param item The item.
+     * @param attempt The number of the attempt.
+     * @param version The version of the weights under which the answer begins.
+     */
+    record AttemptBegun(BatchJobId id, String item, int attempt, long version) implements BatchEvent {}
+
     /**
      * An attempt to run an item has ended.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchOwnershipSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchOwnershipSystem.java
@@ -5,6 +5,7 @@
 import io.yuccaswitch.core.decision.Tick;
 import io.yuccaswitch.core.identity.NodeName;
 import io.yuccaswitch.core.membership.Member;
+import io.yuccaswitch.core.membership.MemberCondition;
 import io.yuccaswitch.core.membership.MembershipEvent;
 import io.yuccaswitch.core.membership.RendezvousRanking;
 import io.yuccaswitch.core.platform.CallBackOff;
@@ -82,7 +83,7 @@
     public void run(Tick tick) {
         joined |= !tick.events(MembershipEvent.SelfJoined.class).isEmpty();
         leaving |= !tick.events(BatchEvent.Leaving.class).isEmpty();
-        if (!reading && !leaving && backOff.allows(tick.now())) {
+        if (!reading && backOff.allows(tick.now())) {
             reading = true;
             boolean stale = read && state.running().size() == 0;
             state.calls()
@@ -138,6 +139,9 @@
         if (state.finished().contains(id) || taking.contains(id)) {
             return;
         }
+        if (leaving) {
+            return;
+        }
         if (own) {
             load(tick, entry, "accepted by an earlier life of this node");
         } else if (isOrphaned(tick, entry) && isFirst(id)) {
@@ -153,7 +157,7 @@
      * @return {@code true} if it has.
      */
     private boolean isOrphaned(Tick tick, BatchIndexEntry entry) {
-        if (!joined || isWorking(entry.runner())) {
+        if (!joined || isRunning(entry.runner())) {
             orphanedSince.remove(entry.id());
             return false;
         }
@@ -162,14 +166,16 @@
     }
 
     /**
-     * Returns whether a node is one of the working ones.
+     * Returns whether a node still runs its jobs. A node that is about to stop does.
      *
      * @param node The node.
-     * @return {@code true} if it takes part in the site's work.
+     * @return {@code true} unless it is gone.
      */
-    private boolean isWorking(NodeName node) {
-        return state.membership().working().stream()
-                .anyMatch(member -> member.identity().name().equals(node));
+    private boolean isRunning(NodeName node) {
+        return state.membership()
+                .find(node)
+                .filter(member -> member.condition() != MemberCondition.DEAD)
+                .isPresent();
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchReadSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchReadSystem.java
@@ -70,7 +70,7 @@
     }
 
     /**
-     * Returns whether the log known here is all there is.
+     * Returns whether new results become known here without a call for each reader.
      *
      * @param id The job.
      * @param log The log.
@@ -81,7 +81,8 @@
     }
 
     /**
-     * Answers a waiting call if there is a result, or if its time is up and the log is known to be current.
+     * Answers a waiting call if there is a result. When its time is up, the platform is asked before the answer says
+     * that there is none: another node may have taken the job over meanwhile.
      *
      * @param tick The tick.
      * @param request The call.
@@ -91,10 +92,10 @@
         if (log.isEmpty()) {
             return;
         }
-        boolean found = log.get().size() > request.position();
-        boolean late = !tick.now().isBefore(request.until());
-        if (found || log.get().isComplete() || (late && isLocal(request.id(), log.get()))) {
+        if (log.get().size() > request.position() || log.get().isComplete()) {
             reply(tick, request, log.get().page(request.position()));
+        } else if (!tick.now().isBefore(request.until())) {
+            refresh(tick, request.id(), request);
         }
     }
 
@@ -112,7 +113,7 @@
         Optional<ResultLog> log = state.logs().find(id);
         if (log.isEmpty()) {
             readEntry(tick, id);
-        } else if (log.get().version().isEmpty()) {
+        } else if (log.get().version().isEmpty() || isLocal(id, log.get())) {
             list(tick, id, log.get());
         } else {
             watch(tick, id, log.get(), request);
@@ -211,7 +212,7 @@
             return;
         }
         reading.remove(id);
-        log.take(listed.objects(), listed.version(), state.codec());
+        state.drop(tick, id, log.take(listed.objects(), listed.version(), state.codec()));
         for (BatchEvent.ResultsRequested request : waiting.rows()) {
             if (!request.id().equals(id)) {
                 continue;
@@ -219,9 +220,9 @@
             boolean waits = log.size() <= request.position()
                     && !log.isComplete()
                     && tick.now().isBefore(request.until());
-            if (waits) {
+            if (waits && !isLocal(id, log)) {
                 refresh(tick, id, request);
-            } else {
+            } else if (!waits) {
                 reply(tick, request, log.page(request.position()));
             }
         }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchRunSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchRunSystem.java
@@ -15,9 +15,6 @@
 /** Runs the items of jobs at engines, and takes what becomes of the attempts. */
 final class BatchRunSystem implements DecisionSystem {
 
-    /** How long an engine that refused an item gets none of the model: about a fifth of the loading of a version. */
-    private static final Duration REFUSAL_PAUSE = Duration.ofMillis(150);
-
     /** How long an engine that broke an attempt off gets no item of the model. */
     private static final Duration INTERRUPTION_PAUSE = Duration.ofMillis(400);
 
@@ -38,6 +35,7 @@
 
     @Override
     public void run(Tick tick) {
+        tick.events(BatchEvent.AttemptBegun.class).forEach(begun -> takeBegin(tick, begun));
         tick.events(BatchEvent.AttemptEnded.class).forEach(ended -> take(tick, ended));
         Optional<RouteConfiguration> routes = state.routes().inForce();
         if (routes.isEmpty()) {
@@ -92,6 +90,8 @@
     private Optional<RegisteredEndpoint> choose(RunningJob job, RunningItem item, List<RegisteredEndpoint> engines) {
         List<RegisteredEndpoint> free = engines.stream()
                 .filter(engine -> state.loads().running(engine.name()) < engine.slots())
+                .filter(engine ->
+                        !state.loads().isOnTrial(engine.name(), job.job().model()))
                 .toList();
         Optional<EndpointName> last = job.lastEngine(item.item().group());
         Optional<RegisteredEndpoint> same = free.stream()
@@ -124,6 +124,7 @@
         }
         int attempt = item.begin(engine.name());
         state.loads().begin(engine.name());
+        state.loads().tryOut(engine.name(), job.job().model());
         job.remember(item.item().group(), engine.name());
         tick.emit(new BatchEffect.Run(
                 job.job().id(),
@@ -177,6 +178,24 @@
         }
     }
 
+    /**
+     * Takes the beginning of an answer.
+     *
+     * @param tick The tick.
+     * @param begun The beginning.
+     */
+    private void takeBegin(Tick tick, BatchEvent.AttemptBegun begun) {
+        Optional<RunningJob> job = state.running().find(begun.id());
+        Optional<EndpointName> engine = job.flatMap(found -> found.find(begun.item()))
+                .filter(item -> item.isCurrent(begun.attempt()))
+                .flatMap(RunningItem::endpoint);
+        if (engine.isPresent()) {
+            String model = job.get().job().model();
+            state.loads().succeed(engine.get(), model);
+            state.registry().noteVersion(tick, engine.get(), model, begun.version());
+        }
+    }
+
     /**
      * Takes the end of an attempt.
      *
@@ -193,21 +212,25 @@
         EndpointName engine = item.get().stop().orElseThrow();
         state.loads().end(engine);
         String model = job.get().job().model();
+        state.loads().endTrial(engine, model);
         ended.text().versions().stream().max(Comparator.naturalOrder()).ifPresent(version -> state.registry()
                 .noteVersion(tick, engine, model, version));
         item.get().keep(item.get().text().append(ended.text()));
         AttemptOutcome outcome = ended.outcome();
         if (outcome instanceof AttemptOutcome.Completed) {
+            state.loads().succeed(engine, model);
             complete(tick, job.get(), item.get(), engine);
         } else if (outcome instanceof AttemptOutcome.Impossible) {
             finish(tick, item.get(), BatchResult.givenUp(ended.item()), "the engine can never run it");
         } else if (outcome instanceof AttemptOutcome.Failed) {
             fail(tick, job.get(), item.get(), engine);
         } else if (outcome instanceof AttemptOutcome.Refused refused) {
-            again(tick, job.get(), item.get(), engine, REFUSAL_PAUSE, refused.reason());
+            state.loads().refuse(engine, model, tick.now());
+            again(tick, item.get(), engine, refused.reason());
         } else if (outcome instanceof AttemptOutcome.Interrupted interrupted) {
             Duration pause = interrupted.unreachable() ? UNREACHABLE_PAUSE : INTERRUPTION_PAUSE;
-            again(tick, job.get(), item.get(), engine, pause, interrupted.reason());
+            state.loads().pause(engine, model, tick.now(), pause);
+            again(tick, item.get(), engine, interrupted.reason());
         }
     }
 
@@ -232,7 +255,8 @@
                 && (!single || versions.size() == 1);
         if (!allowed) {
             item.keep(ItemText.EMPTY);
-            again(tick, job, item, engine, INTERRUPTION_PAUSE, "versions " + versions + " are not allowed");
+            state.loads().pause(engine, job.job().model(), tick.now(), INTERRUPTION_PAUSE);
+            again(tick, item, engine, "versions " + versions + " are not allowed");
             return;
         }
         finish(
@@ -261,22 +285,19 @@
             finish(tick, item, BatchResult.givenUp(item.item().id()), "failed " + failures + " times");
             return;
         }
-        again(tick, job, item, engine, INTERRUPTION_PAUSE, "the engine failed");
+        state.loads().pause(engine, job.job().model(), tick.now(), INTERRUPTION_PAUSE);
+        again(tick, item, engine, "the engine failed");
     }
 
     /**
      * Lets an item wait for another attempt.
      *
      * @param tick The tick.
-     * @param job The job.
      * @param item The item.
      * @param engine The engine of the last attempt.
-     * @param pause How long that engine gets no item of the model.
      * @param reason Why.
      */
-    private void again(
-            Tick tick, RunningJob job, RunningItem item, EndpointName engine, Duration pause, String reason) {
-        state.loads().pause(engine, job.job().model(), tick.now(), pause);
+    private static void again(Tick tick, RunningItem item, EndpointName engine, String reason) {
         tick.decide(Decision.of(
                 "batch-item",
                 item.item().id(),
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
@@ -147,6 +147,33 @@
         tick.decide(Decision.of("batch-job", id.value(), "stop here", reason + ", items broken off " + broken));
     }
 
+    /**
+     * Takes note of results that are listed: their items need not run here any more.
+     *
+     * @param tick The tick.
+     * @param id The job.
+     * @param listed The results.
+     */
+    void drop(Tick tick, BatchJobId id, List<BatchResult> listed) {
+        Optional<RunningJob> job = running.find(id);
+        if (job.isEmpty()) {
+            return;
+        }
+        for (BatchResult result : listed) {
+            job.get().find(result.item()).ifPresent(item -> item.stop().ifPresent(engine -> {
+                tick.emit(new BatchEffect.Cancel(id, result.item(), item.attempt()));
+                loads.end(engine);
+            }));
+        }
+        job.get().drop(listed);
+        boolean complete = logs.find(id).filter(ResultLog::isComplete).isPresent();
+        if (complete) {
+            running.remove(id);
+            finished.add(id);
+            tick.decide(Decision.of("batch-job", id.value(), "finished", "all results are listed"));
+        }
+    }
+
     /**
      * Returns whether a log belongs to a job that runs here.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ResultLog.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ResultLog.java
@@ -71,8 +71,10 @@
      * @param listed The objects, in any order.
      * @param upTo The version up to which the objects are known thereby.
      * @param codec Reads the objects.
+     * @return The results that were not known before.
      */
-    void take(List<StoredObject> listed, long upTo, BatchCodec codec) {
+    List<BatchResult> take(List<StoredObject> listed, long upTo, BatchCodec codec) {
+        int before = results.size();
         List<StoredObject> ordered = new ArrayList<>(listed);
         ordered.sort(java.util.Comparator.comparing(object -> object.key().name()));
         for (StoredObject object : ordered) {
@@ -83,6 +85,7 @@
             }
         }
         version = OptionalLong.of(upTo);
+        return List.copyOf(results.subList(before, results.size()));
     }
 
     /**
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSystemTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSystemTest.java
@@ -350,6 +350,65 @@
                 .isEqualTo(6);
     }
 
+    @Test
+    void aFormerRunnerThatDoesNotKnowOfItsSuccessorShowsWhatTheSuccessorListed() {
+        TestNode first = site.node("node-1");
+        site.node("node-2");
+        site.run(100);
+        site.engines(_run -> Optional.empty());
+        site.submit(first, BatchSite.job("job", 4));
+        site.run(100);
+        site.site
+                .platform()
+                .failWhere((node, call) -> node.equals("node-1")
+                        && call instanceof PlatformEffect.ListKind list
+                        && list.kind().equals(BatchObjects.INDEX));
+        site.engines(run -> Optional.of(BatchSite.whole(run, 1)));
+        site.site.believeGone("node-1");
+        site.run(4000);
+        assertThat(site.listed("job")).hasSize(4);
+        long read = site.read(first, "job", 3, Duration.ofMillis(100));
+        site.run(300);
+        assertThat(((BatchAnswer.Results) site.answer(read).orElseThrow()).results())
+                .hasSize(1);
+        site.started.subList(0, 4).forEach(run -> first.accept(BatchSite.whole(run, 1)));
+        site.run(1000);
+        assertThat(site.listed("job")).hasSize(4).doesNotHaveDuplicates();
+    }
+
+    @Test
+    void theJobsOfALeavingNodeAreNotTakenOverWhileItRuns() {
+        TestNode first = site.node("node-1");
+        site.node("node-2");
+        site.run(100);
+        site.engines(_run -> Optional.empty());
+        site.submit(first, BatchSite.job("job", 4));
+        site.run(100);
+        site.site.believeLeaving("node-1");
+        site.run(4000);
+        assertThat(site.runs.values()).containsOnly(1);
+        site.engines(run -> Optional.of(BatchSite.whole(run, 1)));
+        site.kill(first);
+        site.run(4000);
+        assertThat(site.listed("job")).hasSize(4).doesNotHaveDuplicates();
+    }
+
+    @Test
+    void anEngineThatRefusesIsTriedWithOneItemAtATimeUntilItRunsOne() {
+        TestNode node = site.node("node-1");
+        site.site.platform().remove(io.yuccaswitch.core.registry.EndpointRegistrySystem.KIND, "engine-2");
+        site.run(300);
+        site.engines(run -> Optional.of(BatchSite.ended(run, new AttemptOutcome.Refused("loading"), ItemText.EMPTY)));
+        site.submit(node, BatchSite.job("job", 8));
+        site.run(1000);
+        assertThat(site.started)
+                .as("four at first, then single ones with growing pauses")
+                .hasSizeLessThan(10);
+        site.engines(run -> Optional.of(BatchSite.whole(run, 1)));
+        site.run(2000);
+        assertThat(site.listed("job")).hasSize(8);
+    }
+
     private static boolean writesTo(PlatformEffect call, String kind) {
         return call instanceof PlatformEffect.Write write && write.key().kind().equals(kind);
     }
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/site/TestNode.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/site/TestNode.java
@@ -103,7 +103,8 @@
     public Optional<Member> find(NodeName wanted) {
         return working().stream()
                 .filter(member -> member.identity().name().equals(wanted))
-                .findFirst();
+                .findFirst()
+                .or(() -> site.leaving(wanted));
     }
 
     static Member member(String name) {
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/site/TestSite.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/site/TestSite.java
@@ -1,7 +1,9 @@
 package io.yuccaswitch.core.site;
 
 import io.yuccaswitch.core.decision.DecisionSystem;
+import io.yuccaswitch.core.identity.NodeName;
 import io.yuccaswitch.core.membership.Member;
+import io.yuccaswitch.core.membership.MemberCondition;
 import io.yuccaswitch.core.platform.PlatformTokens;
 import io.yuccaswitch.core.time.MonotonicTime;
 import java.time.Duration;
@@ -9,6 +11,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.BiFunction;
@@ -22,6 +25,7 @@
     private final SharedPlatform platform = new SharedPlatform();
     private final Map<String, TestNode> nodes = new LinkedHashMap<>();
     private final Set<String> gone = new TreeSet<>();
+    private final Set<String> leaving = new TreeSet<>();
     private Consumer<TestSite> everyStep = _site -> {};
     private MonotonicTime now = new MonotonicTime(Duration.ofSeconds(100).toNanos());
 
@@ -54,6 +58,11 @@
         gone.add(name);
     }
 
+    /** Lets the others believe that a node is about to stop. */
+    public void believeLeaving(String name) {
+        leaving.add(name);
+    }
+
     /** Does something after each step, such as playing engines. */
     public void everyStep(Consumer<TestSite> action) {
         everyStep = action;
@@ -73,9 +82,16 @@
         return TestNode.member(name);
     }
 
+    Optional<Member> leaving(NodeName name) {
+        boolean listed = leaving.contains(name.value()) && nodes.containsKey(name.value());
+        return listed
+                ? Optional.of(TestNode.member(name.value()).withCondition(MemberCondition.LEAVING))
+                : Optional.empty();
+    }
+
     Collection<Member> workingAsSeenBy(String name) {
         return nodes.keySet().stream()
-                .filter(other -> other.equals(name) || !gone.contains(other))
+                .filter(other -> other.equals(name) || !(gone.contains(other) || leaving.contains(other)))
                 .map(TestNode::member)
                 .toList();
     }
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ItemRunner.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ItemRunner.java
@@ -273,6 +273,8 @@
          */
         private void read(Response response) throws IOException {
             OptionalLong version = dialect.version(response.headers());
+            version.ifPresent(told ->
+                    loop.accept(new BatchEvent.AttemptBegun(run.id(), run.item().id(), run.attempt(), told)));
             ServerSentEvents stream = new ServerSentEvents(response.body().source(), dialect);
             Optional<ServerSentEvents.Event> event = stream.next();
             while (event.isPresent()) {
--- a/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/HttpTransport.java
+++ b/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/HttpTransport.java
@@ -7,6 +7,8 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import okhttp3.Call;
@@ -50,6 +52,9 @@
     /** The client for watches. */
     private final OkHttpClient watchClient;
 
+    /** The watches that wait. */
+    private final Set<Call> waitingWatches = ConcurrentHashMap.newKeySet();
+
     /**
      * Creates a transport.
      *
@@ -97,11 +102,32 @@
                     .build();
             Call call = (watches ? watchClient : client).newCall(marked);
             emitter.setCancellable(call::cancel);
-            call.enqueue(new ReplyCallback(emitter));
+            if (watches) {
+                waitingWatches.add(call);
+            }
+            call.enqueue(new ReplyCallback(emitter, () -> waitingWatches.remove(call)));
         });
     }
 
     /** Cancels all calls, which thereby fail, and releases all threads and connections. */
+    /**
+     * Returns the number of watches that wait.
+     *
+     * @return The number.
+     */
+    int waitingWatches() {
+        return waitingWatches.size();
+    }
+
+    /**
+     * Breaks off the watches that wait, and drops idle connections: the path to the platform may be cut, which a call
+     * that waits does not notice.
+     */
+    void abandonWatches() {
+        waitingWatches.forEach(Call::cancel);
+        client.connectionPool().evictAll();
+    }
+
     @Override
     public void close() {
         client.dispatcher().cancelAll();
@@ -146,19 +172,23 @@
      * Turns what OkHttp calls back into a reply.
      *
      * @param emitter The emitter that takes the reply.
+     * @param ended What follows the end of the call.
      */
-    private record ReplyCallback(SingleEmitter<Reply> emitter) implements Callback {
+    private record ReplyCallback(SingleEmitter<Reply> emitter, Runnable ended) implements Callback {
 
         /** {@inheritDoc} */
         @Override
         public void onFailure(Call call, IOException exception) {
+            ended.run();
             emitter.onSuccess(failed(call, exception));
         }
 
         /** {@inheritDoc} */
         @Override
         public void onResponse(Call call, Response response) {
-            emitter.onSuccess(read(call, response));
+            Reply reply = read(call, response);
+            ended.run();
+            emitter.onSuccess(reply);
         }
 
         /**
--- a/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/PlatformClient.java
+++ b/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/PlatformClient.java
@@ -207,6 +207,15 @@
     }
 
     /** Cancels all calls in flight, which are thereby answered as unavailable, and releases threads and connections. */
+    /**
+     * Returns the number of watches that wait for changes.
+     *
+     * @return The number.
+     */
+    int waitingWatches() {
+        return transport.waitingWatches();
+    }
+
     @Override
     public void close() {
         transport.close();
@@ -275,6 +284,9 @@
                         metrics.heard(effect.purpose(), sentAt, !watches);
                     }
                     note(admission, attempt.outcome());
+                    if (reply instanceof Reply.Failed && !watches) {
+                        transport.abandonWatches();
+                    }
                     return attempt;
                 });
     }
--- a/yuccaswitch-platform/src/test/java/io/yuccaswitch/platform/WatchTest.java
+++ b/yuccaswitch-platform/src/test/java/io/yuccaswitch/platform/WatchTest.java
@@ -1,6 +1,7 @@
 package io.yuccaswitch.platform;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
 
 import com.codahale.metrics.MetricRegistry;
 import io.javalin.Javalin;
@@ -12,13 +13,17 @@
 import io.yuccaswitch.core.value.Bytes;
 import io.yuccaswitch.testkit.platform.PlatformStandIn;
 import io.yuccaswitch.testkit.proxy.Link;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.Future;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -35,13 +40,25 @@
 
     private final Calls calls = new Calls(client);
 
+    /** Takes connections and never answers, as behind a cut that no one notices. */
+    private final ServerSocket silent = silentSocket();
+
     @AfterEach
-    void close() {
+    void close() throws IOException {
+        silent.close();
         client.close();
         link.close();
         platform.close();
     }
 
+    private static ServerSocket silentSocket() {
+        try {
+            return new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+
     @Test
     void watchesSeeEachChangeOnceAlthoughConnectionsAreCut() throws InterruptedException {
         Thread writer = new Thread(this::writeChanges);
@@ -102,6 +119,21 @@
         }
     }
 
+    @Test
+    void aWatchThatWaitsIsBrokenOffWhenAnotherCallFindsThatThePathIsCut() throws Exception {
+        Duration wait = Duration.ofSeconds(20);
+        try (PlatformClient cut = new PlatformClient(
+                Calls.settings(silent.getLocalPort()).withTimes(Duration.ofMillis(200), wait), new MetricRegistry())) {
+            Future<PlatformEvent> watch = cut.execute(
+                            new PlatformEffect.Watch(1, PlatformPurpose.LEASE, Calls.KEY.kind(), 0))
+                    .toFuture();
+            await().until(() -> cut.waitingWatches() == 1);
+            assertThat(new Calls(cut).read()).isInstanceOf(PlatformEvent.Unavailable.class);
+            await().atMost(Duration.ofSeconds(10)).until(watch::isDone);
+            assertThat(watch.get()).isInstanceOf(PlatformEvent.Unavailable.class);
+        }
+    }
+
     private void writeChanges() {
         try (PlatformClient writer = new PlatformClient(
                 Calls.settings(platform.port()).withRates(new CallRates(1000, 1000)), new MetricRegistry())) {
