Keep the engines of each model when the giver of orders changes, and let a restarted holder go on at once

Change: each node reads the lease once at its start and takes its own back; engines are assigned after the versions are known.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/NamedVersionSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/NamedVersionSystem.java
@@ -28,6 +28,9 @@
     /** Whether this node gives orders. */
     private final OrderLease lease;
 
+    /** Whether the versions were read. */
+    private boolean listed;
+
     /** The newest versions, by model. */
     private final Map<String, Long> named = new TreeMap<>();
 
@@ -48,10 +51,22 @@
     @Override
     public void run(Tick tick) {
         if (lease.isHeld()) {
-            watch.run(tick).ifPresent(news -> news.objects().forEach(object -> take(tick, object)));
+            watch.run(tick).ifPresent(news -> {
+                listed = true;
+                news.objects().forEach(object -> take(tick, object));
+            });
         }
     }
 
+    /**
+     * Returns whether the versions were read, before which no engine can be told to lag or not.
+     *
+     * @return {@code true} if they were.
+     */
+    boolean isListed() {
+        return listed;
+    }
+
     /**
      * Returns the newest versions.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/OrderLease.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/OrderLease.java
@@ -143,11 +143,15 @@
     }
 
     /**
-     * Returns whether this node stands by to take the lease.
+     * Returns whether this node stands by to take the lease. Each node looks once when it starts, as it may have held
+     * the lease in an earlier life.
      *
-     * @return {@code true} if it ranks among the first.
+     * @return {@code true} if it ranks among the first, held the lease itself, or has not looked yet.
      */
     private boolean isFollower() {
+        if (observed.isEmpty() || observed.get().value().holder().equals(holderName())) {
+            return true;
+        }
         Member self = membership.self();
         List<Member> ranked = RendezvousRanking.rank(KEY.name(), membership.working());
         return ranked.stream().limit(FOLLOWERS).anyMatch(self::equals);
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/VersionOrderSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/VersionOrderSystem.java
@@ -108,7 +108,7 @@
      * @param configuration The configuration in force.
      */
     private void begin(Tick tick, RouteConfiguration configuration) {
-        if (lease.permission().isEmpty()) {
+        if (lease.permission().isEmpty() || !versions.isListed()) {
             return;
         }
         configuration.models().forEach((pool, served) -> {
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSystemTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSystemTest.java
@@ -9,14 +9,11 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.BiPredicate;
 import org.junit.jupiter.api.Test;
 
 /** Batch jobs across nodes, with the platform and engines played. */
 final class BatchSystemTest {
 
-    private static final BiPredicate<String, PlatformEffect> NEVER = (_node, _call) -> false;
-
     private final BatchSite site = new BatchSite();
 
     @Test
@@ -37,7 +34,7 @@
         long ticket = site.submit(node, BatchSite.job("job", 4));
         site.run(200);
         assertThat(site.answer(ticket).orElseThrow()).isInstanceOf(BatchAnswer.NotAccepted.class);
-        site.site.platform().failWhere(NEVER);
+        site.site.platform().failWhere(BatchSystemTest::never);
         site.run(5000);
         assertThat(site.runs).isEmpty();
     }
@@ -50,7 +47,7 @@
         long ticket = site.submit(node, BatchSite.job("job", 4));
         site.run(300);
         assertThat(site.answer(ticket).orElseThrow()).isInstanceOf(BatchAnswer.Unsure.class);
-        site.site.platform().applyLateWhere(NEVER);
+        site.site.platform().applyLateWhere(BatchSystemTest::never);
         site.site.platform().applyLate();
         site.run(5000);
         assertThat(site.listed("job"))
@@ -341,7 +338,7 @@
                 .loseAnswersWhere((_node, call) -> writesTo(call, BatchObjects.results(new BatchJobId("job"))));
         site.submit(node, BatchSite.job("job", 6));
         site.run(1000);
-        site.site.platform().loseAnswersWhere(NEVER);
+        site.site.platform().loseAnswersWhere(BatchSystemTest::never);
         site.run(2000);
         assertThat(site.listed("job")).hasSize(6).doesNotHaveDuplicates();
         long read = site.read(node, "job", 0, Duration.ZERO);
@@ -409,6 +406,10 @@
         assertThat(site.listed("job")).hasSize(8);
     }
 
+    private static boolean never(String _node, PlatformEffect _call) {
+        return false;
+    }
+
     private static boolean writesTo(PlatformEffect call, String kind) {
         return call instanceof PlatformEffect.Write write && write.key().kind().equals(kind);
     }
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/modelversion/VersionSystemsTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/modelversion/VersionSystemsTest.java
@@ -21,8 +21,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Who gives orders to engines, and which. */
 final class VersionSystemsTest {
@@ -185,6 +189,57 @@
         assertThat(orders).isNotEmpty().allMatch(order -> order.holder().equals("node-2"));
     }
 
+    @Test
+    void aSuccessorKeepsTheEnginesOfEachModel() {
+        site.platform().remove(EndpointRegistrySystem.KIND, "engine-1");
+        start("node-1");
+        run(500);
+        name("model-a", 2);
+        run(5000);
+        register("engine-1");
+        for (long version = 3; version <= 5; version++) {
+            name("model-a", version);
+            name("model-b", version);
+            run(5000);
+        }
+        Set<String> before =
+                orders.stream().map(order -> order.engine() + order.model()).collect(Collectors.toSet());
+        nodes.removeIf(node -> node.name().equals("node-1"));
+        site.kill("node-1");
+        start("node-2");
+        run(7000);
+        name("model-a", 6);
+        name("model-b", 6);
+        run(6000);
+        Set<String> after = orders.stream()
+                .filter(order -> order.version() == 6)
+                .map(order -> order.engine() + order.model())
+                .collect(Collectors.toSet());
+        assertThat(after).hasSize(6).isSubsetOf(before);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"node-1", "node-2", "node-3", "node-4"})
+    void aRestartedHolderGivesOrdersAgainWithoutAWait(String holder) {
+        start(holder);
+        run(500);
+        Stream.of("node-1", "node-2", "node-3", "node-4")
+                .filter(name -> !name.equals(holder))
+                .forEach(this::start);
+        name("model-a", 2);
+        run(4000);
+        nodes.removeIf(node -> node.name().equals(holder));
+        site.kill(holder);
+        run(500);
+        start(holder);
+        name("model-a", 3);
+        run(1500);
+        Order last = orders.get(orders.size() - 1);
+        assertThat(last.version()).isEqualTo(3);
+        assertThat(last.holder()).isEqualTo(holder);
+        assertThat(last.fence()).isGreaterThan(orders.get(0).fence());
+    }
+
     @Test
     void aRenewalWhoseAnswerWasLostDoesNotCostTheLease() {
         start("node-1");
