Read an entry back through a short outage, and do not count abandoned watches against the platform

Change: a call that the client itself broke off says nothing of the platform; an entry is read back ten times with pauses. Results are sent to the platform every 300 ms rather than 150, and the registry gathers changes for 400 ms.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchAdmissionSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchAdmissionSystem.java
@@ -8,9 +8,12 @@
 import io.yuccaswitch.core.platform.PlatformEvent;
 import io.yuccaswitch.core.platform.PlatformPurpose;
 import io.yuccaswitch.core.platform.StoredObject;
+import io.yuccaswitch.core.time.MonotonicTime;
 import io.yuccaswitch.core.value.Bytes;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -25,7 +28,10 @@
     private static final Duration RETRY_AFTER = Duration.ofMillis(400);
 
     /** How often an entry is read back whose creation was not answered. */
-    private static final int READ_BACKS = 3;
+    private static final int READ_BACKS = 10;
+
+    /** The pause before each of these reads, such that they outlast a short outage. */
+    private static final Duration READ_BACK_PAUSE = Duration.ofMillis(150);
 
     /** The tables of the batch system. */
     private final BatchState state;
@@ -33,6 +39,9 @@
     /** Finds out when a job is given up. */
     private final GiveUpTimes giveUpTimes;
 
+    /** The entries that are to be read back. */
+    private final List<ReadBack> readBacks = new ArrayList<>();
+
     /** The jobs whose admission is in progress here, with the ticket that is answered. */
     private final Map<BatchJobId, Long> admitting = new HashMap<>();
 
@@ -52,6 +61,12 @@
         for (BatchEvent.Submitted submitted : tick.events(BatchEvent.Submitted.class)) {
             submit(tick, new Submission(submitted.ticket(), submitted.job()));
         }
+        for (ReadBack due : List.copyOf(readBacks)) {
+            if (!tick.now().isBefore(due.at())) {
+                readBacks.remove(due);
+                readBack(tick, due.submission(), due.left());
+            }
+        }
     }
 
     /**
@@ -118,7 +133,7 @@
             } else if (event instanceof PlatformEvent.Conflict) {
                 finish(later, submission, new BatchAnswer.Accepted(), "accepted before");
             } else if (event instanceof PlatformEvent.Unavailable failure && failure.maybeApplied()) {
-                readBack(later, submission, READ_BACKS);
+                readBacks.add(new ReadBack(submission, READ_BACKS, later.now()));
             } else {
                 finish(later, submission, notAccepted("the entry was not kept"), describe(event));
             }
@@ -140,7 +155,8 @@
                             && read.object().isPresent()) {
                         accept(later, submission);
                     } else if (left > 1) {
-                        readBack(later, submission, left - 1);
+                        readBacks.add(
+                                new ReadBack(submission, left - 1, later.now().plus(READ_BACK_PAUSE)));
                     } else {
                         finish(
                                 later,
@@ -236,6 +252,15 @@
                 : event.getClass().getSimpleName();
     }
 
+    /**
+     * An entry that is to be read back.
+     *
+     * @param submission The submission that it belongs to.
+     * @param left How often it may be read.
+     * @param at When it is read.
+     */
+    private record ReadBack(Submission submission, int left, MonotonicTime at) {}
+
     /**
      * A submission.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchCommitSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchCommitSystem.java
@@ -20,7 +20,7 @@
 final class BatchCommitSystem implements DecisionSystem {
 
     /** The pause between two objects of one job. Each has a price, and a trainer reads about twice a second. */
-    private static final Duration INTERVAL = Duration.ofMillis(150);
+    private static final Duration INTERVAL = Duration.ofMillis(300);
 
     /** The wait after a call that failed. */
     private static final Duration FAILURE_WAIT = Duration.ofMillis(200);
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/registry/EndpointRegistrySystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/registry/EndpointRegistrySystem.java
@@ -26,7 +26,7 @@
     public static final String KIND = "endpoint";
 
     /** Gathers changes, such as the loads of one version, into few calls. Far below the time for leaving endpoints. */
-    private static final Duration GATHERING = Duration.ofMillis(200);
+    private static final Duration GATHERING = Duration.ofMillis(400);
 
     /**
      * For how long an entry that lapsed while the platform was away is kept. A living endpoint is back within about two
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSystemTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSystemTest.java
@@ -45,7 +45,7 @@
         site.run(100);
         site.site.platform().applyLateWhere((_node, call) -> writesTo(call, BatchObjects.INDEX));
         long ticket = site.submit(node, BatchSite.job("job", 4));
-        site.run(300);
+        site.run(3000);
         assertThat(site.answer(ticket).orElseThrow()).isInstanceOf(BatchAnswer.Unsure.class);
         site.site.platform().applyLateWhere(BatchSystemTest::never);
         site.site.platform().applyLate();
@@ -65,6 +65,20 @@
         assertThat(site.answer(ticket)).contains(new BatchAnswer.Accepted());
     }
 
+    @Test
+    void anEntryIsReadBackUntilAShortOutageIsOver() {
+        TestNode node = site.node("node-1");
+        site.run(100);
+        site.site.platform().loseAnswersWhere((_node, call) -> writesTo(call, BatchObjects.INDEX));
+        site.site.platform().failWhere((_node, call) -> call instanceof PlatformEffect.Read);
+        long ticket = site.submit(node, BatchSite.job("job", 4));
+        site.run(600);
+        assertThat(site.answer(ticket)).isEmpty();
+        site.site.platform().failWhere(BatchSystemTest::never);
+        site.run(300);
+        assertThat(site.answer(ticket)).contains(new BatchAnswer.Accepted());
+    }
+
     @Test
     void aSecondSubmissionAtAnotherNodeIsAcceptedAndRunsNothingAgain() {
         TestNode first = site.node("node-1");
--- a/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/HttpTransport.java
+++ b/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/HttpTransport.java
@@ -4,6 +4,7 @@
 import io.reactivex.rxjava3.core.SingleEmitter;
 import io.yuccaswitch.core.value.Bytes;
 import java.io.IOException;
+import java.io.InterruptedIOException;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -202,7 +203,7 @@
             try (response) {
                 BufferedSource source = response.body().source();
                 if (source.request(MAXIMUM_ANSWER_SIZE + 1)) {
-                    return new Reply.Failed("answer too large", true);
+                    return new Reply.Failed("answer too large", true, false);
                 }
                 return new Reply.Answered(
                         response.code(),
@@ -223,7 +224,8 @@
         private static Reply failed(Call call, IOException exception) {
             return new Reply.Failed(
                     exception.getClass().getSimpleName() + ": " + exception.getMessage(),
-                    markOf(call).started().get());
+                    markOf(call).started().get(),
+                    call.isCanceled() && !(exception instanceof InterruptedIOException));
         }
     }
 }
--- a/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/PlatformClient.java
+++ b/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/PlatformClient.java
@@ -283,6 +283,10 @@
                     if (reply instanceof Reply.Answered) {
                         metrics.heard(effect.purpose(), sentAt, !watches);
                     }
+                    if (reply instanceof Reply.Failed failed && failed.abandoned()) {
+                        circuit.abandoned(admission);
+                        return attempt;
+                    }
                     note(admission, attempt.outcome());
                     if (reply instanceof Reply.Failed && !watches) {
                         transport.abandonWatches();
--- a/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/Reply.java
+++ b/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/Reply.java
@@ -20,6 +20,7 @@
      *
      * @param reason The reason, for logs.
      * @param sent {@code false} if it is sure that nothing of the call was sent.
+     * @param abandoned Whether this client broke the call off, which says nothing of the platform.
      */
-    record Failed(String reason, boolean sent) implements Reply {}
+    record Failed(String reason, boolean sent, boolean abandoned) implements Reply {}
 }
--- a/yuccaswitch-platform/src/test/java/io/yuccaswitch/platform/WatchTest.java
+++ b/yuccaswitch-platform/src/test/java/io/yuccaswitch/platform/WatchTest.java
@@ -134,6 +134,27 @@
         }
     }
 
+    @Test
+    void watchesThatAreBrokenOffDoNotCountAgainstThePlatform() throws Exception {
+        PlatformClientSettings settings = Calls.settings(silent.getLocalPort())
+                .withTimes(Duration.ofMillis(200), Duration.ofSeconds(20))
+                .withCircuit(
+                        new CircuitSettings(3, Duration.ofSeconds(9), Duration.ofSeconds(9), Duration.ofSeconds(9)));
+        try (PlatformClient cut = new PlatformClient(settings, new MetricRegistry())) {
+            List<Future<PlatformEvent>> watches = new ArrayList<>();
+            for (int watch = 0; watch < 4; watch++) {
+                watches.add(cut.execute(new PlatformEffect.Watch(1, PlatformPurpose.LEASE, Calls.KEY.kind(), 0))
+                        .toFuture());
+            }
+            await().until(() -> cut.waitingWatches() == 4);
+            assertThat(new Calls(cut).read()).isInstanceOf(PlatformEvent.Unavailable.class);
+            for (Future<PlatformEvent> watch : watches) {
+                assertThat(watch.get()).isInstanceOf(PlatformEvent.Unavailable.class);
+            }
+            assertThat(cut.isCircuitOpen()).isFalse();
+        }
+    }
+
     private void writeChanges() {
         try (PlatformClient writer = new PlatformClient(
                 Calls.settings(platform.port()).withRates(new CallRates(1000, 1000)), new MetricRegistry())) {
