Let items go on elsewhere when their engine has turned slow

Change: the runner measures the events a second of each engine; below 0.42 of the other engines' median the engine is left alone for 3 s and its items are broken off and resumed behind their last event.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchEvent.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchEvent.java
@@ -2,6 +2,8 @@
 
 import io.yuccaswitch.core.decision.Event;
 import io.yuccaswitch.core.time.MonotonicTime;
+import java.time.Duration;
+import java.util.List;
 
 /** What callers ask about batch jobs, and what becomes of the attempts at engines. */
 public sealed interface BatchEvent extends Event {
@@ -51,6 +53,30 @@
      */
     record AttemptBegun(BatchJobId id, String item, int attempt, long version) implements BatchEvent {}
 
+    /**
+     * Attempts have made progress.
+     *
+     * @param attempts How far they are.
+     */
+    record Progressed(List<Progress> attempts) implements BatchEvent {
+
+        /** Copies the list. */
+        public Progressed {
+            attempts = List.copyOf(attempts);
+        }
+    }
+
+    /**
+     * How far an attempt is.
+     *
+     * @param id The job.
+     * @param item The item.
+     * @param attempt The number of the attempt.
+     * @param events The number of events that have arrived.
+     * @param since How long ago the answer began.
+     */
+    record Progress(BatchJobId id, String item, int attempt, long events, Duration since) {}
+
     /**
      * An attempt to run an item has ended.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchRunSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchRunSystem.java
@@ -21,6 +21,12 @@
     /** How long an engine that can't be connected to gets no item of the model. */
     private static final Duration UNREACHABLE_PAUSE = Duration.ofSeconds(1);
 
+    /** How long a slow engine gets no item, before it is tried again. */
+    private static final Duration SLOW_PAUSE = Duration.ofSeconds(3);
+
+    /** How long an answer must have lasted before its rate counts; the loading of a version may stop it for a while. */
+    private static final Duration MEASURED_TIME = Duration.ofMillis(1100);
+
     /** The tables of the batch system. */
     private final BatchState state;
 
@@ -36,6 +42,7 @@
     @Override
     public void run(Tick tick) {
         tick.events(BatchEvent.AttemptBegun.class).forEach(begun -> takeBegin(tick, begun));
+        tick.events(BatchEvent.Progressed.class).forEach(progressed -> takeProgress(tick, progressed));
         tick.events(BatchEvent.AttemptEnded.class).forEach(ended -> take(tick, ended));
         Optional<RouteConfiguration> routes = state.routes().inForce();
         if (routes.isEmpty()) {
@@ -59,23 +66,36 @@
             giveUp(tick, job, route.isEmpty() ? "the route is gone" : "its time is up");
             return;
         }
-        Optional<Route.PoolShare> pool = route.get().pools().stream()
+        List<RegisteredEndpoint> engines = engines(tick, job, routes);
+        for (RunningItem item : job.items()) {
+            if (item.isWaiting()) {
+                choose(job, item, engines).ifPresent(engine -> start(tick, job, item, engine, route.get()));
+            }
+        }
+    }
+
+    /**
+     * Returns the engines that may run the items of a job now.
+     *
+     * @param tick The tick.
+     * @param job The job.
+     * @param routes The configuration in force.
+     * @return The working engines with the job's version that are not left alone.
+     */
+    private List<RegisteredEndpoint> engines(Tick tick, RunningJob job, RouteConfiguration routes) {
+        Optional<Route.PoolShare> pool = routes.find(job.job().host(), job.job().path()).stream()
+                .flatMap(route -> route.pools().stream())
                 .filter(share -> share.weight() > 0)
                 .max(Comparator.comparingDouble(Route.PoolShare::weight));
         if (pool.isEmpty()) {
-            return;
+            return List.of();
         }
-        List<RegisteredEndpoint> engines = state.registry().working(pool.get().pool()).stream()
+        return state.registry().working(pool.get().pool()).stream()
                 .filter(engine ->
                         engine.servesAtLeast(job.job().model(), job.job().minimumVersion()))
                 .filter(engine ->
                         !state.loads().isPaused(engine.name(), job.job().model(), tick.now()))
                 .toList();
-        for (RunningItem item : job.items()) {
-            if (item.isWaiting()) {
-                choose(job, item, engines).ifPresent(engine -> start(tick, job, item, engine, route.get()));
-            }
-        }
     }
 
     /**
@@ -196,6 +216,77 @@
         }
     }
 
+    /**
+     * Takes the progress of attempts, and lets the items of an engine that has turned slow go on at another one.
+     *
+     * @param tick The tick.
+     * @param progressed The progress.
+     */
+    private void takeProgress(Tick tick, BatchEvent.Progressed progressed) {
+        for (BatchEvent.Progress progress : progressed.attempts()) {
+            if (progress.since().compareTo(MEASURED_TIME) >= 0) {
+                current(progress).flatMap(RunningItem::endpoint).ifPresent(engine -> state.rates()
+                        .measure(engine, perSecond(progress), tick.now()));
+            }
+        }
+        for (BatchEvent.Progress progress : progressed.attempts()) {
+            current(progress).ifPresent(item -> moveIfSlow(tick, progress, item));
+        }
+    }
+
+    /**
+     * Returns the item of an attempt in progress.
+     *
+     * @param progress The attempt's progress.
+     * @return The item, or empty if the attempt is not the current one.
+     */
+    private Optional<RunningItem> current(BatchEvent.Progress progress) {
+        return state.running()
+                .find(progress.id())
+                .flatMap(job -> job.find(progress.item()))
+                .filter(item -> item.isCurrent(progress.attempt()));
+    }
+
+    /**
+     * Returns the rate of an attempt.
+     *
+     * @param progress The attempt's progress.
+     * @return The events a second.
+     */
+    private static double perSecond(BatchEvent.Progress progress) {
+        return progress.events() / Math.max(1e-3, progress.since().toNanos() / 1e9);
+    }
+
+    /**
+     * Breaks an attempt off whose engine is much slower than the others, such that the item goes on elsewhere.
+     *
+     * @param tick The tick.
+     * @param progress The attempt's progress.
+     * @param item The item.
+     */
+    private void moveIfSlow(Tick tick, BatchEvent.Progress progress, RunningItem item) {
+        EndpointName engine = item.endpoint().orElseThrow();
+        if (!state.rates().isSlow(engine, tick.now())) {
+            return;
+        }
+        RunningJob job = state.running().find(progress.id()).orElseThrow();
+        state.loads().pause(engine, job.job().model(), tick.now(), SLOW_PAUSE);
+        boolean elsewhere = state.routes()
+                .inForce()
+                .map(routes -> engines(tick, job, routes))
+                .filter(engines -> choose(job, item, engines).isPresent())
+                .isPresent();
+        if (elsewhere && item.move()) {
+            tick.emit(new BatchEffect.Cancel(progress.id(), progress.item(), progress.attempt()));
+            tick.decide(Decision.of(
+                    "batch-item",
+                    progress.item(),
+                    "move",
+                    engine.value() + " is slow: " + progress.events() + " events in "
+                            + progress.since().toMillis() + " ms"));
+        }
+    }
+
     /**
      * Takes the end of an attempt.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
@@ -26,6 +26,7 @@
  * @param finished The jobs that this node ran to their ends, or that were ended.
  * @param logs The results that are listed, as far as they are known here.
  * @param loads How many items run at each engine.
+ * @param rates How fast the engines are.
  */
 record BatchState(
         MembershipView membership,
@@ -36,7 +37,8 @@
         EntityTable<BatchJobId, RunningJob> running,
         Set<BatchJobId> finished,
         EntityTable<BatchJobId, ResultLog> logs,
-        EngineLoads loads) {
+        EngineLoads loads,
+        EngineRates rates) {
 
     /** The largest size of the outputs that are kept here, in bytes. Others are read from the platform again. */
     private static final long LOG_BYTES = 6L << 20;
@@ -66,7 +68,8 @@
                 new EntityTable<>(),
                 new HashSet<>(),
                 new EntityTable<>(),
-                new EngineLoads());
+                new EngineLoads(),
+                new EngineRates());
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningItem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningItem.java
@@ -18,6 +18,9 @@
     /** The engine that runs it, if any. */
     private Optional<EndpointName> endpoint = Optional.empty();
 
+    /** Whether the attempt in progress is being broken off, to go on at another engine. */
+    private boolean moving;
+
     /** The events so far. */
     private ItemText text = ItemText.EMPTY;
 
@@ -59,6 +62,7 @@
      */
     int begin(EndpointName chosen) {
         endpoint = Optional.of(chosen);
+        moving = false;
         attempts++;
         return attempts;
     }
@@ -93,6 +97,17 @@
         return attempts;
     }
 
+    /**
+     * Notes that the attempt in progress is being broken off, to go on at another engine.
+     *
+     * @return {@code false} if it was before.
+     */
+    boolean move() {
+        boolean first = !moving;
+        moving = true;
+        return first;
+    }
+
     /**
      * Returns the engine that runs the item.
      *
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSystemTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSystemTest.java
@@ -420,6 +420,58 @@
         assertThat(site.listed("job")).hasSize(8);
     }
 
+    @Test
+    void anItemAtAnEngineThatHasTurnedSlowGoesOnAtAnother() {
+        TestNode node = site.node("node-1");
+        site.run(100);
+        site.engines(_run -> Optional.empty());
+        site.submit(node, BatchSite.job("job", 2));
+        site.run(100);
+        BatchEffect.Run slow = site.started.get(0);
+        BatchEffect.Run fast = site.started.stream()
+                .filter(run -> !run.endpoint().equals(slow.endpoint()))
+                .findFirst()
+                .orElseGet(() -> onTheOtherEngine(node));
+        node.accept(new BatchEvent.Progressed(List.of(progress(fast, 40), progress(slow, 9))));
+        site.run(50);
+        assertThat(site.cancelled)
+                .containsExactly(new BatchEffect.Cancel(slow.id(), slow.item().id(), slow.attempt()));
+        node.accept(
+                BatchSite.ended(slow, new AttemptOutcome.Interrupted("cancelled", false), BatchSite.text(slow, 2, 1)));
+        site.run(100);
+        BatchEffect.Run moved = site.started.get(site.started.size() - 1);
+        assertThat(moved.item()).isEqualTo(slow.item());
+        assertThat(moved.lastEventId()).isEqualTo(2);
+        assertThat(moved.endpoint()).isEqualTo(fast.endpoint());
+    }
+
+    @Test
+    void anEngineThatIsLittleSlowerKeepsItsItems() {
+        TestNode node = site.node("node-1");
+        site.run(100);
+        site.engines(_run -> Optional.empty());
+        site.submit(node, BatchSite.job("job", 2));
+        site.run(100);
+        BatchEffect.Run first = site.started.get(0);
+        BatchEffect.Run other = onTheOtherEngine(node);
+        node.accept(new BatchEvent.Progressed(List.of(progress(other, 40), progress(first, 25))));
+        site.run(50);
+        assertThat(site.cancelled).isEmpty();
+    }
+
+    private BatchEffect.Run onTheOtherEngine(TestNode node) {
+        site.submit(node, BatchSite.job("other", 4));
+        site.run(100);
+        return site.started.stream()
+                .filter(run -> !run.endpoint().equals(site.started.get(0).endpoint()))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private static BatchEvent.Progress progress(BatchEffect.Run run, long events) {
+        return new BatchEvent.Progress(run.id(), run.item().id(), run.attempt(), events, Duration.ofMillis(1500));
+    }
+
     private static boolean never(String _node, PlatformEffect _call) {
         return false;
     }
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ItemRunner.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ItemRunner.java
@@ -39,7 +39,7 @@
     private static final Duration EVENT_SILENCE = Duration.ofMillis(2200);
 
     /** The interval at which silence is looked for. */
-    private static final Duration LOOK_INTERVAL = Duration.ofMillis(200);
+    private static final Duration LOOK_INTERVAL = Duration.ofMillis(250);
 
     /** The status of success. */
     private static final int OK = 200;
@@ -76,7 +76,7 @@
         subscriptions.add(loop.effects(BatchEffect.Run.class).subscribe(this::start));
         subscriptions.add(loop.effects(BatchEffect.Cancel.class).subscribe(this::cancel));
         subscriptions.add(Observable.interval(LOOK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS)
-                .subscribe(_tick -> running.values().forEach(Running::endSilence)));
+                .subscribe(_tick -> look()));
     }
 
     @Override
@@ -85,6 +85,18 @@
         running.values().forEach(attempt -> attempt.call.cancel());
     }
 
+    /** Breaks silent attempts off, and tells the core how far the others are. */
+    private void look() {
+        List<BatchEvent.Progress> progress = new ArrayList<>();
+        for (Running attempt : running.values()) {
+            attempt.endSilence();
+            attempt.progress().ifPresent(progress::add);
+        }
+        if (!progress.isEmpty()) {
+            loop.accept(new BatchEvent.Progressed(progress));
+        }
+    }
+
     /**
      * Starts an attempt.
      *
@@ -184,6 +196,12 @@
         /** When the engine was last heard, in nanoseconds. */
         private volatile long heardAt = System.nanoTime();
 
+        /** When the answer began, in nanoseconds. */
+        private volatile long begunAt;
+
+        /** The number of events that have arrived. */
+        private volatile long received;
+
         /** Whether the answer has begun. */
         private volatile boolean begun;
 
@@ -204,6 +222,19 @@
             lastEventId = run.lastEventId();
         }
 
+        /**
+         * Returns how far the attempt is.
+         *
+         * @return The progress, or empty before the answer has begun.
+         */
+        Optional<BatchEvent.Progress> progress() {
+            if (!begun) {
+                return Optional.empty();
+            }
+            Duration since = Duration.ofNanos(System.nanoTime() - begunAt);
+            return Optional.of(new BatchEvent.Progress(run.id(), run.item().id(), run.attempt(), received, since));
+        }
+
         /** Breaks the call off if the engine has been silent for too long. */
         void endSilence() {
             Duration allowed = begun ? EVENT_SILENCE : HEAD_SILENCE;
@@ -220,8 +251,9 @@
 
         @Override
         public void onResponse(Call _call, Response response) {
-            begun = true;
             heardAt = System.nanoTime();
+            begunAt = heardAt;
+            begun = true;
             try (response) {
                 Optional<AttemptOutcome> refusal = refusal(response);
                 if (refusal.isPresent()) {
@@ -300,6 +332,7 @@
                 throw new IOException("the stream names no version");
             }
             lastEventId++;
+            received = lastEventId - run.lastEventId();
             events.add(Bytes.wrap(event.data().toByteArray()));
             versions.add(version.getAsLong());
         }
