--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchEvent.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchEvent.java
@@ -58,13 +58,7 @@
      *
      * @param attempts How far they are.
      */
-    record Progressed(List<Progress> attempts) implements BatchEvent {
-
-        /** Copies the list. */
-        public Progressed {
-            attempts = List.copyOf(attempts);
-        }
-    }
+    record Progressed(List<Progress> attempts) implements BatchEvent {}
 
     /**
      * How far an attempt is.
