--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/lease/LeaseSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/lease/LeaseSystem.java
@@ -18,7 +18,6 @@
 import io.yuccaswitch.core.platform.PlatformTokens;
 import io.yuccaswitch.core.platform.StoredObject;
 import io.yuccaswitch.core.time.MonotonicTime;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -35,12 +34,6 @@
     /** The kind of the platform's objects that hold leases. */
     public static final String KIND = "lease";
 
-    /** The number of calls that are made in the duration of a lease. */
-    private static final int CALLS_PER_DURATION = 3;
-
-    /** The number of times that a call is tried again in the pause between two calls after no answer came. */
-    private static final int RETRIES_PER_PAUSE = 4;
-
     /** The kind of the decisions that this system makes. */
     private static final String DECISION = "lease";
 
@@ -59,6 +52,9 @@
     /** The leases. */
     private final EntityTable<LeaseName, LeaseRow> rows = new EntityTable<>();
 
+    /** The durations and pauses that follow from the settings in force. */
+    private final LeaseTimes times = new LeaseTimes();
+
     /** The settings in force, or empty before the first configuration. */
     private Optional<LeaseSettings> settings = Optional.empty();
 
@@ -129,6 +125,7 @@
      */
     private void configure(Tick tick, FleetConfiguration configuration) {
         settings = Optional.of(configuration.lease());
+        times.replace(configuration.lease());
         Set<LeaseName> names = required.apply(configuration);
         for (LeaseRow row : rows.rows()) {
             if (!names.contains(row.name())) {
@@ -190,19 +187,19 @@
      * @return The changed lease.
      */
     private LeaseRow answered(Tick tick, LeaseRow row, LeaseRow.Call call, PlatformEvent event) {
-        LeaseRow done = row.withoutCall(tick.now().plus(pause()));
+        LeaseRow done = row.withoutCall(tick.now().plus(times.pause()));
         if (event instanceof PlatformEvent.Accepted accepted) {
             LeaseRow.Attempt attempt = call.attempt().orElseThrow();
             return written(tick, done, accepted.version(), attempt);
         }
         if (event instanceof PlatformEvent.Conflict conflict) {
-            return observe(tick, row.withoutCall(tick.now().plus(retryPause())), conflict.current());
+            return observe(tick, row.withoutCall(tick.now().plus(times.retryPause())), conflict.current());
         }
         if (event instanceof PlatformEvent.ObjectRead read) {
             return scheduled(tick, observe(tick, done, read.object()));
         }
         if (event instanceof PlatformEvent.Unavailable unavailable) {
-            LeaseRow retried = row.withoutCall(tick.now().plus(retryPause()));
+            LeaseRow retried = row.withoutCall(tick.now().plus(times.retryPause()));
             return call.attempt()
                     .filter(_attempt -> unavailable.maybeApplied())
                     .map(retried::withUnsettled)
@@ -223,12 +220,13 @@
         boolean mine = row.record().filter(record -> record.isHeldBy(self())).isPresent();
         if (mine
                 || row.observation()
-                        .filter(seen -> isTakeable(seen, tick.now()))
+                        .filter(seen -> times.isTakeable(seen, tick.now()))
                         .isPresent()) {
             return row.withNextCallAt(tick.now());
         }
-        Optional<MonotonicTime> takeableAt = row.observation()
-                .map(seen -> seen.unchangedSince().plus(duration(seen.record())).plus(margin()));
+        Optional<MonotonicTime> takeableAt = row.observation().map(seen -> seen.unchangedSince()
+                .plus(times.duration(seen.record()))
+                .plus(times.margin()));
         return takeableAt
                 .filter(at -> at.isBefore(row.nextCallAt()))
                 .map(row::withNextCallAt)
@@ -253,7 +251,7 @@
         Optional<LeaseRecord> record = present.flatMap(found -> LeaseRecord.decode(found.value()));
         MonotonicTime unchangedSince = row.observation()
                 .filter(before -> before.version().equals(version))
-                .filter(before -> tick.now().since(before.seenAt()).compareTo(duration(record)) < 0)
+                .filter(before -> tick.now().since(before.seenAt()).compareTo(times.duration(record)) < 0)
                 .map(LeaseRow.Observation::unchangedSince)
                 .orElseGet(tick::now);
         LeaseRow seen = row.withObservation(new LeaseRow.Observation(version, record, unchangedSince, tick.now()));
@@ -278,7 +276,8 @@
         LeaseRecord record = attempt.written();
         LeaseRow seen = row.withObservation(
                 new LeaseRow.Observation(OptionalLong.of(version), Optional.of(record), tick.now(), tick.now()));
-        MonotonicTime validUntil = attempt.emittedAt().plus(record.duration()).plus(margin().negated());
+        MonotonicTime validUntil =
+                attempt.emittedAt().plus(record.duration()).plus(times.margin().negated());
         if (record.holder().isEmpty() || !tick.now().isBefore(validUntil)) {
             return seen;
         }
@@ -375,29 +374,14 @@
             return acquire(tick, row);
         }
         if (!calls.candidates(row.name()).contains(self())) {
-            return row.withoutCall(tick.now().plus(pause()));
+            return row.withoutCall(tick.now().plus(times.pause()));
         }
-        boolean takeable =
-                row.observation().filter(seen -> isTakeable(seen, tick.now())).isPresent();
+        boolean takeable = row.observation()
+                .filter(seen -> times.isTakeable(seen, tick.now()))
+                .isPresent();
         return takeable ? acquire(tick, row) : calls.read(tick, row);
     }
 
-    /**
-     * Returns whether a lease may be taken: nobody holds it, or its holder did not renew it while this node kept
-     * looking.
-     *
-     * @param seen What the platform showed.
-     * @param now The current time.
-     * @return {@code true} if the lease may be taken.
-     */
-    private boolean isTakeable(LeaseRow.Observation seen, MonotonicTime now) {
-        Duration duration = duration(seen.record());
-        if (now.since(seen.seenAt()).compareTo(duration) >= 0) {
-            return false;
-        }
-        return seen.isFree() || now.since(seen.unchangedSince()).compareTo(duration.plus(margin())) >= 0;
-    }
-
     /**
      * Renews a lease, under a new fencing number if its successors have to be named anew.
      *
@@ -407,14 +391,14 @@
      * @return The changed lease.
      */
     private LeaseRow renew(Tick tick, LeaseRow row, LeaseRow.Holding holding) {
-        MonotonicTime due = holding.renewAt(duration(row.record()), CALLS_PER_DURATION);
+        MonotonicTime due = holding.renewAt(times.duration(row.record()), LeaseTimes.CALLS_PER_DURATION);
         if (tick.now().isBefore(due)) {
             return row.withoutCall(due);
         }
         List<NodeIdentity> named = row.record().map(LeaseRecord::successors).orElseGet(List::of);
         List<NodeIdentity> successors = calls.successors(row.name());
         long base = named.equals(successors) ? holding.base() : 0;
-        return calls.write(tick, row, duration(), Optional.of(self()), base, successors);
+        return calls.write(tick, row, times.duration(), Optional.of(self()), base, successors);
     }
 
     /**
@@ -425,7 +409,7 @@
      * @return The changed lease.
      */
     private LeaseRow acquire(Tick tick, LeaseRow row) {
-        return calls.write(tick, row, duration(), Optional.of(self()), 0, calls.successors(row.name()));
+        return calls.write(tick, row, times.duration(), Optional.of(self()), 0, calls.successors(row.name()));
     }
 
     /**
@@ -440,54 +424,7 @@
             return calls.read(tick, row);
         }
         boolean mine = row.record().filter(record -> record.isHeldBy(self())).isPresent();
-        return mine ? calls.write(tick, row, duration(), Optional.empty(), 0, List.of()) : row;
-    }
-
-    /**
-     * Returns the duration of a lease as its record says, or as the configuration says where there is no record.
-     *
-     * @param record The record.
-     * @return The duration.
-     */
-    private Duration duration(Optional<LeaseRecord> record) {
-        return record.map(LeaseRecord::duration)
-                .orElseGet(() -> settings.orElseThrow().duration());
-    }
-
-    /**
-     * Returns the duration of leases.
-     *
-     * @return The duration as the configuration says.
-     */
-    private Duration duration() {
-        return settings.orElseThrow().duration();
-    }
-
-    /**
-     * Returns the pause between two calls about a lease.
-     *
-     * @return The pause.
-     */
-    private Duration pause() {
-        return duration().dividedBy(CALLS_PER_DURATION);
-    }
-
-    /**
-     * Returns the pause before a call is tried again.
-     *
-     * @return The pause.
-     */
-    private Duration retryPause() {
-        return pause().dividedBy(RETRIES_PER_PAUSE);
-    }
-
-    /**
-     * Returns the safety margin.
-     *
-     * @return The safety margin.
-     */
-    private Duration margin() {
-        return settings.orElseThrow().safetyMargin();
+        return mine ? calls.write(tick, row, times.duration(), Optional.empty(), 0, List.of()) : row;
     }
 
     /**
