--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/BatchHandler.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/BatchHandler.java
@@ -147,16 +147,16 @@
     private void write(CallerResponse caller, String kind, BatchAnswer answer) {
         try {
             if (answer instanceof BatchAnswer.Accepted) {
-                caller.refuse(ACCEPTED, "", Optional.empty());
+                caller.answerText(ACCEPTED, "", Optional.empty());
             } else if (answer instanceof BatchAnswer.NotAccepted refused) {
-                caller.refuse(UNAVAILABLE, refused.reason(), Optional.of(refused.retryAfter()));
+                caller.answerText(UNAVAILABLE, refused.reason(), Optional.of(refused.retryAfter()));
             } else if (answer instanceof BatchAnswer.Unsure unsure) {
                 int status = kind.equals("submit") ? GATEWAY_TIMEOUT : UNAVAILABLE;
-                caller.refuse(status, unsure.reason(), Optional.of(RETRY_AFTER));
+                caller.answerText(status, unsure.reason(), Optional.of(RETRY_AFTER));
             } else if (answer instanceof BatchAnswer.Mismatch) {
-                caller.refuse(CONFLICT, "the identifier belongs to a job with other items", Optional.empty());
+                caller.answerText(CONFLICT, "the identifier belongs to a job with other items", Optional.empty());
             } else if (answer instanceof BatchAnswer.Unknown) {
-                caller.refuse(NOT_FOUND, "there is no such job or item", Optional.empty());
+                caller.answerText(NOT_FOUND, "there is no such job or item", Optional.empty());
             } else if (answer instanceof BatchAnswer.Results results) {
                 caller.answer(JSON, dialect.writeResults(results));
             } else if (answer instanceof BatchAnswer.Body body) {
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/CallerResponse.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/CallerResponse.java
@@ -102,14 +102,14 @@
     }
 
     /**
-     * Answers with a status of the node's own.
+     * Answers with a status and a text of the node's own.
      *
      * @param status The status.
      * @param text The body, which tells the reason.
      * @param retryAfter When to come back, if that helps.
      * @throws IOException If the caller has gone.
      */
-    void refuse(int status, String text, Optional<Duration> retryAfter) throws IOException {
+    void answerText(int status, String text, Optional<Duration> retryAfter) throws IOException {
         byte[] body = text.getBytes(java.nio.charset.StandardCharsets.UTF_8);
         response.setStatus(status);
         retryAfter.ifPresent(
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayServer.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayServer.java
@@ -313,11 +313,11 @@
         ClientConnection connection = ClientConnection.of(context.req());
         CallerResponse caller = new CallerResponse(context, connection, view.isLeaving());
         if (routes.isEmpty() || !view.hasEndpoints()) {
-            caller.refuse(UNAVAILABLE, "no configuration yet", Optional.of(NOT_READY_RETRY_AFTER));
+            caller.answerText(UNAVAILABLE, "no configuration yet", Optional.of(NOT_READY_RETRY_AFTER));
             return false;
         }
         if (body.isEmpty()) {
-            caller.refuse(TOO_LARGE, "the body is too large", Optional.empty());
+            caller.answerText(TOO_LARGE, "the body is too large", Optional.empty());
             return false;
         }
         Optional<CallerDialect.BatchCall> call =
@@ -332,7 +332,7 @@
             LOGGER.infof(
                     "event=no-route host=%s path=%s configuration=%d",
                     host, path, routes.get().version());
-            caller.refuse(NOT_FOUND, "no route", Optional.empty());
+            caller.answerText(NOT_FOUND, "no route", Optional.empty());
             return false;
         }
         if (route.get().kind() == RequestKind.BATCH) {
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/PlainRequestHandler.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/PlainRequestHandler.java
@@ -349,10 +349,10 @@
                 return "stream broken off, " + reason;
             }
             if (plan.hasMaybeRun()) {
-                caller.refuse(status, "the request may have run: " + reason, Optional.empty());
+                caller.answerText(status, "the request may have run: " + reason, Optional.empty());
                 return "failed, " + reason;
             }
-            caller.refuse(UNAVAILABLE, "the request has not run: " + reason, Optional.of(RETRY_AFTER));
+            caller.answerText(UNAVAILABLE, "the request has not run: " + reason, Optional.of(RETRY_AFTER));
             return "not run, " + reason;
         }
     }
