--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/NamedVersionSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/NamedVersionSystem.java
@@ -19,6 +19,9 @@
     /** No gathering: a step waits for its version, and few nodes watch. */
     private static final Duration GATHERING = Duration.ofMillis(20);
 
+    /** How long one watch waits, which bounds how late a connection that has gone silent is noticed. */
+    private static final Duration WAIT_TIME = Duration.ofSeconds(2);
+
     /** The watch of the versions. */
     private final KindWatch watch;
 
@@ -43,7 +46,7 @@
      */
     NamedVersionSystem(
             PlatformTokens tokens, Function<StoredObject, Optional<NamedVersion>> decoder, OrderLease lease) {
-        watch = new KindWatch(VersionSystems.KIND, PlatformPurpose.WEIGHT, tokens, GATHERING);
+        watch = new KindWatch(VersionSystems.KIND, PlatformPurpose.WEIGHT, tokens, GATHERING, WAIT_TIME);
         this.decoder = decoder;
         this.lease = lease;
     }
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/platform/KindFeed.java
@@ -0,0 +1,45 @@
+package io.yuccaswitch.core.platform;
+
+import io.yuccaswitch.core.decision.Tick;
+import io.yuccaswitch.core.time.MonotonicTime;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+/** Brings all objects of one kind, and then their changes. */
+public interface KindFeed {
+
+    /**
+     * Takes what arrived with a tick, and asks for more when that is due.
+     *
+     * @param tick The tick.
+     * @return What is new, if anything arrived.
+     */
+    Optional<News> run(Tick tick);
+
+    /**
+     * Returns when the platform was last known to be out of reach.
+     *
+     * @return The time, or empty if it never was.
+     */
+    Optional<MonotonicTime> failedAt();
+
+    /**
+     * Returns whether the platform was out of reach a short time ago, such that entries may have lapsed meanwhile.
+     *
+     * @param now The present.
+     * @param time What counts as short.
+     * @return {@code true} if a call failed within that time.
+     */
+    default boolean hasFailedWithin(MonotonicTime now, Duration time) {
+        return failedAt().filter(at -> now.since(at).compareTo(time) < 0).isPresent();
+    }
+
+    /**
+     * What an answer brought.
+     *
+     * @param objects The objects, in the order of their changes. Deleted ones say so.
+     * @param complete {@code true} if these are all objects there are, {@code false} if they are changes.
+     */
+    record News(List<StoredObject> objects, boolean complete) {}
+}
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/platform/KindWatch.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/platform/KindWatch.java
@@ -3,15 +3,14 @@
 import io.yuccaswitch.core.decision.Tick;
 import io.yuccaswitch.core.time.MonotonicTime;
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 
 /**
- * Follows all objects of one kind: lists them once, then waits for changes with one call at a time, and lists anew when
- * the platform no longer knows the changes in between.
+ * Follows all objects of one kind at the platform: lists them once, then waits for changes with one call at a time, and
+ * lists anew when the platform no longer knows the changes in between.
  */
-public final class KindWatch {
+public final class KindWatch implements KindFeed {
 
     /** The first wait after a failed call. A node has to be back soon after the platform is. */
     private static final Duration FIRST_BACK_OFF = Duration.ofMillis(150);
@@ -19,6 +18,9 @@
     /** The longest wait after failed calls, well below the time in which changes have to be in force. */
     private static final Duration LONGEST_BACK_OFF = Duration.ofMillis(600);
 
+    /** How late an answer may come before the platform counts as out of reach: a slow one answers within this time. */
+    private static final Duration ALLOWED_DELAY = Duration.ofMillis(400);
+
     /** The kind of the objects. */
     private final String kind;
 
@@ -31,6 +33,9 @@
     /** The pause after an answer that gathers further changes into the next one, as each call has a price. */
     private final Duration gathering;
 
+    /** How long the platform waits for changes before it answers that there are none. */
+    private final Duration waitTime;
+
     /** When the next call may be made. */
     private final CallBackOff backOff = new CallBackOff(FIRST_BACK_OFF, LONGEST_BACK_OFF);
 
@@ -40,6 +45,15 @@
     /** Whether a call waits for its answer. */
     private boolean calling;
 
+    /** When the latest call was sent. */
+    private MonotonicTime sentAt = new MonotonicTime(Long.MIN_VALUE);
+
+    /** Whether the latest answer came in time. */
+    private boolean answeredInTime;
+
+    /** When the latest answer came. */
+    private MonotonicTime answeredAt = new MonotonicTime(Long.MIN_VALUE);
+
     /** When a call last failed. */
     private Optional<MonotonicTime> failedAt = Optional.empty();
 
@@ -53,39 +67,94 @@
      * @param purpose The purpose of the calls.
      * @param tokens Hands out the tokens of calls.
      * @param gathering The pause after an answer that gathers further changes into the next one.
+     * @param waitTime How long the platform waits for changes. A connection that has gone silent is noticed a short
+     *     time after that.
      */
-    public KindWatch(String kind, PlatformPurpose purpose, PlatformTokens tokens, Duration gathering) {
+    public KindWatch(
+            String kind, PlatformPurpose purpose, PlatformTokens tokens, Duration gathering, Duration waitTime) {
         this.kind = kind;
         this.purpose = purpose;
         this.gathering = gathering;
+        this.waitTime = waitTime;
         calls = new PlatformCalls(tokens);
     }
 
+    @Override
+    public Optional<News> run(Tick tick) {
+        Optional<News> answer = answer(tick);
+        callIfDue(tick);
+        return answer;
+    }
+
     /**
-     * Takes the answer of a tick and makes the next call when it is due.
+     * Takes the answer of a tick.
      *
      * @param tick The tick.
      * @return What is new, if an answer arrived.
      */
-    public Optional<News> run(Tick tick) {
+    public Optional<News> answer(Tick tick) {
         news = Optional.empty();
         calls.answer(tick);
-        if (!calling && backOff.allows(tick.now())) {
-            calling = true;
-            calls.call(tick, this::nextCall, this::receive);
-        }
         return news;
     }
 
     /**
-     * Returns whether a call failed a short time ago, such that the platform may have been out of reach.
+     * Makes the next call if it is due and none waits for its answer.
+     *
+     * @param tick The tick.
+     */
+    public void callIfDue(Tick tick) {
+        if (calling || !backOff.allows(tick.now())) {
+            return;
+        }
+        calling = true;
+        sentAt = tick.now();
+        calls.call(tick, this::nextCall, this::receive);
+    }
+
+    /**
+     * Returns whether a call waits for its answer.
+     *
+     * @return {@code true} if it does.
+     */
+    public boolean isCalling() {
+        return calling;
+    }
+
+    /**
+     * Returns the version up to which changes are known.
+     *
+     * @return The version, or empty before the first list.
+     */
+    public OptionalLong version() {
+        return version;
+    }
+
+    /**
+     * Takes note that all changes up to a version became known otherwise, such that the next call goes on behind it.
+     *
+     * @param known The version.
+     */
+    public void goOnBehind(long known) {
+        version = OptionalLong.of(known);
+    }
+
+    /**
+     * Returns whether the platform answers, as far as can be known: the latest answer came in time, and neither the
+     * answer to a call nor the next call is overdue. A path that is cut shows within the time that a call may wait, the
+     * gathering and the allowed delay.
      *
      * @param now The present.
-     * @param time What counts as short.
-     * @return {@code true} if a call failed within that time.
+     * @return {@code true} if nothing speaks against it.
      */
-    public boolean hasFailedWithin(MonotonicTime now, Duration time) {
-        return failedAt.filter(at -> now.since(at).compareTo(time) < 0).isPresent();
+    public boolean isInContact(MonotonicTime now) {
+        MonotonicTime begun = calling ? sentAt : answeredAt;
+        return answeredInTime && now.since(begun).compareTo(waitTime.plus(ALLOWED_DELAY)) <= 0;
+    }
+
+    @Override
+    public Optional<MonotonicTime> failedAt() {
+        return failedAt;
     }
 
     /**
@@ -97,7 +166,7 @@
     private PlatformEffect nextCall(long token) {
         return version.isEmpty()
                 ? new PlatformEffect.ListKind(token, purpose, kind)
-                : new PlatformEffect.Watch(token, purpose, kind, version.getAsLong());
+                : new PlatformEffect.Watch(token, purpose, kind, version.getAsLong(), Optional.of(waitTime));
     }
 
     /**
@@ -108,6 +177,9 @@
      */
     private void receive(Tick tick, PlatformEvent event) {
         calling = false;
+        answeredAt = tick.now();
+        answeredInTime = event instanceof PlatformEvent.ObjectsListed
+                && tick.now().since(sentAt).compareTo(waitTime.plus(ALLOWED_DELAY)) <= 0;
         if (!(event instanceof PlatformEvent.ObjectsListed listed)) {
             failedAt = Optional.of(tick.now());
             backOff.failed(tick);
@@ -122,12 +194,4 @@
         version = OptionalLong.of(listed.version());
         backOff.succeeded(tick.now(), listed.objects().isEmpty() ? Duration.ZERO : gathering);
     }
-
-    /**
-     * What an answer brought.
-     *
-     * @param objects The objects, in the order of their changes. Deleted ones say so.
-     * @param complete {@code true} if these are all objects there are, {@code false} if they are changes.
-     */
-    public record News(List<StoredObject> objects, boolean complete) {}
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/registry/EndpointRegistrySystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/registry/EndpointRegistrySystem.java
@@ -6,11 +6,13 @@
 import io.yuccaswitch.core.decision.Tick;
 import io.yuccaswitch.core.identity.EndpointName;
 import io.yuccaswitch.core.identity.PoolName;
-import io.yuccaswitch.core.platform.KindWatch;
+import io.yuccaswitch.core.membership.MembershipView;
+import io.yuccaswitch.core.platform.KindFeed;
 import io.yuccaswitch.core.platform.PlatformPurpose;
 import io.yuccaswitch.core.platform.PlatformTokens;
 import io.yuccaswitch.core.platform.StoredObject;
 import io.yuccaswitch.core.time.MonotonicTime;
+import io.yuccaswitch.core.watch.SharedKindWatch;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
@@ -26,7 +28,7 @@
     public static final String KIND = "endpoint";
 
     /** Gathers changes, such as the loads of one version, into few calls. Far below the time for leaving endpoints. */
-    private static final Duration GATHERING = Duration.ofMillis(400);
+    private static final Duration GATHERING = Duration.ofMillis(250);
 
     /**
      * For how long an entry that lapsed while the platform was away is kept. A living endpoint is back within about two
@@ -37,8 +39,8 @@
     /** How long after a failed call a missing entry is taken for lapsed. */
     private static final Duration RECENT_FAILURE = Duration.ofSeconds(3);
 
-    /** The watch of the registry. */
-    private final KindWatch watch;
+    /** Brings the registry's entries. */
+    private final KindFeed feed;
 
     /** Reads an entry. */
     private final Function<StoredObject, Optional<RegisteredEndpoint>> decoder;
@@ -52,17 +54,21 @@
     /**
      * Creates a system that knows no endpoints.
      *
+     * @param membership The nodes of the site, of which a few watch the registry for all.
      * @param tokens Hands out the tokens of calls.
      * @param decoder Reads an entry, or returns empty where it can't be read.
      */
-    public EndpointRegistrySystem(PlatformTokens tokens, Function<StoredObject, Optional<RegisteredEndpoint>> decoder) {
-        watch = new KindWatch(KIND, PlatformPurpose.DISCOVERY, tokens, GATHERING);
+    public EndpointRegistrySystem(
+            MembershipView membership,
+            PlatformTokens tokens,
+            Function<StoredObject, Optional<RegisteredEndpoint>> decoder) {
+        feed = new SharedKindWatch(KIND, PlatformPurpose.DISCOVERY, tokens, GATHERING, membership);
         this.decoder = decoder;
     }
 
     @Override
     public void run(Tick tick) {
-        Optional<KindWatch.News> news = watch.run(tick);
+        Optional<KindFeed.News> news = feed.run(tick);
         boolean changed = news.isPresent() && take(tick, news.get());
         changed |= entries.removeIf(row -> row.hasLapsed(tick.now(), LAPSE_GRACE));
         if (changed) {
@@ -122,13 +128,13 @@
     }
 
     /**
-     * Takes what the watch brought.
+     * Takes what the feed brought.
      *
      * @param tick The tick.
      * @param news What is new.
      * @return Whether anything changed.
      */
-    private boolean take(Tick tick, KindWatch.News news) {
+    private boolean take(Tick tick, KindFeed.News news) {
         listed = true;
         boolean changed = false;
         for (StoredObject object : news.objects()) {
@@ -188,7 +194,7 @@
         if (row.isEmpty() || row.get().lapsedAt().isPresent()) {
             return false;
         }
-        if (watch.hasFailedWithin(tick.now(), RECENT_FAILURE)) {
+        if (feed.hasFailedWithin(tick.now(), RECENT_FAILURE)) {
             entries.put(name, new Row(row.get().endpoint(), Optional.of(tick.now())));
             decide(tick, row.get().endpoint().name(), "lapsed", "the platform was out of reach");
             return false;
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/retirement/RetirementSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/retirement/RetirementSystem.java
@@ -41,6 +41,9 @@
     /** No gathering: requests are rare. */
     private static final Duration GATHERING = Duration.ZERO;
 
+    /** How long one watch waits, which bounds how late a connection that has gone silent is noticed. */
+    private static final Duration WAIT_TIME = Duration.ofSeconds(4);
+
     /** The watch of the requests. */
     private final KindWatch watch;
 
@@ -69,7 +72,7 @@
      * @param responsible Whether this node answers requests.
      */
     public RetirementSystem(PlatformTokens tokens, BooleanSupplier responsible) {
-        watch = new KindWatch(KIND, PlatformPurpose.MEMBERSHIP, tokens, GATHERING);
+        watch = new KindWatch(KIND, PlatformPurpose.MEMBERSHIP, tokens, GATHERING, WAIT_TIME);
         calls = new PlatformCalls(tokens);
         this.responsible = responsible;
     }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/route/RouteConfigurationSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/route/RouteConfigurationSystem.java
@@ -3,10 +3,12 @@
 import io.yuccaswitch.core.decision.Decision;
 import io.yuccaswitch.core.decision.DecisionSystem;
 import io.yuccaswitch.core.decision.Tick;
-import io.yuccaswitch.core.platform.KindWatch;
+import io.yuccaswitch.core.membership.MembershipView;
+import io.yuccaswitch.core.platform.KindFeed;
 import io.yuccaswitch.core.platform.PlatformPurpose;
 import io.yuccaswitch.core.platform.PlatformTokens;
 import io.yuccaswitch.core.platform.StoredObject;
+import io.yuccaswitch.core.watch.SharedKindWatch;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.function.Function;
@@ -20,8 +22,8 @@
     /** Gathers quick successions of versions. Far below the time in which a version has to be in force. */
     private static final Duration GATHERING = Duration.ofMillis(100);
 
-    /** The watch of the configuration. */
-    private final KindWatch watch;
+    /** Brings the configuration's object. */
+    private final KindFeed feed;
 
     /** Reads a configuration. */
     private final Function<StoredObject, Optional<RouteConfiguration>> decoder;
@@ -32,18 +34,21 @@
     /**
      * Creates a system that has no configuration.
      *
+     * @param membership The nodes of the site, of which a few watch the configuration for all.
      * @param tokens Hands out the tokens of calls.
      * @param decoder Reads a configuration, or returns empty where it can't be read.
      */
     public RouteConfigurationSystem(
-            PlatformTokens tokens, Function<StoredObject, Optional<RouteConfiguration>> decoder) {
-        watch = new KindWatch(KIND, PlatformPurpose.CONFIGURATION, tokens, GATHERING);
+            MembershipView membership,
+            PlatformTokens tokens,
+            Function<StoredObject, Optional<RouteConfiguration>> decoder) {
+        feed = new SharedKindWatch(KIND, PlatformPurpose.CONFIGURATION, tokens, GATHERING, membership);
         this.decoder = decoder;
     }
 
     @Override
     public void run(Tick tick) {
-        watch.run(tick).ifPresent(news -> news.objects().forEach(object -> take(tick, object)));
+        feed.run(tick).ifPresent(news -> news.objects().forEach(object -> take(tick, object)));
     }
 
     /**
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/SharedKindWatch.java
@@ -0,0 +1,174 @@
+package io.yuccaswitch.core.watch;
+
+import io.yuccaswitch.core.decision.Tick;
+import io.yuccaswitch.core.identity.NodeName;
+import io.yuccaswitch.core.membership.MembershipView;
+import io.yuccaswitch.core.platform.CallBackOff;
+import io.yuccaswitch.core.platform.KindFeed;
+import io.yuccaswitch.core.platform.KindWatch;
+import io.yuccaswitch.core.platform.PlatformPurpose;
+import io.yuccaswitch.core.platform.PlatformTokens;
+import io.yuccaswitch.core.time.MonotonicTime;
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * Follows all objects of one kind with few calls to the platform: two nodes of each region watch there, and the others
+ * follow one of these. A node whose watching node is silent, or has lost the platform, asks the platform itself at
+ * once, so that news is late by the time in which that is noticed and not by the time of an outage elsewhere.
+ */
+public final class SharedKindWatch implements KindFeed {
+
+    /** How long the platform waits for changes. A cut path to it shows shortly after that. */
+    private static final Duration WAIT_TIME = Duration.ofMillis(500);
+
+    /** The first wait before a node that follows calls the platform again after a failure. */
+    private static final Duration FIRST_BACK_OFF = Duration.ofMillis(300);
+
+    /** The longest such wait. The watching nodes try more often, and tell the others when the platform is back. */
+    private static final Duration LONGEST_BACK_OFF = Duration.ofMillis(1500);
+
+    /** The watch at the platform. */
+    private final KindWatch direct;
+
+    /** The objects as this node knows them. */
+    private final KindReplica replica = new KindReplica();
+
+    /** Which nodes watch. */
+    private final WatchRoles roles;
+
+    /** Asks the watching nodes. */
+    private final WatchFollower follower;
+
+    /** Answers the nodes that follow this one. */
+    private final WatchServer server;
+
+    /** When a node that follows may call the platform. */
+    private final CallBackOff backOff = new CallBackOff(FIRST_BACK_OFF, LONGEST_BACK_OFF);
+
+    /** Whether what the watching nodes say is not enough, such that the platform has to be asked. */
+    private boolean doubtful = true;
+
+    /** When a watching node last failed to reach the platform, as far as it said so. */
+    private Optional<MonotonicTime> relayedFailure = Optional.empty();
+
+    /**
+     * Creates a watch that knows nothing yet.
+     *
+     * @param kind The kind of the objects.
+     * @param purpose The purpose of the calls.
+     * @param tokens Hands out the tokens of calls.
+     * @param gathering The pause after an answer of the platform that gathers further changes into the next one.
+     * @param membership The nodes of the site.
+     */
+    public SharedKindWatch(
+            String kind,
+            PlatformPurpose purpose,
+            PlatformTokens tokens,
+            Duration gathering,
+            MembershipView membership) {
+        direct = new KindWatch(kind, purpose, tokens, gathering, WAIT_TIME);
+        roles = new WatchRoles(kind, membership);
+        follower = new WatchFollower(kind);
+        server = new WatchServer(kind, replica, direct);
+    }
+
+    @Override
+    public Optional<News> run(Tick tick) {
+        Optional<News> news = direct.isCalling() ? takeDirect(tick) : takeRelayed(tick);
+        server.run(tick);
+        if (!direct.isCalling() && !follower.isWaiting()) {
+            ask(tick);
+        }
+        return news;
+    }
+
+    @Override
+    public Optional<MonotonicTime> failedAt() {
+        Optional<MonotonicTime> own = direct.failedAt();
+        if (own.isEmpty() || relayedFailure.isEmpty()) {
+            return own.or(() -> relayedFailure);
+        }
+        return own.get().isBefore(relayedFailure.get()) ? relayedFailure : own;
+    }
+
+    /**
+     * Takes the platform's answer, if it arrived.
+     *
+     * @param tick The tick.
+     * @return What is new.
+     */
+    private Optional<News> takeDirect(Tick tick) {
+        Optional<News> news = direct.answer(tick);
+        if (direct.isCalling()) {
+            return news;
+        }
+        if (!direct.isInContact(tick.now())) {
+            backOff.failed(tick);
+        } else {
+            backOff.succeeded(tick.now(), Duration.ZERO);
+            doubtful = false;
+        }
+        news.ifPresent(found -> replica.take(found, direct.version().orElseThrow()));
+        return news;
+    }
+
+    /**
+     * Takes the answer of a watching node, if it arrived.
+     *
+     * @param tick The tick.
+     * @return What is new.
+     */
+    private Optional<News> takeRelayed(Tick tick) {
+        Optional<WatchFollower.Outcome> outcome = follower.receive(tick);
+        if (outcome.isEmpty()) {
+            return Optional.empty();
+        }
+        doubtful = !outcome.get().inContact();
+        return outcome.get()
+                .changes()
+                .flatMap(changes -> take(tick, outcome.get().version(), changes));
+    }
+
+    /**
+     * Takes changes from a watching node, unless it knows less than this node.
+     *
+     * @param tick The tick.
+     * @param asked The version that the request named.
+     * @param changes The changes.
+     * @return What is new.
+     */
+    private Optional<News> take(Tick tick, long asked, WatchMessage.Changes changes) {
+        if (changes.failureAgeMillis() != WatchMessage.NEVER) {
+            MonotonicTime failed = tick.now().plus(Duration.ofMillis(-changes.failureAgeMillis()));
+            relayedFailure =
+                    relayedFailure.filter(before -> !before.isBefore(failed)).or(() -> Optional.of(failed));
+        }
+        if (changes.version() <= asked) {
+            return Optional.empty();
+        }
+        News news = new News(changes.objects(), changes.complete());
+        replica.take(news, changes.version());
+        direct.goOnBehind(changes.version());
+        return Optional.of(news);
+    }
+
+    /**
+     * Asks for what comes next: the platform where this node watches or is in doubt, else a watching node.
+     *
+     * @param tick The tick.
+     */
+    private void ask(Tick tick) {
+        MonotonicTime now = tick.now();
+        if (roles.isWatcher(now) || (doubtful && backOff.allows(now))) {
+            direct.callIfDue(tick);
+            return;
+        }
+        Optional<NodeName> watcher = follower.choose(roles.watchers(now), now);
+        if (watcher.isPresent()) {
+            follower.ask(tick, watcher.get(), replica.version());
+        } else if (backOff.allows(now)) {
+            direct.callIfDue(tick);
+        }
+    }
+}
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchMessage.java
@@ -0,0 +1,50 @@
+package io.yuccaswitch.core.watch;
+
+import io.yuccaswitch.core.peer.PeerMessage;
+import io.yuccaswitch.core.platform.StoredObject;
+import java.util.List;
+
+/** A message by which nodes hand on what they learn of the platform's objects. */
+public sealed interface WatchMessage extends PeerMessage {
+
+    /** The version of a node that knows no object of a kind. */
+    long UNKNOWN_VERSION = -1;
+
+    /** The age of a failure where there was none. */
+    long NEVER = -1;
+
+    /**
+     * Asks for the changes of a kind behind a version. The receiver answers as soon as it knows any, and after a short
+     * time in any case.
+     *
+     * @param kind The kind of the objects.
+     * @param number The number of the request, which the answer bears.
+     * @param version The version up to which the sender knows all changes, or {@link #UNKNOWN_VERSION}.
+     */
+    record Follow(String kind, long number, long version) implements WatchMessage {}
+
+    /**
+     * Answers a request for changes.
+     *
+     * @param kind The kind of the objects.
+     * @param number The number of the request.
+     * @param behind The version of the request. Numbers begin anew when a node restarts, so the answer bears both.
+     * @param inContact Whether the sender watches the kind at the platform, and the platform answers it.
+     * @param failureAgeMillis How long ago the sender last failed to reach the platform, in milliseconds, or
+     *     {@link #NEVER}.
+     * @param version The version up to which the objects are complete.
+     * @param complete {@code true} if these are all objects there are, {@code false} if they are the changes behind the
+     *     version of the request.
+     * @param objects The objects, in the order of their versions.
+     */
+    record Changes(
+            String kind,
+            long number,
+            long behind,
+            boolean inContact,
+            long failureAgeMillis,
+            long version,
+            boolean complete,
+            List<StoredObject> objects)
+            implements WatchMessage {}
+}
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchServer.java
@@ -0,0 +1,113 @@
+package io.yuccaswitch.core.watch;
+
+import io.yuccaswitch.core.decision.Tick;
+import io.yuccaswitch.core.identity.NodeName;
+import io.yuccaswitch.core.peer.PeerEffect;
+import io.yuccaswitch.core.peer.PeerEvent;
+import io.yuccaswitch.core.platform.KindFeed;
+import io.yuccaswitch.core.platform.KindWatch;
+import io.yuccaswitch.core.time.MonotonicTime;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Answers the nodes that follow this one, as soon as there are changes or this node loses the platform. */
+final class WatchServer {
+
+    /** How long a request is held while there are no changes. Half of it passes before a lost node is noticed. */
+    static final Duration HOLD_TIME = Duration.ofMillis(500);
+
+    /** The kind. */
+    private final String kind;
+
+    /** The objects as this node knows them. */
+    private final KindReplica replica;
+
+    /** This node's own watch. */
+    private final KindWatch watch;
+
+    /** The requests that are held, by the nodes that sent them. */
+    private final Map<NodeName, Held> held = new HashMap<>();
+
+    /**
+     * Creates a server without requests.
+     *
+     * @param kind The kind.
+     * @param replica The objects as this node knows them.
+     * @param watch This node's own watch.
+     */
+    WatchServer(String kind, KindReplica replica, KindWatch watch) {
+        this.kind = kind;
+        this.replica = replica;
+        this.watch = watch;
+    }
+
+    /**
+     * Takes requests and answers those that are due.
+     *
+     * @param tick The tick.
+     */
+    void run(Tick tick) {
+        for (PeerEvent.Received received : tick.events(PeerEvent.Received.class)) {
+            if (received.message() instanceof WatchMessage.Follow follow
+                    && follow.kind().equals(kind)) {
+                held.put(received.sender().name(), new Held(follow, tick.now()));
+            }
+        }
+        if (held.isEmpty()) {
+            return;
+        }
+        boolean inContact = watch.isInContact(tick.now());
+        held.entrySet().removeIf(entry -> answerIfDue(tick, entry.getKey(), entry.getValue(), inContact));
+    }
+
+    /**
+     * Answers a request if it is due.
+     *
+     * @param tick The tick.
+     * @param sender The node that sent it.
+     * @param request The request.
+     * @param inContact Whether the platform answers this node.
+     * @return Whether it was answered.
+     */
+    private boolean answerIfDue(Tick tick, NodeName sender, Held request, boolean inContact) {
+        boolean held = tick.now().since(request.at()).compareTo(HOLD_TIME) >= 0;
+        boolean newer = replica.hasNewsBehind(request.follow().version());
+        if (inContact && !held && !newer) {
+            return false;
+        }
+        tick.emit(new PeerEffect.Send(sender, answer(tick, request.follow(), inContact)));
+        return true;
+    }
+
+    /**
+     * Builds the answer to a request.
+     *
+     * @param tick The tick.
+     * @param follow The request.
+     * @param inContact Whether the platform answers this node.
+     * @return The answer.
+     */
+    private WatchMessage.Changes answer(Tick tick, WatchMessage.Follow follow, boolean inContact) {
+        KindFeed.News news = replica.behind(follow.version());
+        long failureAge =
+                watch.failedAt().map(at -> tick.now().since(at).toMillis()).orElse(WatchMessage.NEVER);
+        return new WatchMessage.Changes(
+                kind,
+                follow.number(),
+                follow.version(),
+                inContact,
+                failureAge,
+                replica.version(),
+                news.complete(),
+                news.objects());
+    }
+
+    /**
+     * A request that is held.
+     *
+     * @param follow The request.
+     * @param at When it arrived.
+     */
+    private record Held(WatchMessage.Follow follow, MonotonicTime at) {}
+}
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSite.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSite.java
@@ -63,8 +63,8 @@
     TestNode node(String name) {
         nodes.removeIf(node -> node.name().equals(name));
         TestNode started = site.start(name, (node, tokens) -> {
-            EndpointRegistrySystem registry = new EndpointRegistrySystem(tokens, BatchSite::endpoint);
-            RouteConfigurationSystem routes = new RouteConfigurationSystem(tokens, this::configuration);
+            EndpointRegistrySystem registry = new EndpointRegistrySystem(node, tokens, BatchSite::endpoint);
+            RouteConfigurationSystem routes = new RouteConfigurationSystem(node, tokens, this::configuration);
             return List.of(routes, registry, new BatchSystem(node, registry, routes, codec, tokens, () -> 1000));
         });
         started.accept(new MembershipEvent.SelfJoined(false));
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/modelversion/VersionSystemsTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/modelversion/VersionSystemsTest.java
@@ -255,8 +255,9 @@
 
     private TestNode start(String name) {
         TestNode node = site.start(name, (self, tokens) -> {
-            EndpointRegistrySystem registry = new EndpointRegistrySystem(tokens, this::endpoint);
-            RouteConfigurationSystem routes = new RouteConfigurationSystem(tokens, VersionSystemsTest::configuration);
+            EndpointRegistrySystem registry = new EndpointRegistrySystem(self, tokens, this::endpoint);
+            RouteConfigurationSystem routes =
+                    new RouteConfigurationSystem(self, tokens, VersionSystemsTest::configuration);
             return List.of(
                     routes,
                     registry,
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/registry/EndpointRegistrySystemTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/registry/EndpointRegistrySystemTest.java
@@ -22,8 +22,8 @@
 
     @BeforeEach
     void startNode() {
-        site.start("node", (_node, tokens) -> {
-            registry = new EndpointRegistrySystem(tokens, EndpointRegistrySystemTest::decode);
+        site.start("node", (node, tokens) -> {
+            registry = new EndpointRegistrySystem(node, tokens, EndpointRegistrySystemTest::decode);
             return List.of(registry);
         });
         put("one", "ledger 10.0.0.1:80 ready");
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/route/RouteConfigurationTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/route/RouteConfigurationTest.java
@@ -48,8 +48,9 @@
     void aVersionIsOnlyEverReplacedByAHigherOne() {
         TestSite site = new TestSite();
         RouteConfigurationSystem[] system = new RouteConfigurationSystem[1];
-        site.start("node", (_node, tokens) -> {
+        site.start("node", (node, tokens) -> {
             system[0] = new RouteConfigurationSystem(
+                    node,
                     tokens,
                     object -> Optional.of(
                             configuration(Long.parseLong(object.value().toUtf8()))));
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/site/SharedPlatform.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/site/SharedPlatform.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.BiPredicate;
+import java.util.function.Predicate;
 
 /** The platform's objects as several cores share them, with outages, lost answers and calls that are applied late. */
 public final class SharedPlatform {
@@ -22,6 +23,7 @@
     private BiPredicate<String, PlatformEffect> down = (_node, _call) -> false;
     private BiPredicate<String, PlatformEffect> answerLost = (_node, _call) -> false;
     private BiPredicate<String, PlatformEffect> appliedLate = (_node, _call) -> false;
+    private Predicate<String> cut = _node -> false;
     private long version = 10;
     private long oldestKnown;
 
@@ -79,8 +81,16 @@
         return log;
     }
 
-    /** Returns whether a watch has something to return. */
-    boolean isReady(PlatformEffect call) {
+    /** Leaves the calls that match without an answer until their time is up, as a cut path does. */
+    public void cutWhere(Predicate<String> condition) {
+        cut = condition;
+    }
+
+    /** Returns whether a call is to be answered now. */
+    boolean isReady(String node, PlatformEffect call) {
+        if (cut.test(node)) {
+            return false;
+        }
         return !(call instanceof PlatformEffect.Watch watch)
                 || watch.afterVersion() < oldestKnown
                 || !changesAfter(watch).isEmpty();
@@ -89,7 +99,7 @@
     /** Carries out a call of a node. */
     PlatformEvent answer(String node, PlatformEffect call) {
         log.add(call);
-        if (down.test(node, call)) {
+        if (cut.test(node) || down.test(node, call)) {
             return new PlatformEvent.Unavailable(call.token(), false, "outage");
         }
         if (call instanceof PlatformEffect.Write write && appliedLate.test(node, call)) {
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/site/TestNode.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/site/TestNode.java
@@ -17,7 +17,9 @@
 import io.yuccaswitch.core.time.MonotonicTime;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.BiFunction;
 
@@ -28,7 +30,7 @@
     private final String name;
     private final DecisionCore core;
     private final List<Event> waiting = new ArrayList<>();
-    private final List<PlatformEffect> calls = new ArrayList<>();
+    private final Map<PlatformEffect, MonotonicTime> calls = new LinkedHashMap<>();
     private final List<Effect> effects = new ArrayList<>();
     private final List<Decision> decisions = new ArrayList<>();
     private boolean frozen;
@@ -70,8 +72,8 @@
         if (frozen) {
             return;
         }
-        for (PlatformEffect call : List.copyOf(calls)) {
-            if (site.platform().isReady(call)) {
+        for (PlatformEffect call : List.copyOf(calls.keySet())) {
+            if (site.platform().isReady(name, call) || isOver(call, now)) {
                 calls.remove(call);
                 waiting.add(site.platform().answer(name, call));
             }
@@ -82,13 +84,22 @@
         decisions.addAll(result.decisions());
         for (Effect effect : result.effects()) {
             if (effect instanceof PlatformEffect call) {
-                calls.add(call);
+                calls.put(call, now);
             } else {
                 effects.add(effect);
+                site.carry(name, effect);
             }
         }
     }
 
+    /** Returns whether a watch has waited for as long as it may. */
+    private boolean isOver(PlatformEffect call, MonotonicTime now) {
+        return call instanceof PlatformEffect.Watch watch
+                && watch.waitTime()
+                        .filter(wait -> now.since(calls.get(call)).compareTo(wait) >= 0)
+                        .isPresent();
+    }
+
     @Override
     public Member self() {
         return site.member(name);
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/site/TestSite.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/site/TestSite.java
@@ -1,9 +1,12 @@
 package io.yuccaswitch.core.site;
 
 import io.yuccaswitch.core.decision.DecisionSystem;
+import io.yuccaswitch.core.decision.Effect;
 import io.yuccaswitch.core.identity.NodeName;
 import io.yuccaswitch.core.membership.Member;
 import io.yuccaswitch.core.membership.MemberCondition;
+import io.yuccaswitch.core.peer.PeerEffect;
+import io.yuccaswitch.core.peer.PeerEvent;
 import io.yuccaswitch.core.platform.PlatformTokens;
 import io.yuccaswitch.core.time.MonotonicTime;
 import java.time.Duration;
@@ -15,6 +18,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.BiFunction;
+import java.util.function.BiPredicate;
 import java.util.function.Consumer;
 
 /** Some cores that share a platform, moved by hand in ticks of ten milliseconds. */
@@ -27,6 +31,8 @@
     private final Set<String> gone = new TreeSet<>();
     private final Set<String> leaving = new TreeSet<>();
     private Consumer<TestSite> everyStep = _site -> {};
+    private boolean connected;
+    private BiPredicate<String, String> cut = (_from, _to) -> false;
     private MonotonicTime now = new MonotonicTime(Duration.ofSeconds(100).toNanos());
 
     /** Returns the platform. */
@@ -63,6 +69,12 @@
         leaving.add(name);
     }
 
+    /** Carries messages between nodes, except where the path between two names is cut. */
+    public void connect(BiPredicate<String, String> cutBetween) {
+        connected = true;
+        cut = cutBetween;
+    }
+
     /** Does something after each step, such as playing engines. */
     public void everyStep(Consumer<TestSite> action) {
         everyStep = action;
@@ -78,6 +90,16 @@
         }
     }
 
+    void carry(String from, Effect effect) {
+        if (!connected || !(effect instanceof PeerEffect.Send send)) {
+            return;
+        }
+        TestNode target = nodes.get(send.target().value());
+        if (target != null && !cut.test(from, target.name())) {
+            target.accept(new PeerEvent.Received(member(from).identity(), send.message()));
+        }
+    }
+
     Member member(String name) {
         return TestNode.member(name);
     }
--- /dev/null
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/watch/SharedKindWatchTest.java
@@ -0,0 +1,238 @@
+package io.yuccaswitch.core.watch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.yuccaswitch.core.decision.DecisionSystem;
+import io.yuccaswitch.core.decision.Tick;
+import io.yuccaswitch.core.identity.NodeIdentity;
+import io.yuccaswitch.core.identity.NodeName;
+import io.yuccaswitch.core.membership.RendezvousRanking;
+import io.yuccaswitch.core.peer.PeerEvent;
+import io.yuccaswitch.core.platform.KindFeed;
+import io.yuccaswitch.core.platform.PlatformPurpose;
+import io.yuccaswitch.core.platform.StoredObject;
+import io.yuccaswitch.core.site.TestNode;
+import io.yuccaswitch.core.site.TestSite;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Ten nodes that share the watches of one kind. */
+final class SharedKindWatchTest {
+
+    private static final String KIND = "thing";
+
+    /** The bound within which every node in touch has to know a change. */
+    private static final Duration BOUND = Duration.ofMillis(1900);
+
+    private final TestSite site = new TestSite();
+    private final Map<String, Copy> copies = new TreeMap<>();
+
+    @BeforeEach
+    void startNodes() {
+        site.connect((_from, _to) -> false);
+        for (int i = 0; i < 10; i++) {
+            start("node-" + i);
+        }
+        site.platform().put(KIND, "a", "first");
+        site.run(Duration.ofSeconds(3));
+    }
+
+    @Test
+    void aChangeReachesAllNodesWithinMoments() {
+        site.platform().put(KIND, "a", "second");
+        site.platform().put(KIND, "b", "new");
+        site.run(Duration.ofMillis(400));
+        assertThat(copies.values())
+                .allSatisfy(copy ->
+                        assertThat(copy.content).containsEntry("a", "second").containsEntry("b", "new"));
+    }
+
+    @Test
+    void aDeletionReachesAllNodes() {
+        site.platform().remove(KIND, "a");
+        site.run(Duration.ofMillis(400));
+        assertThat(copies.values()).allSatisfy(copy -> assertThat(copy.content).isEmpty());
+    }
+
+    @Test
+    void onlyTwoNodesCallThePlatform() {
+        int before = site.platform().log().size();
+        site.run(Duration.ofSeconds(10));
+        int calls = site.platform().log().size() - before;
+        assertThat(calls).isBetween(30, 42);
+    }
+
+    @Test
+    void aChangeIsKnownInTimeThoughTheWatchingNodesAreCutFromThePlatform() {
+        Set<String> watchers = watchers();
+        site.platform().cutWhere(watchers::contains);
+        site.platform().put(KIND, "a", "second");
+        site.run(BOUND);
+        assertThat(inTouch(watchers))
+                .allSatisfy(copy -> assertThat(copy.content).containsEntry("a", "second"));
+    }
+
+    @Test
+    void aChangeIsKnownInTimeThoughTheWatchingNodesFellSilent() {
+        Set<String> watchers = watchers();
+        site.connect((from, to) -> watchers.contains(from) || watchers.contains(to));
+        site.platform().put(KIND, "a", "second");
+        site.run(BOUND);
+        assertThat(inTouch(watchers))
+                .allSatisfy(copy -> assertThat(copy.content).containsEntry("a", "second"));
+    }
+
+    @Test
+    void aChangeIsKnownInTimeThoughTheWatchingNodesStandStillAndWakeAgain() {
+        Set<String> watchers = watchers();
+        watchers.forEach(name -> copies.get(name).node.freeze(true));
+        site.run(Duration.ofMillis(50));
+        site.platform().put(KIND, "a", "second");
+        site.run(BOUND);
+        assertThat(inTouch(watchers))
+                .allSatisfy(copy -> assertThat(copy.content).containsEntry("a", "second"));
+        watchers.forEach(name -> copies.get(name).node.freeze(false));
+        site.run(Duration.ofSeconds(2));
+        assertThat(copies.values()).allSatisfy(copy -> assertThat(copy.content).containsEntry("a", "second"));
+    }
+
+    @Test
+    void aNodeThatThePlatformTurnsAwayLearnsFromTheOthers() {
+        String refused = inTouch(watchers()).iterator().next().node.name();
+        site.platform().failWhere((node, _call) -> node.equals(refused));
+        site.platform().put(KIND, "a", "second");
+        site.run(Duration.ofMillis(600));
+        assertThat(copies.get(refused).content).containsEntry("a", "second");
+    }
+
+    @Test
+    void aNodeThatStartsWhileThePlatformTurnsItAwayLearnsAllFromTheOthers() {
+        site.platform().failWhere((node, _call) -> node.equals("late"));
+        start("late");
+        site.run(Duration.ofSeconds(2));
+        assertThat(copies.get("late").content).containsEntry("a", "first");
+    }
+
+    @Test
+    void aForgottenHistoryLeadsAllNodesToTheSameObjects() {
+        site.platform().put(KIND, "c", "short-lived");
+        site.run(Duration.ofMillis(400));
+        site.platform().remove(KIND, "c");
+        site.platform().put(KIND, "d", "kept");
+        site.platform().compact();
+        site.run(Duration.ofSeconds(2));
+        assertThat(copies.values()).allSatisfy(copy -> assertThat(copy.content).containsOnlyKeys("a", "d"));
+    }
+
+    @Test
+    void anOutageOfThePlatformIsKnownToTheNodesThatFollow() {
+        site.platform().failWhere((_node, _call) -> true);
+        site.run(Duration.ofSeconds(2));
+        site.platform().failWhere((_node, _call) -> false);
+        site.run(Duration.ofSeconds(1));
+        assertThat(copies.values())
+                .allSatisfy(copy -> assertThat(copy.feed.hasFailedWithin(site.now(), Duration.ofSeconds(2)))
+                        .isTrue());
+    }
+
+    @Test
+    void allNodesAreBackWithinASecondAfterAnOutage() {
+        site.platform().failWhere((_node, _call) -> true);
+        site.run(Duration.ofSeconds(5));
+        site.platform().put(KIND, "a", "second");
+        site.platform().failWhere((_node, _call) -> false);
+        site.run(Duration.ofMillis(1200));
+        assertThat(copies.values()).allSatisfy(copy -> assertThat(copy.content).containsEntry("a", "second"));
+    }
+
+    @Test
+    void nodesThatFollowCallRarelyWhileThePlatformIsAway() {
+        site.platform().failWhere((_node, _call) -> true);
+        site.run(Duration.ofSeconds(2));
+        int before = site.platform().log().size();
+        site.run(Duration.ofSeconds(10));
+        double perNodeAndSecond = (site.platform().log().size() - before) / 100.0;
+        assertThat(perNodeAndSecond).isLessThan(1.2);
+    }
+
+    @Test
+    void anAnswerToTheRequestOfAnEarlierLifeIsNotTaken() {
+        Copy copy = inTouch(watchers()).iterator().next();
+        long number = copy.node.take(io.yuccaswitch.core.peer.PeerEffect.Send.class).stream()
+                .map(send -> ((WatchMessage.Follow) send.message()).number())
+                .max(Long::compare)
+                .orElseThrow();
+        StoredObject strange = new StoredObject(
+                new io.yuccaswitch.core.platform.ObjectKey(KIND, "z"),
+                Long.MAX_VALUE,
+                io.yuccaswitch.core.value.Bytes.ofUtf8("strange"),
+                false);
+        copy.node.accept(new PeerEvent.Received(
+                new NodeIdentity(new NodeName("node-9"), 1),
+                new WatchMessage.Changes(KIND, number, 1, true, -1, Long.MAX_VALUE, false, List.of(strange))));
+        site.run(Duration.ofMillis(20));
+        assertThat(copy.content).doesNotContainKey("z");
+    }
+
+    private void start(String name) {
+        site.start(name, (node, tokens) -> {
+            SharedKindWatch feed =
+                    new SharedKindWatch(KIND, PlatformPurpose.DISCOVERY, tokens, Duration.ofMillis(100), node);
+            Copy copy = new Copy(node, feed);
+            copies.put(name, copy);
+            return List.of(copy);
+        });
+    }
+
+    private Set<String> watchers() {
+        TestNode any = copies.get("node-0").node;
+        return RendezvousRanking.pair(KIND, any.working()).stream()
+                .map(member -> member.identity().name().value())
+                .collect(Collectors.toCollection(TreeSet::new));
+    }
+
+    private List<Copy> inTouch(Set<String> others) {
+        List<Copy> found = new ArrayList<>(copies.values());
+        found.removeIf(copy -> others.contains(copy.node.name()));
+        return found;
+    }
+
+    /** What a node knows of the objects. */
+    private static final class Copy implements DecisionSystem {
+
+        private final TestNode node;
+        private final SharedKindWatch feed;
+        private final Map<String, String> content = new TreeMap<>();
+
+        Copy(TestNode node, SharedKindWatch feed) {
+            this.node = node;
+            this.feed = feed;
+        }
+
+        @Override
+        public void run(Tick tick) {
+            feed.run(tick).ifPresent(this::take);
+        }
+
+        private void take(KindFeed.News news) {
+            if (news.complete()) {
+                content.clear();
+            }
+            for (StoredObject object : news.objects()) {
+                if (object.deleted()) {
+                    content.remove(object.key().name());
+                } else {
+                    content.put(object.key().name(), object.value().toUtf8());
+                }
+            }
+        }
+    }
+}
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
@@ -82,6 +82,9 @@
     /** The client of the platform. */
     private final PlatformClient platform;
 
+    /** Writes how many calls to the platform were sent. */
+    private final PlatformCallLog callLog;
+
     /** The connections to other nodes. */
     private final PeerTransport transport;
 
@@ -128,6 +131,7 @@
                                 .shareOf(settings.nodes())),
                 metrics,
                 dialects.platform());
+        callLog = new PlatformCallLog(platform);
         LearnedAddresses addresses = new LearnedAddresses();
         transport = new PeerTransport(
                 PeerTransportSettings.of(peerAddress(settings), settings.site(), ""),
@@ -199,6 +203,7 @@
         replies.close();
         server.close();
         transport.close();
+        callLog.close();
         platform.close();
         http.close();
         loop.close();
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayCore.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayCore.java
@@ -63,8 +63,9 @@
     GatewayCore(Member self, GatewaySettings settings, GatewayDialects dialects, GatewayView view) {
         PlatformTokens tokens = new PlatformTokens();
         membership = new MembershipSystem(self, settings.seeds(), view, tokens, OPTIONS, MEMBERSHIP);
-        registry = new EndpointRegistrySystem(tokens, dialects.endpointEntries());
-        RouteConfigurationSystem routes = new RouteConfigurationSystem(tokens, dialects.routeConfigurations());
+        registry = new EndpointRegistrySystem(membership, tokens, dialects.endpointEntries());
+        RouteConfigurationSystem routes =
+                new RouteConfigurationSystem(membership, tokens, dialects.routeConfigurations());
         versions = new VersionSystems(
                 membership, registry, routes, tokens, dialects.namedVersions(), settings.orderSafetyTime());
         batches =
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/peer/PeerMessages.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/peer/PeerMessages.java
@@ -7,6 +7,7 @@
 import io.yuccaswitch.core.membership.MembershipMessage;
 import io.yuccaswitch.core.request.RequestMessage;
 import io.yuccaswitch.core.sample.SampleMessage;
+import io.yuccaswitch.core.watch.WatchMessage;
 import io.yuccaswitch.core.weight.WeightMessage;
 import io.yuccaswitch.protocol.PeerMessageRange;
 import io.yuccaswitch.protocol.PeerMessageRegistry;
@@ -34,6 +35,8 @@
         registerWeight(builder);
         registerEndpoint(builder);
         builder.register(PeerMessageRange.BATCH, 120, BatchMessage.Ended.class);
+        builder.register(PeerMessageRange.WATCH, 140, WatchMessage.Follow.class)
+                .register(PeerMessageRange.WATCH, 141, WatchMessage.Changes.class);
         return builder.build();
     }
 
--- a/yuccaswitch-node/src/test/java/io/yuccaswitch/node/peer/PeerMessagesTest.java
+++ b/yuccaswitch-node/src/test/java/io/yuccaswitch/node/peer/PeerMessagesTest.java
@@ -15,6 +15,7 @@
 import io.yuccaswitch.core.peer.PeerMessage;
 import io.yuccaswitch.core.request.RequestMessage;
 import io.yuccaswitch.core.sample.SampleMessage;
+import io.yuccaswitch.core.watch.WatchMessage;
 import io.yuccaswitch.core.weight.WeightMessage;
 import io.yuccaswitch.protocol.PeerMessageRegistry;
 import io.yuccaswitch.protocol.PeerTransport;
@@ -66,6 +67,7 @@
                         MembershipMessage.class,
                         RequestMessage.class,
                         SampleMessage.class,
+                        WatchMessage.class,
                         WeightMessage.class)
                 .flatMap(concept -> Arrays.stream(concept.getPermittedSubclasses()));
     }
--- a/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/CallMetrics.java
+++ b/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/CallMetrics.java
@@ -4,7 +4,9 @@
 import com.codahale.metrics.MetricRegistry;
 import io.yuccaswitch.core.platform.PlatformPurpose;
 import java.time.Duration;
+import java.util.EnumMap;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
@@ -65,6 +67,23 @@
         }
     }
 
+    /**
+     * Returns the numbers of attempts that were sent.
+     *
+     * @return The numbers by the purposes of the calls, without those of which none was sent.
+     */
+    Map<PlatformPurpose, Long> sent() {
+        Map<PlatformPurpose, Long> numbers = new EnumMap<>(PlatformPurpose.class);
+        for (PlatformPurpose purpose : PlatformPurpose.values()) {
+            long number = registry.counter(MetricRegistry.name(PREFIX, "sent", label(purpose)))
+                    .getCount();
+            if (number > 0) {
+                numbers.put(purpose, number);
+            }
+        }
+        return numbers;
+    }
+
     /**
      * Counts an outcome.
      *
--- a/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/HttpTransport.java
+++ b/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/HttpTransport.java
@@ -53,6 +53,9 @@
     /** The client for watches. */
     private final OkHttpClient watchClient;
 
+    /** How long a call may take that does not wait for changes. */
+    private final Duration callTimeout;
+
     /** The watches that wait. */
     private final Set<Call> waitingWatches = ConcurrentHashMap.newKeySet();
 
@@ -62,6 +65,7 @@
      * @param settings The settings of the platform client.
      */
     HttpTransport(PlatformClientSettings settings) {
+        callTimeout = settings.callTimeout();
         Dispatcher dispatcher = new Dispatcher();
         dispatcher.setMaxRequests(MAXIMUM_CALLS);
         dispatcher.setMaxRequestsPerHost(MAXIMUM_CALLS);
@@ -93,24 +97,46 @@
      * Sends a request.
      *
      * @param request The request.
-     * @param watches Whether the request is a watch, which waits.
      * @return What becomes of it, on a thread of the transport. It never fails.
      */
-    Single<Reply> send(Request request, boolean watches) {
+    Single<Reply> send(Request request) {
+        return send(client, request, callTimeout);
+    }
+
+    /**
+     * Sends a request that waits for changes.
+     *
+     * @param request The request.
+     * @param waitTime How long the platform waits. A connection that is silent for longer is given up.
+     * @return What becomes of it, on a thread of the transport. It never fails.
+     */
+    Single<Reply> sendWatch(Request request, Duration waitTime) {
+        return send(watchClient, request, waitTime.plus(callTimeout));
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param sender The client that sends it.
+     * @param request The request.
+     * @param timeout How long it may take.
+     * @return What becomes of it.
+     */
+    private Single<Reply> send(OkHttpClient sender, Request request, Duration timeout) {
         return Single.create(emitter -> {
             Request marked = request.newBuilder()
                     .tag(SendMark.class, new SendMark(new AtomicBoolean()))
                     .build();
-            Call call = (watches ? watchClient : client).newCall(marked);
+            Call call = sender.newCall(marked);
+            call.timeout().timeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
             emitter.setCancellable(call::cancel);
-            if (watches) {
+            if (sender == watchClient) {
                 waitingWatches.add(call);
             }
             call.enqueue(new ReplyCallback(emitter, () -> waitingWatches.remove(call)));
         });
     }
 
-    /** Cancels all calls, which thereby fail, and releases all threads and connections. */
     /**
      * Returns the number of watches that wait.
      *
@@ -129,6 +155,7 @@
         client.connectionPool().evictAll();
     }
 
+    /** Cancels all calls, which thereby fail, and releases all threads and connections. */
     @Override
     public void close() {
         client.dispatcher().cancelAll();
--- a/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/PlatformClient.java
+++ b/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/PlatformClient.java
@@ -5,15 +5,18 @@
 import io.reactivex.rxjava3.schedulers.Schedulers;
 import io.yuccaswitch.core.platform.PlatformEffect;
 import io.yuccaswitch.core.platform.PlatformEvent;
+import io.yuccaswitch.core.platform.PlatformPurpose;
 import io.yuccaswitch.core.platform.StoredObject;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
+import okhttp3.Request;
 import org.jboss.logging.Logger;
 
 /**
@@ -43,6 +46,9 @@
     /** The monotonic clock in nanoseconds. */
     private final LongSupplier clock = System::nanoTime;
 
+    /** How long a watch waits that does not say so itself. */
+    private final Duration watchWait;
+
     /** The sender of requests. */
     private final HttpTransport transport;
 
@@ -86,6 +92,7 @@
      */
     public PlatformClient(PlatformClientSettings settings, MetricRegistry registry, ObjectApiDialect dialect) {
         transport = new HttpTransport(settings);
+        watchWait = settings.watchWait();
         this.dialect = dialect;
         budget = new CallBudget(settings.rates(), clock);
         RetrySettings retry = settings.retry();
@@ -197,6 +204,15 @@
         return metrics.sinceHeard();
     }
 
+    /**
+     * Returns the numbers of calls that were sent so far, repeated ones included.
+     *
+     * @return The numbers by the purposes of the calls, without those for which none was sent.
+     */
+    public Map<PlatformPurpose, Long> sentCalls() {
+        return metrics.sent();
+    }
+
     /**
      * Returns whether calls are refused because the platform is out of service.
      *
@@ -206,7 +222,6 @@
         return circuit.isOpen();
     }
 
-    /** Cancels all calls in flight, which are thereby answered as unavailable, and releases threads and connections. */
     /**
      * Returns the number of watches that wait for changes.
      *
@@ -216,6 +231,7 @@
         return transport.waitingWatches();
     }
 
+    /** Cancels all calls in flight, which are thereby answered as unavailable, and releases threads and connections. */
     @Override
     public void close() {
         transport.close();
@@ -275,8 +291,7 @@
         metrics.sent(effect.purpose(), repeated);
         long sentAt = clock.getAsLong();
         boolean watches = effect instanceof PlatformEffect.Watch;
-        return transport
-                .send(dialect.request(effect, admission == Circuit.Admission.PROBE), watches)
+        return reply(effect, dialect.request(effect, admission == Circuit.Admission.PROBE))
                 .doOnDispose(() -> circuit.abandoned(admission))
                 .map(reply -> {
                     Attempt attempt = PlatformReplies.decode(dialect, effect, reply);
@@ -295,6 +310,19 @@
                 });
     }
 
+    /**
+     * Sends a request, with the time that its call may take.
+     *
+     * @param effect The call.
+     * @param request The request.
+     * @return What becomes of it.
+     */
+    private Single<Reply> reply(PlatformEffect effect, Request request) {
+        return effect instanceof PlatformEffect.Watch watch
+                ? transport.sendWatch(request, watch.waitTime().orElse(watchWait))
+                : transport.send(request);
+    }
+
     /**
      * Answers a call that the circuit refuses. A watch is a waiting call, so it is answered when the next probe is due,
      * and whoever repeats it at once does not repeat it without pause.
--- a/yuccaswitch-platform/src/test/java/io/yuccaswitch/platform/WatchTest.java
+++ b/yuccaswitch-platform/src/test/java/io/yuccaswitch/platform/WatchTest.java
@@ -13,6 +13,8 @@
 import io.yuccaswitch.core.value.Bytes;
 import io.yuccaswitch.testkit.platform.PlatformStandIn;
 import io.yuccaswitch.testkit.proxy.Link;
+import io.yuccaswitch.testkit.proxy.LinkFaults;
+import io.yuccaswitch.testkit.proxy.LinkMode;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
@@ -27,6 +29,7 @@
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 class WatchTest {
 
@@ -181,4 +184,18 @@
             assertThat(new Calls(patient).watch(0)).isInstanceOf(PlatformEvent.ObjectsListed.class);
         }
     }
+
+    @Test
+    @Timeout(20)
+    void aWatchIsGivenUpSoonAfterItsOwnWaitThoughOthersMayWaitLonger() {
+        try (PlatformClient patient = new PlatformClient(
+                Calls.settings(link.port()).withTimes(Duration.ofMillis(200), Duration.ofSeconds(60)),
+                new MetricRegistry())) {
+            link.apply(LinkFaults.of(LinkMode.BLACKHOLE));
+            PlatformEvent answer = new Calls(patient)
+                    .call(new PlatformEffect.Watch(
+                            1, PlatformPurpose.LEASE, Calls.KEY.kind(), 0, Optional.of(Duration.ofMillis(100))));
+            assertThat(answer).isInstanceOf(PlatformEvent.Unavailable.class);
+        }
+    }
 }
--- a/yuccaswitch-protocol/src/main/java/io/yuccaswitch/protocol/PeerMessageRange.java
+++ b/yuccaswitch-protocol/src/main/java/io/yuccaswitch/protocol/PeerMessageRange.java
@@ -15,7 +15,9 @@
     /** Messages about endpoints. */
     ENDPOINT(100, 119),
     /** Messages about batch jobs. */
-    BATCH(120, 139);
+    BATCH(120, 139),
+    /** Messages by which nodes follow each other's watches of the platform. */
+    WATCH(140, 159);
 
     /** The first number of the range. */
     private final int first;
