Follow the index of jobs like other kinds, and ask runners for results and bodies before the platform

Cause: each gateway listed the index every 1.2 s, those that run jobs at the full price; a read at a node that does not run the job cost an entry, a list and a watch; an end cost a read beside its write. Change: the index is one more shared watch, kept as a table. Reads go to the job's runner over the peer protocol, which shows only what is listed; that there is nothing is still said only after the platform was asked. An end uses the entry that is known, and the conditional write settles whether it is the newest. Also: a job whose admission is in progress, or that runs already, is not loaded a second time. Figures: core tests; a read that the runner answers makes no call, an end makes one.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchAdmissionSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchAdmissionSystem.java
@@ -12,9 +12,7 @@
 import io.yuccaswitch.core.value.Bytes;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -42,9 +40,6 @@
     /** The entries that are to be read back. */
     private final List<ReadBack> readBacks = new ArrayList<>();
 
-    /** The jobs whose admission is in progress here, with the ticket that is answered. */
-    private final Map<BatchJobId, Long> admitting = new HashMap<>();
-
     /**
      * Creates a system without submissions.
      *
@@ -83,7 +78,7 @@
             reply(tick, submission, same ? new BatchAnswer.Accepted() : new BatchAnswer.Mismatch(), "runs here");
             return;
         }
-        if (admitting.putIfAbsent(id, submission.ticket()) != null) {
+        if (state.admitting().putIfAbsent(id, submission.ticket()) != null) {
             reply(tick, submission, new BatchAnswer.Unsure("already being admitted"), "an earlier call is in progress");
             return;
         }
@@ -191,7 +186,7 @@
      * @param reason Why, for logs.
      */
     private void finish(Tick tick, Submission submission, BatchAnswer answer, String reason) {
-        admitting.remove(submission.job().id());
+        state.admitting().remove(submission.job().id());
         reply(tick, submission, answer, reason);
     }
 
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchEndSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchEndSystem.java
@@ -40,14 +40,27 @@
                         "told by " + received.sender().name());
             }
         }
-        for (BatchEvent.EndRequested request : tick.events(BatchEvent.EndRequested.class)) {
-            state.calls()
-                    .call(
-                            tick,
-                            token -> new PlatformEffect.Read(
-                                    token, PlatformPurpose.BATCH, BatchObjects.index(request.id())),
-                            (later, event) -> mark(later, request, event, ATTEMPTS));
+        tick.events(BatchEvent.EndRequested.class).forEach(request -> begin(tick, request));
+    }
+
+    /**
+     * Begins to end a job, with the entry that is known here, or with the platform's where none is.
+     *
+     * @param tick The tick.
+     * @param request The call.
+     */
+    private void begin(Tick tick, BatchEvent.EndRequested request) {
+        Optional<BatchIndex.Row> known = state.index().find(request.id());
+        if (known.isPresent()) {
+            end(tick, request, known.get(), ATTEMPTS);
+            return;
         }
+        state.calls()
+                .call(
+                        tick,
+                        token ->
+                                new PlatformEffect.Read(token, PlatformPurpose.BATCH, BatchObjects.index(request.id())),
+                        (later, event) -> mark(later, request, event, ATTEMPTS));
     }
 
     /**
@@ -71,8 +84,21 @@
             reply(tick, request, new BatchAnswer.Unknown());
             return;
         }
-        if (entry.get().ended() || left == 0) {
-            reply(tick, request, entry.get().ended() ? new BatchAnswer.Ended() : new BatchAnswer.Unsure("contended"));
+        end(tick, request, new BatchIndex.Row(entry.get(), object.get().version()), left);
+    }
+
+    /**
+     * Writes the end of a job, unless it is ended already.
+     *
+     * @param tick The tick.
+     * @param request The call.
+     * @param row The job's entry.
+     * @param left How often it is tried.
+     */
+    private void end(Tick tick, BatchEvent.EndRequested request, BatchIndex.Row row, int left) {
+        BatchIndexEntry entry = row.entry();
+        if (entry.ended() || left == 0) {
+            reply(tick, request, entry.ended() ? new BatchAnswer.Ended() : new BatchAnswer.Unsure("contended"));
             return;
         }
         state.calls()
@@ -82,11 +108,11 @@
                                 token,
                                 PlatformPurpose.BATCH,
                                 BatchObjects.index(request.id()),
-                                OptionalLong.of(object.get().version()),
-                                state.codec().writeEntry(entry.get().withEnd())),
+                                OptionalLong.of(row.version()),
+                                state.codec().writeEntry(entry.withEnd())),
                         (later, answer) -> {
                             if (answer instanceof PlatformEvent.Accepted) {
-                                announce(later, entry.get());
+                                announce(later, entry);
                                 reply(later, request, new BatchAnswer.Ended());
                             } else {
                                 mark(later, request, answer, left - 1);
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchOwnershipSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchOwnershipSystem.java
@@ -8,11 +8,9 @@
 import io.yuccaswitch.core.membership.MemberCondition;
 import io.yuccaswitch.core.membership.MembershipEvent;
 import io.yuccaswitch.core.membership.RendezvousRanking;
-import io.yuccaswitch.core.platform.CallBackOff;
 import io.yuccaswitch.core.platform.PlatformEffect;
 import io.yuccaswitch.core.platform.PlatformEvent;
 import io.yuccaswitch.core.platform.PlatformPurpose;
-import io.yuccaswitch.core.platform.StoredObject;
 import io.yuccaswitch.core.time.MonotonicTime;
 import java.time.Duration;
 import java.util.HashMap;
@@ -29,15 +27,6 @@
  */
 final class BatchOwnershipSystem implements DecisionSystem {
 
-    /** The interval at which the index is read. Stale answers are cheap, and a claim is checked by the platform. */
-    private static final Duration INTERVAL = Duration.ofMillis(1200);
-
-    /** The first wait after a failed call. */
-    private static final Duration FIRST_BACK_OFF = Duration.ofMillis(200);
-
-    /** The longest wait after failed calls. */
-    private static final Duration LONGEST_BACK_OFF = Duration.ofSeconds(1);
-
     /** For how long a runner must be missing before its jobs are taken over, as a restarted one takes them back. */
     private static final Duration ORPHAN_TIME = Duration.ofMillis(700);
 
@@ -47,21 +36,12 @@
     /** Finds out when a job is given up. */
     private final GiveUpTimes giveUpTimes;
 
-    /** When the index may be read. */
-    private final CallBackOff backOff = new CallBackOff(FIRST_BACK_OFF, LONGEST_BACK_OFF);
-
     /** Since when the runner of a job has been missing. */
     private final Map<BatchJobId, MonotonicTime> orphanedSince = new HashMap<>();
 
     /** The jobs that are being taken over. */
     private final Set<BatchJobId> taking = new HashSet<>();
 
-    /** Whether the index is being read. */
-    private boolean reading;
-
-    /** Whether the index was read once, before which no stale answer is good enough. */
-    private boolean read;
-
     /** Whether this node knows the other nodes. */
     private boolean joined;
 
@@ -83,45 +63,20 @@
     public void run(Tick tick) {
         joined |= !tick.events(MembershipEvent.SelfJoined.class).isEmpty();
         leaving |= !tick.events(BatchEvent.Leaving.class).isEmpty();
-        if (!reading && backOff.allows(tick.now())) {
-            reading = true;
-            boolean stale = read && state.running().size() == 0;
-            state.calls()
-                    .call(
-                            tick,
-                            token -> new PlatformEffect.ListKind(
-                                    token, PlatformPurpose.BATCH, BatchObjects.INDEX, Optional.empty(), stale),
-                            this::receive);
-        }
-    }
-
-    /**
-     * Takes the index.
-     *
-     * @param tick The tick.
-     * @param event The platform's answer.
-     */
-    private void receive(Tick tick, PlatformEvent event) {
-        reading = false;
-        if (!(event instanceof PlatformEvent.ObjectsListed listed)) {
-            backOff.failed(tick);
-            return;
-        }
-        read = true;
-        backOff.succeeded(tick.now(), INTERVAL);
-        for (StoredObject object : listed.objects()) {
-            state.codec().readEntry(object.value()).ifPresent(entry -> judge(tick, entry, object.version()));
+        for (BatchIndex.Row changed : state.index().run(tick)) {
+            judge(tick, changed);
         }
+        state.index().open().forEach(row -> judge(tick, row));
     }
 
     /**
      * Decides what an entry of the index means for this node.
      *
      * @param tick The tick.
-     * @param entry The entry.
-     * @param version The entry's version.
+     * @param row The entry.
      */
-    private void judge(Tick tick, BatchIndexEntry entry, long version) {
+    private void judge(Tick tick, BatchIndex.Row row) {
+        BatchIndexEntry entry = row.entry();
         BatchJobId id = entry.id();
         boolean own = entry.runner().equals(state.membership().self().identity().name());
         if (entry.ended()) {
@@ -136,16 +91,14 @@
             }
             return;
         }
-        if (state.finished().contains(id) || taking.contains(id)) {
-            return;
-        }
-        if (leaving) {
+        boolean inProgress = taking.contains(id) || state.admitting().containsKey(id);
+        if (inProgress || leaving || state.finished().contains(id)) {
             return;
         }
         if (own) {
             load(tick, entry, "accepted by an earlier life of this node");
         } else if (isOrphaned(tick, entry) && isFirst(id)) {
-            claim(tick, entry, version);
+            claim(tick, row);
         }
     }
 
@@ -196,10 +149,10 @@
      * Takes a job over.
      *
      * @param tick The tick.
-     * @param entry The job's entry.
-     * @param version The entry's version.
+     * @param row The job's entry.
      */
-    private void claim(Tick tick, BatchIndexEntry entry, long version) {
+    private void claim(Tick tick, BatchIndex.Row row) {
+        BatchIndexEntry entry = row.entry();
         taking.add(entry.id());
         BatchIndexEntry own =
                 entry.withRunner(state.membership().self().identity().name());
@@ -210,7 +163,7 @@
                                 token,
                                 PlatformPurpose.BATCH,
                                 BatchObjects.index(entry.id()),
-                                OptionalLong.of(version),
+                                OptionalLong.of(row.version()),
                                 state.codec().writeEntry(own)),
                         (later, event) -> {
                             taking.remove(entry.id());
@@ -219,8 +172,8 @@
                                     "batch-claim",
                                     entry.id().value(),
                                     granted ? "granted" : "not granted",
-                                    "runner " + entry.runner() + " is gone, entry version " + version));
-                            if (granted) {
+                                    "runner " + entry.runner() + " is gone, entry version " + row.version()));
+                            if (granted && !state.running().contains(entry.id())) {
                                 load(later, own, "taken over from " + entry.runner());
                             }
                         });
@@ -273,6 +226,9 @@
                                 later.decide(Decision.of("batch-job", job.id().value(), "not loaded", reason));
                                 return;
                             }
+                            if (state.running().contains(job.id())) {
+                                return;
+                            }
                             ResultLog log = state.log(job.id(), job.items().size(), later.now());
                             log.take(listed.objects(), listed.version(), state.codec());
                             if (log.isComplete()) {
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchReadSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchReadSystem.java
@@ -6,6 +6,7 @@
 import io.yuccaswitch.core.platform.PlatformEffect;
 import io.yuccaswitch.core.platform.PlatformEvent;
 import io.yuccaswitch.core.platform.PlatformPurpose;
+import io.yuccaswitch.core.time.MonotonicTime;
 import io.yuccaswitch.core.value.Bytes;
 import java.time.Duration;
 import java.util.HashSet;
@@ -14,8 +15,9 @@
 import java.util.Set;
 
 /**
- * Answers calls for results and bodies at any node: from the log of a job that runs here, else from what lies on the
- * platform. No call for a job that another node runs is answered with less than the platform has.
+ * Answers calls for results and bodies at any node: from the log of a job that runs here, else with what the job's
+ * runner shows, else from what lies on the platform. No call is answered that there is nothing before the platform was
+ * asked.
  */
 final class BatchReadSystem implements DecisionSystem {
 
@@ -25,12 +27,21 @@
     /** A wait below which a watch is not worth its price. */
     private static final Duration SHORTEST_WATCH = Duration.ofMillis(100);
 
+    /** How long a runner may take to hand on a body, of the second that callers wait at least. */
+    private static final Duration RUNNER_TIME = Duration.ofMillis(250);
+
     /** The tables of the batch system. */
     private final BatchState state;
 
     /** The calls that wait for results, by their tickets. */
     private final EntityTable<Long, BatchEvent.ResultsRequested> waiting = new EntityTable<>();
 
+    /** Asks the runners of jobs. */
+    private final RunnerReads runners;
+
+    /** The calls for bodies that wait for a runner's answer, by their tickets. */
+    private final EntityTable<Long, BodyCall> bodyCalls = new EntityTable<>();
+
     /** The jobs that are being read. */
     private final Set<BatchJobId> reading = new HashSet<>();
 
@@ -41,6 +52,7 @@
      */
     BatchReadSystem(BatchState state) {
         this.state = state;
+        runners = new RunnerReads(state.index(), state.membership());
     }
 
     @Override
@@ -49,11 +61,34 @@
             waiting.put(request.ticket(), request);
             begin(tick, request);
         }
-        waiting.rows().forEach(request -> answerIfReady(tick, request));
         tick.events(BatchEvent.BodyRequested.class).forEach(request -> readBody(tick, request));
+        runners.receive(tick).forEach(answer -> takeRunners(tick, answer));
+        waiting.rows().forEach(request -> answerIfReady(tick, request));
+        bodyCalls.rows().stream()
+                .filter(call -> !tick.now().isBefore(call.until()))
+                .forEach(call -> readStoredBody(tick, call.request()));
         state.trimLogs();
     }
 
+    /**
+     * Takes the answer of a runner. Where it has none, the platform is asked.
+     *
+     * @param tick The tick.
+     * @param taken The answer.
+     */
+    private void takeRunners(Tick tick, RunnerReads.Answer taken) {
+        Optional<BatchEvent.ResultsRequested> results = waiting.find(taken.ticket());
+        Optional<BodyCall> body = bodyCalls.find(taken.ticket());
+        if (taken.answer().isPresent()) {
+            results.ifPresent(request -> reply(tick, request, taken.answer().get()));
+            body.ifPresent(
+                    call -> replyBody(tick, call.request(), taken.answer().get()));
+            return;
+        }
+        results.ifPresent(request -> refresh(tick, request.id(), request));
+        body.ifPresent(call -> readStoredBody(tick, call.request()));
+    }
+
     /**
      * Begins to answer a call for results.
      *
@@ -66,6 +101,14 @@
         if (log.isPresent() && (log.get().size() > request.position() || isLocal(request.id(), log.get()))) {
             return;
         }
+        BatchMessage question = new BatchMessage.ReadResults(
+                request.ticket(),
+                request.id().value(),
+                request.position(),
+                request.until().since(tick.now()).toMillis());
+        if (tick.now().isBefore(request.until()) && runners.ask(tick, request.id(), request.ticket(), question)) {
+            return;
+        }
         refresh(tick, request.id(), request);
     }
 
@@ -89,12 +132,11 @@
      */
     private void answerIfReady(Tick tick, BatchEvent.ResultsRequested request) {
         Optional<ResultLog> log = state.logs().find(request.id());
-        if (log.isEmpty()) {
-            return;
-        }
-        if (log.get().size() > request.position() || log.get().isComplete()) {
+        if (log.isPresent()
+                && (log.get().size() > request.position() || log.get().isComplete())) {
             reply(tick, request, log.get().page(request.position()));
         } else if (!tick.now().isBefore(request.until())) {
+            runners.forget(request.ticket());
             refresh(tick, request.id(), request);
         }
     }
@@ -214,7 +256,7 @@
         reading.remove(id);
         state.drop(tick, id, log.take(listed.objects(), listed.version(), state.codec()));
         for (BatchEvent.ResultsRequested request : waiting.rows()) {
-            if (!request.id().equals(id)) {
+            if (!request.id().equals(id) || (runners.isAsked(request.ticket()) && log.size() <= request.position())) {
                 continue;
             }
             boolean waits = log.size() <= request.position()
@@ -235,20 +277,46 @@
      * @param request The call.
      */
     private void readBody(Tick tick, BatchEvent.BodyRequested request) {
-        Optional<Bytes> body = state.running()
-                .find(request.id())
-                .flatMap(job -> job.job().find(request.item()))
-                .map(BatchItem::body);
+        Optional<Bytes> body = state.body(request.id(), request.item());
         if (body.isPresent()) {
             tick.emit(new BatchEffect.Reply(request.ticket(), new BatchAnswer.Body(body.get())));
             return;
         }
+        BatchMessage question =
+                new BatchMessage.ReadBody(request.ticket(), request.id().value(), request.item());
+        if (runners.ask(tick, request.id(), request.ticket(), question)) {
+            bodyCalls.put(request.ticket(), new BodyCall(request, tick.now().plus(RUNNER_TIME)));
+            return;
+        }
+        readStoredBody(tick, request);
+    }
+
+    /**
+     * Answers a call for a body with what the platform keeps.
+     *
+     * @param tick The tick.
+     * @param request The call.
+     */
+    private void readStoredBody(Tick tick, BatchEvent.BodyRequested request) {
+        runners.forget(request.ticket());
+        bodyCalls.remove(request.ticket());
         state.calls()
                 .call(
                         tick,
                         token -> new PlatformEffect.Read(token, PlatformPurpose.BATCH, BatchObjects.job(request.id())),
-                        (later, event) ->
-                                later.emit(new BatchEffect.Reply(request.ticket(), bodyOf(request.item(), event))));
+                        (later, event) -> replyBody(later, request, bodyOf(request.item(), event)));
+    }
+
+    /**
+     * Answers a call for a body.
+     *
+     * @param tick The tick.
+     * @param request The call.
+     * @param answer The answer.
+     */
+    private void replyBody(Tick tick, BatchEvent.BodyRequested request, BatchAnswer answer) {
+        bodyCalls.remove(request.ticket());
+        tick.emit(new BatchEffect.Reply(request.ticket(), answer));
     }
 
     /**
@@ -303,6 +371,15 @@
      */
     private void reply(Tick tick, BatchEvent.ResultsRequested request, BatchAnswer answer) {
         waiting.remove(request.ticket());
+        runners.forget(request.ticket());
         tick.emit(new BatchEffect.Reply(request.ticket(), answer));
     }
+
+    /**
+     * A call for a body that waits for a runner's answer.
+     *
+     * @param request The call.
+     * @param until When the platform is asked instead.
+     */
+    private record BodyCall(BatchEvent.BodyRequested request, MonotonicTime until) {}
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
@@ -10,9 +10,12 @@
 import io.yuccaswitch.core.route.Route;
 import io.yuccaswitch.core.route.RouteConfigurationSystem;
 import io.yuccaswitch.core.time.MonotonicTime;
+import io.yuccaswitch.core.value.Bytes;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
@@ -24,6 +27,8 @@
  * @param routes The configuration of routes.
  * @param codec Writes and reads what is kept on the platform.
  * @param calls The calls to the platform that wait for their answers.
+ * @param index The jobs of the site.
+ * @param admitting The jobs whose admission is in progress here, with the ticket that is answered.
  * @param running The jobs that this node runs.
  * @param finished The jobs that this node ran to their ends, or that were ended.
  * @param logs The results that are listed, as far as they are known here.
@@ -36,6 +41,8 @@
         RouteConfigurationSystem routes,
         BatchCodec codec,
         PlatformCalls calls,
+        BatchIndex index,
+        Map<BatchJobId, Long> admitting,
         EntityTable<BatchJobId, RunningJob> running,
         Set<BatchJobId> finished,
         EntityTable<BatchJobId, ResultLog> logs,
@@ -53,6 +60,7 @@
      * @param routes The configuration of routes.
      * @param codec Writes and reads what is kept on the platform.
      * @param calls The calls to the platform that wait for their answers.
+     * @param index The jobs of the site.
      * @return The tables.
      */
     static BatchState empty(
@@ -60,13 +68,16 @@
             EndpointRegistrySystem registry,
             RouteConfigurationSystem routes,
             BatchCodec codec,
-            PlatformCalls calls) {
+            PlatformCalls calls,
+            BatchIndex index) {
         return new BatchState(
                 membership,
                 registry,
                 routes,
                 codec,
                 calls,
+                index,
+                new HashMap<>(),
                 new EntityTable<>(),
                 new HashSet<>(),
                 new EntityTable<>(),
@@ -165,6 +176,17 @@
         return engine.isPresent();
     }
 
+    /**
+     * Finds the body of an item of a job that runs here.
+     *
+     * @param id The job.
+     * @param item The item.
+     * @return The body, or empty if the job does not run here or has no such item.
+     */
+    Optional<Bytes> body(BatchJobId id, String item) {
+        return running.find(id).flatMap(job -> job.job().find(item)).map(BatchItem::body);
+    }
+
     /**
      * Returns the route of a job as it is now.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchSystem.java
@@ -3,16 +3,23 @@
 import io.yuccaswitch.core.decision.DecisionSystem;
 import io.yuccaswitch.core.decision.Tick;
 import io.yuccaswitch.core.membership.MembershipView;
+import io.yuccaswitch.core.platform.KindFeed;
 import io.yuccaswitch.core.platform.PlatformCalls;
+import io.yuccaswitch.core.platform.PlatformPurpose;
 import io.yuccaswitch.core.platform.PlatformTokens;
 import io.yuccaswitch.core.registry.EndpointRegistrySystem;
 import io.yuccaswitch.core.route.RouteConfigurationSystem;
+import io.yuccaswitch.core.watch.SharedKindWatch;
+import java.time.Duration;
 import java.util.List;
 import java.util.function.LongSupplier;
 
 /** Accepts, runs, lists, and ends batch jobs. What has to last lies on the platform; a node keeps none of it. */
 public final class BatchSystem implements DecisionSystem {
 
+    /** Gathers changes of the index, which only save work and calls, into few answers of the platform. */
+    private static final Duration GATHERING = Duration.ofMillis(400);
+
     /** The tables that the parts share. */
     private final BatchState state;
 
@@ -36,7 +43,10 @@
             BatchCodec codec,
             PlatformTokens tokens,
             LongSupplier timeOfDay) {
-        state = BatchState.empty(membership, registry, routes, codec, new PlatformCalls(tokens));
+        KindFeed entries =
+                new SharedKindWatch(BatchObjects.INDEX, PlatformPurpose.BATCH, tokens, GATHERING, membership);
+        BatchIndex index = new BatchIndex(entries, codec);
+        state = BatchState.empty(membership, registry, routes, codec, new PlatformCalls(tokens), index);
         GiveUpTimes giveUpTimes = new GiveUpTimes(routes, timeOfDay);
         parts = List.of(
                 new BatchAdmissionSystem(state, giveUpTimes),
@@ -44,6 +54,7 @@
                 new BatchEndSystem(state),
                 new BatchRunSystem(state),
                 new BatchCommitSystem(state),
+                new RunnerReadSystem(state),
                 new BatchReadSystem(state));
     }
 
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunnerReadSystem.java
@@ -0,0 +1,104 @@
+package io.yuccaswitch.core.batch;
+
+import io.yuccaswitch.core.decision.DecisionSystem;
+import io.yuccaswitch.core.decision.EntityTable;
+import io.yuccaswitch.core.decision.Tick;
+import io.yuccaswitch.core.identity.NodeName;
+import io.yuccaswitch.core.peer.PeerEffect;
+import io.yuccaswitch.core.peer.PeerEvent;
+import io.yuccaswitch.core.time.MonotonicTime;
+import io.yuccaswitch.core.value.Bytes;
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * Answers other nodes that ask for results and bodies of the jobs that run here. Results never change once they are
+ * listed, so what a runner shows is right even if another node has taken the job over; that there is no result is never
+ * said here, as only the platform knows that.
+ */
+final class RunnerReadSystem implements DecisionSystem {
+
+    /** The tables of the batch system. */
+    private final BatchState state;
+
+    /** The requests that wait for results. */
+    private final EntityTable<Key, Waiting> waiting = new EntityTable<>();
+
+    /**
+     * Creates a system without requests.
+     *
+     * @param state The tables of the batch system.
+     */
+    RunnerReadSystem(BatchState state) {
+        this.state = state;
+    }
+
+    @Override
+    public void run(Tick tick) {
+        for (PeerEvent.Received received : tick.events(PeerEvent.Received.class)) {
+            NodeName sender = received.sender().name();
+            if (received.message() instanceof BatchMessage.ReadResults read) {
+                MonotonicTime until = tick.now().plus(Duration.ofMillis(read.waitMillis()));
+                waiting.put(new Key(sender, read.ticket()), new Waiting(sender, read, until));
+            } else if (received.message() instanceof BatchMessage.ReadBody read) {
+                tick.emit(new PeerEffect.Send(sender, body(read)));
+            }
+        }
+        waiting.removeIf(request -> isDone(tick, request));
+    }
+
+    /**
+     * Answers a request if that can be done now.
+     *
+     * @param tick The tick.
+     * @param request The request.
+     * @return Whether the request needs no further look.
+     */
+    private boolean isDone(Tick tick, Waiting request) {
+        BatchMessage.ReadResults read = request.read();
+        BatchJobId id = new BatchJobId(read.id());
+        Optional<ResultLog> log = state.logs().find(id);
+        if (log.isPresent() && (log.get().size() > read.position() || log.get().isComplete())) {
+            log.get().use(tick.now());
+            BatchAnswer.Results page = log.get().page(read.position());
+            tick.emit(new PeerEffect.Send(
+                    request.sender(),
+                    new BatchMessage.ResultsRead(read.ticket(), page.total(), page.next(), page.results())));
+            return true;
+        }
+        if (!state.running().contains(id)) {
+            tick.emit(new PeerEffect.Send(request.sender(), new BatchMessage.ReadDeclined(read.ticket())));
+            return true;
+        }
+        return !tick.now().isBefore(request.until());
+    }
+
+    /**
+     * Finds the body of an item.
+     *
+     * @param read The request.
+     * @return The answer.
+     */
+    private BatchMessage body(BatchMessage.ReadBody read) {
+        Optional<Bytes> body = state.body(new BatchJobId(read.id()), read.item());
+        return body.<BatchMessage>map(found -> new BatchMessage.BodyRead(read.ticket(), found))
+                .orElseGet(() -> new BatchMessage.ReadDeclined(read.ticket()));
+    }
+
+    /**
+     * Tells requests apart.
+     *
+     * @param sender The node that asks.
+     * @param ticket The node's ticket.
+     */
+    private record Key(NodeName sender, long ticket) {}
+
+    /**
+     * A request that waits.
+     *
+     * @param sender The node that asks.
+     * @param read The request.
+     * @param until Until when the node waits.
+     */
+    private record Waiting(NodeName sender, BatchMessage.ReadResults read, MonotonicTime until) {}
+}
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSite.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSite.java
@@ -44,6 +44,7 @@
         site.platform().put(RouteConfigurationSystem.KIND, "main", "1");
         registerEngine("engine-1", 1);
         registerEngine("engine-2", 1);
+        site.connect((_from, _to) -> false);
         site.everyStep(_site -> play());
     }
 
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSystemTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSystemTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.yuccaswitch.core.peer.PeerEffect;
-import io.yuccaswitch.core.peer.PeerEvent;
 import io.yuccaswitch.core.platform.PlatformEffect;
 import io.yuccaswitch.core.site.TestNode;
 import java.time.Duration;
@@ -246,8 +245,9 @@
         long end = site.end(second, "job");
         site.run(100);
         assertThat(site.answer(end)).contains(new BatchAnswer.Ended());
-        PeerEffect.Send told = second.take(PeerEffect.Send.class).get(0);
-        first.accept(new PeerEvent.Received(second.self().identity(), told.message()));
+        assertThat(second.take(PeerEffect.Send.class))
+                .extracting(PeerEffect.Send::message)
+                .contains(new BatchMessage.Ended("job"));
         site.run(50);
         assertThat(site.cancelled).hasSize(4);
         long again = site.end(first, "job");
@@ -263,6 +263,7 @@
         site.engines(_run -> Optional.empty());
         site.submit(first, BatchSite.job("job", 4));
         site.run(100);
+        site.site.connect((_from, _to) -> true);
         site.end(second, "job");
         site.run(2500);
         assertThat(site.cancelled).hasSize(4);
@@ -369,11 +370,8 @@
         site.engines(_run -> Optional.empty());
         site.submit(first, BatchSite.job("job", 4));
         site.run(100);
-        site.site
-                .platform()
-                .failWhere((node, call) -> node.equals("node-1")
-                        && call instanceof PlatformEffect.ListKind list
-                        && list.kind().equals(BatchObjects.INDEX));
+        site.site.platform().failWhere((node, call) -> node.equals("node-1") && readsIndex(call));
+        site.site.connect((_from, _to) -> true);
         site.engines(run -> Optional.of(BatchSite.whole(run, 1)));
         site.site.believeGone("node-1");
         site.run(4000);
@@ -472,6 +470,11 @@
         return new BatchEvent.Progress(run.id(), run.item().id(), run.attempt(), events, Duration.ofMillis(1500));
     }
 
+    private static boolean readsIndex(PlatformEffect call) {
+        return (call instanceof PlatformEffect.ListKind list && list.kind().equals(BatchObjects.INDEX))
+                || (call instanceof PlatformEffect.Watch watch && watch.kind().equals(BatchObjects.INDEX));
+    }
+
     private static boolean never(String _node, PlatformEffect _call) {
         return false;
     }
--- /dev/null
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/RunnerReadTest.java
@@ -0,0 +1,129 @@
+package io.yuccaswitch.core.batch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.yuccaswitch.core.platform.PlatformEffect;
+import io.yuccaswitch.core.site.TestNode;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Reads at a node that does not run the job, of which the runner can spare the platform most calls. */
+final class RunnerReadTest {
+
+    private final BatchSite site = new BatchSite();
+    private TestNode runner;
+    private TestNode reader;
+
+    @BeforeEach
+    void startNodes() {
+        runner = site.node("node-1");
+        reader = site.node("node-2");
+        site.run(100);
+        site.engines(_run -> Optional.empty());
+        site.submit(runner, BatchSite.job("job", 4));
+        site.run(600);
+    }
+
+    @Test
+    void aReadThatTheRunnerAnswersMakesNoCallToThePlatform() {
+        long read = site.read(reader, "job", 0, Duration.ofSeconds(1));
+        site.run(50);
+        int before = callsForResults();
+        runner.accept(BatchSite.whole(site.started.get(0), 1));
+        site.run(400);
+        assertThat(((BatchAnswer.Results) site.answer(read).orElseThrow()).results())
+                .hasSize(1);
+        assertThat(callsForResults()).isEqualTo(before);
+    }
+
+    @Test
+    void thatThereIsNothingIsSaidOnlyAfterThePlatformWasAsked() {
+        site.site.platform().failWhere((node, _call) -> node.equals("node-2"));
+        long unsure = site.read(reader, "job", 0, Duration.ofMillis(300));
+        site.run(600);
+        assertThat(site.answer(unsure).orElseThrow()).isInstanceOf(BatchAnswer.Unsure.class);
+        site.site.platform().failWhere((_node, _call) -> false);
+        long nothing = site.read(reader, "job", 0, Duration.ofMillis(300));
+        site.run(600);
+        assertThat(site.answer(nothing)).contains(new BatchAnswer.Results(4, 0, List.of()));
+    }
+
+    @Test
+    void aReadGoesOnAtThePlatformWhenTheRunnerIsCutOff() {
+        site.site.connect((_from, _to) -> true);
+        long read = site.read(reader, "job", 0, Duration.ofMillis(800));
+        runner.accept(BatchSite.whole(site.started.get(0), 1));
+        site.run(1200);
+        assertThat(((BatchAnswer.Results) site.answer(read).orElseThrow()).results())
+                .hasSize(1);
+    }
+
+    @Test
+    void aRunnerThatHasRestartedDeclinesAndThePlatformIsAsked() {
+        runner.accept(BatchSite.whole(site.started.get(0), 1));
+        site.run(400);
+        site.site.platform().failWhere((node, call) -> node.equals("node-1") && call instanceof PlatformEffect.Read);
+        site.kill(runner);
+        site.node("node-1");
+        site.run(30);
+        long read = site.read(reader, "job", 0, Duration.ofMillis(500));
+        site.run(200);
+        assertThat(((BatchAnswer.Results) site.answer(read).orElseThrow()).results())
+                .hasSize(1);
+    }
+
+    @Test
+    void theBodyOfAnItemComesFromTheRunner() {
+        int before = site.site.platform().log().size();
+        long body = site.body(reader, "job", "job-2");
+        site.run(50);
+        assertThat(site.answer(body))
+                .contains(new BatchAnswer.Body(
+                        BatchSite.job("job", 4).items().get(2).body()));
+        assertThat(site.site
+                        .platform()
+                        .log()
+                        .subList(before, site.site.platform().log().size()))
+                .noneMatch(call -> call instanceof PlatformEffect.Read);
+    }
+
+    @Test
+    void theBodyOfAnItemComesFromThePlatformWhenTheRunnerIsCutOff() {
+        site.site.connect((_from, _to) -> true);
+        long body = site.body(reader, "job", "job-2");
+        site.run(500);
+        assertThat(site.answer(body))
+                .contains(new BatchAnswer.Body(
+                        BatchSite.job("job", 4).items().get(2).body()));
+    }
+
+    @Test
+    void anEndAtANodeThatKnowsTheEntryIsOneCall() {
+        int before = site.site.platform().log().size();
+        site.end(reader, "job");
+        site.run(40);
+        assertThat(site.site
+                        .platform()
+                        .log()
+                        .subList(before, site.site.platform().log().size()))
+                .filteredOn(call -> call instanceof PlatformEffect.Read || call instanceof PlatformEffect.Write)
+                .hasSize(1);
+    }
+
+    private int callsForResults() {
+        String kind = BatchObjects.results(new BatchJobId("job"));
+        return (int) site.site.platform().log().stream()
+                .filter(call -> kind.equals(kindOf(call)))
+                .count();
+    }
+
+    private static String kindOf(PlatformEffect call) {
+        if (call instanceof PlatformEffect.ListKind list) {
+            return list.kind();
+        }
+        return call instanceof PlatformEffect.Watch watch ? watch.kind() : "";
+    }
+}
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/peer/PeerMessages.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/peer/PeerMessages.java
@@ -34,7 +34,12 @@
         registerSample(builder);
         registerWeight(builder);
         registerEndpoint(builder);
-        builder.register(PeerMessageRange.BATCH, 120, BatchMessage.Ended.class);
+        builder.register(PeerMessageRange.BATCH, 120, BatchMessage.Ended.class)
+                .register(PeerMessageRange.BATCH, 121, BatchMessage.ReadResults.class)
+                .register(PeerMessageRange.BATCH, 122, BatchMessage.ResultsRead.class)
+                .register(PeerMessageRange.BATCH, 123, BatchMessage.ReadBody.class)
+                .register(PeerMessageRange.BATCH, 124, BatchMessage.BodyRead.class)
+                .register(PeerMessageRange.BATCH, 125, BatchMessage.ReadDeclined.class);
         builder.register(PeerMessageRange.WATCH, 140, WatchMessage.Follow.class)
                 .register(PeerMessageRange.WATCH, 141, WatchMessage.Changes.class);
         return builder.build();
--- a/yuccaswitch-node/src/test/java/io/yuccaswitch/node/peer/PeerMessagesTest.java
+++ b/yuccaswitch-node/src/test/java/io/yuccaswitch/node/peer/PeerMessagesTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.codahale.metrics.MetricRegistry;
+import io.yuccaswitch.core.batch.BatchMessage;
 import io.yuccaswitch.core.configuration.ConfigurationMessage;
 import io.yuccaswitch.core.decision.Event;
 import io.yuccaswitch.core.endpoint.EndpointMessage;
@@ -61,6 +62,7 @@
 
     static Stream<Class<?>> messageTypes() {
         return Stream.of(
+                        BatchMessage.class,
                         ConfigurationMessage.class,
                         EndpointMessage.class,
                         LeaseMessage.class,
