--- /dev/null
+++ b/yuccaswitch-soak/src/test/java/io/yuccaswitch/soak/SoakHistory.java
@@ -0,0 +1,48 @@
+package io.yuccaswitch.soak;
+
+import io.yuccaswitch.adapter.standin.CallerStandIn.Page;
+import io.yuccaswitch.adapter.standin.CallerStandIn.Reply;
+import io.yuccaswitch.adapter.standin.EngineStandIn.Ordered;
+import io.yuccaswitch.adapter.standin.EngineStandIn.Seen;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/** What callers, trainers and endpoints have seen. */
+final class SoakHistory {
+
+    final List<Plain> plain = Collections.synchronizedList(new ArrayList<>());
+    final List<Submission> submissions = Collections.synchronizedList(new ArrayList<>());
+    final List<Read> reads = Collections.synchronizedList(new ArrayList<>());
+    final List<String> failures = Collections.synchronizedList(new ArrayList<>());
+    final Map<String, List<Seen>> runs = new TreeMap<>();
+    final Map<String, List<Ordered>> orders = new TreeMap<>();
+
+    /** A request of a caller, each with an identifier of its own. */
+    record Plain(String id, boolean once, Optional<Reply> reply) {}
+
+    /** An attempt to submit a batch job. */
+    record Submission(String job, int items, long minimumVersion, Optional<Reply> reply) {
+
+        /** Returns whether the attempt leaves open whether the job was accepted. */
+        boolean isOpen() {
+            return reply.isEmpty() || !reply.get().saysNotRun();
+        }
+
+        /** Returns whether the job was accepted. */
+        boolean isAccepted() {
+            return reply.filter(found -> found.status() == 202).isPresent();
+        }
+    }
+
+    /** A page of results as a node showed it. */
+    record Read(String job, String node, Page page) {}
+
+    /** Returns all runs of requests and items, whichever endpoint they reached. */
+    List<Seen> allRuns() {
+        return runs.values().stream().flatMap(List::stream).toList();
+    }
+}
