Wait for the index to name the runner of a fresh job, and read bodies in a system of its own

Change: such a read waits up to 0.7 s for the index, and its runner is asked then. A read of a job that the index names needs no read of its entry. Watches at the platform wait for 0.7 s in place of 0.5 s.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchReadSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchReadSystem.java
@@ -7,17 +7,17 @@
 import io.yuccaswitch.core.platform.PlatformEvent;
 import io.yuccaswitch.core.platform.PlatformPurpose;
 import io.yuccaswitch.core.time.MonotonicTime;
-import io.yuccaswitch.core.value.Bytes;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 
 /**
- * Answers calls for results and bodies at any node: from the log of a job that runs here, else with what the job's
- * runner shows, else from what lies on the platform. No call is answered that there is nothing before the platform was
- * asked.
+ * Answers calls for results at any node: from the log of a job that runs here, else with what the job's runner shows,
+ * else from what lies on the platform. No call is answered that there is nothing before the platform was asked.
  */
 final class BatchReadSystem implements DecisionSystem {
 
@@ -27,8 +27,8 @@
     /** A wait below which a watch is not worth its price. */
     private static final Duration SHORTEST_WATCH = Duration.ofMillis(100);
 
-    /** How long a runner may take to hand on a body, of the second that callers wait at least. */
-    private static final Duration RUNNER_TIME = Duration.ofMillis(250);
+    /** How long the index may take to name the runner of a job that was just accepted elsewhere. */
+    private static final Duration INDEX_TIME = Duration.ofMillis(700);
 
     /** The tables of the batch system. */
     private final BatchState state;
@@ -39,8 +39,8 @@
     /** Asks the runners of jobs. */
     private final RunnerReads runners;
 
-    /** The calls for bodies that wait for a runner's answer, by their tickets. */
-    private final EntityTable<Long, BodyCall> bodyCalls = new EntityTable<>();
+    /** Until when calls wait for the index to name their job's runner, by their tickets. */
+    private final Map<Long, MonotonicTime> unplaced = new HashMap<>();
 
     /** The jobs that are being read. */
     private final Set<BatchJobId> reading = new HashSet<>();
@@ -61,12 +61,8 @@
             waiting.put(request.ticket(), request);
             begin(tick, request);
         }
-        tick.events(BatchEvent.BodyRequested.class).forEach(request -> readBody(tick, request));
         runners.receive(tick).forEach(answer -> takeRunners(tick, answer));
         waiting.rows().forEach(request -> answerIfReady(tick, request));
-        bodyCalls.rows().stream()
-                .filter(call -> !tick.now().isBefore(call.until()))
-                .forEach(call -> readStoredBody(tick, call.request()));
         state.trimLogs();
     }
 
@@ -77,16 +73,15 @@
      * @param taken The answer.
      */
     private void takeRunners(Tick tick, RunnerReads.Answer taken) {
-        Optional<BatchEvent.ResultsRequested> results = waiting.find(taken.ticket());
-        Optional<BodyCall> body = bodyCalls.find(taken.ticket());
-        if (taken.answer().isPresent()) {
-            results.ifPresent(request -> reply(tick, request, taken.answer().get()));
-            body.ifPresent(
-                    call -> replyBody(tick, call.request(), taken.answer().get()));
+        Optional<BatchEvent.ResultsRequested> request = waiting.find(taken.ticket());
+        if (request.isEmpty()) {
             return;
         }
-        results.ifPresent(request -> refresh(tick, request.id(), request));
-        body.ifPresent(call -> readStoredBody(tick, call.request()));
+        if (taken.answer().isPresent()) {
+            reply(tick, request.get(), taken.answer().get());
+        } else {
+            refresh(tick, request.get().id(), request.get());
+        }
     }
 
     /**
@@ -101,6 +96,23 @@
         if (log.isPresent() && (log.get().size() > request.position() || isLocal(request.id(), log.get()))) {
             return;
         }
+        if (log.isEmpty()
+                && state.index().find(request.id()).isEmpty()
+                && tick.now().isBefore(request.until())) {
+            unplaced.put(request.ticket(), tick.now().plus(INDEX_TIME));
+            return;
+        }
+        place(tick, request);
+    }
+
+    /**
+     * Asks the runner of a job for results, or the platform if the runner is not known.
+     *
+     * @param tick The tick.
+     * @param request The call.
+     */
+    private void place(Tick tick, BatchEvent.ResultsRequested request) {
+        unplaced.remove(request.ticket());
         BatchMessage question = new BatchMessage.ReadResults(
                 request.ticket(),
                 request.id().value(),
@@ -135,12 +147,28 @@
         if (log.isPresent()
                 && (log.get().size() > request.position() || log.get().isComplete())) {
             reply(tick, request, log.get().page(request.position()));
+        } else if (isToBePlaced(tick, request)) {
+            place(tick, request);
         } else if (!tick.now().isBefore(request.until())) {
+            unplaced.remove(request.ticket());
             runners.forget(request.ticket());
             refresh(tick, request.id(), request);
         }
     }
 
+    /**
+     * Returns whether a call that waits for the index need not wait any longer.
+     *
+     * @param tick The tick.
+     * @param request The call.
+     * @return {@code true} if the index names the job's runner, or did not do so in time.
+     */
+    private boolean isToBePlaced(Tick tick, BatchEvent.ResultsRequested request) {
+        MonotonicTime until = unplaced.get(request.ticket());
+        return until != null
+                && (state.index().find(request.id()).isPresent() || !tick.now().isBefore(until));
+    }
+
     /**
      * Reads what lies behind the known results of a job, unless that is in progress.
      *
@@ -152,7 +180,9 @@
         if (!reading.add(id)) {
             return;
         }
-        Optional<ResultLog> log = state.logs().find(id);
+        Optional<ResultLog> log = state.logs().find(id).or(() -> state.index()
+                .find(id)
+                .map(row -> state.log(id, row.entry().items(), tick.now())));
         if (log.isEmpty()) {
             readEntry(tick, id);
         } else if (log.get().version().isEmpty() || isLocal(id, log.get())) {
@@ -270,73 +300,6 @@
         }
     }
 
-    /**
-     * Answers a call for a body.
-     *
-     * @param tick The tick.
-     * @param request The call.
-     */
-    private void readBody(Tick tick, BatchEvent.BodyRequested request) {
-        Optional<Bytes> body = state.body(request.id(), request.item());
-        if (body.isPresent()) {
-            tick.emit(new BatchEffect.Reply(request.ticket(), new BatchAnswer.Body(body.get())));
-            return;
-        }
-        BatchMessage question =
-                new BatchMessage.ReadBody(request.ticket(), request.id().value(), request.item());
-        if (runners.ask(tick, request.id(), request.ticket(), question)) {
-            bodyCalls.put(request.ticket(), new BodyCall(request, tick.now().plus(RUNNER_TIME)));
-            return;
-        }
-        readStoredBody(tick, request);
-    }
-
-    /**
-     * Answers a call for a body with what the platform keeps.
-     *
-     * @param tick The tick.
-     * @param request The call.
-     */
-    private void readStoredBody(Tick tick, BatchEvent.BodyRequested request) {
-        runners.forget(request.ticket());
-        bodyCalls.remove(request.ticket());
-        state.calls()
-                .call(
-                        tick,
-                        token -> new PlatformEffect.Read(token, PlatformPurpose.BATCH, BatchObjects.job(request.id())),
-                        (later, event) -> replyBody(later, request, bodyOf(request.item(), event)));
-    }
-
-    /**
-     * Answers a call for a body.
-     *
-     * @param tick The tick.
-     * @param request The call.
-     * @param answer The answer.
-     */
-    private void replyBody(Tick tick, BatchEvent.BodyRequested request, BatchAnswer answer) {
-        bodyCalls.remove(request.ticket());
-        tick.emit(new BatchEffect.Reply(request.ticket(), answer));
-    }
-
-    /**
-     * Finds a body in a job that was read.
-     *
-     * @param item The item.
-     * @param event The platform's answer.
-     * @return The answer to the call.
-     */
-    private BatchAnswer bodyOf(String item, PlatformEvent event) {
-        if (!(event instanceof PlatformEvent.ObjectRead read)) {
-            return new BatchAnswer.Unsure("the platform did not answer");
-        }
-        return read.object()
-                .flatMap(object -> state.codec().readJob(object.value()))
-                .flatMap(job -> job.find(item))
-                .<BatchAnswer>map(found -> new BatchAnswer.Body(found.body()))
-                .orElseGet(BatchAnswer.Unknown::new);
-    }
-
     /**
      * Tells all calls for a job that nothing is sure.
      *
@@ -371,15 +334,8 @@
      */
     private void reply(Tick tick, BatchEvent.ResultsRequested request, BatchAnswer answer) {
         waiting.remove(request.ticket());
+        unplaced.remove(request.ticket());
         runners.forget(request.ticket());
         tick.emit(new BatchEffect.Reply(request.ticket(), answer));
     }
-
-    /**
-     * A call for a body that waits for a runner's answer.
-     *
-     * @param request The call.
-     * @param until When the platform is asked instead.
-     */
-    private record BodyCall(BatchEvent.BodyRequested request, MonotonicTime until) {}
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchSystem.java
@@ -55,7 +55,8 @@
                 new BatchRunSystem(state),
                 new BatchCommitSystem(state),
                 new RunnerReadSystem(state),
-                new BatchReadSystem(state));
+                new BatchReadSystem(state),
+                new BodyReadSystem(state));
     }
 
     @Override
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/SharedKindWatch.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/SharedKindWatch.java
@@ -20,7 +20,7 @@
 public final class SharedKindWatch implements KindFeed {
 
     /** How long the platform waits for changes. A cut path to it shows shortly after that. */
-    private static final Duration WAIT_TIME = Duration.ofMillis(500);
+    private static final Duration WAIT_TIME = Duration.ofMillis(700);
 
     /** The first wait before a node that follows calls the platform again after a failure. */
     private static final Duration FIRST_BACK_OFF = Duration.ofMillis(300);
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/RunnerReadTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/RunnerReadTest.java
@@ -75,6 +75,33 @@
                 .hasSize(1);
     }
 
+    @Test
+    void aReadOfAJobThatWasJustAcceptedElsewhereWaitsForTheIndex() {
+        site.submit(runner, BatchSite.job("fresh", 2));
+        site.run(50);
+        int before = site.site.platform().log().size();
+        long read = site.read(reader, "fresh", 0, Duration.ofSeconds(1));
+        site.run(500);
+        assertThat(site.site
+                        .platform()
+                        .log()
+                        .subList(before, site.site.platform().log().size()))
+                .noneMatch(call -> call instanceof PlatformEffect.Read
+                        || kindOf(call).equals(BatchObjects.results(new BatchJobId("fresh"))));
+        runner.accept(BatchSite.whole(site.started.get(site.started.size() - 1), 1));
+        site.run(400);
+        assertThat(((BatchAnswer.Results) site.answer(read).orElseThrow()).results())
+                .hasSize(1);
+    }
+
+    @Test
+    void aJobThatTheIndexNeverNamesIsAskedForAtThePlatform() {
+        site.site.connect((_from, _to) -> true);
+        long read = site.read(reader, "none", 0, Duration.ofSeconds(1));
+        site.run(900);
+        assertThat(site.answer(read)).contains(new BatchAnswer.Unknown());
+    }
+
     @Test
     void theBodyOfAnItemComesFromTheRunner() {
         int before = site.site.platform().log().size();
