--- a/yuccaswitch-endpoint/src/main/java/io/yuccaswitch/endpoint/EndpointHttp.java
+++ b/yuccaswitch-endpoint/src/main/java/io/yuccaswitch/endpoint/EndpointHttp.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import okhttp3.Call;
 import okhttp3.ConnectionPool;
+import okhttp3.ConnectionSpec;
 import okhttp3.Dispatcher;
 import okhttp3.OkHttpClient;
 import okhttp3.Protocol;
@@ -36,6 +37,7 @@
         client = new OkHttpClient.Builder()
                 .dispatcher(dispatcher)
                 .protocols(List.of(Protocol.HTTP_1_1))
+                .connectionSpecs(List.of(ConnectionSpec.CLEARTEXT))
                 .proxy(Proxy.NO_PROXY)
                 .retryOnConnectionFailure(false)
                 .followRedirects(false)
--- a/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/HttpTransport.java
+++ b/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/HttpTransport.java
@@ -15,6 +15,7 @@
 import okhttp3.Call;
 import okhttp3.Callback;
 import okhttp3.ConnectionPool;
+import okhttp3.ConnectionSpec;
 import okhttp3.Dispatcher;
 import okhttp3.EventListener;
 import okhttp3.OkHttpClient;
@@ -73,6 +74,7 @@
                 .dispatcher(dispatcher)
                 .connectionPool(new ConnectionPool(IDLE_CONNECTIONS, IDLE_TIME.toMillis(), TimeUnit.MILLISECONDS))
                 .protocols(List.of(Protocol.HTTP_1_1))
+                .connectionSpecs(connectionSpecs(settings.address()))
                 .retryOnConnectionFailure(false)
                 .followRedirects(false)
                 .followSslRedirects(false)
@@ -163,6 +165,17 @@
         client.connectionPool().evictAll();
     }
 
+    /**
+     * Returns how connections are encrypted. The classes for encryption slow each start, so they are left out where the
+     * platform's address shows that there is none.
+     *
+     * @param address The platform's address.
+     * @return The ways to connect.
+     */
+    private static List<ConnectionSpec> connectionSpecs(String address) {
+        return address.startsWith("https:") ? List.of(ConnectionSpec.MODERN_TLS) : List.of(ConnectionSpec.CLEARTEXT);
+    }
+
     /**
      * Creates the listener that notes when a call begins to be sent.
      *
