List the results of a runner that the platform turns away through another node

Change: a runner that gets no answer asks another node to create the object under its number. The conditional creation decides as before, so nothing is listed twice and no position changes. Also, found by reading: tickets begin anew with a restart, and an answer to a request of an earlier life could have been taken for another one's, which would have shown a caller another job's results. Answers name what was asked; tests.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchCommitSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchCommitSystem.java
@@ -2,11 +2,16 @@
 
 import io.yuccaswitch.core.decision.Decision;
 import io.yuccaswitch.core.decision.DecisionSystem;
+import io.yuccaswitch.core.decision.EntityTable;
 import io.yuccaswitch.core.decision.Tick;
+import io.yuccaswitch.core.identity.NodeName;
+import io.yuccaswitch.core.peer.PeerEffect;
+import io.yuccaswitch.core.peer.PeerEvent;
 import io.yuccaswitch.core.platform.PlatformEffect;
 import io.yuccaswitch.core.platform.PlatformEvent;
 import io.yuccaswitch.core.platform.PlatformPurpose;
 import io.yuccaswitch.core.platform.StoredObject;
+import io.yuccaswitch.core.time.MonotonicTime;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -28,9 +33,18 @@
     /** The largest size of the outputs in one object, in bytes. Encoded, they stay well below a megabyte. */
     private static final long OBJECT_BYTES = 300_000;
 
+    /** How long another node may take to list results: the time of a call to the platform, and some for the way. */
+    private static final Duration RELAY_TIME = Duration.ofMillis(1500);
+
     /** The tables of the batch system. */
     private final BatchState state;
 
+    /** The results that other nodes were asked to list, by ticket. */
+    private final EntityTable<Long, Relayed> relayed = new EntityTable<>();
+
+    /** The ticket that was handed out last. */
+    private long lastTicket;
+
     /**
      * Creates a system without results.
      *
@@ -42,6 +56,7 @@
 
     @Override
     public void run(Tick tick) {
+        takeRelayed(tick);
         for (RunningJob job : state.running().rows()) {
             List<BatchResult> pending = job.pending();
             if (!pending.isEmpty() && job.mayCommit(tick.now())) {
@@ -96,12 +111,91 @@
             append(tick, commit, stored.get(), "listed before");
             return;
         }
+        if (!relay(tick, commit, results)) {
+            fail(tick, commit, "the platform answered " + event.getClass().getSimpleName());
+        }
+    }
+
+    /**
+     * Asks another node to list results, as the platform may answer that one.
+     *
+     * @param tick The tick.
+     * @param commit What is to be listed.
+     * @param results The results.
+     * @return Whether a node was asked.
+     */
+    private boolean relay(Tick tick, Commit commit, List<BatchResult> results) {
+        NodeName self = state.membership().self().identity().name();
+        List<NodeName> others = state.membership().working().stream()
+                .map(member -> member.identity().name())
+                .filter(name -> !name.equals(self))
+                .toList();
+        if (others.isEmpty()) {
+            return false;
+        }
+        NodeName other = others.get(tick.random().nextInt(others.size()));
+        lastTicket++;
+        relayed.put(
+                lastTicket, new Relayed(lastTicket, commit, other, tick.now().plus(RELAY_TIME)));
+        tick.emit(new PeerEffect.Send(
+                other,
+                new BatchMessage.StoreResults(
+                        lastTicket,
+                        commit.job().job().id().value(),
+                        commit.number(),
+                        state.codec().writeResults(results))));
+        return true;
+    }
+
+    /**
+     * Takes what became of results that other nodes were asked to list.
+     *
+     * @param tick The tick.
+     */
+    private void takeRelayed(Tick tick) {
+        for (PeerEvent.Received received : tick.events(PeerEvent.Received.class)) {
+            if (received.message() instanceof BatchMessage.ResultsStored stored) {
+                relayed.find(stored.ticket())
+                        .filter(request -> request.isAnsweredBy(stored))
+                        .ifPresent(request -> take(tick, request, stored));
+            }
+        }
+        for (Relayed request : relayed.rows()) {
+            if (!tick.now().isBefore(request.until())) {
+                relayed.remove(request.ticket());
+                fail(tick, request.commit(), "neither the platform nor " + request.other() + " answered");
+            }
+        }
+    }
+
+    /**
+     * Takes the answer of another node.
+     *
+     * @param tick The tick.
+     * @param request What the node was asked.
+     * @param stored The answer.
+     */
+    private void take(Tick tick, Relayed request, BatchMessage.ResultsStored stored) {
+        relayed.remove(request.ticket());
+        Optional<List<BatchResult>> results =
+                stored.listed() ? state.codec().readResults(stored.value()) : Optional.empty();
+        if (results.isPresent()) {
+            append(tick, request.commit(), results.get(), "listed by " + request.other());
+        } else {
+            fail(tick, request.commit(), "the platform did not answer " + request.other() + " either");
+        }
+    }
+
+    /**
+     * Takes note that results are not listed yet.
+     *
+     * @param tick The tick.
+     * @param commit What was sent.
+     * @param reason Why, for logs.
+     */
+    private static void fail(Tick tick, Commit commit, String reason) {
         commit.job().endCommit(tick.now().plus(FAILURE_WAIT));
-        tick.decide(Decision.of(
-                "batch-results",
-                commit.job().job().id().value(),
-                "not listed",
-                "the platform answered " + event.getClass().getSimpleName()));
+        tick.decide(Decision.of("batch-results", commit.job().job().id().value(), "not listed", reason));
     }
 
     /**
@@ -154,4 +248,25 @@
      * @param number The number of the object.
      */
     private record Commit(RunningJob job, ResultLog log, int number) {}
+
+    /**
+     * Results that another node was asked to list.
+     *
+     * @param ticket The ticket of the request.
+     * @param commit What is to be listed.
+     * @param other The node.
+     * @param until Until when its answer is awaited.
+     */
+    private record Relayed(long ticket, Commit commit, NodeName other, MonotonicTime until) {
+
+        /**
+         * Returns whether an answer belongs to this request, and not to one of this node's earlier life.
+         *
+         * @param stored The answer.
+         * @return {@code true} if it names the same object.
+         */
+        boolean isAnsweredBy(BatchMessage.ResultsStored stored) {
+            return commit.job().job().id().value().equals(stored.id()) && commit.number() == stored.number();
+        }
+    }
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchMessage.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchMessage.java
@@ -26,14 +26,18 @@
     record ReadResults(long ticket, String id, int position, long waitMillis) implements BatchMessage {}
 
     /**
-     * Hands on results that are kept on the platform.
+     * Hands on results that are kept on the platform. Tickets begin anew when a node restarts, so answers bear what was
+     * asked beside them.
      *
      * @param ticket The ticket of the request.
+     * @param id The job.
+     * @param position The position that was asked for.
      * @param total The number of the job's items.
      * @param next The position behind the last result.
      * @param results The results.
      */
-    record ResultsRead(long ticket, int total, int next, List<BatchResult> results) implements BatchMessage {}
+    record ResultsRead(long ticket, String id, int position, int total, int next, List<BatchResult> results)
+            implements BatchMessage {}
 
     /**
      * Asks the runner of a job for the body of an item.
@@ -48,9 +52,32 @@
      * Hands on the body of an item.
      *
      * @param ticket The ticket of the request.
+     * @param id The job.
+     * @param item The item.
      * @param body The body.
      */
-    record BodyRead(long ticket, Bytes body) implements BatchMessage {}
+    record BodyRead(long ticket, String id, String item, Bytes body) implements BatchMessage {}
+
+    /**
+     * Asks another node to list results on the platform, which does not answer the sender.
+     *
+     * @param ticket The sender's ticket, which the answer bears.
+     * @param id The job.
+     * @param number The number of the object with the results.
+     * @param value The object's value.
+     */
+    record StoreResults(long ticket, String id, int number, Bytes value) implements BatchMessage {}
+
+    /**
+     * Says what became of results that the sender was asked to list.
+     *
+     * @param ticket The ticket of the request.
+     * @param id The job.
+     * @param number The number of the object.
+     * @param listed Whether the platform keeps an object of this number now.
+     * @param value What the object holds, which may be other results, or empty if nothing is known.
+     */
+    record ResultsStored(long ticket, String id, int number, boolean listed, Bytes value) implements BatchMessage {}
 
     /**
      * Says that the sender does not run the job or knows nothing of the item, such that the platform has to be asked.
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchSystem.java
@@ -54,6 +54,7 @@
                 new BatchEndSystem(state),
                 new BatchRunSystem(state),
                 new BatchCommitSystem(state),
+                new ResultRelaySystem(state),
                 new RunnerReadSystem(state),
                 new BatchReadSystem(state),
                 new BodyReadSystem(state));
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ResultRelaySystem.java
@@ -0,0 +1,93 @@
+package io.yuccaswitch.core.batch;
+
+import io.yuccaswitch.core.decision.Decision;
+import io.yuccaswitch.core.decision.DecisionSystem;
+import io.yuccaswitch.core.decision.Tick;
+import io.yuccaswitch.core.identity.NodeName;
+import io.yuccaswitch.core.peer.PeerEffect;
+import io.yuccaswitch.core.peer.PeerEvent;
+import io.yuccaswitch.core.platform.PlatformEffect;
+import io.yuccaswitch.core.platform.PlatformEvent;
+import io.yuccaswitch.core.platform.PlatformPurpose;
+import io.yuccaswitch.core.value.Bytes;
+import java.util.OptionalLong;
+
+/**
+ * Lists results on the platform for other nodes, which the platform does not answer. The creation of an object under
+ * its number decides, whoever asks for it and however late, so a node that asks two others at once lists nothing twice.
+ */
+final class ResultRelaySystem implements DecisionSystem {
+
+    /** The tables of the batch system. */
+    private final BatchState state;
+
+    /**
+     * Creates a system without requests.
+     *
+     * @param state The tables of the batch system.
+     */
+    ResultRelaySystem(BatchState state) {
+        this.state = state;
+    }
+
+    @Override
+    public void run(Tick tick) {
+        for (PeerEvent.Received received : tick.events(PeerEvent.Received.class)) {
+            if (received.message() instanceof BatchMessage.StoreResults store) {
+                write(tick, received.sender().name(), store);
+            }
+        }
+    }
+
+    /**
+     * Creates an object for another node.
+     *
+     * @param tick The tick.
+     * @param sender The node.
+     * @param store What to create.
+     */
+    private void write(Tick tick, NodeName sender, BatchMessage.StoreResults store) {
+        state.calls()
+                .call(
+                        tick,
+                        token -> new PlatformEffect.Write(
+                                token,
+                                PlatformPurpose.BATCH,
+                                BatchObjects.results(new BatchJobId(store.id()), store.number()),
+                                OptionalLong.empty(),
+                                store.value()),
+                        (later, event) -> {
+                            BatchMessage.ResultsStored answer = answer(store, event);
+                            later.emit(new PeerEffect.Send(sender, answer));
+                            later.decide(Decision.of(
+                                    "batch-relay",
+                                    store.id(),
+                                    answer.listed() ? "listed" : "not listed",
+                                    "object " + store.number() + " for " + sender + ", the platform answered "
+                                            + event.getClass().getSimpleName()));
+                        });
+    }
+
+    /**
+     * Builds the answer.
+     *
+     * @param store What was to be created.
+     * @param event The platform's answer.
+     * @return The answer.
+     */
+    private static BatchMessage.ResultsStored answer(BatchMessage.StoreResults store, PlatformEvent event) {
+        if (event instanceof PlatformEvent.Accepted) {
+            return new BatchMessage.ResultsStored(store.ticket(), store.id(), store.number(), true, store.value());
+        }
+        if (event instanceof PlatformEvent.Conflict conflict
+                && conflict.current().isPresent()) {
+            return new BatchMessage.ResultsStored(
+                    store.ticket(),
+                    store.id(),
+                    store.number(),
+                    true,
+                    conflict.current().get().value());
+        }
+        return new BatchMessage.ResultsStored(store.ticket(), store.id(), store.number(), false, Bytes.EMPTY);
+    }
+}
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunnerReadSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunnerReadSystem.java
@@ -63,7 +63,8 @@
             BatchAnswer.Results page = log.get().page(read.position());
             tick.emit(new PeerEffect.Send(
                     request.sender(),
-                    new BatchMessage.ResultsRead(read.ticket(), page.total(), page.next(), page.results())));
+                    new BatchMessage.ResultsRead(
+                            read.ticket(), read.id(), read.position(), page.total(), page.next(), page.results())));
             return true;
         }
         if (!state.running().contains(id)) {
@@ -81,7 +82,7 @@
      */
     private BatchMessage body(BatchMessage.ReadBody read) {
         Optional<Bytes> body = state.body(new BatchJobId(read.id()), read.item());
-        return body.<BatchMessage>map(found -> new BatchMessage.BodyRead(read.ticket(), found))
+        return body.<BatchMessage>map(found -> new BatchMessage.BodyRead(read.ticket(), read.id(), read.item(), found))
                 .orElseGet(() -> new BatchMessage.ReadDeclined(read.ticket()));
     }
 
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunnerReads.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunnerReads.java
@@ -7,11 +7,11 @@
 import io.yuccaswitch.core.peer.PeerEvent;
 import io.yuccaswitch.core.peer.PeerMessage;
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 
 /** Asks the runners of jobs for what they know, which costs no call to the platform. */
 final class RunnerReads {
@@ -22,8 +22,8 @@
     /** The nodes of the site. */
     private final MembershipView membership;
 
-    /** The tickets of the requests that wait for a runner's answer. */
-    private final Set<Long> asked = new HashSet<>();
+    /** The requests that wait for a runner's answer, by their tickets. */
+    private final Map<Long, BatchMessage> asked = new HashMap<>();
 
     /**
      * Creates an instance that has asked nobody.
@@ -52,7 +52,7 @@
                 .filter(node -> membership.working().stream()
                         .anyMatch(member -> member.identity().name().equals(node)));
         runner.ifPresent(node -> {
-            asked.add(ticket);
+            asked.put(ticket, message);
             tick.emit(new PeerEffect.Send(node, message));
         });
         return runner.isPresent();
@@ -65,7 +65,7 @@
      * @return {@code true} if it does.
      */
     boolean isAsked(long ticket) {
-        return asked.contains(ticket);
+        return asked.containsKey(ticket);
     }
 
     /**
@@ -91,23 +91,29 @@
         for (PeerEvent.Undeliverable lost : tick.events(PeerEvent.Undeliverable.class)) {
             ticketOf(lost.message()).ifPresent(ticket -> answers.add(new Answer(ticket, Optional.empty())));
         }
-        answers.removeIf(answer -> !asked.remove(answer.ticket()));
+        answers.removeIf(answer -> asked.remove(answer.ticket()) == null);
         return answers;
     }
 
     /**
-     * Reads an answer.
+     * Reads an answer to a request that waits.
      *
      * @param message The message.
-     * @return The answer, or empty if the message is none.
+     * @return The answer, or empty if the message is none, or answers a request of this node's earlier life.
      */
-    private static Optional<Answer> answer(PeerMessage message) {
-        if (message instanceof BatchMessage.ResultsRead read) {
+    private Optional<Answer> answer(PeerMessage message) {
+        if (message instanceof BatchMessage.ResultsRead read
+                && asked.get(read.ticket()) instanceof BatchMessage.ReadResults question
+                && question.id().equals(read.id())
+                && question.position() == read.position()) {
             return Optional.of(new Answer(
                     read.ticket(),
                     Optional.of(new BatchAnswer.Results(read.total(), read.next(), List.copyOf(read.results())))));
         }
-        if (message instanceof BatchMessage.BodyRead read) {
+        if (message instanceof BatchMessage.BodyRead read
+                && asked.get(read.ticket()) instanceof BatchMessage.ReadBody question
+                && question.id().equals(read.id())
+                && question.item().equals(read.item())) {
             return Optional.of(new Answer(read.ticket(), Optional.of(new BatchAnswer.Body(read.body()))));
         }
         if (message instanceof BatchMessage.ReadDeclined declined) {
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/RunnerReadTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/RunnerReadTest.java
@@ -2,8 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.yuccaswitch.core.peer.PeerEvent;
 import io.yuccaswitch.core.platform.PlatformEffect;
 import io.yuccaswitch.core.site.TestNode;
+import io.yuccaswitch.core.value.Bytes;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -102,6 +104,17 @@
         assertThat(site.answer(read)).contains(new BatchAnswer.Unknown());
     }
 
+    @Test
+    void anAnswerToARequestOfAnEarlierLifeIsNotTaken() {
+        long read = site.read(reader, "job", 0, Duration.ofSeconds(1));
+        site.run(50);
+        BatchResult strange = new BatchResult("other-0", true, Bytes.ofUtf8("strange"), List.of(1L));
+        reader.accept(new PeerEvent.Received(
+                runner.self().identity(), new BatchMessage.ResultsRead(read, "other", 0, 4, 1, List.of(strange))));
+        site.run(100);
+        assertThat(site.answer(read)).isEmpty();
+    }
+
     @Test
     void theBodyOfAnItemComesFromTheRunner() {
         int before = site.site.platform().log().size();
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/peer/PeerMessages.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/peer/PeerMessages.java
@@ -39,7 +39,9 @@
                 .register(PeerMessageRange.BATCH, 122, BatchMessage.ResultsRead.class)
                 .register(PeerMessageRange.BATCH, 123, BatchMessage.ReadBody.class)
                 .register(PeerMessageRange.BATCH, 124, BatchMessage.BodyRead.class)
-                .register(PeerMessageRange.BATCH, 125, BatchMessage.ReadDeclined.class);
+                .register(PeerMessageRange.BATCH, 125, BatchMessage.ReadDeclined.class)
+                .register(PeerMessageRange.BATCH, 126, BatchMessage.StoreResults.class)
+                .register(PeerMessageRange.BATCH, 127, BatchMessage.ResultsStored.class);
         builder.register(PeerMessageRange.WATCH, 140, WatchMessage.Follow.class)
                 .register(PeerMessageRange.WATCH, 141, WatchMessage.Changes.class);
         return builder.build();
