Leave a job alone for a while after a claim or a load that failed

A restarted node that the platform turns away tried 298 times in 3 s, each with a log line. Change: a pause of 0.6 s after each failure.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchOwnershipSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchOwnershipSystem.java
@@ -30,6 +30,9 @@
     /** For how long a runner must be missing before its jobs are taken over, as a restarted one takes them back. */
     private static final Duration ORPHAN_TIME = Duration.ofMillis(700);
 
+    /** The pause after a claim or a load that failed, by when the index shows what others have changed. */
+    private static final Duration FAILURE_PAUSE = Duration.ofMillis(600);
+
     /** The tables of the batch system. */
     private final BatchState state;
 
@@ -39,6 +42,9 @@
     /** Since when the runner of a job has been missing. */
     private final Map<BatchJobId, MonotonicTime> orphanedSince = new HashMap<>();
 
+    /** Until when a job is left alone that could not be claimed or loaded. */
+    private final Map<BatchJobId, MonotonicTime> pausedUntil = new HashMap<>();
+
     /** The jobs that are being taken over. */
     private final Set<BatchJobId> taking = new HashSet<>();
 
@@ -92,7 +98,7 @@
             return;
         }
         boolean inProgress = taking.contains(id) || state.admitting().containsKey(id);
-        if (inProgress || leaving || state.finished().contains(id)) {
+        if (inProgress || leaving || state.finished().contains(id) || isPaused(tick, id)) {
             return;
         }
         if (own) {
@@ -102,6 +108,35 @@
         }
     }
 
+    /**
+     * Returns whether a job is left alone for a while.
+     *
+     * @param tick The tick.
+     * @param id The job.
+     * @return {@code true} if a claim or load failed a short time ago.
+     */
+    private boolean isPaused(Tick tick, BatchJobId id) {
+        MonotonicTime until = pausedUntil.get(id);
+        if (until == null) {
+            return false;
+        }
+        if (tick.now().isBefore(until)) {
+            return true;
+        }
+        pausedUntil.remove(id);
+        return false;
+    }
+
+    /**
+     * Leaves a job alone for a while after a failure.
+     *
+     * @param tick The tick.
+     * @param id The job.
+     */
+    private void pause(Tick tick, BatchJobId id) {
+        pausedUntil.put(id, tick.now().plus(FAILURE_PAUSE));
+    }
+
     /**
      * Returns whether a job's runner has been missing for long enough.
      *
@@ -173,7 +208,9 @@
                                     entry.id().value(),
                                     granted ? "granted" : "not granted",
                                     "runner " + entry.runner() + " is gone, entry version " + row.version()));
-                            if (granted && !state.running().contains(entry.id())) {
+                            if (!granted) {
+                                pause(later, entry.id());
+                            } else if (!state.running().contains(entry.id())) {
                                 load(later, own, "taken over from " + entry.runner());
                             }
                         });
@@ -200,6 +237,7 @@
                                     : Optional.empty();
                             if (job.isEmpty()) {
                                 taking.remove(id);
+                                pause(later, id);
                                 later.decide(Decision.of("batch-job", id.value(), "not loaded", reason));
                                 return;
                             }
@@ -223,6 +261,7 @@
                         (later, event) -> {
                             taking.remove(job.id());
                             if (!(event instanceof PlatformEvent.ObjectsListed listed)) {
+                                pause(later, job.id());
                                 later.decide(Decision.of("batch-job", job.id().value(), "not loaded", reason));
                                 return;
                             }
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSystemTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSystemTest.java
@@ -192,6 +192,27 @@
         assertThat(site.listed("job")).hasSize(4).doesNotHaveDuplicates();
     }
 
+    @Test
+    void aRestartedNodeThatCantReadItsJobTriesNowAndThen() {
+        TestNode first = site.node("node-1");
+        site.node("node-2");
+        site.run(100);
+        site.engines(_run -> Optional.empty());
+        site.submit(first, BatchSite.job("job", 4));
+        site.run(100);
+        site.kill(first);
+        site.site.platform().failWhere((node, call) -> node.equals("node-1") && call instanceof PlatformEffect.Read);
+        TestNode again = site.node("node-1");
+        site.run(3000);
+        assertThat(again.decisions())
+                .filteredOn(decision -> decision.toString().contains("not loaded"))
+                .hasSizeBetween(3, 6);
+        site.site.platform().failWhere(BatchSystemTest::never);
+        site.engines(run -> Optional.of(BatchSite.whole(run, 1)));
+        site.run(2500);
+        assertThat(site.listed("job")).hasSize(4).doesNotHaveDuplicates();
+    }
+
     @Test
     void theJobsOfANodeThatIsGoneAreTakenOverByOneOther() {
         TestNode first = site.node("node-1");
