Have whole outputs scored before they are listed

Change: a scoring phase of an item in the core (ScoringSystem): begins after the last event, through the route of its own host and path, at a working endpoint; half of an endpoint's places at most are held by one node; an attempt that stays away for half of the useful time is joined by another at another endpoint; 500s count against the route's attempts and then give the item up; the end of the job breaks attempts off. The score is the signature of a whole 2xx that echoes the request's identifier; results keep it on the platform.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchEffect.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchEffect.java
@@ -37,6 +37,34 @@
      */
     record Cancel(BatchJobId id, String item, int attempt) implements BatchEffect {}
 
+    /**
+     * The whole output of an item is to be scored.
+     *
+     * @param id The job.
+     * @param item The item's identifier.
+     * @param attempt The number of the attempt to score it.
+     * @param request The scoring request.
+     * @param endpoint The endpoint.
+     * @param timeLeft How long the attempt may take.
+     */
+    record Score(
+            BatchJobId id,
+            String item,
+            int attempt,
+            ScoringRequest request,
+            RegisteredEndpoint endpoint,
+            Duration timeLeft)
+            implements BatchEffect {}
+
+    /**
+     * An attempt to score an output is to be broken off.
+     *
+     * @param id The job.
+     * @param item The item's identifier.
+     * @param attempt The number of the attempt to score it.
+     */
+    record CancelScoring(BatchJobId id, String item, int attempt) implements BatchEffect {}
+
     /**
      * A call is answered.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchEvent.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchEvent.java
@@ -4,6 +4,7 @@
 import io.yuccaswitch.core.time.MonotonicTime;
 import java.time.Duration;
 import java.util.List;
+import java.util.OptionalInt;
 
 /** What callers ask about batch jobs, and what becomes of the attempts at engines. */
 public sealed interface BatchEvent extends Event {
@@ -83,6 +84,18 @@
     record AttemptEnded(BatchJobId id, String item, int attempt, AttemptOutcome outcome, ItemText text)
             implements BatchEvent {}
 
+    /**
+     * An attempt to score an output has ended.
+     *
+     * @param id The job.
+     * @param item The item.
+     * @param attempt The number of the attempt to score it.
+     * @param outcome What became of it.
+     * @param load The number of requests that the endpoint runs or that wait there, if it told.
+     */
+    record ScoringEnded(BatchJobId id, String item, int attempt, ScoringOutcome outcome, OptionalInt load)
+            implements BatchEvent {}
+
     /** This node is about to stop: it takes no further jobs over. */
     record Leaving() implements BatchEvent {}
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchItem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchItem.java
@@ -2,6 +2,7 @@
 
 import io.yuccaswitch.core.value.Bytes;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * One item of a batch job.
@@ -12,9 +13,16 @@
  * @param body The body of its requests.
  * @param group The group, whose items share their prompt.
  * @param expectedTokens The number of tokens that it is expected to make, by which long items start first.
+ * @param scoring The request that scores its output, if its result needs a score.
  */
 public record BatchItem(
-        String id, String path, Map<String, String> headers, Bytes body, String group, long expectedTokens) {
+        String id,
+        String path,
+        Map<String, String> headers,
+        Bytes body,
+        String group,
+        long expectedTokens,
+        Optional<ScoringRequest> scoring) {
 
     /** Copies the headers. */
     public BatchItem {
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchResult.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchResult.java
@@ -2,6 +2,7 @@
 
 import io.yuccaswitch.core.value.Bytes;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * The result of one item.
@@ -10,8 +11,9 @@
  * @param completed Whether the output is whole. A result that is not completed was given up.
  * @param output The data of all events in order, separated by line feeds, or nothing if it was given up.
  * @param versions All versions of the weights that generated an event of the output, in ascending order.
+ * @param score The score of the output, if the item asks for one and it is completed.
  */
-public record BatchResult(String item, boolean completed, Bytes output, List<Long> versions) {
+public record BatchResult(String item, boolean completed, Bytes output, List<Long> versions, Optional<String> score) {
 
     /** Copies the versions. */
     public BatchResult {
@@ -25,6 +27,16 @@
      * @return The result.
      */
     static BatchResult givenUp(String item) {
-        return new BatchResult(item, false, Bytes.EMPTY, List.of());
+        return new BatchResult(item, false, Bytes.EMPTY, List.of(), Optional.empty());
+    }
+
+    /**
+     * Returns this result with a score.
+     *
+     * @param given The score.
+     * @return The result.
+     */
+    BatchResult withScore(String given) {
+        return new BatchResult(item, completed, output, versions, Optional.of(given));
     }
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchRunSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchRunSystem.java
@@ -337,11 +337,14 @@
             again(tick, item, engine, "versions " + versions + " are not allowed");
             return;
         }
-        finish(
-                tick,
-                item,
-                new BatchResult(item.item().id(), true, item.text().output(), versions),
-                "whole, versions " + versions + " from " + engine.value());
+        String reason = "whole, versions " + versions + " from " + engine.value();
+        BatchResult whole = new BatchResult(item.item().id(), true, item.text().output(), versions, Optional.empty());
+        if (item.item().scoring().isEmpty()) {
+            finish(tick, item, whole, reason);
+            return;
+        }
+        item.beginScoring(item.item().scoring().get(), whole, tick.now());
+        tick.decide(Decision.of("batch-item", item.item().id(), "to be scored", reason));
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
@@ -34,6 +34,7 @@
  * @param logs The results that are listed, as far as they are known here.
  * @param loads How many items run at each engine.
  * @param rates How fast the engines are.
+ * @param scoringLoads Chooses the endpoints of scoring requests.
  */
 record BatchState(
         MembershipView membership,
@@ -47,7 +48,8 @@
         Set<BatchJobId> finished,
         EntityTable<BatchJobId, ResultLog> logs,
         EngineLoads loads,
-        EngineRates rates) {
+        EngineRates rates,
+        ScoringLoads scoringLoads) {
 
     /** The largest size of the outputs that are kept here, in bytes. Others are read from the platform again. */
     private static final long LOG_BYTES = 6L << 20;
@@ -82,7 +84,8 @@
                 new HashSet<>(),
                 new EntityTable<>(),
                 new EngineLoads(),
-                new EngineRates());
+                new EngineRates(),
+                new ScoringLoads(membership.self().availabilityZone()));
     }
 
     /**
@@ -160,14 +163,15 @@
     }
 
     /**
-     * Breaks the attempt of an item off, if one is in progress.
+     * Breaks off what is in progress for an item: the attempt at an engine, or those to score its output.
      *
      * @param tick The tick.
      * @param id The job.
      * @param item The item.
-     * @return Whether an attempt was in progress.
+     * @return Whether an attempt at an engine was in progress.
      */
     boolean breakOff(Tick tick, BatchJobId id, RunningItem item) {
+        breakOffScoring(tick, id, item);
         Optional<EndpointName> engine = item.stop();
         engine.ifPresent(running -> {
             tick.emit(new BatchEffect.Cancel(id, item.item().id(), item.attempt()));
@@ -176,6 +180,22 @@
         return engine.isPresent();
     }
 
+    /**
+     * Breaks off the attempts to score an item's output.
+     *
+     * @param tick The tick.
+     * @param id The job.
+     * @param item The item.
+     */
+    void breakOffScoring(Tick tick, BatchJobId id, RunningItem item) {
+        List<ItemScoring.Attempt> ended =
+                item.scoring().map(ItemScoring::endAll).orElseGet(List::of);
+        for (ItemScoring.Attempt attempt : ended) {
+            tick.emit(new BatchEffect.CancelScoring(id, item.item().id(), attempt.number()));
+            scoringLoads.end(attempt.endpoint());
+        }
+    }
+
     /**
      * Finds the body of an item of a job that runs here.
      *
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ItemScoring.java
@@ -0,0 +1,165 @@
+package io.yuccaswitch.core.batch;
+
+import io.yuccaswitch.core.registry.RegisteredEndpoint;
+import io.yuccaswitch.core.time.MonotonicTime;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** An item whose output is whole, and whose score is outstanding. */
+final class ItemScoring {
+
+    /** The scoring request. */
+    private final ScoringRequest request;
+
+    /** The result, which lacks its score. */
+    private final BatchResult unscored;
+
+    /** Since when the score is outstanding. */
+    private final MonotonicTime since;
+
+    /** The attempts in progress, by number, in the order in which they began. */
+    private final Map<Integer, Attempt> running = new LinkedHashMap<>();
+
+    /** The number of attempts that were begun. */
+    private int attempts;
+
+    /** The number of attempts that may have run. */
+    private int runs;
+
+    /** The number of attempts at which an endpoint failed. */
+    private int failures;
+
+    /** Since when no route serves the request, if none does. */
+    private Optional<MonotonicTime> withoutRouteSince = Optional.empty();
+
+    /**
+     * Creates the scoring of an output before the first attempt.
+     *
+     * @param request The scoring request.
+     * @param unscored The result, which lacks its score.
+     * @param now The present.
+     */
+    ItemScoring(ScoringRequest request, BatchResult unscored, MonotonicTime now) {
+        this.request = request;
+        this.unscored = unscored;
+        since = now;
+    }
+
+    /**
+     * Returns the scoring request.
+     *
+     * @return The request.
+     */
+    ScoringRequest request() {
+        return request;
+    }
+
+    /**
+     * Returns the result, which lacks its score.
+     *
+     * @return The result.
+     */
+    BatchResult unscored() {
+        return unscored;
+    }
+
+    /**
+     * Returns since when the score is outstanding.
+     *
+     * @return The time at which the output was whole.
+     */
+    MonotonicTime since() {
+        return since;
+    }
+
+    /**
+     * Begins an attempt.
+     *
+     * @param endpoint The endpoint.
+     * @param now The present.
+     * @return The number of the attempt.
+     */
+    int begin(RegisteredEndpoint endpoint, MonotonicTime now) {
+        attempts++;
+        running.put(attempts, new Attempt(attempts, endpoint, now));
+        return attempts;
+    }
+
+    /**
+     * Ends an attempt.
+     *
+     * @param attempt The number of the attempt.
+     * @return The attempt, or empty if it is not in progress.
+     */
+    Optional<Attempt> end(int attempt) {
+        return Optional.ofNullable(running.remove(attempt));
+    }
+
+    /**
+     * Ends all attempts.
+     *
+     * @return Those that were in progress.
+     */
+    List<Attempt> endAll() {
+        List<Attempt> ended = running();
+        running.clear();
+        return ended;
+    }
+
+    /**
+     * Returns the attempts in progress.
+     *
+     * @return The attempts, the oldest first.
+     */
+    List<Attempt> running() {
+        return new ArrayList<>(running.values());
+    }
+
+    /** Counts an attempt that may have run. */
+    void mayHaveRun() {
+        runs++;
+    }
+
+    /**
+     * Returns the number of attempts that may have run or are in progress.
+     *
+     * @return The number.
+     */
+    int runs() {
+        return runs + running.size();
+    }
+
+    /**
+     * Counts an attempt at which an endpoint failed.
+     *
+     * @return The number of such attempts.
+     */
+    int fail() {
+        failures++;
+        return failures;
+    }
+
+    /**
+     * Notes whether a route serves the request.
+     *
+     * @param served Whether one does.
+     * @param now The present.
+     * @return Since when none does, or empty if one does.
+     */
+    Optional<MonotonicTime> noteRoute(boolean served, MonotonicTime now) {
+        withoutRouteSince = served ? Optional.empty() : Optional.of(withoutRouteSince.orElse(now));
+        return withoutRouteSince;
+    }
+
+    /**
+     * An attempt in progress.
+     *
+     * @param number The number of the attempt, counted from 1.
+     * @param endpoint The endpoint.
+     * @param begunAt When it began.
+     */
+    record Attempt(int number, RegisteredEndpoint endpoint, MonotonicTime begunAt) {}
+}
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningItem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningItem.java
@@ -1,6 +1,7 @@
 package io.yuccaswitch.core.batch;
 
 import io.yuccaswitch.core.identity.EndpointName;
+import io.yuccaswitch.core.time.MonotonicTime;
 import java.util.Optional;
 
 /** An item of a job that this node runs, until its result is listed. */
@@ -24,6 +25,9 @@
     /** The events so far. */
     private ItemText text = ItemText.EMPTY;
 
+    /** The scoring of the whole output, while its score is outstanding. */
+    private Optional<ItemScoring> scoring = Optional.empty();
+
     /** The result, once there is one. */
     private Optional<BatchResult> result = Optional.empty();
 
@@ -48,10 +52,10 @@
     /**
      * Returns whether the item waits for an engine.
      *
-     * @return {@code true} if it neither runs nor has a result.
+     * @return {@code true} if it neither runs, nor is being scored, nor has a result.
      */
     boolean isWaiting() {
-        return endpoint.isEmpty() && result.isEmpty();
+        return endpoint.isEmpty() && scoring.isEmpty() && result.isEmpty();
     }
 
     /**
@@ -154,6 +158,27 @@
         return result;
     }
 
+    /**
+     * Returns the scoring of the whole output.
+     *
+     * @return The scoring, or empty unless the score is outstanding.
+     */
+    Optional<ItemScoring> scoring() {
+        return scoring;
+    }
+
+    /**
+     * Lets the whole output wait for its score.
+     *
+     * @param request The scoring request.
+     * @param unscored The result, which lacks its score.
+     * @param now The present.
+     */
+    void beginScoring(ScoringRequest request, BatchResult unscored, MonotonicTime now) {
+        scoring = Optional.of(new ItemScoring(request, unscored, now));
+        text = ItemText.EMPTY;
+    }
+
     /**
      * Finishes the item.
      *
@@ -161,6 +186,7 @@
      */
     void finish(BatchResult finished) {
         result = Optional.of(finished);
+        scoring = Optional.empty();
         text = ItemText.EMPTY;
     }
 }
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ScoringOutcome.java
@@ -0,0 +1,29 @@
+package io.yuccaswitch.core.batch;
+
+/** What became of one attempt to have an output scored. */
+public sealed interface ScoringOutcome {
+
+    /**
+     * The endpoint answered with success.
+     *
+     * @param score The score, which is the signature of the endpoint's answer.
+     */
+    record Scored(String score) implements ScoringOutcome {}
+
+    /** The endpoint ran the request and failed, which counts as an attempt of the route. */
+    record Failed() implements ScoringOutcome {}
+
+    /**
+     * The endpoint did not run the request.
+     *
+     * @param reason The reason, for logs.
+     */
+    record Refused(String reason) implements ScoringOutcome {}
+
+    /**
+     * There is no answer that can be trusted, and the request may have run.
+     *
+     * @param reason The reason, for logs.
+     */
+    record Interrupted(String reason) implements ScoringOutcome {}
+}
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ScoringRequest.java
@@ -0,0 +1,38 @@
+package io.yuccaswitch.core.batch;
+
+import io.yuccaswitch.core.value.Bytes;
+
+/**
+ * The request to a plain service that scores the output of an item. It is idempotent, and is sent by {@code POST}
+ * through the route of its own host and path.
+ *
+ * @param id The identifier of the request, which the service echoes.
+ * @param host The host of its route.
+ * @param path The path, with a query if there is one.
+ * @param body The body.
+ */
+public record ScoringRequest(String id, String host, String path, Bytes body) {
+
+    /** Checks that the request can be sent. */
+    public ScoringRequest {
+        if (id.isEmpty()) {
+            throw new IllegalArgumentException("A scoring request needs an identifier");
+        }
+        if (host.isEmpty()) {
+            throw new IllegalArgumentException("A scoring request needs a host");
+        }
+        if (!path.startsWith("/")) {
+            throw new IllegalArgumentException("The path of a scoring request begins with a slash: " + path);
+        }
+    }
+
+    /**
+     * Returns the path without its query, by which the route is found.
+     *
+     * @return The path.
+     */
+    String routePath() {
+        int query = path.indexOf('?');
+        return query < 0 ? path : path.substring(0, query);
+    }
+}
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/proxy/EndpointSelection.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/proxy/EndpointSelection.java
@@ -72,6 +72,16 @@
                         .thenComparing(RegisteredEndpoint::name));
     }
 
+    /**
+     * Returns the number of this node's requests in progress at an endpoint.
+     *
+     * @param endpoint The endpoint.
+     * @return The number.
+     */
+    public int running(RegisteredEndpoint endpoint) {
+        return row(endpoint).running;
+    }
+
     /**
      * Counts a request that is sent.
      *
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSite.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSite.java
@@ -20,30 +20,39 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.function.Function;
 
-/** Nodes that run batch jobs at two played engines. */
+/** Nodes that run batch jobs at two played engines, and have outputs scored at three played endpoints. */
 final class BatchSite {
 
     static final PoolName POOL = new PoolName("sampler");
+    static final PoolName SCORERS = new PoolName("scorers");
     static final String MODEL = "model-a";
+    static final int MAXIMUM_SCORING_ATTEMPTS = 4;
 
     final TestSite site = new TestSite();
     final Map<String, Integer> runs = new HashMap<>();
     final List<BatchEffect.Run> started = new ArrayList<>();
     final List<BatchEffect.Cancel> cancelled = new ArrayList<>();
+    final List<BatchEffect.Score> scored = new ArrayList<>();
+    final List<BatchEffect.CancelScoring> cancelledScorings = new ArrayList<>();
     private final PlainBatchCodec codec = new PlainBatchCodec();
     private final List<TestNode> nodes = new ArrayList<>();
     private final Map<Long, BatchAnswer> answers = new HashMap<>();
     private Function<BatchEffect.Run, Optional<BatchEvent.AttemptEnded>> engines = run -> Optional.of(whole(run, 1));
+    private Function<BatchEffect.Score, Optional<ScoringOutcome>> scorers = score ->
+            Optional.of(new ScoringOutcome.Scored("score-" + score.request().id()));
     private boolean singleVersion;
+    private boolean scoringRoute = true;
     private long tickets;
 
     BatchSite() {
         site.platform().put(RouteConfigurationSystem.KIND, "main", "1");
         registerEngine("engine-1", 1);
         registerEngine("engine-2", 1);
+        List.of("scorer-1", "scorer-2", "scorer-3").forEach(this::registerScorer);
         site.connect((_from, _to) -> false);
         site.everyStep(_site -> play());
     }
@@ -56,6 +65,21 @@
         site.platform().put(EndpointRegistrySystem.KIND, name, Long.toString(version));
     }
 
+    void registerScorer(String name) {
+        site.platform().put(EndpointRegistrySystem.KIND, name, "0");
+    }
+
+    /** Takes the route of scoring requests out of the configuration, or back into it. */
+    void routeScoring(boolean present, int version) {
+        scoringRoute = present;
+        site.platform().put(RouteConfigurationSystem.KIND, "main", Integer.toString(version));
+    }
+
+    /** Plays the scoring endpoints: what becomes of an attempt, or empty if it goes on. */
+    void scorers(Function<BatchEffect.Score, Optional<ScoringOutcome>> behaviour) {
+        scorers = behaviour;
+    }
+
     /** Plays the engines: what becomes of a run, or empty if the run goes on. */
     void engines(Function<BatchEffect.Run, Optional<BatchEvent.AttemptEnded>> behaviour) {
         engines = behaviour;
@@ -85,11 +109,30 @@
     static BatchJob job(String id, int items, long minimumVersion) {
         List<BatchItem> list = new ArrayList<>();
         for (int i = 0; i < items; i++) {
-            list.add(new BatchItem(id + "-" + i, "/rollouts/x", Map.of(), Bytes.ofUtf8("body" + i), "g" + i / 2, i));
+            list.add(new BatchItem(
+                    id + "-" + i, "/rollouts/x", Map.of(), Bytes.ofUtf8("body" + i), "g" + i / 2, i, Optional.empty()));
         }
         return new BatchJob(new BatchJobId(id), "site.example", "/rollouts/x", MODEL, minimumVersion, 1000, list);
     }
 
+    /** A job whose items need scores, two of them in each group. */
+    static BatchJob scoredJob(String id, int items) {
+        BatchJob plain = job(id, items);
+        List<BatchItem> list = plain.items().stream()
+                .map(item -> new BatchItem(
+                        item.id(),
+                        item.path(),
+                        item.headers(),
+                        item.body(),
+                        item.group(),
+                        item.expectedTokens(),
+                        Optional.of(new ScoringRequest(
+                                "s-" + item.id(), "site.example", "/score/x?item=1", Bytes.ofUtf8("judge")))))
+                .toList();
+        return new BatchJob(
+                plain.id(), plain.host(), plain.path(), MODEL, plain.minimumVersion(), plain.submittedAt(), list);
+    }
+
     long submit(TestNode node, BatchJob job) {
         node.accept(new BatchEvent.Submitted(++tickets, job));
         return tickets;
@@ -156,6 +199,13 @@
                 answers.put(reply.ticket(), reply.answer());
             }
             cancelled.addAll(node.take(BatchEffect.Cancel.class));
+            cancelledScorings.addAll(node.take(BatchEffect.CancelScoring.class));
+            for (BatchEffect.Score score : node.take(BatchEffect.Score.class)) {
+                scored.add(score);
+                scorers.apply(score)
+                        .ifPresent(outcome -> node.accept(new BatchEvent.ScoringEnded(
+                                score.id(), score.item(), score.attempt(), outcome, OptionalInt.empty())));
+            }
             for (BatchEffect.Run run : node.take(BatchEffect.Run.class)) {
                 started.add(run);
                 runs.merge(run.item().id(), 1, Integer::sum);
@@ -166,13 +216,14 @@
 
     private static Optional<RegisteredEndpoint> endpoint(StoredObject object) {
         String name = object.key().name();
+        boolean scores = name.startsWith("scorer");
         return Optional.of(new RegisteredEndpoint(
-                new EndpointName(POOL, name),
+                new EndpointName(scores ? SCORERS : POOL, name),
                 name + ":80",
                 new AvailabilityZone("zone-a"),
                 4,
                 false,
-                Map.of(MODEL, Long.parseLong(object.value().toUtf8()))));
+                scores ? Map.of() : Map.of(MODEL, Long.parseLong(object.value().toUtf8()))));
     }
 
     private Optional<RouteConfiguration> configuration(StoredObject object) {
@@ -189,9 +240,22 @@
                 false,
                 true,
                 Optional.of(new Route.BatchTerms(Duration.ofSeconds(7), Duration.ofSeconds(40), singleVersion)));
+        Route scoring = new Route(
+                "scoring",
+                "site.example",
+                "/score/",
+                RequestKind.IDEMPOTENT,
+                List.of(new Route.PoolShare(SCORERS, 1)),
+                Duration.ofSeconds(3),
+                Duration.ofMillis(800),
+                MAXIMUM_SCORING_ATTEMPTS,
+                2,
+                false,
+                false,
+                Optional.empty());
         return Optional.of(new RouteConfiguration(
                 Long.parseLong(object.value().toUtf8()),
-                List.of(route),
+                scoringRoute ? List.of(route, scoring) : List.of(route),
                 Map.of(POOL, Set.of(MODEL)),
                 new RouteConfiguration.CallerLimits(16384, 1 << 20, Duration.ofSeconds(15))));
     }
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/RunnerReadTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/RunnerReadTest.java
@@ -108,7 +108,7 @@
     void anAnswerToARequestOfAnEarlierLifeIsNotTaken() {
         long read = site.read(reader, "job", 0, Duration.ofSeconds(1));
         site.run(50);
-        BatchResult strange = new BatchResult("other-0", true, Bytes.ofUtf8("strange"), List.of(1L));
+        BatchResult strange = new BatchResult("other-0", true, Bytes.ofUtf8("strange"), List.of(1L), Optional.empty());
         reader.accept(new PeerEvent.Received(
                 runner.self().identity(), new BatchMessage.ResultsRead(read, "other", 0, 4, 1, List.of(strange))));
         site.run(100);
--- /dev/null
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/ScoringSystemTest.java
@@ -0,0 +1,206 @@
+package io.yuccaswitch.core.batch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.yuccaswitch.core.site.TestNode;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.Test;
+
+/** Outputs that are scored, with the platform, engines and scoring endpoints played. */
+final class ScoringSystemTest {
+
+    private final BatchSite site = new BatchSite();
+
+    @Test
+    void aResultIsListedOnlyWithTheScoreOfItsOwnRequest() {
+        TestNode node = site.node("node-1");
+        site.run(100);
+        site.submit(node, BatchSite.scoredJob("job", 6));
+        site.run(2000);
+        assertThat(site.results("job")).hasSize(6).allSatisfy(result -> assertThat(result.score())
+                .contains("score-s-" + result.item()));
+    }
+
+    @Test
+    void anItemWithoutScoringRequestIsListedWithoutScore() {
+        TestNode node = site.node("node-1");
+        site.run(100);
+        site.submit(node, BatchSite.job("job", 2));
+        site.run(2000);
+        assertThat(site.scored).isEmpty();
+        assertThat(site.results("job")).hasSize(2).allSatisfy(result -> assertThat(result.score())
+                .isEmpty());
+    }
+
+    @Test
+    void noScoreIsAskedForBeforeTheOutputIsWhole() {
+        TestNode node = site.node("node-1");
+        site.run(100);
+        site.engines(_run -> Optional.empty());
+        site.submit(node, BatchSite.scoredJob("job", 4));
+        site.run(2000);
+        assertThat(site.started).isNotEmpty();
+        assertThat(site.scored).isEmpty();
+    }
+
+    @Test
+    void aRequestThatWasNotRunOrWhoseAnswerIsLostIsSentAgain() {
+        TestNode node = site.node("node-1");
+        site.run(100);
+        site.scorers(score -> Optional.of(
+                switch (score.attempt()) {
+                    case 1 -> new ScoringOutcome.Refused("full");
+                    case 2 -> new ScoringOutcome.Interrupted("reset");
+                    default -> new ScoringOutcome.Scored("late");
+                }));
+        site.submit(node, BatchSite.scoredJob("job", 2));
+        site.run(2000);
+        assertThat(site.results("job")).hasSize(2).allSatisfy(result -> assertThat(result.score())
+                .contains("late"));
+    }
+
+    @Test
+    void aSilentEndpointIsJoinedByAnotherOneWithinHalfOfTheUsefulTime() {
+        TestNode node = site.node("node-1");
+        site.run(100);
+        site.scorers(
+                score -> score.attempt() == 1 ? Optional.empty() : Optional.of(new ScoringOutcome.Scored("second")));
+        site.submit(node, BatchSite.scoredJob("job", 1));
+        site.run(1200);
+        assertThat(site.results("job")).hasSize(1);
+        assertThat(site.scored).hasSize(2);
+        assertThat(site.scored.get(0).endpoint().name())
+                .isNotEqualTo(site.scored.get(1).endpoint().name());
+        assertThat(site.cancelledScorings)
+                .as("the attempt that was not needed is broken off")
+                .extracting(BatchEffect.CancelScoring::attempt)
+                .containsExactly(1);
+    }
+
+    @Test
+    void anItemWhoseScoringFailsAsOftenAsTheRouteAllowsIsGivenUpAtOnce() {
+        TestNode node = site.node("node-1");
+        site.run(100);
+        site.scorers(score -> Optional.of(
+                score.item().equals("job-0") ? new ScoringOutcome.Failed() : new ScoringOutcome.Scored("ok")));
+        site.submit(node, BatchSite.scoredJob("job", 2));
+        site.run(1500);
+        assertThat(site.results("job")).hasSize(2).anySatisfy(result -> {
+            assertThat(result.item()).isEqualTo("job-0");
+            assertThat(result.completed()).isFalse();
+            assertThat(result.score()).isEmpty();
+        });
+        assertThat(site.scored.stream().filter(score -> score.item().equals("job-0")))
+                .hasSize(BatchSite.MAXIMUM_SCORING_ATTEMPTS);
+    }
+
+    @Test
+    void aRefusalThatWasNotRunDoesNotCountAsAFailure() {
+        TestNode node = site.node("node-1");
+        site.run(100);
+        site.scorers(score -> Optional.of(
+                score.attempt() <= 2 * BatchSite.MAXIMUM_SCORING_ATTEMPTS
+                        ? new ScoringOutcome.Refused("full")
+                        : new ScoringOutcome.Scored("ok")));
+        site.submit(node, BatchSite.scoredJob("job", 1));
+        site.run(3000);
+        assertThat(site.results("job")).hasSize(1).allSatisfy(result -> assertThat(result.completed())
+                .isTrue());
+    }
+
+    @Test
+    void theEndOfAJobBreaksItsScoringOffAndStartsNoMore() {
+        TestNode node = site.node("node-1");
+        site.run(100);
+        site.scorers(_score -> Optional.empty());
+        site.submit(node, BatchSite.scoredJob("job", 2));
+        site.run(300);
+        int before = site.scored.size();
+        site.end(node, "job");
+        site.run(3000);
+        assertThat(before).isEqualTo(2);
+        assertThat(site.scored).hasSize(before);
+        assertThat(site.cancelledScorings).hasSize(2);
+    }
+
+    @Test
+    void aJobThatIsTakenOverIsScoredAnewAndListedOnce() {
+        TestNode first = site.node("node-1");
+        TestNode second = site.node("node-2");
+        site.run(100);
+        site.scorers(_score -> Optional.empty());
+        site.submit(first, BatchSite.scoredJob("job", 2));
+        site.run(300);
+        site.kill(first);
+        site.scorers(score ->
+                Optional.of(new ScoringOutcome.Scored("score-" + score.request().id())));
+        site.run(8000);
+        assertThat(second.name()).isEqualTo("node-2");
+        assertThat(site.listed("job")).containsExactlyInAnyOrder("job-0", "job-1");
+        assertThat(site.results("job"))
+                .allSatisfy(result -> assertThat(result.score()).contains("score-s-" + result.item()));
+    }
+
+    @Test
+    void aBurstLeavesHalfOfThePlacesToPlainRequests() {
+        TestNode node = site.node("node-1");
+        site.run(100);
+        site.scorers(_score -> Optional.empty());
+        site.submit(node, BatchSite.scoredJob("job", 20));
+        site.run(300);
+        Map<String, Integer> held = new HashMap<>();
+        site.scored.forEach(score -> held.merge(score.endpoint().name().value(), 1, Integer::sum));
+        assertThat(held).hasSize(3);
+        assertThat(held.values()).as("four places each").containsOnly(2);
+    }
+
+    @Test
+    void theItemsOfAGroupThatIsNearlyWholeAreScoredFirst() {
+        TestNode node = site.node("node-1");
+        site.run(100);
+        site.scorers(score ->
+                score.item().equals("job-1") ? Optional.of(new ScoringOutcome.Scored("early")) : Optional.empty());
+        AtomicBoolean open = new AtomicBoolean();
+        site.engines(run -> Optional.of(
+                open.get() || run.item().id().equals("job-1")
+                        ? BatchSite.whole(run, 1)
+                        : BatchSite.ended(run, new AttemptOutcome.Interrupted("reset", false), ItemText.EMPTY)));
+        site.submit(node, BatchSite.scoredJob("job", 8));
+        site.run(300);
+        open.set(true);
+        site.run(700);
+        assertThat(site.scored.stream().map(BatchEffect.Score::item).limit(2))
+                .as("the rest of the first group goes before six items of groups without a score")
+                .containsExactly("job-1", "job-0");
+        assertThat(site.scored).hasSizeGreaterThan(6);
+    }
+
+    @Test
+    void anItemWaitsForItsScoringRouteForAWhileAndIsThenGivenUp() {
+        TestNode node = site.node("node-1");
+        site.routeScoring(false, 2);
+        site.run(1000);
+        site.submit(node, BatchSite.scoredJob("job", 1));
+        site.run(2000);
+        assertThat(site.results("job")).isEmpty();
+        site.run(5000);
+        assertThat(site.results("job")).hasSize(1).allSatisfy(result -> assertThat(result.completed())
+                .isFalse());
+    }
+
+    @Test
+    void aScoringRouteThatComesBackIsUsed() {
+        TestNode node = site.node("node-1");
+        site.routeScoring(false, 2);
+        site.run(1000);
+        site.submit(node, BatchSite.scoredJob("job", 1));
+        site.run(1500);
+        site.routeScoring(true, 3);
+        site.run(3000);
+        assertThat(site.results("job")).hasSize(1).allSatisfy(result -> assertThat(result.completed())
+                .isTrue());
+    }
+}
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointAttempts.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointAttempts.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import okhttp3.Call;
 import okhttp3.HttpUrl;
 import okhttp3.Request;
@@ -56,15 +57,15 @@
      * @param endpoint The endpoint.
      * @param times The times that the attempt may take.
      * @param lastEventId The event behind which a stream goes on, or empty to begin anew.
-     * @param watched Breaks the attempt off when the caller goes.
+     * @param begun Takes the call, to break it off.
      * @return The attempt in progress.
      */
     Opened open(
-            PlainRequest request,
+            OutgoingRequest request,
             RegisteredEndpoint endpoint,
             Times times,
             Optional<Long> lastEventId,
-            DisconnectWatch.Watched watched) {
+            Consumer<Call> begun) {
         Transmission transmission = new Transmission();
         HttpUrl url = HttpUrl.parse("http://" + endpoint.address() + request.target());
         if (url == null) {
@@ -77,7 +78,7 @@
         dialect.address(builder, endpoint.name(), times.whole());
         lastEventId.ifPresent(id -> dialect.resume(builder, id));
         Call call = http.call(builder, transmission, times.whole());
-        watched.attach(call);
+        begun.accept(call);
         Disposable watchdog = Schedulers.computation()
                 .scheduleDirect(call::cancel, times.untilHead().toNanos(), TimeUnit.NANOSECONDS);
         try {
@@ -133,7 +134,7 @@
      * @param opened The attempt in progress.
      * @return The attempt, which has failed if the answer can't be passed on.
      */
-    private Opened judge(PlainRequest request, Opened opened) {
+    private Opened judge(OutgoingRequest request, Opened opened) {
         Response response = opened.response().orElseThrow();
         String echoed = response.header(dialect.requestIdHeader());
         if (!request.id().isEmpty() && echoed != null && !echoed.equals(request.id())) {
@@ -166,7 +167,7 @@
      * @param request The request.
      * @return The body, or {@code null} where the method allows none.
      */
-    private static OneShotBody bodyOf(PlainRequest request) {
+    private static OneShotBody bodyOf(OutgoingRequest request) {
         if (BODILESS.contains(request.method()) && request.body().size() == 0) {
             return null;
         }
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointDialect.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointDialect.java
@@ -64,13 +64,23 @@
      */
     boolean isMisdirected(int status);
 
+    /**
+     * Returns the signature of an answer by its endpoint.
+     *
+     * @param headers The headers.
+     * @return The signature, or empty if there is none.
+     */
+    Optional<String> signature(Headers headers);
+
     /**
      * Returns whether an answer is signed by its endpoint.
      *
      * @param headers The headers.
      * @return {@code true} if it is.
      */
-    boolean isSigned(Headers headers);
+    default boolean isSigned(Headers headers) {
+        return signature(headers).isPresent();
+    }
 
     /**
      * Returns the number of requests that an endpoint runs or that wait there.
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
@@ -100,6 +100,9 @@
     /** Runs items. */
     private final ItemRunner items;
 
+    /** Has outputs scored. */
+    private final ScoringRunner scorings;
+
     /** Gives orders. */
     private final OrderCaller orders;
 
@@ -146,6 +149,7 @@
         orders = new OrderCaller(http, dialects.endpoints(), loop);
         replies = new PendingReplies(loop);
         EndpointAttempts attempts = new EndpointAttempts(http, dialects.endpoints());
+        scorings = new ScoringRunner(attempts, dialects.endpoints(), loop, metrics);
         server = new GatewayServer(
                 settings,
                 dialects,
@@ -199,6 +203,7 @@
     /** Ends everything at once. */
     public void close() {
         items.close();
+        scorings.close();
         orders.close();
         replies.close();
         server.close();
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayServer.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayServer.java
@@ -377,14 +377,13 @@
         Duration allowed = told.compareTo(route.timeout()) < 0 ? told : route.timeout();
         String query = context.req().getQueryString();
         String target = context.req().getRequestURI() + (query == null ? "" : "?" + query);
-        return new PlainRequest(
+        OutgoingRequest outgoing = new OutgoingRequest(
                 Optional.ofNullable(context.header(callers.requestIdHeader())).orElse(""),
                 context.req().getMethod(),
                 target,
                 headersOf(context),
-                body,
-                route,
-                arrived.plus(allowed));
+                body);
+        return new PlainRequest(outgoing, route, arrived.plus(allowed));
     }
 
     /**
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/JsonBatchCodec.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/JsonBatchCodec.java
@@ -1,5 +1,6 @@
 package io.yuccaswitch.node.gateway;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.yuccaswitch.core.batch.BatchCodec;
 import io.yuccaswitch.core.batch.BatchIndexEntry;
@@ -7,6 +8,7 @@
 import io.yuccaswitch.core.batch.BatchJob;
 import io.yuccaswitch.core.batch.BatchJobId;
 import io.yuccaswitch.core.batch.BatchResult;
+import io.yuccaswitch.core.batch.ScoringRequest;
 import io.yuccaswitch.core.identity.NodeName;
 import io.yuccaswitch.core.value.Bytes;
 import java.io.IOException;
@@ -43,7 +45,8 @@
                                 item.headers(),
                                 Base64.getEncoder().encodeToString(item.body().unsafeArray()),
                                 item.group(),
-                                item.expectedTokens()))
+                                item.expectedTokens(),
+                                item.scoring().map(JsonBatchCodec::document).orElse(null)))
                         .toList()));
     }
 
@@ -64,7 +67,8 @@
                                         item.headers(),
                                         Bytes.wrap(Base64.getDecoder().decode(item.body())),
                                         item.group(),
-                                        item.expectedTokens()))
+                                        item.expectedTokens(),
+                                        Optional.ofNullable(item.scoring()).map(JsonBatchCodec::scoringOf)))
                                 .toList()));
     }
 
@@ -92,10 +96,43 @@
     @Override
     public Optional<List<BatchResult>> readResults(Bytes value) {
         return read(value, ResultsDocument.class).map(document -> document.results().stream()
-                .map(result -> new BatchResult(result.item(), result.completed(), outputOf(result), result.versions()))
+                .map(result -> new BatchResult(
+                        result.item(),
+                        result.completed(),
+                        outputOf(result),
+                        result.versions(),
+                        Optional.ofNullable(result.score())))
                 .toList());
     }
 
+    /**
+     * Returns the document of a scoring request.
+     *
+     * @param request The request.
+     * @return The document.
+     */
+    private static ScoringDocument document(ScoringRequest request) {
+        return new ScoringDocument(
+                request.id(),
+                request.host(),
+                request.path(),
+                Base64.getEncoder().encodeToString(request.body().unsafeArray()));
+    }
+
+    /**
+     * Returns the scoring request in a document.
+     *
+     * @param document The document.
+     * @return The request.
+     */
+    private static ScoringRequest scoringOf(ScoringDocument document) {
+        return new ScoringRequest(
+                document.id(),
+                document.host(),
+                document.path(),
+                Bytes.wrap(Base64.getDecoder().decode(document.body())));
+    }
+
     /**
      * Returns the document of a result.
      *
@@ -110,7 +147,8 @@
                 result.completed(),
                 exact ? text : "",
                 exact ? "" : Base64.getEncoder().encodeToString(result.output().unsafeArray()),
-                result.versions());
+                result.versions(),
+                result.score().orElse(null));
     }
 
     /**
@@ -185,9 +223,26 @@
      * @param body The body in base64.
      * @param group The group.
      * @param expectedTokens The number of tokens that it is expected to make.
+     * @param scoring The request that scores its output, or {@code null}.
      */
     private record ItemDocument(
-            String id, String path, Map<String, String> headers, String body, String group, long expectedTokens) {}
+            String id,
+            String path,
+            Map<String, String> headers,
+            String body,
+            String group,
+            long expectedTokens,
+            @JsonInclude(JsonInclude.Include.NON_NULL) ScoringDocument scoring) {}
+
+    /**
+     * A scoring request.
+     *
+     * @param id The identifier.
+     * @param host The host.
+     * @param path The path.
+     * @param body The body in base64.
+     */
+    private record ScoringDocument(String id, String host, String path, String body) {}
 
     /**
      * An entry of the index.
@@ -214,6 +269,13 @@
      * @param text The output, if it is UTF-8.
      * @param bytes The output in base64, if it is not.
      * @param versions The versions.
+     * @param score The score, or {@code null}.
      */
-    private record ResultDocument(String item, boolean completed, String text, String bytes, List<Long> versions) {}
+    private record ResultDocument(
+            String item,
+            boolean completed,
+            String text,
+            String bytes,
+            List<Long> versions,
+            @JsonInclude(JsonInclude.Include.NON_NULL) String score) {}
 }
--- /dev/null
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/OutgoingRequest.java
@@ -0,0 +1,22 @@
+package io.yuccaswitch.node.gateway;
+
+import io.yuccaswitch.core.value.Bytes;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A request as endpoints get it, apart from the headers that address one of them.
+ *
+ * @param id The identifier, which answers echo, or an empty text if it has none.
+ * @param method The method.
+ * @param target The path with the query.
+ * @param headers The headers, in order.
+ * @param body The body.
+ */
+record OutgoingRequest(String id, String method, String target, List<Map.Entry<String, String>> headers, Bytes body) {
+
+    /** Copies the headers. */
+    OutgoingRequest {
+        headers = List.copyOf(headers);
+    }
+}
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/PlainRequestHandler.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/PlainRequestHandler.java
@@ -249,7 +249,8 @@
             plan.begin(name);
             MonotonicTime begun = DecisionLoop.now();
             EndpointAttempts.Times times = new EndpointAttempts.Times(plan.attemptTime(left), left);
-            EndpointAttempts.Opened opened = attempts.open(request, endpoint, times, relay.lastEventId(), watched);
+            EndpointAttempts.Opened opened =
+                    attempts.open(request.outgoing(), endpoint, times, relay.lastEventId(), watched::attach);
             AttemptResult result = opened.failure().orElseGet(() -> receive(opened));
             MonotonicTime now = DecisionLoop.now();
             synchronized (selection) {
--- a/yuccaswitch-soak/src/test/java/io/yuccaswitch/soak/SoakChecks.java
+++ b/yuccaswitch-soak/src/test/java/io/yuccaswitch/soak/SoakChecks.java
@@ -2,6 +2,7 @@
 
 import io.yuccaswitch.adapter.standin.CallerStandIn.Listed;
 import io.yuccaswitch.adapter.standin.CallerStandIn.Reply;
+import io.yuccaswitch.adapter.standin.EngineStandIn;
 import io.yuccaswitch.adapter.standin.EngineStandIn.Ordered;
 import io.yuccaswitch.adapter.standin.EngineStandIn.Seen;
 import io.yuccaswitch.soak.SoakHistory.Plain;
@@ -27,6 +28,9 @@
     /** The whole output of an item. */
     static final String OUTPUT = "e1\ne2\ne3\ne4\ne5";
 
+    /** What the identifiers of scoring requests begin with. The item's identifier follows. */
+    private static final String SCORING = "s-";
+
     private static final int OK = 200;
 
     private SoakChecks() {}
@@ -41,6 +45,8 @@
         found.addAll(changedPositions(history));
         found.addAll(wrongOutputs(history));
         found.addAll(wrongVersions(history));
+        found.addAll(wrongScores(history));
+        found.addAll(scoringOfNoOutput(history));
         found.addAll(refusedJobsThatRan(history));
         found.addAll(ordersOfTwoHolders(history));
         return found;
@@ -126,6 +132,25 @@
                 .toList();
     }
 
+    static List<String> wrongScores(SoakHistory history) {
+        return listed(history).stream()
+                .filter(Listed::completed)
+                .filter(listed -> !listed.score().equals(EngineStandIn.scoreOf(SCORING + listed.item())))
+                .map(listed -> "item " + listed.item() + " bears the score '" + listed.score() + "'")
+                .toList();
+    }
+
+    static List<String> scoringOfNoOutput(SoakHistory history) {
+        Map<String, Long> firstRuns =
+                history.allRuns().stream().collect(Collectors.toMap(Seen::id, Seen::nanoseconds, Math::min));
+        return history.allRuns().stream()
+                .filter(run -> run.id().startsWith(SCORING))
+                .filter(run -> firstRuns.getOrDefault(run.id().substring(SCORING.length()), Long.MAX_VALUE)
+                        >= run.nanoseconds())
+                .map(run -> "scoring request " + run.id() + " ran before its item did")
+                .toList();
+    }
+
     static List<String> refusedJobsThatRan(SoakHistory history) {
         Map<String, Boolean> open = new HashMap<>();
         history.submissions.forEach(
@@ -187,8 +212,10 @@
                 .collect(Collectors.toSet());
     }
 
+    /** Returns the job of an item, or of the item that a scoring request is for. */
     private static String jobOf(String item) {
-        int end = item.lastIndexOf('-');
-        return end < 0 ? item : item.substring(0, end);
+        String scored = item.startsWith(SCORING) ? item.substring(SCORING.length()) : item;
+        int end = scored.lastIndexOf('-');
+        return end < 0 ? scored : scored.substring(0, end);
     }
 }
--- a/yuccaswitch-soak/src/test/java/io/yuccaswitch/soak/SoakChecksTest.java
+++ b/yuccaswitch-soak/src/test/java/io/yuccaswitch/soak/SoakChecksTest.java
@@ -28,7 +28,7 @@
         history.submissions.add(new Submission("refused", 2, 1, refusal()));
         history.reads.add(read(0, listed("job-0", SoakChecks.OUTPUT, 1), listed("job-1", SoakChecks.OUTPUT, 1)));
         history.reads.add(read(1, listed("job-1", SoakChecks.OUTPUT, 1)));
-        history.runs.put("i-1", List.of(run("a", 1), run("job-0", 1), run("job-1", 1)));
+        history.runs.put("i-1", List.of(run("a", 1), run("job-0", 1), run("job-1", 1), scoring("job-0", 5)));
         history.orders.put("i-1", List.of(order(0, "n1", 1), order(2000, "n2", 2)));
     }
 
@@ -85,10 +85,24 @@
         assertThat(SoakChecks.wrongVersions(history)).hasSize(2);
     }
 
+    @Test
+    void theScoreOfAnotherRequestIsFound() {
+        history.reads.add(read(0, new Listed("job-0", true, SoakChecks.OUTPUT, List.of(1L), "score-s-job-1")));
+        assertThat(SoakChecks.wrongScores(history)).hasSize(1);
+    }
+
+    @Test
+    void aScoringRequestBeforeItsItemRanIsFound() {
+        history.runs.put("i-2", List.of(scoring("job-1", -5)));
+        assertThat(SoakChecks.scoringOfNoOutput(history)).hasSize(1);
+    }
+
     @Test
     void aRefusedJobThatRanIsFound() {
         history.runs.put("i-2", List.of(run("refused-0", 1)));
         assertThat(SoakChecks.refusedJobsThatRan(history)).hasSize(1);
+        history.runs.put("i-3", List.of(scoring("refused-0", 5)));
+        assertThat(SoakChecks.refusedJobsThatRan(history)).hasSize(2);
         history.submissions.add(new Submission("refused", 2, 1, Optional.empty()));
         assertThat(SoakChecks.refusedJobsThatRan(history))
                 .as("an attempt without an answer may have been accepted")
@@ -120,7 +134,11 @@
     }
 
     private static Listed listed(String item, String output, long version) {
-        return new Listed(item, true, output, List.of(version));
+        return new Listed(item, true, output, List.of(version), "score-s-" + item);
+    }
+
+    private static Seen scoring(String item, long nanoseconds) {
+        return new Seen("s-" + item, "/plain/score/x", "100", null, 1, nanoseconds);
     }
 
     private static Seen run(String id, long version) {
