Judge engines by their rate since the last reading

Cause: the rate was the mean since an attempt began, counted after 1.1 s, so an engine that turned slow under a long output was left after 2.4 s at best and 10 s at worst (141 events in 10,019 ms); a silent one after 2.2 s. Change: each reading (every 250 ms) counts what all attempts at an engine have made since the one before; two readings below 0.45 of the others' median make it slow, two good ones take it back; all its items move, as many as find a place; items that were broken off go on before fresh ones; a slow engine gets one item at a time. Tests: EngineRatesTest, BatchSystemTest (a long item leaves within half a second). The older test of moves expected one cancel, as only the read item moved; all items of the engine move now, up to the free places.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchRunSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchRunSystem.java
@@ -8,7 +8,9 @@
 import io.yuccaswitch.core.route.Route;
 import java.time.Duration;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 /** Runs the items of jobs at engines, and takes what becomes of the attempts. */
@@ -23,8 +25,12 @@
     /** How long a slow engine gets no item, before it is tried again. */
     private static final Duration SLOW_PAUSE = Duration.ofSeconds(3);
 
-    /** How long an answer must have lasted before its rate counts; the loading of a version may stop it for a while. */
-    private static final Duration MEASURED_TIME = Duration.ofMillis(1100);
+    /**
+     * The order of waiting items: those that were broken off go on first. They were begun early because they are long,
+     * and their groups wait for what they have lost.
+     */
+    private static final Comparator<RunningItem> BEGUN_FIRST =
+            Comparator.comparing(item -> item.text().isEmpty());
 
     /** The tables of the batch system. */
     private final BatchState state;
@@ -64,11 +70,9 @@
             return;
         }
         List<RegisteredEndpoint> engines = engines(tick, job, route.get());
-        for (RunningItem item : job.items()) {
-            if (item.isWaiting()) {
-                choose(job, item, engines).ifPresent(engine -> start(tick, job, item, engine, route.get()));
-            }
-        }
+        job.items().stream().filter(RunningItem::isWaiting).sorted(BEGUN_FIRST).forEach(item -> choose(
+                        job, item, engines)
+                .ifPresent(engine -> start(tick, job, item, engine, route.get())));
     }
 
     /**
@@ -108,18 +112,22 @@
                 .filter(engine -> state.loads().running(engine.name()) < engine.slots())
                 .filter(engine ->
                         !state.loads().isOnTrial(engine.name(), job.job().model()))
+                .filter(engine ->
+                        !state.rates().isSlow(engine.name()) || state.loads().running(engine.name()) == 0)
                 .toList();
         Optional<EndpointName> last = job.lastEngine(item.item().group());
         Optional<RegisteredEndpoint> same = free.stream()
                 .filter(engine -> last.filter(engine.name()::equals).isPresent())
+                .filter(engine -> !state.rates().isSlow(engine.name()))
                 .findFirst();
         if (same.isPresent() && item.text().isEmpty()) {
             return same;
         }
         String model = job.job().model();
         return free.stream()
-                .min(Comparator.comparingLong((RegisteredEndpoint engine) ->
-                                -engine.version(model).orElse(0))
+                .min(Comparator.comparing(
+                                (RegisteredEndpoint engine) -> state.rates().isSlow(engine.name()))
+                        .thenComparingLong(engine -> -engine.version(model).orElse(0))
                         .thenComparingDouble(
                                 engine -> (double) state.loads().running(engine.name()) / Math.max(1, engine.slots())));
     }
@@ -209,21 +217,40 @@
     }
 
     /**
-     * Takes the progress of attempts, and lets the items of an engine that has turned slow go on at another one.
+     * Takes the progress of attempts, and lets the items of an engine that has turned slow go on at others.
      *
      * @param tick The tick.
      * @param progressed The progress.
      */
     private void takeProgress(Tick tick, BatchEvent.Progressed progressed) {
+        Map<EndpointName, EngineRates.Reading> readings = new HashMap<>();
         for (BatchEvent.Progress progress : progressed.attempts()) {
-            if (progress.since().compareTo(MEASURED_TIME) >= 0) {
-                current(progress).flatMap(RunningItem::endpoint).ifPresent(engine -> state.rates()
-                        .measure(engine, perSecond(progress), tick.now()));
-            }
+            current(progress)
+                    .ifPresent(item -> readings.merge(
+                            item.endpoint().orElseThrow(),
+                            item.read(progress.events(), progress.since()),
+                            EngineRates.Reading::join));
         }
-        for (BatchEvent.Progress progress : progressed.attempts()) {
-            current(progress).ifPresent(item -> moveIfSlow(tick, progress, item));
+        readings.forEach((engine, reading) -> state.rates().read(engine, reading, tick.now()));
+        readings.keySet().forEach(engine -> judge(tick, engine));
+        if (readings.keySet().stream().anyMatch(state.rates()::isSlow)) {
+            state.running().rows().forEach(job -> leaveSlowEngines(tick, job));
+        }
+    }
+
+    /**
+     * Judges whether an engine is slow, after it was read.
+     *
+     * @param tick The tick.
+     * @param engine The engine.
+     */
+    private void judge(Tick tick, EndpointName engine) {
+        EngineRates.Verdict verdict = state.rates().judge(engine);
+        if (verdict == EngineRates.Verdict.UNCHANGED) {
+            return;
         }
+        String reason = state.rates().describe(engine);
+        tick.decide(Decision.of("engine-rate", engine.value(), verdict.name(), reason));
     }
 
     /**
@@ -240,42 +267,51 @@
     }
 
     /**
-     * Returns the rate of an attempt.
+     * Breaks off attempts of a job at slow engines, as many as find a place at others, where they go on behind their
+     * events.
      *
-     * @param progress The attempt's progress.
-     * @return The events a second.
+     * @param tick The tick.
+     * @param job The job.
      */
-    private static double perSecond(BatchEvent.Progress progress) {
-        return progress.events() / Math.max(1e-3, progress.since().toNanos() / 1e9);
+    private void leaveSlowEngines(Tick tick, RunningJob job) {
+        Optional<Route> route = state.route(job.job());
+        if (route.isEmpty()) {
+            return;
+        }
+        List<RunningItem> leaving = job.items().stream()
+                .filter(item -> item.endpoint().filter(state.rates()::isSlow).isPresent())
+                .toList();
+        long places = engines(tick, job, route.get()).stream()
+                .filter(engine -> !state.rates().isSlow(engine.name()))
+                .mapToLong(engine -> Math.max(0, engine.slots() - state.loads().running(engine.name())))
+                .sum();
+        long moving = state.running().view().stream()
+                .flatMap(other -> other.items().stream())
+                .filter(RunningItem::isMoving)
+                .count();
+        leaving.stream()
+                .filter(item -> !item.isMoving())
+                .limit(Math.max(0, places - moving))
+                .forEach(item -> move(tick, job, item));
     }
 
     /**
-     * Breaks an attempt off whose engine is much slower than the others, such that the item goes on elsewhere.
+     * Breaks an attempt at a slow engine off, such that the item goes on elsewhere.
      *
      * @param tick The tick.
-     * @param progress The attempt's progress.
+     * @param job The job.
      * @param item The item.
      */
-    private void moveIfSlow(Tick tick, BatchEvent.Progress progress, RunningItem item) {
+    private void move(Tick tick, RunningJob job, RunningItem item) {
         EndpointName engine = item.endpoint().orElseThrow();
-        if (!state.rates().isSlow(engine, tick.now())) {
-            return;
-        }
-        RunningJob job = state.running().find(progress.id()).orElseThrow();
+        item.move();
         state.loads().pause(engine, job.job().model(), tick.now(), SLOW_PAUSE);
-        boolean elsewhere = state.route(job.job())
-                .map(route -> engines(tick, job, route))
-                .filter(engines -> choose(job, item, engines).isPresent())
-                .isPresent();
-        if (elsewhere && item.move()) {
-            tick.emit(new BatchEffect.Cancel(progress.id(), progress.item(), progress.attempt()));
-            tick.decide(Decision.of(
-                    "batch-item",
-                    progress.item(),
-                    "move",
-                    engine.value() + " is slow: " + progress.events() + " events in "
-                            + progress.since().toMillis() + " ms"));
-        }
+        tick.emit(new BatchEffect.Cancel(job.job().id(), item.item().id(), item.attempt()));
+        tick.decide(Decision.of(
+                "batch-item",
+                item.item().id(),
+                "move",
+                engine.value() + " is slow: " + state.rates().describe(engine)));
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningItem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningItem.java
@@ -2,6 +2,7 @@
 
 import io.yuccaswitch.core.identity.EndpointName;
 import io.yuccaswitch.core.time.MonotonicTime;
+import java.time.Duration;
 import java.util.Optional;
 
 /** An item of a job that this node runs, until its result is listed. */
@@ -22,6 +23,12 @@
     /** Whether the attempt in progress is being broken off, to go on at another engine. */
     private boolean moving;
 
+    /** The number of events of the attempt in progress at the last reading. */
+    private long eventsRead;
+
+    /** How long the answer of the attempt in progress had lasted at the last reading. */
+    private Duration timeRead = Duration.ZERO;
+
     /** The events so far. */
     private ItemText text = ItemText.EMPTY;
 
@@ -67,6 +74,8 @@
     int begin(EndpointName chosen) {
         endpoint = Optional.of(chosen);
         moving = false;
+        eventsRead = 0;
+        timeRead = Duration.ZERO;
         attempts++;
         return attempts;
     }
@@ -101,15 +110,32 @@
         return attempts;
     }
 
+    /** Notes that the attempt in progress is being broken off, to go on at another engine. */
+    void move() {
+        moving = true;
+    }
+
+    /**
+     * Returns whether the attempt in progress is being broken off, to go on at another engine.
+     *
+     * @return {@code true} if it is.
+     */
+    boolean isMoving() {
+        return moving && endpoint.isPresent();
+    }
+
     /**
-     * Notes that the attempt in progress is being broken off, to go on at another engine.
+     * Takes how far the attempt in progress is.
      *
-     * @return {@code false} if it was before.
+     * @param events The number of its events.
+     * @param since How long its answer has lasted.
+     * @return What it has made since the last reading.
      */
-    boolean move() {
-        boolean first = !moving;
-        moving = true;
-        return first;
+    EngineRates.Reading read(long events, Duration since) {
+        EngineRates.Reading reading = EngineRates.Reading.of(events - eventsRead, since.minus(timeRead));
+        eventsRead = events;
+        timeRead = since;
+        return reading;
     }
 
     /**
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSystemTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSystemTest.java
@@ -454,7 +454,10 @@
         node.accept(new BatchEvent.Progressed(List.of(progress(fast, 40), progress(slow, 9))));
         site.run(50);
         assertThat(site.cancelled)
-                .containsExactly(new BatchEffect.Cancel(slow.id(), slow.item().id(), slow.attempt()));
+                .as("all items of the engine leave it, as many as find a place at the other one")
+                .containsExactly(
+                        new BatchEffect.Cancel(slow.id(), slow.item().id(), slow.attempt()),
+                        new BatchEffect.Cancel(slow.id(), "job-0", 1));
         node.accept(
                 BatchSite.ended(slow, new AttemptOutcome.Interrupted("cancelled", false), BatchSite.text(slow, 2, 1)));
         site.run(100);
@@ -464,6 +467,28 @@
         assertThat(moved.endpoint()).isEqualTo(fast.endpoint());
     }
 
+    @Test
+    void anItemThatRanLongAtFullSpeedLeavesAnEngineThatTurnsSlowWithinHalfASecond() {
+        TestNode node = site.node("node-1");
+        site.run(100);
+        site.engines(_run -> Optional.empty());
+        site.submit(node, BatchSite.job("job", 2));
+        site.run(100);
+        BatchEffect.Run slow = site.started.get(0);
+        BatchEffect.Run fast = onTheOtherEngine(node);
+        node.accept(new BatchEvent.Progressed(List.of(progress(fast, 200, 8000), progress(slow, 200, 8000))));
+        site.run(20);
+        node.accept(new BatchEvent.Progressed(List.of(progress(fast, 206, 8250), progress(slow, 202, 8250))));
+        site.run(20);
+        assertThat(site.cancelled).as("one reading is no evidence").isEmpty();
+        node.accept(new BatchEvent.Progressed(List.of(progress(fast, 212, 8500), progress(slow, 204, 8500))));
+        site.run(20);
+        assertThat(site.cancelled)
+                .containsExactly(
+                        new BatchEffect.Cancel(slow.id(), slow.item().id(), slow.attempt()),
+                        new BatchEffect.Cancel(slow.id(), "job-0", 1));
+    }
+
     @Test
     void anEngineThatIsLittleSlowerKeepsItsItems() {
         TestNode node = site.node("node-1");
@@ -488,7 +513,11 @@
     }
 
     private static BatchEvent.Progress progress(BatchEffect.Run run, long events) {
-        return new BatchEvent.Progress(run.id(), run.item().id(), run.attempt(), events, Duration.ofMillis(1500));
+        return progress(run, events, 1500);
+    }
+
+    private static BatchEvent.Progress progress(BatchEffect.Run run, long events, int millis) {
+        return new BatchEvent.Progress(run.id(), run.item().id(), run.attempt(), events, Duration.ofMillis(millis));
     }
 
     private static boolean readsIndex(PlatformEffect call) {
--- /dev/null
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/EngineRatesTest.java
@@ -0,0 +1,94 @@
+package io.yuccaswitch.core.batch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.yuccaswitch.core.batch.EngineRates.Reading;
+import io.yuccaswitch.core.batch.EngineRates.Verdict;
+import io.yuccaswitch.core.identity.EndpointName;
+import io.yuccaswitch.core.time.MonotonicTime;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** How slow engines are told from the others by readings each quarter of a second. */
+final class EngineRatesTest {
+
+    private static final Duration INTERVAL = Duration.ofMillis(250);
+
+    private final EngineRates rates = new EngineRates();
+    private final List<EndpointName> engines =
+            List.of(name("engine-1"), name("engine-2"), name("engine-3"), name("engine-4"));
+    private MonotonicTime now = new MonotonicTime(0);
+
+    @Test
+    void anEngineThatTurnsSlowAfterSecondsIsToldWithinThreeReadings() {
+        for (int i = 0; i < 40; i++) {
+            assertThat(readAll(6)).isEqualTo(Verdict.UNCHANGED);
+        }
+        readAll(2);
+        readAll(2);
+        assertThat(rates.isSlow(engines.get(0)) || readAll(2) == Verdict.TURNED_SLOW)
+                .isTrue();
+    }
+
+    @Test
+    void anEngineThatStopsIsToldLikeASlowOne() {
+        readAll(6);
+        readAll(0);
+        readAll(0);
+        assertThat(rates.isSlow(engines.get(0))).isTrue();
+    }
+
+    @Test
+    void oneBadReadingIsNotBelieved() {
+        readAll(6);
+        assertThat(readAll(1)).isEqualTo(Verdict.UNCHANGED);
+        assertThat(readAll(6)).isEqualTo(Verdict.UNCHANGED);
+        assertThat(readAll(1)).isEqualTo(Verdict.UNCHANGED);
+        assertThat(rates.isSlow(engines.get(0))).isFalse();
+    }
+
+    @Test
+    void anEngineThatIsAQuarterSlowerIsNotSlow() {
+        for (int i = 0; i < 20; i++) {
+            assertThat(readAll(4.5)).isEqualTo(Verdict.UNCHANGED);
+        }
+    }
+
+    @Test
+    void anEngineThatRecoversIsTakenBackAfterTwoReadings() {
+        readAll(6);
+        readAll(1);
+        readAll(1);
+        assertThat(readAll(6)).isEqualTo(Verdict.UNCHANGED);
+        assertThat(readAll(6)).isEqualTo(Verdict.RECOVERED);
+        assertThat(rates.isSlow(engines.get(0))).isFalse();
+    }
+
+    @Test
+    void aReadingOfLongDurationIsEvidenceEnough() {
+        rates.read(engines.get(1), Reading.of(40, Duration.ofMillis(1500)), now);
+        rates.read(engines.get(0), Reading.of(9, Duration.ofMillis(1500)), now);
+        assertThat(rates.judge(engines.get(0))).isEqualTo(Verdict.TURNED_SLOW);
+    }
+
+    @Test
+    void anEngineWithoutOthersIsNeverSlow() {
+        rates.read(engines.get(0), Reading.of(0, Duration.ofSeconds(5)), now);
+        assertThat(rates.judge(engines.get(0))).isEqualTo(Verdict.UNCHANGED);
+    }
+
+    /** Reads all engines: the first makes as many events as given, the others six. */
+    private Verdict readAll(double first) {
+        now = now.plus(INTERVAL);
+        for (EndpointName engine : engines) {
+            double events = engine.equals(engines.get(0)) ? first : 6;
+            rates.read(engine, new Reading(events, INTERVAL.toNanos() / 1e9, INTERVAL), now);
+        }
+        return rates.judge(engines.get(0));
+    }
+
+    private static EndpointName name(String engine) {
+        return new EndpointName(BatchSite.POOL, engine);
+    }
+}
