Let engines that do not answer hold no loads of others back

Cause: an engine that did not answer its report kept its place among those that load at once (two of eight); with two dark engines no other engine was brought to a version for 2.8 s, and a step waited 2.35 s for its first item (median over its items). Change: such an engine counts no more and is asked again beside the others. Test: enginesThatDoNotAnswerHoldNoLoadsOfOthersBack, red before.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/EngineOrderRow.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/EngineOrderRow.java
@@ -34,12 +34,34 @@
         return new EngineOrderRow(engine, model, version, next, now.plus(time), givenUpAt);
     }
 
+    /**
+     * Returns whether the engine may load, such that it counts towards those that load at once.
+     *
+     * @return {@code false} for an engine that does not answer.
+     */
+    boolean mayLoad() {
+        return stage != Stage.UNREACHABLE && stage != Stage.PROBING;
+    }
+
+    /**
+     * Returns whether the engine was asked for its report.
+     *
+     * @return {@code true} if it was, and has not answered yet.
+     */
+    boolean awaitsReport() {
+        return stage == Stage.READING || stage == Stage.PROBING;
+    }
+
     /** What is in progress at an engine. */
     enum Stage {
         /** The engine's report was asked for. */
         READING,
         /** The next report is asked for at the due time. */
         WAITING,
+        /** The engine did not answer. It is asked again at the due time. */
+        UNREACHABLE,
+        /** The engine, which did not answer before, was asked for its report again. */
+        PROBING,
         /** The order was sent. */
         ORDERING,
         /** The engine loads the version. */
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/VersionOrderSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/VersionOrderSystem.java
@@ -129,10 +129,8 @@
         List<RegisteredEndpoint> engines = registry.working(pool);
         EngineAssignment assignment = assignments.computeIfAbsent(pool, _pool -> new EngineAssignment());
         assignment.adapt(engines, served, versions.named());
-        long allowed = Math.max(1, Math.round(engines.size() * LOADING_SHARE));
-        long active = rows.view().stream()
-                .filter(row -> row.engine().pool().equals(pool))
-                .count();
+        long allowed = allowed(pool);
+        long active = active(pool);
         engines.stream()
                 .filter(engine -> !rows.contains(engine.name()))
                 .flatMap(engine -> lagging(engine, assignment).stream())
@@ -142,6 +140,30 @@
                 .forEach(target -> read(tick, target));
     }
 
+    /**
+     * Returns how many engines of a pool may load at once.
+     *
+     * @param pool The pool.
+     * @return The number.
+     */
+    private long allowed(PoolName pool) {
+        return Math.max(1, Math.round(registry.working(pool).size() * LOADING_SHARE));
+    }
+
+    /**
+     * Returns how many engines of a pool load or are about to. Those that do not answer don't count: two of them would
+     * hold back the loads of all others.
+     *
+     * @param pool The pool.
+     * @return The number.
+     */
+    private long active(PoolName pool) {
+        return rows.view().stream()
+                .filter(EngineOrderRow::mayLoad)
+                .filter(row -> row.engine().pool().equals(pool))
+                .count();
+    }
+
     /**
      * Finds out to which version an engine is to be brought.
      *
@@ -194,7 +216,8 @@
         if (tick.now().isBefore(row.dueAt())) {
             return;
         }
-        rows.put(name, row.withStage(EngineOrderRow.Stage.READING, tick.now(), REPORT_TIME));
+        EngineOrderRow.Stage next = row.mayLoad() ? EngineOrderRow.Stage.READING : EngineOrderRow.Stage.PROBING;
+        rows.put(name, row.withStage(next, tick.now(), REPORT_TIME));
         tick.emit(new OrderEffect.ReadReport(row.engine()));
     }
 
@@ -207,17 +230,20 @@
     private void takeReport(Tick tick, OrderEvent.ReportRead read) {
         read.report().ifPresent(report -> report.versions()
                 .forEach((model, version) -> registry.noteVersion(tick, read.engine(), model, version)));
-        Optional<EngineOrderRow> row =
-                rows.find(read.engine()).filter(found -> found.stage() == EngineOrderRow.Stage.READING);
+        Optional<EngineOrderRow> row = rows.find(read.engine()).filter(EngineOrderRow::awaitsReport);
         if (row.isEmpty()) {
             return;
         }
         if (read.report().isEmpty()) {
-            rows.put(read.engine(), row.get().withStage(EngineOrderRow.Stage.WAITING, tick.now(), FAILURE_PAUSE));
+            rows.put(read.engine(), row.get().withStage(EngineOrderRow.Stage.UNREACHABLE, tick.now(), FAILURE_PAUSE));
             return;
         }
         EngineReport report = read.report().get();
-        if (report.versions().getOrDefault(row.get().model(), 0L) >= row.get().version()) {
+        PoolName pool = read.engine().pool();
+        boolean there = report.versions().getOrDefault(row.get().model(), 0L)
+                >= row.get().version();
+        boolean mustWait = !row.get().mayLoad() && active(pool) >= allowed(pool);
+        if (there || mustWait) {
             rows.remove(read.engine());
             return;
         }
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/modelversion/VersionSystemsTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/modelversion/VersionSystemsTest.java
@@ -88,6 +88,33 @@
         assertThat(orders).hasSize(6);
     }
 
+    @Test
+    void enginesThatDoNotAnswerHoldNoLoadsOfOthersBack() {
+        start("node-1");
+        run(500);
+        engines.get("engine-1").dark = true;
+        engines.get("engine-2").dark = true;
+        name("model-a", 2);
+        name("model-b", 2);
+        run(3500);
+        assertThat(orders)
+                .as("two at a time, each within a second and a report")
+                .hasSize(4);
+    }
+
+    @Test
+    void anEngineThatAnswersAgainIsBroughtToTheVersion() {
+        start("node-1");
+        run(500);
+        engines.get("engine-1").dark = true;
+        name("model-a", 2);
+        name("model-b", 2);
+        run(5000);
+        engines.get("engine-1").dark = false;
+        run(3000);
+        assertThat(orders).hasSize(6).anyMatch(order -> order.engine().equals("engine-1"));
+    }
+
     @Test
     void eachOrderNamesTheNumberOfOrdersThatTheEngineHasAccepted() {
         start("node-1");
@@ -289,7 +316,8 @@
         for (TestNode node : List.copyOf(nodes)) {
             for (OrderEffect.ReadReport read : node.take(OrderEffect.ReadReport.class)) {
                 PlayedEngine engine = engines.get(read.engine().name().value());
-                node.accept(new OrderEvent.ReportRead(read.engine().name(), Optional.of(engine.report())));
+                node.accept(new OrderEvent.ReportRead(
+                        read.engine().name(), engine.dark ? Optional.empty() : Optional.of(engine.report())));
             }
             for (OrderEffect.LoadVersion order : node.take(OrderEffect.LoadVersion.class)) {
                 take(node, order, now);
@@ -344,6 +372,7 @@
         private static final long LOAD_NANOS = Duration.ofMillis(900).toNanos();
 
         private final Map<String, Long> versions = new HashMap<>(Map.of("model-a", 1L, "model-b", 1L));
+        private boolean dark;
         private long accepted;
         private long loadingUntil;
         private String model = "";
