List a group as soon as it is whole

Change: the pause is 60 ms when a group is whole with the results, none when the job is. Test: aGroupThatBecomesWholeIsListedWithoutTheLongPauseAfterTheLastResults.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchCommitSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchCommitSystem.java
@@ -27,8 +27,14 @@
     /** The pause between two objects of one job. Each has a price, and a trainer reads about twice a second. */
     private static final Duration INTERVAL = Duration.ofMillis(300);
 
-    /** The wait after a call that failed. */
-    private static final Duration FAILURE_WAIT = Duration.ofMillis(200);
+    /**
+     * The pause before an object that makes a group whole. Trainers wait for whole groups, and the last ones of a step
+     * come one by one: the longer pause would hold each of them back by up to 300 ms, and make a trainer miss a read.
+     */
+    private static final Duration WHOLE_GROUP_INTERVAL = Duration.ofMillis(60);
+
+    /** The wait after a call that failed, on top of the pause between two objects. */
+    private static final Duration FAILURE_WAIT = Duration.ofMillis(140);
 
     /** The largest size of the outputs in one object, in bytes. Encoded, they stay well below a megabyte. */
     private static final long OBJECT_BYTES = 300_000;
@@ -59,12 +65,22 @@
         takeRelayed(tick);
         for (RunningJob job : state.running().rows()) {
             List<BatchResult> pending = job.pending();
-            if (!pending.isEmpty() && job.mayCommit(tick.now())) {
+            if (!pending.isEmpty() && job.mayCommit(tick.now(), pause(job))) {
                 commit(tick, job, firstOf(pending));
             }
         }
     }
 
+    /**
+     * Returns the pause before the next results of a job.
+     *
+     * @param job The job.
+     * @return The pause, which is short if a group is whole with them.
+     */
+    private static Duration pause(RunningJob job) {
+        return job.isFinished() ? Duration.ZERO : job.hasWholeGroupPending() ? WHOLE_GROUP_INTERVAL : INTERVAL;
+    }
+
     /**
      * Sends results to the platform.
      *
@@ -218,7 +234,7 @@
                 "object " + commit.number() + " with " + results.size() + " results, "
                         + commit.log().size() + " in all"));
         state.drop(tick, id, results);
-        commit.job().endCommit(tick.now().plus(commit.job().isFinished() ? Duration.ZERO : INTERVAL));
+        commit.job().endCommit(tick.now());
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningJob.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningJob.java
@@ -2,13 +2,16 @@
 
 import io.yuccaswitch.core.identity.EndpointName;
 import io.yuccaswitch.core.time.MonotonicTime;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /** A job that this node runs. */
 final class RunningJob {
@@ -28,7 +31,7 @@
     /** Whether results are on their way to the platform. */
     private boolean committing;
 
-    /** When the next results may be sent to the platform. */
+    /** When the platform last answered on results, or when the next may be sent after a failure. */
     private MonotonicTime commitAt;
 
     /**
@@ -100,6 +103,21 @@
         return pending;
     }
 
+    /**
+     * Returns whether a group has become whole with results that are not listed. Whoever reads a job uses whole groups.
+     *
+     * @return {@code true} if all items of such a group have results.
+     */
+    boolean hasWholeGroupPending() {
+        Set<String> open = new HashSet<>();
+        Set<String> pending = new HashSet<>();
+        for (RunningItem item : items.values()) {
+            (item.result().isPresent() ? pending : open).add(item.item().group());
+        }
+        pending.removeAll(open);
+        return !pending.isEmpty();
+    }
+
     /**
      * Returns whether all items have results.
      *
@@ -152,10 +170,11 @@
      * Returns whether results may be sent to the platform.
      *
      * @param now The present.
+     * @param pause The pause after the last results.
      * @return {@code true} if none are on their way and the pause has passed.
      */
-    boolean mayCommit(MonotonicTime now) {
-        return !committing && !now.isBefore(commitAt);
+    boolean mayCommit(MonotonicTime now, Duration pause) {
+        return !committing && !now.isBefore(commitAt.plus(pause));
     }
 
     /** Notes that results are on their way. */
@@ -166,10 +185,10 @@
     /**
      * Notes that the platform answered, or that no answer will come.
      *
-     * @param next When the next results may be sent.
+     * @param at From when on the pause before the next results counts.
      */
-    void endCommit(MonotonicTime next) {
+    void endCommit(MonotonicTime at) {
         committing = false;
-        commitAt = next;
+        commitAt = at;
     }
 }
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSystemTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSystemTest.java
@@ -103,6 +103,23 @@
         assertThat(site.answer(other)).contains(new BatchAnswer.Mismatch());
     }
 
+    @Test
+    void aGroupThatBecomesWholeIsListedWithoutTheLongPauseAfterTheLastResults() {
+        TestNode node = site.node("node-1");
+        site.run(100);
+        site.engines(run -> run.item().group().equals("g0") ? Optional.empty() : Optional.of(BatchSite.whole(run, 1)));
+        site.submit(node, BatchSite.job("job", 4));
+        site.run(160);
+        int before = writes("job");
+        assertThat(site.listed("job")).containsExactlyInAnyOrder("job-2", "job-3");
+        site.started.stream()
+                .filter(run -> run.item().group().equals("g0"))
+                .forEach(run -> node.accept(BatchSite.whole(run, 1)));
+        site.run(120);
+        assertThat(writes("job")).isGreaterThan(before);
+        assertThat(site.listed("job")).hasSize(4);
+    }
+
     @Test
     void noResultIsShownBeforeThePlatformKeepsIt() {
         TestNode node = site.node("node-1");
@@ -503,6 +520,13 @@
         assertThat(site.cancelled).isEmpty();
     }
 
+    private int writes(String job) {
+        return site.site
+                .platform()
+                .all(BatchObjects.results(new BatchJobId(job)))
+                .size();
+    }
+
     private BatchEffect.Run onTheOtherEngine(TestNode node) {
         site.submit(node, BatchSite.job("other", 4));
         site.run(100);
