Replace connections to peers that have gone silent for good

Cause: a connection that falls silent without a reset shows no error to its writer; messages were lost until the kernel gave up (minutes), while new connections worked (open finding, known by reading). Peers of older releases, which answer none, are left alone. Test: aConnectionThatGoesSilentForGoodIsReplacedWithinSeconds fails without it (10 s without a message); a connection without traffic is kept.

--- a/yuccaswitch-protocol/src/main/java/io/yuccaswitch/protocol/Frame.java
+++ b/yuccaswitch-protocol/src/main/java/io/yuccaswitch/protocol/Frame.java
@@ -15,6 +15,9 @@
     /** The version of the protocol that this release speaks. */
     static final byte VERSION = 1;
 
+    /** The type number of a keep-alive, which bears no message, and is answered by the same frame. */
+    static final int KEEP_ALIVE = 0xFFFE;
+
     /** The number of bytes of the length field. */
     static final int LENGTH_SIZE = Integer.BYTES;
 
@@ -41,6 +44,15 @@
         return Bytes.wrap(frame);
     }
 
+    /**
+     * Encodes a keep-alive.
+     *
+     * @return The bytes of the frame.
+     */
+    static ByteBuffer keepAlive() {
+        return ByteBuffer.wrap(encode(KEEP_ALIVE, new byte[0]).unsafeArray());
+    }
+
     /**
      * Decodes what follows the length of a frame.
      *
--- a/yuccaswitch-protocol/src/main/java/io/yuccaswitch/protocol/IncomingPeer.java
+++ b/yuccaswitch-protocol/src/main/java/io/yuccaswitch/protocol/IncomingPeer.java
@@ -143,8 +143,15 @@
      * @param frame The frame.
      * @param from The peer.
      * @return How the peer broke the protocol, or empty if it did not.
+     * @throws IOException If the channel failed.
      */
-    private Optional<FrameViolation> message(Frame frame, NodeIdentity from) {
+    private Optional<FrameViolation> message(Frame frame, NodeIdentity from) throws IOException {
+        if (frame.type() == Frame.KEEP_ALIVE) {
+            if (!channel.write(Frame.keepAlive())) {
+                throw new IOException("The peer takes no keep-alive");
+            }
+            return Optional.empty();
+        }
         if (!context.codec().knows(frame)) {
             context.metrics().unknownType();
             return Optional.empty();
--- a/yuccaswitch-protocol/src/main/java/io/yuccaswitch/protocol/OutgoingPeer.java
+++ b/yuccaswitch-protocol/src/main/java/io/yuccaswitch/protocol/OutgoingPeer.java
@@ -15,6 +15,12 @@
  */
 final class OutgoingPeer implements ChannelHandler {
 
+    /**
+     * How long a keep-alive may stay without its answer. A connection that has gone silent for good shows no error, and
+     * what is written to it is lost; with this it is replaced within about 1.5 s, before a peer is taken to be gone.
+     */
+    private static final Duration SILENCE_TIMEOUT = Duration.ofSeconds(1);
+
     /** What all connections share. */
     private final TransportContext context;
 
@@ -45,6 +51,15 @@
     /** The monotonic time in nanoseconds at which bytes were last written, or there was last nothing to write. */
     private long lastProgress;
 
+    /** The monotonic time in nanoseconds at which the keep-alive was sent whose answer is awaited, if any. */
+    private Optional<Long> askedAt = Optional.empty();
+
+    /** Whether the peer has answered a keep-alive on this connection, which older releases do not. */
+    private boolean answersKeepAlives;
+
+    /** Whether a message was written since the last keep-alive. */
+    private boolean written;
+
     /** The time to wait after the next failed attempt. */
     private Duration backOff;
 
@@ -145,11 +160,41 @@
                 && !pending
                 && now - lastProgress > settings.idleTimeout().toNanos()) {
             disconnect("idle", now);
+        } else if (state == State.OPEN && isSilent(now)) {
+            failed("silent", now);
+        } else if (state == State.OPEN && !pending && written && askedAt.isEmpty()) {
+            attempt(() -> keepAlive(channel.get(), now), now);
         }
         boolean waited = now - stateSince > settings.idleTimeout().toNanos();
         return channel.isEmpty() && queue.isEmpty() && (state == State.IDLE || waited);
     }
 
+    /**
+     * Returns whether the peer has left a keep-alive without an answer for too long.
+     *
+     * @param now The monotonic time in nanoseconds.
+     * @return {@code true} if it has, and answers them otherwise.
+     */
+    private boolean isSilent(long now) {
+        return answersKeepAlives
+                && askedAt.filter(at -> now - at > SILENCE_TIMEOUT.toNanos()).isPresent();
+    }
+
+    /**
+     * Asks the peer to show that the connection works.
+     *
+     * @param connected The channel.
+     * @param now The monotonic time in nanoseconds.
+     * @throws IOException If the channel failed.
+     */
+    private void keepAlive(PeerChannel connected, long now) throws IOException {
+        askedAt = Optional.of(now);
+        written = false;
+        if (!connected.write(Frame.keepAlive())) {
+            throw new IOException("The peer takes no keep-alive");
+        }
+    }
+
     /**
      * Closes the connection, such that the next message makes a new one.
      *
@@ -201,7 +246,7 @@
     }
 
     /**
-     * Reads the peer's greeting, which is all that a peer may send on this connection.
+     * Reads the peer's greeting and its answers to keep-alives, which are all that it may send on this connection.
      *
      * @param connected The channel.
      * @param now The monotonic time in nanoseconds.
@@ -214,7 +259,7 @@
         Optional<Frame> frame = connected.decoder().next();
         Optional<FrameViolation> violation = connected.decoder().violation();
         if (frame.isPresent() && violation.isEmpty()) {
-            violation = state == State.GREETING ? welcome(frame.get(), now) : Optional.of(FrameViolation.MALFORMED);
+            violation = state == State.GREETING ? welcome(frame.get(), now) : answer(frame.get());
         }
         if (violation.isPresent()) {
             context.cutOff(violation.get(), address);
@@ -225,6 +270,21 @@
         }
     }
 
+    /**
+     * Takes the answer to a keep-alive.
+     *
+     * @param frame A frame behind the peer's greeting.
+     * @return How the peer broke the protocol, or empty if it did not.
+     */
+    private Optional<FrameViolation> answer(Frame frame) {
+        if (frame.type() != Frame.KEEP_ALIVE) {
+            return Optional.of(FrameViolation.MALFORMED);
+        }
+        askedAt = Optional.empty();
+        answersKeepAlives = true;
+        return Optional.empty();
+    }
+
     /**
      * Checks the peer's greeting.
      *
@@ -263,6 +323,7 @@
                 return;
             }
             context.metrics().messageOut();
+            written = true;
             current = Optional.empty();
         }
         connected.interest(SelectionKey.OP_READ);
@@ -317,6 +378,9 @@
      */
     private void enter(State entered, long now) {
         state = entered;
+        askedAt = Optional.empty();
+        answersKeepAlives = false;
+        written = true;
         stateSince = now;
         lastProgress = now;
     }
--- a/yuccaswitch-protocol/src/test/java/io/yuccaswitch/protocol/PeerTransportTest.java
+++ b/yuccaswitch-protocol/src/test/java/io/yuccaswitch/protocol/PeerTransportTest.java
@@ -100,6 +100,39 @@
         assertThat(b.received).isEmpty();
     }
 
+    @Test
+    void aConnectionThatGoesSilentForGoodIsReplacedWithinSeconds() throws IOException {
+        Node a = node("a", 1);
+        Node b = node("b", 1);
+        try (SilencingRelay relay = new SilencingRelay(b.transport.localAddress())) {
+            addresses.put(new NodeName("b"), relay.address());
+            a.send("b", "before");
+            await().until(() -> b.received.size() == 1);
+            await().until(() -> relay.answeredBytes() > 0);
+            relay.silenceOpenConnections();
+            await().atMost(Duration.ofSeconds(10)).until(() -> {
+                a.send("b", "after");
+                Thread.sleep(100);
+                return b.received.size() > 1;
+            });
+        }
+    }
+
+    @Test
+    void aConnectionWithoutTrafficIsNotReplaced() throws IOException, InterruptedException {
+        Node a = node("a", 1);
+        Node b = node("b", 1);
+        try (SilencingRelay relay = new SilencingRelay(b.transport.localAddress())) {
+            addresses.put(new NodeName("b"), relay.address());
+            a.send("b", "one");
+            await().until(() -> b.received.size() == 1);
+            Thread.sleep(2500);
+            a.send("b", "two");
+            await().until(() -> b.received.size() == 2);
+            assertThat(relay.connections()).isEqualTo(1);
+        }
+    }
+
     @Test
     void messagesToANodeThatDoesNotListenAreUndeliverableAndLaterOnesArriveOnceItDoes() throws IOException {
         Node a = node("a", 1);
