Copy the texts of long items to the node that would take their job over

Nothing that is acknowledged rests on a copy. Weighed: texts on the platform (calls of 50 KB each 250 ms a job, priced), all nodes (bytes times nodes), whole outputs as well (made again within a second). Tests: TextCopySystemTest.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchEvent.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchEvent.java
@@ -72,6 +72,17 @@
      */
     record Progress(BatchJobId id, String item, int attempt, long events, Duration since) {}
 
+    /**
+     * An attempt in progress has added events to the text of an item that has run for long.
+     *
+     * @param id The job.
+     * @param item The item.
+     * @param attempt The number of the attempt.
+     * @param after The identifier of the event behind which the added ones go on.
+     * @param part The added events, and the versions under which they were made.
+     */
+    record TextGrown(BatchJobId id, String item, int attempt, long after, ItemText part) implements BatchEvent {}
+
     /**
      * An attempt to run an item has ended.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchOwnershipSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchOwnershipSystem.java
@@ -88,6 +88,7 @@
         if (entry.ended()) {
             state.stop(tick, id, "ended by its submitter");
             state.finished().add(id);
+            state.copies().forget(id);
             orphanedSince.remove(id);
             return;
         }
@@ -275,6 +276,7 @@
                                 return;
                             }
                             state.run(later, job, log, giveUpTimes.of(job, later.now()));
+                            state.copies().want(job.id());
                         });
     }
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
@@ -35,6 +35,7 @@
  * @param loads How many items run at each engine.
  * @param rates How fast the engines are.
  * @param scoringLoads Chooses the endpoints of scoring requests.
+ * @param copies Copies of texts that other nodes have in progress.
  */
 record BatchState(
         MembershipView membership,
@@ -49,7 +50,8 @@
         EntityTable<BatchJobId, ResultLog> logs,
         EngineLoads loads,
         EngineRates rates,
-        ScoringLoads scoringLoads) {
+        ScoringLoads scoringLoads,
+        TextCopies copies) {
 
     /** The largest size of the outputs that are kept here, in bytes. Others are read from the platform again. */
     private static final long LOG_BYTES = 6L << 20;
@@ -85,7 +87,8 @@
                 new EntityTable<>(),
                 new EngineLoads(),
                 new EngineRates(),
-                new ScoringLoads(membership.self().availabilityZone()));
+                new ScoringLoads(membership.self().availabilityZone()),
+                new TextCopies());
     }
 
     /**
@@ -134,13 +137,18 @@
      * @param giveUpAt When the job is given up.
      */
     void run(Tick tick, BatchJob job, ResultLog log, MonotonicTime giveUpAt) {
-        running.put(job.id(), new RunningJob(job, log, tick.now(), giveUpAt));
+        RunningJob started = new RunningJob(job, log, tick.now(), giveUpAt);
+        long resumed = copies.find(job.id()).entrySet().stream()
+                .filter(copy -> started.resume(copy.getKey(), copy.getValue()))
+                .count();
+        copies.forget(job.id());
+        running.put(job.id(), started);
         tick.decide(Decision.of(
                 "batch-job",
                 job.id().value(),
                 "run here",
                 "model " + job.model() + " minimum version " + job.minimumVersion() + " items "
-                        + job.items().size() + " listed " + log.size()));
+                        + job.items().size() + " listed " + log.size() + " with events " + resumed));
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchSystem.java
@@ -53,6 +53,7 @@
                 new BatchOwnershipSystem(state, giveUpTimes),
                 new BatchEndSystem(state),
                 new BatchRunSystem(state),
+                new TextCopySystem(state),
                 new ScoringSystem(state),
                 new BatchCommitSystem(state),
                 new ResultRelaySystem(state),
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningItem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningItem.java
@@ -166,6 +166,32 @@
         return text;
     }
 
+    /**
+     * Returns how far the text is, with what the attempt in progress had made at the last reading.
+     *
+     * @return The identifier of the last event.
+     */
+    long reached() {
+        return text.lastEventId() + (endpoint.isPresent() ? eventsRead : 0);
+    }
+
+    /**
+     * Goes on from a copy of a text that another node had in progress, if its versions are allowed.
+     *
+     * @param copy The copy.
+     * @param minimumVersion The oldest version that is allowed.
+     * @return Whether the item goes on from it.
+     */
+    boolean resume(ItemText copy, long minimumVersion) {
+        boolean allowed = isWaiting()
+                && !copy.isEmpty()
+                && copy.versions().stream().allMatch(version -> version >= minimumVersion);
+        if (allowed) {
+            text = copy;
+        }
+        return allowed;
+    }
+
     /**
      * Replaces the events so far.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningJob.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningJob.java
@@ -83,6 +83,19 @@
         return Optional.ofNullable(items.get(id));
     }
 
+    /**
+     * Lets an item that does not run go on from a copy of its text.
+     *
+     * @param id The item's identifier.
+     * @param copy The copy.
+     * @return Whether it does, as the copy is longer than what there is, and its versions are allowed.
+     */
+    boolean resume(String id, ItemText copy) {
+        return find(id).filter(item -> item.reached() < copy.lastEventId())
+                .filter(item -> item.resume(copy, job.minimumVersion()))
+                .isPresent();
+    }
+
     /**
      * Drops items whose results are listed.
      *
--- /dev/null
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/TextCopySystemTest.java
@@ -0,0 +1,136 @@
+package io.yuccaswitch.core.batch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.yuccaswitch.core.site.TestNode;
+import io.yuccaswitch.core.time.MonotonicTime;
+import io.yuccaswitch.core.value.Bytes;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/** Texts in progress that outlive the node that runs them. */
+final class TextCopySystemTest {
+
+    private final BatchSite site = new BatchSite();
+
+    @Test
+    void theNodeThatTakesAJobOverGoesOnBehindTheCopiedEvents() {
+        TestNode first = site.node("node-1");
+        site.node("node-2");
+        site.run(100);
+        site.engines(_run -> Optional.empty());
+        site.submit(first, BatchSite.job("job", 1));
+        site.run(100);
+        grow(first, site.started.get(0), 0, 40);
+        grow(first, site.started.get(0), 40, 10);
+        site.run(100);
+        site.kill(first);
+        site.run(3000);
+        BatchEffect.Run resumed = site.started.get(1);
+        assertThat(resumed.lastEventId()).isEqualTo(50);
+        assertThat(resumed.item().id()).isEqualTo("job-0");
+    }
+
+    @Test
+    void theResultOfAResumedItemHoldsAllEventsOnceWithAllTheirVersions() {
+        TestNode first = site.node("node-1");
+        TestNode second = site.node("node-2");
+        site.run(100);
+        site.engines(_run -> Optional.empty());
+        site.submit(first, BatchSite.job("job", 1));
+        site.run(100);
+        first.accept(new BatchEvent.TextGrown(
+                new BatchJobId("job"), "job-0", 1, 0, new ItemText(2, List.of(event(1), event(2)), List.of(1L))));
+        site.run(100);
+        site.kill(first);
+        site.run(3000);
+        BatchEffect.Run resumed = site.started.get(1);
+        second.accept(BatchSite.ended(
+                resumed, new AttemptOutcome.Completed(), new ItemText(3, List.of(event(3)), List.of(2L))));
+        site.run(1000);
+        BatchResult result = site.results("job").get(0);
+        assertThat(result.output().toUtf8()).isEqualTo("e1\ne2\ne3");
+        assertThat(result.versions()).containsExactly(1L, 2L);
+    }
+
+    @Test
+    void aCopyUnderAVersionBelowTheMinimumIsNotUsed() {
+        TestNode first = site.node("node-1");
+        site.registerEngine("engine-3", 2);
+        site.node("node-2");
+        site.run(600);
+        site.engines(_run -> Optional.empty());
+        site.submit(first, BatchSite.job("job", 1, 2));
+        site.run(100);
+        grow(first, site.started.get(0), 0, 40);
+        site.run(100);
+        site.kill(first);
+        site.run(3000);
+        assertThat(site.started.get(1).lastEventId()).isZero();
+    }
+
+    @Test
+    void aRestartedRunnerGoesOnBehindTheCopiesOfItsEarlierLife() {
+        TestNode first = site.node("node-1");
+        site.node("node-2");
+        site.run(100);
+        site.engines(_run -> Optional.empty());
+        site.submit(first, BatchSite.job("job", 1));
+        site.run(100);
+        grow(first, site.started.get(0), 0, 40);
+        site.run(100);
+        site.kill(first);
+        site.node("node-1");
+        site.run(1500);
+        assertThat(site.started.get(site.started.size() - 1).lastEventId()).isEqualTo(40);
+    }
+
+    @Test
+    void aPartBehindAGapIsNotJoined() {
+        TextCopies copies = new TextCopies();
+        BatchJobId id = new BatchJobId("job");
+        MonotonicTime now = new MonotonicTime(0);
+        copies.take(id, "item", 0, text(0, 5), now);
+        copies.take(id, "item", 7, text(7, 5), now);
+        assertThat(copies.find(id).get("item").lastEventId()).isEqualTo(5);
+        copies.take(id, "item", 5, text(5, 2), now);
+        assertThat(copies.find(id).get("item").events()).hasSize(7);
+        copies.take(id, "other", 3, text(3, 2), now);
+        assertThat(copies.find(id)).doesNotContainKey("other");
+    }
+
+    @Test
+    void theCopiesOfAnEndedJobAreForgotten() {
+        TestNode first = site.node("node-1");
+        TestNode second = site.node("node-2");
+        site.run(100);
+        site.engines(_run -> Optional.empty());
+        site.submit(first, BatchSite.job("job", 1));
+        site.run(100);
+        grow(first, site.started.get(0), 0, 40);
+        site.run(100);
+        site.end(second, "job");
+        site.run(1000);
+        site.kill(first);
+        site.run(3000);
+        assertThat(site.started).hasSize(1);
+    }
+
+    private static void grow(TestNode node, BatchEffect.Run run, long after, int events) {
+        node.accept(new BatchEvent.TextGrown(run.id(), run.item().id(), run.attempt(), after, text(after, events)));
+    }
+
+    private static ItemText text(long after, int count) {
+        List<Bytes> events = new ArrayList<>();
+        for (int i = 1; i <= count; i++) {
+            events.add(event(after + i));
+        }
+        return new ItemText(after + count, events, List.of(1L));
+    }
+
+    private static Bytes event(long id) {
+        return Bytes.ofUtf8("e" + id);
+    }
+}
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ItemRunner.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ItemRunner.java
@@ -41,6 +41,12 @@
     /** The interval at which silence is looked for. */
     private static final Duration LOOK_INTERVAL = Duration.ofMillis(250);
 
+    /**
+     * How long an attempt must have lasted before its text is copied to another node. Most items are whole by then, and
+     * cost less to make again than to copy.
+     */
+    private static final Duration COPIED_AGE = Duration.ofSeconds(1);
+
     /** The status of success. */
     private static final int OK = 200;
 
@@ -91,6 +97,7 @@
         for (Running attempt : running.values()) {
             attempt.endSilence();
             attempt.progress().ifPresent(progress::add);
+            attempt.grown().ifPresent(loop::accept);
         }
         if (!progress.isEmpty()) {
             loop.accept(new BatchEvent.Progressed(progress));
@@ -187,8 +194,11 @@
         /** The data of the events that arrived. */
         private final List<Bytes> events = new ArrayList<>();
 
-        /** The versions under which the events were made. */
-        private final TreeSet<Long> versions = new TreeSet<>();
+        /** The version under which each event was made. */
+        private final List<Long> versions = new ArrayList<>();
+
+        /** The number of events that were copied to another node. */
+        private int copied;
 
         /** The identifier of the last event. */
         private long lastEventId;
@@ -235,6 +245,32 @@
             return Optional.of(new BatchEvent.Progress(run.id(), run.item().id(), run.attempt(), received, since));
         }
 
+        /**
+         * Returns the events that have arrived since the last time, of an attempt that has lasted for long.
+         *
+         * @return The events, or empty if there are none.
+         */
+        synchronized Optional<BatchEvent.TextGrown> grown() {
+            if (!begun || System.nanoTime() - begunAt < COPIED_AGE.toNanos() || copied == events.size()) {
+                return Optional.empty();
+            }
+            long after = run.lastEventId() + copied;
+            ItemText part = part(copied);
+            copied = events.size();
+            return Optional.of(new BatchEvent.TextGrown(run.id(), run.item().id(), run.attempt(), after, part));
+        }
+
+        /**
+         * Returns the events from a position on.
+         *
+         * @param from The number of events before them.
+         * @return The events with the versions under which they were made.
+         */
+        private ItemText part(int from) {
+            TreeSet<Long> under = new TreeSet<>(versions.subList(from, versions.size()));
+            return new ItemText(lastEventId, events.subList(from, events.size()), List.copyOf(under));
+        }
+
         /** Breaks the call off if the engine has been silent for too long. */
         void endSilence() {
             Duration allowed = begun ? EVENT_SILENCE : HEAD_SILENCE;
@@ -324,7 +360,7 @@
          * @param version The version under which it was made.
          * @throws IOException If it is not the next one, or bears no version.
          */
-        private void take(ServerSentEvents.Event event, OptionalLong version) throws IOException {
+        private synchronized void take(ServerSentEvents.Event event, OptionalLong version) throws IOException {
             if (event.id().orElse(-1) != lastEventId + 1) {
                 throw new IOException("event " + event.id() + " follows event " + lastEventId);
             }
@@ -352,8 +388,8 @@
          *
          * @return The text.
          */
-        private ItemText text() {
-            return new ItemText(lastEventId, events, List.copyOf(versions));
+        private synchronized ItemText text() {
+            return part(0);
         }
     }
 }
