Keep the order lease through other nodes while the platform does not answer its holder

Change: a renewal that the platform does not answer goes through another node, which passes the conditional write on and returns the platform's answer; the versions are read the same way each 400 ms. One holder as before: the platform decides by the lease's version, and the permission counts from the request. Tests: aHolderThatThePlatformDoesNotAnswerKeepsItsLeaseThroughOtherNodes..., aHolderThatNeitherThePlatformNorOtherNodesAnswerIsSucceeded.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/NamedVersionSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/NamedVersionSystem.java
@@ -3,6 +3,9 @@
 import io.yuccaswitch.core.decision.Decision;
 import io.yuccaswitch.core.decision.DecisionSystem;
 import io.yuccaswitch.core.decision.Tick;
+import io.yuccaswitch.core.membership.MembershipView;
+import io.yuccaswitch.core.peer.PeerEffect;
+import io.yuccaswitch.core.peer.PeerEvent;
 import io.yuccaswitch.core.platform.KindWatch;
 import io.yuccaswitch.core.platform.PlatformPurpose;
 import io.yuccaswitch.core.platform.PlatformTokens;
@@ -24,6 +27,9 @@
     /** How long one watch waits, which bounds how late a connection that has gone silent is noticed. */
     private static final Duration WAIT_TIME = Duration.ofSeconds(2);
 
+    /** How often another node is asked for the versions while the platform does not answer this one. */
+    private static final Duration RELAY_INTERVAL = Duration.ofMillis(400);
+
     /** The watch of the versions. */
     private final KindWatch watch;
 
@@ -33,6 +39,12 @@
     /** Whether this node gives orders. */
     private final OrderLease lease;
 
+    /** The nodes of the site. */
+    private final MembershipView membership;
+
+    /** When another node may be asked for the versions. */
+    private MonotonicTime relayAt = MonotonicTime.ZERO;
+
     /** Whether the versions were read. */
     private boolean listed;
 
@@ -48,12 +60,17 @@
      * @param tokens Hands out the tokens of calls.
      * @param decoder Reads a version, or returns empty where it can't be read.
      * @param lease Whether this node gives orders.
+     * @param membership The nodes of the site.
      */
     NamedVersionSystem(
-            PlatformTokens tokens, Function<StoredObject, Optional<NamedVersion>> decoder, OrderLease lease) {
+            PlatformTokens tokens,
+            Function<StoredObject, Optional<NamedVersion>> decoder,
+            OrderLease lease,
+            MembershipView membership) {
         watch = new KindWatch(VersionSystems.KIND, PlatformPurpose.WEIGHT, tokens, GATHERING, WAIT_TIME);
         this.decoder = decoder;
         this.lease = lease;
+        this.membership = membership;
     }
 
     @Override
@@ -63,9 +80,29 @@
                 listed = true;
                 news.objects().forEach(object -> take(tick, object));
             });
+            askOther(tick);
+            for (PeerEvent.Received received : tick.events(PeerEvent.Received.class)) {
+                if (received.message() instanceof OrderMessage.VersionsRead read) {
+                    read.versions().forEach(version -> take(tick, version));
+                }
+            }
         }
     }
 
+    /**
+     * Asks another node for the versions while the platform does not answer this one.
+     *
+     * @param tick The tick.
+     */
+    private void askOther(Tick tick) {
+        if (!lease.isRelaying() || tick.now().isBefore(relayAt)) {
+            return;
+        }
+        relayAt = tick.now().plus(RELAY_INTERVAL);
+        LeaseRelay.anyOther(tick, membership)
+                .ifPresent(node -> tick.emit(new PeerEffect.Send(node, new OrderMessage.ReadVersions())));
+    }
+
     /**
      * Returns whether the versions were read, before which no engine can be told to lag or not.
      *
@@ -102,17 +139,24 @@
      * @param object The object.
      */
     private void take(Tick tick, StoredObject object) {
-        if (object.deleted()) {
-            return;
+        if (!object.deleted()) {
+            decoder.apply(object).ifPresent(version -> take(tick, version));
+        }
+    }
+
+    /**
+     * Takes a version, if it is newer than the known one.
+     *
+     * @param tick The tick.
+     * @param version The version.
+     */
+    private void take(Tick tick, NamedVersion version) {
+        long before = named.getOrDefault(version.model(), 0L);
+        if (version.version() > before) {
+            named.put(version.model(), version.version());
+            namedAt.put(version.model(), tick.now());
+            tick.decide(
+                    Decision.of("version", version.model(), Long.toString(version.version()), "named after " + before));
         }
-        decoder.apply(object).ifPresent(version -> {
-            long before = named.getOrDefault(version.model(), 0L);
-            if (version.version() > before) {
-                named.put(version.model(), version.version());
-                namedAt.put(version.model(), tick.now());
-                tick.decide(Decision.of(
-                        "version", version.model(), Long.toString(version.version()), "named after " + before));
-            }
-        });
     }
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/OrderLease.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/OrderLease.java
@@ -30,7 +30,7 @@
 final class OrderLease implements DecisionSystem {
 
     /** The key of the lease's object. */
-    private static final ObjectKey KEY = new ObjectKey("order-lease", "engines");
+    static final ObjectKey KEY = new ObjectKey("order-lease", "engines");
 
     /** How long orders are permitted after the sending of a renewal: some renewals may fail, few do. */
     private static final Duration PERMISSION = Duration.ofMillis(1500);
@@ -50,6 +50,9 @@
     /** The longest wait after failed calls. */
     private static final Duration LONGEST_BACK_OFF = Duration.ofMillis(700);
 
+    /** How long renewals go through other nodes before this one tries the platform itself again. */
+    private static final Duration RELAYING_TIME = Duration.ofSeconds(3);
+
     /** The number of nodes that stand by to take the lease. */
     private static final int FOLLOWERS = 2;
 
@@ -59,6 +62,15 @@
     /** The calls to the platform that wait for their answers. */
     private final PlatformCalls calls;
 
+    /** Has the lease renewed through other nodes. */
+    private final LeaseRelay relay;
+
+    /** Since when renewals have gone through other nodes, if they do. */
+    private Optional<MonotonicTime> relayingSince = Optional.empty();
+
+    /** Whether the platform did not answer this node's last call on the lease. */
+    private boolean cutOff;
+
     /** The least time between orders of two holders. */
     private final Duration safetyTime;
 
@@ -94,12 +106,14 @@
         this.membership = membership;
         this.safetyTime = safetyTime;
         calls = new PlatformCalls(tokens);
+        relay = new LeaseRelay(membership);
     }
 
     @Override
     public void run(Tick tick) {
         now = tick.now();
         calls.answer(tick);
+        relay.receive(tick).ifPresent(outcome -> takeRelayed(tick, outcome));
         leaving |= !tick.events(MembershipEvent.LeaveRequested.class).isEmpty();
         if (calling || !backOff.allows(now)) {
             return;
@@ -107,7 +121,7 @@
         if (held && leaving) {
             giveBack(tick);
         } else if (held) {
-            write(tick, observed.orElseThrow().value().renewed(), version());
+            renew(tick);
         } else if (!leaving && isFollower()) {
             follow(tick);
         }
@@ -133,6 +147,15 @@
                 : OptionalLong.empty();
     }
 
+    /**
+     * Returns whether the platform has not answered this node lately, while others reach it.
+     *
+     * @return {@code true} if renewals go through other nodes.
+     */
+    boolean isRelaying() {
+        return held && cutOff;
+    }
+
     /**
      * Returns this node's name, which orders bear.
      *
@@ -229,16 +252,73 @@
                 token -> new PlatformEffect.Write(token, PlatformPurpose.LEASE, KEY, expected, value.encode()),
                 (later, event) -> {
                     calling = false;
+                    cutOff &= event instanceof PlatformEvent.Unavailable;
                     if (event instanceof PlatformEvent.Accepted accepted) {
                         grant(later, new Observation(value, accepted.version(), later.now()), sentAt);
                     } else if (event instanceof PlatformEvent.Conflict conflict) {
                         contest(later, conflict.current());
                     } else {
-                        backOff.failed(later);
+                        takeFailure(later);
                     }
                 });
     }
 
+    /**
+     * Renews the lease, through another node where the platform has not answered this one.
+     *
+     * @param tick The tick.
+     */
+    private void renew(Tick tick) {
+        LeaseValue renewed = observed.orElseThrow().value().renewed();
+        boolean relays = relayingSince
+                .filter(since -> tick.now().since(since).compareTo(RELAYING_TIME) < 0)
+                .isPresent();
+        if (relays && relay.ask(tick, observed.orElseThrow().version(), renewed)) {
+            calling = true;
+            return;
+        }
+        relayingSince = Optional.empty();
+        write(tick, renewed, version());
+    }
+
+    /**
+     * Takes what became of a renewal through another node.
+     *
+     * @param tick The tick.
+     * @param outcome The outcome.
+     */
+    private void takeRelayed(Tick tick, LeaseRelay.Outcome outcome) {
+        calling = false;
+        if (!held) {
+            return;
+        }
+        if (outcome.answer().isEmpty()) {
+            relayingSince = Optional.empty();
+            backOff.failed(tick);
+            return;
+        }
+        OrderMessage.LeaseAnswered answer = outcome.answer().get();
+        if (answer.granted()) {
+            grant(tick, new Observation(outcome.value(), answer.version(), tick.now()), outcome.sentAt());
+        } else {
+            contest(tick, Optional.of(new StoredObject(KEY, answer.version(), answer.value(), false)));
+        }
+    }
+
+    /**
+     * Takes note that the platform did not answer a call on the lease.
+     *
+     * @param tick The tick.
+     */
+    private void takeFailure(Tick tick) {
+        backOff.failed(tick);
+        cutOff = true;
+        if (held) {
+            relayingSince = Optional.of(tick.now());
+            backOff.succeeded(tick.now(), Duration.ZERO);
+        }
+    }
+
     /**
      * Takes a granted renewal.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/VersionSystems.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/VersionSystems.java
@@ -42,8 +42,12 @@
             Function<StoredObject, Optional<NamedVersion>> decoder,
             Duration safetyTime) {
         lease = new OrderLease(membership, tokens, safetyTime);
-        NamedVersionSystem versions = new NamedVersionSystem(tokens, decoder, lease);
-        parts = List.of(lease, versions, new VersionOrderSystem(lease, versions, registry, routes));
+        NamedVersionSystem versions = new NamedVersionSystem(tokens, decoder, lease, membership);
+        parts = List.of(
+                lease,
+                versions,
+                new VersionOrderSystem(lease, versions, registry, routes),
+                new OrderRelaySystem(tokens, decoder));
     }
 
     @Override
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/modelversion/VersionSystemsTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/modelversion/VersionSystemsTest.java
@@ -88,6 +88,40 @@
         assertThat(orders).hasSize(6);
     }
 
+    @Test
+    void aHolderThatThePlatformDoesNotAnswerKeepsItsLeaseThroughOtherNodesAndLoadsWhatIsNamed() {
+        site.connect((_from, _to) -> false);
+        start("node-1");
+        run(500);
+        start("node-2");
+        start("node-3");
+        run(500);
+        site.platform().failWhere((node, _call) -> node.equals("node-1"));
+        run(3000);
+        name("model-a", 2);
+        run(4000);
+        assertThat(orders).hasSize(3).allMatch(order -> order.holder().equals("node-1"));
+        site.platform().failWhere((_node, _call) -> false);
+        name("model-a", 3);
+        run(4000);
+        assertThat(orders)
+                .hasSize(6)
+                .allMatch(order -> order.fence() == orders.get(0).fence());
+    }
+
+    @Test
+    void aHolderThatNeitherThePlatformNorOtherNodesAnswerIsSucceeded() {
+        site.connect((from, to) -> from.equals("node-1") || to.equals("node-1"));
+        start("node-1");
+        run(500);
+        start("node-2");
+        run(500);
+        site.platform().failWhere((node, _call) -> node.equals("node-1"));
+        name("model-a", 2);
+        run(9000);
+        assertThat(orders).isNotEmpty().allMatch(order -> order.holder().equals("node-2"));
+    }
+
     @Test
     void aVersionIsLoadedOnlyAfterTheFirstItemsOfTheNextStepHaveBegun() {
         start("node-1");
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/peer/PeerMessages.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/peer/PeerMessages.java
@@ -5,6 +5,7 @@
 import io.yuccaswitch.core.endpoint.EndpointMessage;
 import io.yuccaswitch.core.lease.LeaseMessage;
 import io.yuccaswitch.core.membership.MembershipMessage;
+import io.yuccaswitch.core.modelversion.OrderMessage;
 import io.yuccaswitch.core.request.RequestMessage;
 import io.yuccaswitch.core.sample.SampleMessage;
 import io.yuccaswitch.core.watch.WatchMessage;
@@ -98,7 +99,11 @@
                 .register(PeerMessageRange.WEIGHT, 81, WeightMessage.Known.class)
                 .register(PeerMessageRange.WEIGHT, 82, WeightMessage.Exchange.class)
                 .register(PeerMessageRange.WEIGHT, 90, LeaseMessage.Acting.class)
-                .register(PeerMessageRange.WEIGHT, 91, LeaseMessage.Recorded.class);
+                .register(PeerMessageRange.WEIGHT, 91, LeaseMessage.Recorded.class)
+                .register(PeerMessageRange.WEIGHT, 92, OrderMessage.RenewLease.class)
+                .register(PeerMessageRange.WEIGHT, 93, OrderMessage.LeaseAnswered.class)
+                .register(PeerMessageRange.WEIGHT, 94, OrderMessage.ReadVersions.class)
+                .register(PeerMessageRange.WEIGHT, 95, OrderMessage.VersionsRead.class);
     }
 
     /**
