Keep the texts of long items on the platform

Cause: when all nodes die at once, items begin anew; after a loss of power at 38.0 s three items of 144, 6 s old, took a step from 40.8 to 44.6 s, and its trainer's next steps were never asked. Change: what attempts older than 1 s have added is written to the platform each 2 s, as a log of parts per job; whoever loads a job goes on behind them if their versions are allowed. Overlapping parts are joined, gaps are not. Tests: TextCopySystemTest (death of all nodes, a platform that did not take a part, overlaps), JsonBatchCodecTest.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchCodec.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchCodec.java
@@ -47,6 +47,22 @@
      */
     Bytes writeResults(List<BatchResult> results);
 
+    /**
+     * Writes parts of texts in progress that are kept together.
+     *
+     * @param parts The parts.
+     * @return The value.
+     */
+    Bytes writeTexts(List<TextPart> parts);
+
+    /**
+     * Reads parts of texts that were kept together.
+     *
+     * @param value The value.
+     * @return The parts.
+     */
+    Optional<List<TextPart>> readTexts(Bytes value);
+
     /**
      * Reads results that were listed together.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchObjects.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchObjects.java
@@ -15,6 +15,9 @@
     /** What the kind of a job's results begins with. Each job has a kind of its own, such that it is read alone. */
     private static final String RESULTS = "batch-results-";
 
+    /** What the kind of the texts of a job's items in progress begins with. */
+    private static final String TEXTS = "batch-texts-";
+
     /** This class has no instances. */
     private BatchObjects() {}
 
@@ -59,6 +62,27 @@
         return new ObjectKey(results(id), name(number));
     }
 
+    /**
+     * Returns the kind of the texts of a job's items in progress.
+     *
+     * @param id The job.
+     * @return The kind.
+     */
+    static String texts(BatchJobId id) {
+        return TEXTS + id.value();
+    }
+
+    /**
+     * Returns the key of texts that are kept together.
+     *
+     * @param id The job.
+     * @param number The number of the object, counted from 0.
+     * @return The key, whose names sort like the numbers.
+     */
+    static ObjectKey texts(BatchJobId id, int number) {
+        return new ObjectKey(texts(id), name(number));
+    }
+
     /**
      * Returns the name of an object with results.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchOwnershipSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchOwnershipSystem.java
@@ -11,10 +11,12 @@
 import io.yuccaswitch.core.platform.PlatformEffect;
 import io.yuccaswitch.core.platform.PlatformEvent;
 import io.yuccaswitch.core.platform.PlatformPurpose;
+import io.yuccaswitch.core.platform.StoredObject;
 import io.yuccaswitch.core.time.MonotonicTime;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -260,23 +262,82 @@
                         tick,
                         token -> new PlatformEffect.ListKind(token, PlatformPurpose.BATCH, kind),
                         (later, event) -> {
-                            taking.remove(job.id());
                             if (!(event instanceof PlatformEvent.ObjectsListed listed)) {
+                                taking.remove(job.id());
                                 pause(later, job.id());
                                 later.decide(Decision.of("batch-job", job.id().value(), "not loaded", reason));
                                 return;
                             }
-                            if (state.running().contains(job.id())) {
-                                return;
-                            }
                             ResultLog log = state.log(job.id(), job.items().size(), later.now());
                             log.take(listed.objects(), listed.version(), state.codec());
                             if (log.isComplete()) {
+                                taking.remove(job.id());
                                 state.finished().add(job.id());
                                 return;
                             }
-                            state.run(later, job, log, giveUpTimes.of(job, later.now()));
-                            state.copies().want(job.id());
+                            loadTexts(later, job, Optional.empty(), 0);
+                        });
+    }
+
+    /**
+     * Reads the texts that an earlier runner has kept on the platform, page by page, and runs the job.
+     *
+     * @param tick The tick.
+     * @param job The job.
+     * @param after The name behind which the next page begins, or empty for the first page.
+     * @param known The number of objects that were read.
+     */
+    private void loadTexts(Tick tick, BatchJob job, Optional<String> after, int known) {
+        String kind = BatchObjects.texts(job.id());
+        state.calls()
+                .call(
+                        tick,
+                        token -> new PlatformEffect.ListKind(token, PlatformPurpose.BATCH, kind, after, false),
+                        (later, event) -> {
+                            List<StoredObject> objects =
+                                    event instanceof PlatformEvent.ObjectsListed listed ? listed.objects() : List.of();
+                            objects.forEach(object -> takeTexts(later, job, object));
+                            int read = known + objects.size();
+                            boolean more = event instanceof PlatformEvent.ObjectsListed listed && listed.more();
+                            if (more && !objects.isEmpty()) {
+                                String last =
+                                        objects.get(objects.size() - 1).key().name();
+                                loadTexts(later, job, Optional.of(last), read);
+                            } else {
+                                begin(later, job, read);
+                            }
                         });
     }
+
+    /**
+     * Takes texts that an earlier runner has kept.
+     *
+     * @param tick The tick.
+     * @param job The job.
+     * @param object The object that holds them.
+     */
+    private void takeTexts(Tick tick, BatchJob job, StoredObject object) {
+        state.codec()
+                .readTexts(object.value())
+                .ifPresent(parts -> parts.forEach(
+                        part -> state.copies().take(job.id(), part.item(), part.after(), part.text(), tick.now())));
+    }
+
+    /**
+     * Runs a job whose listed results are known.
+     *
+     * @param tick The tick.
+     * @param job The job.
+     * @param textObjects The number of objects with texts that an earlier runner has kept.
+     */
+    private void begin(Tick tick, BatchJob job, int textObjects) {
+        taking.remove(job.id());
+        if (state.running().contains(job.id()) || state.finished().contains(job.id())) {
+            return;
+        }
+        ResultLog log = state.log(job.id(), job.items().size(), tick.now());
+        state.run(tick, job, log, giveUpTimes.of(job, tick.now()));
+        state.running().find(job.id()).ifPresent(started -> started.countTextObjects(textObjects));
+        state.copies().want(job.id());
+    }
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchSystem.java
@@ -54,6 +54,7 @@
                 new BatchEndSystem(state),
                 new BatchRunSystem(state),
                 new TextCopySystem(state),
+                new TextCheckpointSystem(state),
                 new ScoringSystem(state),
                 new BatchCommitSystem(state),
                 new ResultRelaySystem(state),
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ItemText.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ItemText.java
@@ -50,6 +50,17 @@
         return new ItemText(continuation.lastEventId, joined, List.copyOf(all));
     }
 
+    /**
+     * Returns the events behind one of this text's events.
+     *
+     * @param eventId The identifier of that event.
+     * @return The rest, which names all versions of this text.
+     */
+    ItemText behind(long eventId) {
+        long rest = Math.min(events.size(), Math.max(0, lastEventId - eventId));
+        return new ItemText(lastEventId, events.subList((int) (events.size() - rest), events.size()), versions);
+    }
+
     /**
      * Returns the output of an item whose text is whole.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningJob.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningJob.java
@@ -28,6 +28,9 @@
     /** When the job is given up, as far as items are left. */
     private final MonotonicTime giveUpAt;
 
+    /** The number of the next object with texts in progress. */
+    private int textObjects;
+
     /** Whether results are on their way to the platform. */
     private boolean committing;
 
@@ -159,6 +162,24 @@
         return giveUpAt;
     }
 
+    /**
+     * Returns the number of the next object with texts in progress, which is handed out once.
+     *
+     * @return The number.
+     */
+    int nextTextObject() {
+        return textObjects++;
+    }
+
+    /**
+     * Notes how many objects with texts in progress there are from an earlier runner.
+     *
+     * @param count The number of the next one.
+     */
+    void countTextObjects(int count) {
+        textObjects = Math.max(textObjects, count);
+    }
+
     /**
      * Returns the engine that last ran an item of a group.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/TextCopies.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/TextCopies.java
@@ -63,8 +63,8 @@
         ItemText known = copies.texts.getOrDefault(item, ItemText.EMPTY);
         if (after == 0) {
             copies.texts.put(item, part);
-        } else if (after == known.lastEventId()) {
-            copies.texts.put(item, known.append(part));
+        } else if (after <= known.lastEventId() && part.lastEventId() > known.lastEventId()) {
+            copies.texts.put(item, known.append(part.behind(known.lastEventId())));
         }
         trim(now);
     }
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/PlainBatchCodec.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/PlainBatchCodec.java
@@ -41,6 +41,16 @@
         return read(value, Results.class).map(Results::results);
     }
 
+    @Override
+    public Bytes writeTexts(List<TextPart> parts) {
+        return write(new Texts(parts));
+    }
+
+    @Override
+    public Optional<List<TextPart>> readTexts(Bytes value) {
+        return read(value, Texts.class).map(Texts::parts);
+    }
+
     private Bytes write(Object document) {
         String key = "document-" + written.size();
         written.put(key, document);
@@ -51,5 +61,7 @@
         return Optional.ofNullable(written.get(value.toUtf8())).map(type::cast);
     }
 
+    private record Texts(List<TextPart> parts) {}
+
     private record Results(List<BatchResult> results) {}
 }
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/TextCopySystemTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/TextCopySystemTest.java
@@ -87,6 +87,53 @@
         assertThat(site.started.get(site.started.size() - 1).lastEventId()).isEqualTo(40);
     }
 
+    @Test
+    void afterTheDeathOfAllNodesLongItemsGoOnBehindWhatIsKeptOnThePlatform() {
+        TestNode only = site.node("node-1");
+        site.run(100);
+        site.engines(_run -> Optional.empty());
+        site.submit(only, BatchSite.job("job", 1));
+        site.run(100);
+        grow(only, site.started.get(0), 0, 40);
+        site.run(1200);
+        grow(only, site.started.get(0), 40, 30);
+        site.run(2200);
+        site.kill(only);
+        site.node("node-2");
+        site.run(4000);
+        assertThat(site.started.get(site.started.size() - 1).lastEventId()).isEqualTo(70);
+    }
+
+    @Test
+    void whatThePlatformDidNotTakeIsKeptWithTheNextPart() {
+        TestNode only = site.node("node-1");
+        site.run(100);
+        site.engines(_run -> Optional.empty());
+        site.submit(only, BatchSite.job("job", 1));
+        site.run(100);
+        grow(only, site.started.get(0), 0, 40);
+        site.site.platform().failWhere((_node, _call) -> true);
+        site.run(1500);
+        grow(only, site.started.get(0), 40, 30);
+        site.site.platform().failWhere((_node, _call) -> false);
+        site.run(3000);
+        site.kill(only);
+        site.node("node-2");
+        site.run(4000);
+        assertThat(site.started.get(site.started.size() - 1).lastEventId()).isEqualTo(70);
+    }
+
+    @Test
+    void aPartThatOverlapsIsJoinedBehindWhatIsKnown() {
+        TextCopies copies = new TextCopies();
+        BatchJobId id = new BatchJobId("job");
+        MonotonicTime now = new MonotonicTime(0);
+        copies.take(id, "item", 0, text(0, 5), now);
+        copies.take(id, "item", 3, text(3, 4), now);
+        copies.take(id, "item", 1, text(1, 2), now);
+        assertThat(copies.find(id).get("item")).isEqualTo(text(0, 7));
+    }
+
     @Test
     void aPartBehindAGapIsNotJoined() {
         TextCopies copies = new TextCopies();
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/JsonBatchCodec.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/JsonBatchCodec.java
@@ -8,7 +8,9 @@
 import io.yuccaswitch.core.batch.BatchJob;
 import io.yuccaswitch.core.batch.BatchJobId;
 import io.yuccaswitch.core.batch.BatchResult;
+import io.yuccaswitch.core.batch.ItemText;
 import io.yuccaswitch.core.batch.ScoringRequest;
+import io.yuccaswitch.core.batch.TextPart;
 import io.yuccaswitch.core.identity.NodeName;
 import io.yuccaswitch.core.value.Bytes;
 import java.io.IOException;
@@ -26,6 +28,12 @@
     /** The logger. */
     private static final Logger LOGGER = Logger.getLogger(JsonBatchCodec.class);
 
+    /** What begins the data of an event that is kept as text. */
+    private static final String TEXT_MARK = "t";
+
+    /** What begins the data of an event that is kept in base64. */
+    private static final String BASE64_MARK = "b";
+
     /** The codec of documents. */
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
@@ -105,6 +113,35 @@
                 .toList());
     }
 
+    @Override
+    public Bytes writeTexts(List<TextPart> parts) {
+        return write(new TextsDocument(parts.stream()
+                .map(part -> new TextDocument(
+                        part.item(),
+                        part.after(),
+                        part.text().lastEventId(),
+                        part.text().events().stream()
+                                .map(JsonBatchCodec::encode)
+                                .toList(),
+                        part.text().versions()))
+                .toList()));
+    }
+
+    @Override
+    public Optional<List<TextPart>> readTexts(Bytes value) {
+        return read(value, TextsDocument.class).map(document -> document.texts().stream()
+                .map(text -> new TextPart(
+                        text.item(),
+                        text.after(),
+                        new ItemText(
+                                text.last(),
+                                text.events().stream()
+                                        .map(JsonBatchCodec::decode)
+                                        .toList(),
+                                text.versions())))
+                .toList());
+    }
+
     /**
      * Returns the document of a scoring request.
      *
@@ -163,6 +200,32 @@
                 : Bytes.wrap(Base64.getDecoder().decode(document.bytes()));
     }
 
+    /**
+     * Encodes the data of an event: as text where it is UTF-8, else in base64, each behind a mark.
+     *
+     * @param data The data.
+     * @return The text.
+     */
+    private static String encode(Bytes data) {
+        String text = data.toUtf8();
+        return Bytes.ofUtf8(text).equals(data)
+                ? TEXT_MARK + text
+                : BASE64_MARK + Base64.getEncoder().encodeToString(data.unsafeArray());
+    }
+
+    /**
+     * Decodes the data of an event.
+     *
+     * @param encoded The text.
+     * @return The data.
+     */
+    private static Bytes decode(String encoded) {
+        String text = encoded.substring(1);
+        return encoded.startsWith(TEXT_MARK)
+                ? Bytes.ofUtf8(text)
+                : Bytes.wrap(Base64.getDecoder().decode(text));
+    }
+
     /**
      * Writes a document.
      *
@@ -278,4 +341,22 @@
             String bytes,
             List<Long> versions,
             @JsonInclude(JsonInclude.Include.NON_NULL) String score) {}
+
+    /**
+     * Parts of texts in progress.
+     *
+     * @param texts The parts.
+     */
+    private record TextsDocument(List<TextDocument> texts) {}
+
+    /**
+     * A part of a text in progress.
+     *
+     * @param item The identifier of the item.
+     * @param after The identifier of the event behind which the part goes on.
+     * @param last The identifier of its last event.
+     * @param events The data of its events.
+     * @param versions The versions under which they were made.
+     */
+    private record TextDocument(String item, long after, long last, List<String> events, List<Long> versions) {}
 }
--- /dev/null
+++ b/yuccaswitch-node/src/test/java/io/yuccaswitch/node/gateway/JsonBatchCodecTest.java
@@ -0,0 +1,70 @@
+package io.yuccaswitch.node.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.yuccaswitch.core.batch.BatchItem;
+import io.yuccaswitch.core.batch.BatchJob;
+import io.yuccaswitch.core.batch.BatchJobId;
+import io.yuccaswitch.core.batch.BatchResult;
+import io.yuccaswitch.core.batch.ItemText;
+import io.yuccaswitch.core.batch.ScoringRequest;
+import io.yuccaswitch.core.batch.TextPart;
+import io.yuccaswitch.core.value.Bytes;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/** What is kept of batch jobs on the platform, written and read again. */
+final class JsonBatchCodecTest {
+
+    private final JsonBatchCodec codec = new JsonBatchCodec();
+
+    @Test
+    void aJobKeepsTheScoringRequestsOfItsItems() {
+        ScoringRequest scoring = new ScoringRequest("s1", "site.example", "/score/x?y=1", Bytes.ofUtf8("judge"));
+        BatchJob job = new BatchJob(
+                new BatchJobId("job"),
+                "site.example",
+                "/rollouts/x",
+                "m",
+                3,
+                1000,
+                List.of(item("a", Optional.of(scoring)), item("b", Optional.empty())));
+        assertThat(codec.readJob(codec.writeJob(job))).contains(job);
+    }
+
+    @Test
+    void resultsKeepTheirScores() {
+        List<BatchResult> results = List.of(
+                new BatchResult("a", true, Bytes.ofUtf8("x\ny"), List.of(1L, 2L), Optional.of("score")),
+                new BatchResult("b", false, Bytes.EMPTY, List.of(), Optional.empty()));
+        assertThat(codec.readResults(codec.writeResults(results))).contains(results);
+    }
+
+    @Test
+    void aResultWithoutAScoreOfAnEarlierReleaseIsRead() {
+        Bytes kept = Bytes.ofUtf8("{\"results\":[{\"item\":\"a\",\"completed\":true,\"text\":\"x\",\"bytes\":\"\","
+                + "\"versions\":[1]}]}");
+        assertThat(codec.readResults(kept).orElseThrow().get(0).score()).isEmpty();
+    }
+
+    @Test
+    void partsOfTextsKeepTheirEventsWhetherTheyAreTextOrNot() {
+        Bytes binary = Bytes.wrap(new byte[] {(byte) 0xff, 0, 1});
+        List<TextPart> parts = List.of(
+                new TextPart("a", 0, new ItemText(2, List.of(Bytes.ofUtf8("one"), binary), List.of(1L))),
+                new TextPart("b", 7, new ItemText(8, List.of(Bytes.EMPTY), List.of(1L, 2L))));
+        assertThat(codec.readTexts(codec.writeTexts(parts))).contains(parts);
+    }
+
+    @Test
+    void whatIsNoDocumentIsNotRead() {
+        assertThat(codec.readTexts(Bytes.ofUtf8("{"))).isEmpty();
+        assertThat(codec.readJob(Bytes.ofUtf8("[]"))).isEmpty();
+    }
+
+    private static BatchItem item(String id, Optional<ScoringRequest> scoring) {
+        return new BatchItem(id, "/rollouts/x", Map.of("X-Model", "m"), Bytes.ofUtf8("body"), "g", 5, scoring);
+    }
+}
