Let a successor give orders at once where the last order is long past

Cause: a lease that was given back was taken only after the safety time of 3 s (and up to a second of polling), though its holder had often given no order for long. Change: the lease says for how long no order had been given when it was given back, and the former holder tells those that may follow; the successor waits only for the rest of the safety time. What may be on its way counts as given. Tests: aLeaseThatIsGivenBackLongAfterTheLastOrderIsTakenAtOnce (fails without), aLeaseThatIsGivenBackRightAfterAnOrderIsTakenOnlyAfterTheSafetyTime.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/OrderLease.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/OrderLease.java
@@ -8,6 +8,8 @@
 import io.yuccaswitch.core.membership.MembershipEvent;
 import io.yuccaswitch.core.membership.MembershipView;
 import io.yuccaswitch.core.membership.RendezvousRanking;
+import io.yuccaswitch.core.peer.PeerEffect;
+import io.yuccaswitch.core.peer.PeerEvent;
 import io.yuccaswitch.core.platform.CallBackOff;
 import io.yuccaswitch.core.platform.ObjectKey;
 import io.yuccaswitch.core.platform.PlatformCalls;
@@ -86,6 +88,9 @@
     /** Until when this node may give orders. */
     private MonotonicTime permittedUntil = new MonotonicTime(Long.MIN_VALUE);
 
+    /** When this node last gave an order, if it ever did. */
+    private Optional<MonotonicTime> orderedAt = Optional.empty();
+
     /** Whether a call waits for its answer. */
     private boolean calling;
 
@@ -113,6 +118,7 @@
     public void run(Tick tick) {
         now = tick.now();
         calls.answer(tick);
+        takeGivenBack(tick);
         relay.receive(tick).ifPresent(outcome -> takeRelayed(tick, outcome));
         leaving |= !tick.events(MembershipEvent.LeaveRequested.class).isEmpty();
         if (calling || !backOff.allows(now)) {
@@ -147,6 +153,11 @@
                 : OptionalLong.empty();
     }
 
+    /** Notes that an order is given, or may be on its way still. */
+    void noteOrder() {
+        orderedAt = Optional.of(now);
+    }
+
     /**
      * Returns whether the platform has not answered this node lately, while others reach it.
      *
@@ -209,7 +220,7 @@
                     if (object.isPresent()) {
                         observe(later, object.get());
                     } else if (observed.isEmpty()) {
-                        write(later, new LeaseValue(holderName(), 1, false, 0), OptionalLong.empty());
+                        write(later, new LeaseValue(holderName(), 1, false, 0, 0), OptionalLong.empty());
                     }
                 });
     }
@@ -369,23 +380,62 @@
     }
 
     /**
-     * Gives the lease back, such that a successor need not wait for permissions.
+     * Gives the lease back, such that a successor need not wait for permissions, nor for longer than the safety time
+     * after the last order. All nodes are stopped in turn at times, and with the whole safety time at each of them no
+     * version was loaded for 8 s.
      *
      * @param tick The tick.
      */
     private void giveBack(Tick tick) {
         permittedUntil = new MonotonicTime(Long.MIN_VALUE);
         OptionalLong expected = version();
-        LeaseValue value = observed.orElseThrow().value().givenBack();
+        Duration quiet = orderedAt.map(now::since).orElse(safetyTime.plus(MARGIN));
+        LeaseValue value = observed.orElseThrow().value().givenBack(quiet);
         held = false;
         calls.call(
                 tick,
                 token -> new PlatformEffect.Write(token, PlatformPurpose.LEASE, KEY, expected, value.encode()),
-                (later, event) -> later.decide(Decision.of(
-                        "order-lease",
-                        holderName().value(),
-                        "given back",
-                        event.getClass().getSimpleName())));
+                (later, event) -> {
+                    if (event instanceof PlatformEvent.Accepted accepted) {
+                        tellFollowers(later, new OrderMessage.LeaseGivenBack(accepted.version(), value.encode()));
+                    }
+                    later.decide(Decision.of(
+                            "order-lease",
+                            holderName().value(),
+                            "given back",
+                            event.getClass().getSimpleName() + ", no order for " + quiet.toMillis() + " ms"));
+                });
+    }
+
+    /**
+     * Tells those that may take the lease that it was given back, before they read it.
+     *
+     * @param tick The tick.
+     * @param message What to tell.
+     */
+    private void tellFollowers(Tick tick, OrderMessage.LeaseGivenBack message) {
+        Member self = membership.self();
+        List<Member> others = membership.working().stream()
+                .filter(member -> !member.equals(self))
+                .toList();
+        RendezvousRanking.rank(KEY.name(), others).stream()
+                .limit(FOLLOWERS)
+                .forEach(member ->
+                        tick.emit(new PeerEffect.Send(member.identity().name(), message)));
+    }
+
+    /**
+     * Takes note of a lease that its holder has given back.
+     *
+     * @param tick The tick.
+     */
+    private void takeGivenBack(Tick tick) {
+        for (PeerEvent.Received received : tick.events(PeerEvent.Received.class)) {
+            if (received.message() instanceof OrderMessage.LeaseGivenBack given) {
+                observe(tick, new StoredObject(KEY, given.version(), given.value(), false));
+                backOff.succeeded(tick.now(), Duration.ZERO);
+            }
+        }
     }
 
     /**
@@ -410,7 +460,8 @@
                 return true;
             }
             Duration lastPermission = value.released() ? Duration.ZERO : PERMISSION;
-            return now.since(at).compareTo(lastPermission.plus(safetyTime).plus(MARGIN)) >= 0;
+            Duration quiet = now.since(at).plusMillis(value.quietMillis());
+            return quiet.compareTo(lastPermission.plus(safetyTime).plus(MARGIN)) >= 0;
         }
     }
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/OrderMessage.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/OrderMessage.java
@@ -26,6 +26,14 @@
      */
     record LeaseAnswered(long ticket, boolean granted, long version, Bytes value) implements OrderMessage {}
 
+    /**
+     * Says that the sender has given the lease back.
+     *
+     * @param version The version of the lease's object.
+     * @param value The lease as it is.
+     */
+    record LeaseGivenBack(long version, Bytes value) implements OrderMessage {}
+
     /** Asks another node for the versions that trainers have named, as the platform keeps them now. */
     record ReadVersions() implements OrderMessage {}
 
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/modelversion/VersionSystemsTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/modelversion/VersionSystemsTest.java
@@ -256,6 +256,45 @@
         assertThat(orders).isNotEmpty().allMatch(order -> order.holder().equals("node-2"));
     }
 
+    @Test
+    void aLeaseThatIsGivenBackLongAfterTheLastOrderIsTakenAtOnce() {
+        site.connect((_from, _to) -> false);
+        TestNode first = start("node-1");
+        run(500);
+        start("node-2");
+        run(1500);
+        first.accept(new MembershipEvent.LeaveRequested());
+        run(400);
+        name("model-a", 3);
+        run(700);
+        assertThat(orders).isNotEmpty().allMatch(order -> order.holder().equals("node-2"));
+    }
+
+    @Test
+    void aLeaseThatIsGivenBackRightAfterAnOrderIsTakenOnlyAfterTheSafetyTime() {
+        site.connect((_from, _to) -> false);
+        TestNode first = start("node-1");
+        run(500);
+        start("node-2");
+        run(1500);
+        name("model-a", 3);
+        run(300);
+        assertThat(orders).isNotEmpty();
+        first.accept(new MembershipEvent.LeaveRequested());
+        run(9000);
+        long last = orders.stream()
+                .filter(order -> order.holder().equals("node-1"))
+                .mapToLong(Order::at)
+                .max()
+                .orElseThrow();
+        long next = orders.stream()
+                .filter(order -> order.holder().equals("node-2"))
+                .mapToLong(Order::at)
+                .min()
+                .orElseThrow();
+        assertThat(Duration.ofNanos(next - last)).isGreaterThanOrEqualTo(SAFETY).isLessThan(SAFETY.plusSeconds(2));
+    }
+
     @Test
     void aLeaseThatWasGivenBackIsTakenAfterTheSafetyTime() {
         TestNode first = start("node-1");
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/peer/PeerMessages.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/peer/PeerMessages.java
@@ -103,7 +103,8 @@
                 .register(PeerMessageRange.WEIGHT, 92, OrderMessage.RenewLease.class)
                 .register(PeerMessageRange.WEIGHT, 93, OrderMessage.LeaseAnswered.class)
                 .register(PeerMessageRange.WEIGHT, 94, OrderMessage.ReadVersions.class)
-                .register(PeerMessageRange.WEIGHT, 95, OrderMessage.VersionsRead.class);
+                .register(PeerMessageRange.WEIGHT, 95, OrderMessage.VersionsRead.class)
+                .register(PeerMessageRange.WEIGHT, 96, OrderMessage.LeaseGivenBack.class);
     }
 
     /**
