Tell refused callers to come back when a place is expected, spread

Cause: Retry-After was 50 ms whatever the load, so callers that were refused together came back together.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/proxy/EndpointSelection.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/proxy/EndpointSelection.java
@@ -150,6 +150,21 @@
         row.toldAt = now;
     }
 
+    /**
+     * Estimates when a place will be free at any of some endpoints.
+     *
+     * @param working The endpoints that may get new work.
+     * @param now The present.
+     * @return The time, which is that of one answer where there is no endpoint.
+     */
+    public Duration untilFree(List<RegisteredEndpoint> working, MonotonicTime now) {
+        double millis = working.stream()
+                .mapToDouble(endpoint -> untilFree(endpoint, now))
+                .min()
+                .orElse(DEFAULT_MILLIS);
+        return Duration.ofNanos((long) (millis * 1e6));
+    }
+
     /**
      * Forgets endpoints that are gone.
      *
@@ -161,6 +176,21 @@
         rows.entrySet().removeIf(entry -> entry.getValue().running <= 0 && !names.contains(entry.getKey()));
     }
 
+    /**
+     * Estimates when a place will be free at an endpoint: its places come free one after the other within the time of
+     * an answer, behind the requests that wait there. A pause does not count, as it ends where no other is left.
+     *
+     * @param endpoint The endpoint.
+     * @param now The present.
+     * @return The time in milliseconds.
+     */
+    private double untilFree(RegisteredEndpoint endpoint, MonotonicTime now) {
+        Row row = row(endpoint);
+        int slots = Math.max(1, endpoint.slots());
+        int ahead = Math.max(1, Math.max(row.running, row.load(now)) - slots + 1);
+        return row.expectedMillis(now) * ahead / slots;
+    }
+
     /**
      * Estimates the time that an answer of an endpoint takes.
      *
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/proxy/EndpointSelectionTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/proxy/EndpointSelectionTest.java
@@ -48,6 +48,17 @@
         assertThat(selection.choose(both, Set.of(), now)).contains(near);
     }
 
+    @Test
+    void aPlaceIsFreeSoonerWhereFewerWait() {
+        Duration idle = selection.untilFree(both, now);
+        both.forEach(endpoint -> selection.tell(endpoint, 40, now));
+        Duration full = selection.untilFree(both, now);
+        assertThat(full).isGreaterThan(idle.multipliedBy(5));
+        selection.tell(near, 4, now);
+        assertThat(selection.untilFree(both, now)).isLessThan(full);
+        assertThat(selection.untilFree(List.of(), now)).isPositive();
+    }
+
     @Test
     void aSlowEndpointIsAvoidedAndTriedAgainLater() {
         selection.slow(near, Duration.ofMillis(100), now);
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/PlainRequestHandler.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/PlainRequestHandler.java
@@ -5,6 +5,7 @@
 import io.yuccaswitch.core.identity.PoolName;
 import io.yuccaswitch.core.proxy.EndpointSelection;
 import io.yuccaswitch.core.proxy.RequestPlan;
+import io.yuccaswitch.core.proxy.ReturnTime;
 import io.yuccaswitch.core.registry.RegisteredEndpoint;
 import io.yuccaswitch.core.time.MonotonicTime;
 import io.yuccaswitch.node.decision.DecisionLoop;
@@ -33,9 +34,6 @@
     /** The lowest status that means an endpoint failed. */
     private static final int SERVER_ERROR = 500;
 
-    /** When a caller whose request did not run should come back: about the time in which a place becomes free. */
-    private static final Duration RETRY_AFTER = Duration.ofMillis(50);
-
     /** The least time that is worth an attempt. */
     private static final Duration LEAST_TIME = Duration.ofMillis(5);
 
@@ -336,6 +334,19 @@
                     .append(text);
         }
 
+        /**
+         * Returns when the caller should come back.
+         *
+         * @return The time, spread such that callers do not return together.
+         */
+        private Duration returnTime() {
+            List<RegisteredEndpoint> working = pool.map(view::endpoints).orElseGet(List::of);
+            synchronized (selection) {
+                Duration untilFree = selection.untilFree(working, DecisionLoop.now());
+                return ReturnTime.of(untilFree, ThreadLocalRandom.current().nextDouble());
+            }
+        }
+
         /**
          * Answers a request for which no attempt is left.
          *
@@ -353,7 +364,7 @@
                 caller.answerText(status, "the request may have run: " + reason, Optional.empty());
                 return "failed, " + reason;
             }
-            caller.answerText(UNAVAILABLE, "the request has not run: " + reason, Optional.of(RETRY_AFTER));
+            caller.answerText(UNAVAILABLE, "the request has not run: " + reason, Optional.of(returnTime()));
             return "not run, " + reason;
         }
     }
