Remove the copies of texts at other nodes

What goes with them: a node that dies while the platform is down costs its texts in progress. Conclusion: removed.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchAdmissionSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchAdmissionSystem.java
@@ -172,7 +172,7 @@
         BatchJob job = submission.job();
         if (!state.running().contains(job.id()) && !state.finished().contains(job.id())) {
             ResultLog log = state.log(job.id(), job.items().size(), tick.now());
-            state.run(tick, job, log, giveUpTimes.of(job, tick.now()));
+            state.run(tick, job, log, giveUpTimes.of(job, tick.now()), new KeptTexts());
         }
         finish(tick, submission, new BatchAnswer.Accepted(), "kept on the platform");
     }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchMessage.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchMessage.java
@@ -79,24 +79,6 @@
      */
     record ResultsStored(long ticket, String id, int number, boolean listed, Bytes value) implements BatchMessage {}
 
-    /**
-     * Hands a part of a text in progress to the node that would take the job over.
-     *
-     * @param id The job.
-     * @param item The item.
-     * @param after The identifier of the event behind which the part goes on, or 0 for a text from its beginning.
-     * @param part The part.
-     */
-    record TextGrown(String id, String item, long after, ItemText part) implements BatchMessage {}
-
-    /**
-     * Asks for the copies of a job's texts, which the sender has begun to run without them. They come as texts from
-     * their beginnings.
-     *
-     * @param id The job.
-     */
-    record ReadCopies(String id) implements BatchMessage {}
-
     /**
      * Says that the sender does not run the job or knows nothing of the item, such that the platform has to be asked.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchOwnershipSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchOwnershipSystem.java
@@ -90,7 +90,6 @@
         if (entry.ended()) {
             state.stop(tick, id, "ended by its submitter");
             state.finished().add(id);
-            state.copies().forget(id);
             orphanedSince.remove(id);
             return;
         }
@@ -275,7 +274,7 @@
                                 state.finished().add(job.id());
                                 return;
                             }
-                            loadTexts(later, job, Optional.empty(), 0);
+                            loadTexts(later, job, Optional.empty(), new KeptTexts(), 0);
                         });
     }
 
@@ -285,9 +284,10 @@
      * @param tick The tick.
      * @param job The job.
      * @param after The name behind which the next page begins, or empty for the first page.
+     * @param texts The texts so far.
      * @param known The number of objects that were read.
      */
-    private void loadTexts(Tick tick, BatchJob job, Optional<String> after, int known) {
+    private void loadTexts(Tick tick, BatchJob job, Optional<String> after, KeptTexts texts, int known) {
         String kind = BatchObjects.texts(job.id());
         state.calls()
                 .call(
@@ -296,48 +296,36 @@
                         (later, event) -> {
                             List<StoredObject> objects =
                                     event instanceof PlatformEvent.ObjectsListed listed ? listed.objects() : List.of();
-                            objects.forEach(object -> takeTexts(later, job, object));
+                            objects.forEach(object -> state.codec()
+                                    .readTexts(object.value())
+                                    .ifPresent(parts -> parts.forEach(texts::take)));
                             int read = known + objects.size();
                             boolean more = event instanceof PlatformEvent.ObjectsListed listed && listed.more();
                             if (more && !objects.isEmpty()) {
                                 String last =
                                         objects.get(objects.size() - 1).key().name();
-                                loadTexts(later, job, Optional.of(last), read);
+                                loadTexts(later, job, Optional.of(last), texts, read);
                             } else {
-                                begin(later, job, read);
+                                begin(later, job, texts, read);
                             }
                         });
     }
 
-    /**
-     * Takes texts that an earlier runner has kept.
-     *
-     * @param tick The tick.
-     * @param job The job.
-     * @param object The object that holds them.
-     */
-    private void takeTexts(Tick tick, BatchJob job, StoredObject object) {
-        state.codec()
-                .readTexts(object.value())
-                .ifPresent(parts -> parts.forEach(
-                        part -> state.copies().take(job.id(), part.item(), part.after(), part.text(), tick.now())));
-    }
-
     /**
      * Runs a job whose listed results are known.
      *
      * @param tick The tick.
      * @param job The job.
+     * @param texts The texts that an earlier runner has kept.
      * @param textObjects The number of objects with texts that an earlier runner has kept.
      */
-    private void begin(Tick tick, BatchJob job, int textObjects) {
+    private void begin(Tick tick, BatchJob job, KeptTexts texts, int textObjects) {
         taking.remove(job.id());
         if (state.running().contains(job.id()) || state.finished().contains(job.id())) {
             return;
         }
         ResultLog log = state.log(job.id(), job.items().size(), tick.now());
-        state.run(tick, job, log, giveUpTimes.of(job, tick.now()));
+        state.run(tick, job, log, giveUpTimes.of(job, tick.now()), texts);
         state.running().find(job.id()).ifPresent(started -> started.countTextObjects(textObjects));
-        state.copies().want(job.id());
     }
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
@@ -35,7 +35,6 @@
  * @param loads How many items run at each engine.
  * @param rates How fast the engines are.
  * @param scoringLoads Chooses the endpoints of scoring requests.
- * @param copies Copies of texts that other nodes have in progress.
  */
 record BatchState(
         MembershipView membership,
@@ -50,8 +49,7 @@
         EntityTable<BatchJobId, ResultLog> logs,
         EngineLoads loads,
         EngineRates rates,
-        ScoringLoads scoringLoads,
-        TextCopies copies) {
+        ScoringLoads scoringLoads) {
 
     /** The largest size of the outputs that are kept here, in bytes. Others are read from the platform again. */
     private static final long LOG_BYTES = 6L << 20;
@@ -87,8 +85,7 @@
                 new EntityTable<>(),
                 new EngineLoads(),
                 new EngineRates(),
-                new ScoringLoads(membership.self().availabilityZone()),
-                new TextCopies());
+                new ScoringLoads(membership.self().availabilityZone()));
     }
 
     /**
@@ -135,13 +132,13 @@
      * @param job The job.
      * @param log The results that are listed already.
      * @param giveUpAt When the job is given up.
+     * @param texts The texts that an earlier runner has kept.
      */
-    void run(Tick tick, BatchJob job, ResultLog log, MonotonicTime giveUpAt) {
+    void run(Tick tick, BatchJob job, ResultLog log, MonotonicTime giveUpAt, KeptTexts texts) {
         RunningJob started = new RunningJob(job, log, tick.now(), giveUpAt);
-        long resumed = copies.find(job.id()).entrySet().stream()
-                .filter(copy -> started.resume(copy.getKey(), copy.getValue()))
+        long resumed = texts.all().entrySet().stream()
+                .filter(text -> started.resume(text.getKey(), text.getValue()))
                 .count();
-        copies.forget(job.id());
         running.put(job.id(), started);
         tick.decide(Decision.of(
                 "batch-job",
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchSystem.java
@@ -53,7 +53,6 @@
                 new BatchOwnershipSystem(state, giveUpTimes),
                 new BatchEndSystem(state),
                 new BatchRunSystem(state),
-                new TextCopySystem(state),
                 new TextCheckpointSystem(state),
                 new ScoringSystem(state),
                 new BatchCommitSystem(state),
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningItem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningItem.java
@@ -167,27 +167,18 @@
     }
 
     /**
-     * Returns how far the text is, with what the attempt in progress had made at the last reading.
+     * Goes on behind a text that an earlier runner has kept, if its versions are allowed.
      *
-     * @return The identifier of the last event.
-     */
-    long reached() {
-        return text.lastEventId() + (endpoint.isPresent() ? eventsRead : 0);
-    }
-
-    /**
-     * Goes on from a copy of a text that another node had in progress, if its versions are allowed.
-     *
-     * @param copy The copy.
+     * @param kept The text.
      * @param minimumVersion The oldest version that is allowed.
-     * @return Whether the item goes on from it.
+     * @return Whether the item goes on behind it.
      */
-    boolean resume(ItemText copy, long minimumVersion) {
+    boolean resume(ItemText kept, long minimumVersion) {
         boolean allowed = isWaiting()
-                && !copy.isEmpty()
-                && copy.versions().stream().allMatch(version -> version >= minimumVersion);
+                && !kept.isEmpty()
+                && kept.versions().stream().allMatch(version -> version >= minimumVersion);
         if (allowed) {
-            text = copy;
+            text = kept;
         }
         return allowed;
     }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningJob.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningJob.java
@@ -87,16 +87,14 @@
     }
 
     /**
-     * Lets an item that does not run go on from a copy of its text.
+     * Lets an item go on behind a text that an earlier runner has kept.
      *
      * @param id The item's identifier.
-     * @param copy The copy.
-     * @return Whether it does, as the copy is longer than what there is, and its versions are allowed.
+     * @param text The text.
+     * @return Whether it does, as it needs a result still and the text's versions are allowed.
      */
-    boolean resume(String id, ItemText copy) {
-        return find(id).filter(item -> item.reached() < copy.lastEventId())
-                .filter(item -> item.resume(copy, job.minimumVersion()))
-                .isPresent();
+    boolean resume(String id, ItemText text) {
+        return find(id).filter(item -> item.resume(text, job.minimumVersion())).isPresent();
     }
 
     /**
