--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchAdmissionSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchAdmissionSystem.java
@@ -217,12 +217,7 @@
      */
     private void create(
             Tick tick, ObjectKey key, Bytes value, java.util.function.BiConsumer<Tick, PlatformEvent> then) {
-        state.calls()
-                .call(
-                        tick,
-                        token -> new PlatformEffect.Write(
-                                token, PlatformPurpose.BATCH, key, OptionalLong.empty(), value),
-                        then);
+        state.write(tick, key, OptionalLong.empty(), value, then);
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchCommitSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchCommitSystem.java
@@ -5,11 +5,10 @@
 import io.yuccaswitch.core.decision.EntityTable;
 import io.yuccaswitch.core.decision.Tick;
 import io.yuccaswitch.core.identity.NodeName;
+import io.yuccaswitch.core.membership.RandomPeer;
 import io.yuccaswitch.core.peer.PeerEffect;
 import io.yuccaswitch.core.peer.PeerEvent;
-import io.yuccaswitch.core.platform.PlatformEffect;
 import io.yuccaswitch.core.platform.PlatformEvent;
-import io.yuccaswitch.core.platform.PlatformPurpose;
 import io.yuccaswitch.core.platform.StoredObject;
 import io.yuccaswitch.core.time.MonotonicTime;
 import java.time.Duration;
@@ -93,16 +92,12 @@
         ResultLog log = state.log(id, job.job().items().size(), tick.now());
         int number = log.objects();
         job.beginCommit();
-        state.calls()
-                .call(
-                        tick,
-                        token -> new PlatformEffect.Write(
-                                token,
-                                PlatformPurpose.BATCH,
-                                BatchObjects.results(id, number),
-                                OptionalLong.empty(),
-                                state.codec().writeResults(results)),
-                        (later, event) -> receive(later, new Commit(job, log, number), results, event));
+        state.write(
+                tick,
+                BatchObjects.results(id, number),
+                OptionalLong.empty(),
+                state.codec().writeResults(results),
+                (later, event) -> receive(later, new Commit(job, log, number), results, event));
     }
 
     /**
@@ -141,15 +136,11 @@
      * @return Whether a node was asked.
      */
     private boolean relay(Tick tick, Commit commit, List<BatchResult> results) {
-        NodeName self = state.membership().self().identity().name();
-        List<NodeName> others = state.membership().working().stream()
-                .map(member -> member.identity().name())
-                .filter(name -> !name.equals(self))
-                .toList();
-        if (others.isEmpty()) {
+        Optional<NodeName> chosen = RandomPeer.choose(tick, state.membership());
+        if (chosen.isEmpty()) {
             return false;
         }
-        NodeName other = others.get(tick.random().nextInt(others.size()));
+        NodeName other = chosen.get();
         lastTicket++;
         relayed.put(
                 lastTicket, new Relayed(lastTicket, commit, other, tick.now().plus(RELAY_TIME)));
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchEndSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchEndSystem.java
@@ -101,23 +101,19 @@
             reply(tick, request, entry.ended() ? new BatchAnswer.Ended() : new BatchAnswer.Unsure("contended"));
             return;
         }
-        state.calls()
-                .call(
-                        tick,
-                        token -> new PlatformEffect.Write(
-                                token,
-                                PlatformPurpose.BATCH,
-                                BatchObjects.index(request.id()),
-                                OptionalLong.of(row.version()),
-                                state.codec().writeEntry(entry.withEnd())),
-                        (later, answer) -> {
-                            if (answer instanceof PlatformEvent.Accepted) {
-                                announce(later, entry);
-                                reply(later, request, new BatchAnswer.Ended());
-                            } else {
-                                mark(later, request, answer, left - 1);
-                            }
-                        });
+        state.write(
+                tick,
+                BatchObjects.index(request.id()),
+                OptionalLong.of(row.version()),
+                state.codec().writeEntry(entry.withEnd()),
+                (later, answer) -> {
+                    if (answer instanceof PlatformEvent.Accepted) {
+                        announce(later, entry);
+                        reply(later, request, new BatchAnswer.Ended());
+                    } else {
+                        mark(later, request, answer, left - 1);
+                    }
+                });
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchOwnershipSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchOwnershipSystem.java
@@ -193,29 +193,25 @@
         taking.add(entry.id());
         BatchIndexEntry own =
                 entry.withRunner(state.membership().self().identity().name());
-        state.calls()
-                .call(
-                        tick,
-                        token -> new PlatformEffect.Write(
-                                token,
-                                PlatformPurpose.BATCH,
-                                BatchObjects.index(entry.id()),
-                                OptionalLong.of(row.version()),
-                                state.codec().writeEntry(own)),
-                        (later, event) -> {
-                            taking.remove(entry.id());
-                            boolean granted = event instanceof PlatformEvent.Accepted;
-                            later.decide(Decision.of(
-                                    "batch-claim",
-                                    entry.id().value(),
-                                    granted ? "granted" : "not granted",
-                                    "runner " + entry.runner() + " is gone, entry version " + row.version()));
-                            if (!granted) {
-                                pause(later, entry.id());
-                            } else if (!state.running().contains(entry.id())) {
-                                load(later, own, "taken over from " + entry.runner());
-                            }
-                        });
+        state.write(
+                tick,
+                BatchObjects.index(entry.id()),
+                OptionalLong.of(row.version()),
+                state.codec().writeEntry(own),
+                (later, event) -> {
+                    taking.remove(entry.id());
+                    boolean granted = event instanceof PlatformEvent.Accepted;
+                    later.decide(Decision.of(
+                            "batch-claim",
+                            entry.id().value(),
+                            granted ? "granted" : "not granted",
+                            "runner " + entry.runner() + " is gone, entry version " + row.version()));
+                    if (!granted) {
+                        pause(later, entry.id());
+                    } else if (!state.running().contains(entry.id())) {
+                        load(later, own, "taken over from " + entry.runner());
+                    }
+                });
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchRunSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchRunSystem.java
@@ -8,9 +8,7 @@
 import io.yuccaswitch.core.route.Route;
 import java.time.Duration;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 
 /** Runs the items of jobs at engines, and takes what becomes of the attempts. */
@@ -22,9 +20,6 @@
     /** How long an engine that can't be connected to gets no item of the model. */
     private static final Duration UNREACHABLE_PAUSE = Duration.ofSeconds(1);
 
-    /** How long a slow engine gets no item, before it is tried again. */
-    private static final Duration SLOW_PAUSE = Duration.ofSeconds(3);
-
     /**
      * The order of waiting items: those that were broken off go on first. They were begun early because they are long,
      * and their groups wait for what they have lost.
@@ -35,6 +30,9 @@
     /** The tables of the batch system. */
     private final BatchState state;
 
+    /** Chooses engines. */
+    private final EngineChoice choice;
+
     /**
      * Creates a system that runs nothing.
      *
@@ -42,12 +40,12 @@
      */
     BatchRunSystem(BatchState state) {
         this.state = state;
+        choice = new EngineChoice(state);
     }
 
     @Override
     public void run(Tick tick) {
         tick.events(BatchEvent.AttemptBegun.class).forEach(begun -> takeBegin(tick, begun));
-        tick.events(BatchEvent.Progressed.class).forEach(progressed -> takeProgress(tick, progressed));
         tick.events(BatchEvent.AttemptEnded.class).forEach(ended -> take(tick, ended));
         if (state.routes().inForce().isEmpty()) {
             return;
@@ -69,7 +67,7 @@
             giveUp(tick, job, route.isEmpty() ? "the route is gone" : "its time is up");
             return;
         }
-        List<RegisteredEndpoint> engines = engines(tick, job, route.get());
+        List<RegisteredEndpoint> engines = choice.engines(tick, job, route.get());
         job.items().stream()
                 .filter(RunningItem::isWaiting)
                 .sorted(BEGUN_FIRST)
@@ -87,75 +85,7 @@
      */
     private void startSomewhere(
             Tick tick, RunningJob job, RunningItem item, List<RegisteredEndpoint> engines, Route route) {
-        choose(tick, job, item, engines).ifPresent(engine -> start(tick, job, item, engine, route));
-    }
-
-    /**
-     * Returns the engines that may run the items of a job now.
-     *
-     * @param tick The tick.
-     * @param job The job.
-     * @param route The job's route.
-     * @return The working engines with the job's version that are not left alone.
-     */
-    private List<RegisteredEndpoint> engines(Tick tick, RunningJob job, Route route) {
-        Optional<Route.PoolShare> pool = route.pools().stream()
-                .filter(share -> share.weight() > 0)
-                .max(Comparator.comparingDouble(Route.PoolShare::weight));
-        if (pool.isEmpty()) {
-            return List.of();
-        }
-        return state.registry().working(pool.get().pool()).stream()
-                .filter(engine ->
-                        engine.servesAtLeast(job.job().model(), job.job().minimumVersion()))
-                .filter(engine ->
-                        !state.loads().isPaused(engine.name(), job.job().model(), tick.now()))
-                .toList();
-    }
-
-    /**
-     * Chooses the engine for an item: that of its group, which has read the prompt, else the one with the newest
-     * version and the fewest items.
-     *
-     * @param tick The tick.
-     * @param job The job.
-     * @param item The item.
-     * @param engines The engines that may run it.
-     * @return The engine, or empty if all have enough to do.
-     */
-    private Optional<RegisteredEndpoint> choose(
-            Tick tick, RunningJob job, RunningItem item, List<RegisteredEndpoint> engines) {
-        List<RegisteredEndpoint> free = engines.stream()
-                .filter(engine -> state.loads().running(engine.name()) < engine.slots())
-                .filter(engine ->
-                        !state.loads().isOnTrial(engine.name(), job.job().model()))
-                .filter(engine -> !isSlow(tick, engine.name()) || state.loads().running(engine.name()) == 0)
-                .toList();
-        Optional<EndpointName> last = job.lastEngine(item.item().group());
-        Optional<RegisteredEndpoint> same = free.stream()
-                .filter(engine -> last.filter(engine.name()::equals).isPresent())
-                .filter(engine -> !isSlow(tick, engine.name()))
-                .findFirst();
-        if (same.isPresent() && item.text().isEmpty()) {
-            return same;
-        }
-        String model = job.job().model();
-        return free.stream()
-                .min(Comparator.comparing((RegisteredEndpoint engine) -> isSlow(tick, engine.name()))
-                        .thenComparingLong(engine -> -engine.version(model).orElse(0))
-                        .thenComparingDouble(
-                                engine -> (double) state.loads().running(engine.name()) / Math.max(1, engine.slots())));
-    }
-
-    /**
-     * Returns whether an engine is taken to be slow.
-     *
-     * @param tick The tick.
-     * @param engine The engine.
-     * @return {@code true} if it is.
-     */
-    private boolean isSlow(Tick tick, EndpointName engine) {
-        return state.rates().isSlow(engine, tick.now());
+        choice.choose(tick, job, item, engines).ifPresent(engine -> start(tick, job, item, engine, route));
     }
 
     /**
@@ -242,105 +172,6 @@
         }
     }
 
-    /**
-     * Takes the progress of attempts, and lets the items of an engine that has turned slow go on at others.
-     *
-     * @param tick The tick.
-     * @param progressed The progress.
-     */
-    private void takeProgress(Tick tick, BatchEvent.Progressed progressed) {
-        Map<EndpointName, EngineRates.Reading> readings = new HashMap<>();
-        for (BatchEvent.Progress progress : progressed.attempts()) {
-            current(progress)
-                    .ifPresent(item -> readings.merge(
-                            item.endpoint().orElseThrow(),
-                            item.read(progress.events(), progress.since()),
-                            EngineRates.Reading::join));
-        }
-        readings.forEach((engine, reading) -> state.rates().read(engine, reading, tick.now()));
-        readings.keySet().forEach(engine -> judge(tick, engine));
-        if (readings.keySet().stream().anyMatch(engine -> isSlow(tick, engine))) {
-            state.running().rows().forEach(job -> leaveSlowEngines(tick, job));
-        }
-    }
-
-    /**
-     * Judges whether an engine is slow, after it was read.
-     *
-     * @param tick The tick.
-     * @param engine The engine.
-     */
-    private void judge(Tick tick, EndpointName engine) {
-        EngineRates.Verdict verdict = state.rates().judge(engine);
-        if (verdict == EngineRates.Verdict.UNCHANGED) {
-            return;
-        }
-        String reason = state.rates().describe(engine);
-        tick.decide(Decision.of("engine-rate", engine.value(), verdict.name(), reason));
-    }
-
-    /**
-     * Returns the item of an attempt in progress.
-     *
-     * @param progress The attempt's progress.
-     * @return The item, or empty if the attempt is not the current one.
-     */
-    private Optional<RunningItem> current(BatchEvent.Progress progress) {
-        return state.running()
-                .find(progress.id())
-                .flatMap(job -> job.find(progress.item()))
-                .filter(item -> item.isCurrent(progress.attempt()));
-    }
-
-    /**
-     * Breaks off attempts of a job at slow engines, as many as find a place at others, where they go on behind their
-     * events.
-     *
-     * @param tick The tick.
-     * @param job The job.
-     */
-    private void leaveSlowEngines(Tick tick, RunningJob job) {
-        Optional<Route> route = state.route(job.job());
-        if (route.isEmpty()) {
-            return;
-        }
-        List<RunningItem> leaving = job.items().stream()
-                .filter(item ->
-                        item.endpoint().filter(engine -> isSlow(tick, engine)).isPresent())
-                .toList();
-        long places = engines(tick, job, route.get()).stream()
-                .filter(engine -> !isSlow(tick, engine.name()))
-                .mapToLong(engine -> Math.max(0, engine.slots() - state.loads().running(engine.name())))
-                .sum();
-        long moving = state.running().view().stream()
-                .flatMap(other -> other.items().stream())
-                .filter(RunningItem::isMoving)
-                .count();
-        leaving.stream()
-                .filter(item -> !item.isMoving())
-                .limit(Math.max(0, places - moving))
-                .forEach(item -> move(tick, job, item));
-    }
-
-    /**
-     * Breaks an attempt at a slow engine off, such that the item goes on elsewhere.
-     *
-     * @param tick The tick.
-     * @param job The job.
-     * @param item The item.
-     */
-    private void move(Tick tick, RunningJob job, RunningItem item) {
-        EndpointName engine = item.endpoint().orElseThrow();
-        item.move();
-        state.loads().pause(engine, job.job().model(), tick.now(), SLOW_PAUSE);
-        tick.emit(new BatchEffect.Cancel(job.job().id(), item.item().id(), item.attempt()));
-        tick.decide(Decision.of(
-                "batch-item",
-                item.item().id(),
-                "move",
-                engine.value() + " is slow: " + state.rates().describe(engine)));
-    }
-
     /**
      * Takes the end of an attempt.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
@@ -5,7 +5,11 @@
 import io.yuccaswitch.core.decision.Tick;
 import io.yuccaswitch.core.identity.EndpointName;
 import io.yuccaswitch.core.membership.MembershipView;
+import io.yuccaswitch.core.platform.ObjectKey;
 import io.yuccaswitch.core.platform.PlatformCalls;
+import io.yuccaswitch.core.platform.PlatformEffect;
+import io.yuccaswitch.core.platform.PlatformEvent;
+import io.yuccaswitch.core.platform.PlatformPurpose;
 import io.yuccaswitch.core.registry.EndpointRegistrySystem;
 import io.yuccaswitch.core.route.Route;
 import io.yuccaswitch.core.route.RouteConfigurationSystem;
@@ -17,7 +21,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.BiConsumer;
 
 /**
  * The tables that the parts of the batch system share.
@@ -88,6 +94,19 @@
                 new ScoringLoads(membership.self().availabilityZone()));
     }
 
+    /**
+     * Creates an object on the platform, or replaces one as it was last seen.
+     *
+     * @param tick The tick.
+     * @param key The key of the object.
+     * @param expected The version that the object must have, or empty if there must be none.
+     * @param value The value.
+     * @param then What follows the answer.
+     */
+    void write(Tick tick, ObjectKey key, OptionalLong expected, Bytes value, BiConsumer<Tick, PlatformEvent> then) {
+        calls.call(tick, token -> new PlatformEffect.Write(token, PlatformPurpose.BATCH, key, expected, value), then);
+    }
+
     /**
      * Returns the log of a job, which is created where none is known.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchSystem.java
@@ -52,6 +52,7 @@
                 new BatchAdmissionSystem(state, giveUpTimes),
                 new BatchOwnershipSystem(state, giveUpTimes),
                 new BatchEndSystem(state),
+                new SlowEngineSystem(state),
                 new BatchRunSystem(state),
                 new TextCheckpointSystem(state),
                 new ScoringSystem(state),
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/EngineChoice.java
@@ -0,0 +1,92 @@
+package io.yuccaswitch.core.batch;
+
+import io.yuccaswitch.core.decision.Tick;
+import io.yuccaswitch.core.identity.EndpointName;
+import io.yuccaswitch.core.registry.RegisteredEndpoint;
+import io.yuccaswitch.core.route.Route;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/** Chooses the engines that run the items of a job. */
+final class EngineChoice {
+
+    /** The tables of the batch system. */
+    private final BatchState state;
+
+    /**
+     * Creates a choice.
+     *
+     * @param state The tables of the batch system.
+     */
+    EngineChoice(BatchState state) {
+        this.state = state;
+    }
+
+    /**
+     * Returns the engines that may run the items of a job now.
+     *
+     * @param tick The tick.
+     * @param job The job.
+     * @param route The job's route.
+     * @return The working engines with the job's version that are not left alone.
+     */
+    List<RegisteredEndpoint> engines(Tick tick, RunningJob job, Route route) {
+        Optional<Route.PoolShare> pool = route.pools().stream()
+                .filter(share -> share.weight() > 0)
+                .max(Comparator.comparingDouble(Route.PoolShare::weight));
+        if (pool.isEmpty()) {
+            return List.of();
+        }
+        return state.registry().working(pool.get().pool()).stream()
+                .filter(engine ->
+                        engine.servesAtLeast(job.job().model(), job.job().minimumVersion()))
+                .filter(engine ->
+                        !state.loads().isPaused(engine.name(), job.job().model(), tick.now()))
+                .toList();
+    }
+
+    /**
+     * Chooses the engine for an item: that of its group, which has read the prompt, else the one with the newest
+     * version and the fewest items.
+     *
+     * @param tick The tick.
+     * @param job The job.
+     * @param item The item.
+     * @param engines The engines that may run it.
+     * @return The engine, or empty if all have enough to do.
+     */
+    Optional<RegisteredEndpoint> choose(Tick tick, RunningJob job, RunningItem item, List<RegisteredEndpoint> engines) {
+        List<RegisteredEndpoint> free = engines.stream()
+                .filter(engine -> state.loads().running(engine.name()) < engine.slots())
+                .filter(engine ->
+                        !state.loads().isOnTrial(engine.name(), job.job().model()))
+                .filter(engine -> !isSlow(tick, engine.name()) || state.loads().running(engine.name()) == 0)
+                .toList();
+        Optional<EndpointName> last = job.lastEngine(item.item().group());
+        Optional<RegisteredEndpoint> same = free.stream()
+                .filter(engine -> last.filter(engine.name()::equals).isPresent())
+                .filter(engine -> !isSlow(tick, engine.name()))
+                .findFirst();
+        if (same.isPresent() && item.text().isEmpty()) {
+            return same;
+        }
+        String model = job.job().model();
+        return free.stream()
+                .min(Comparator.comparing((RegisteredEndpoint engine) -> isSlow(tick, engine.name()))
+                        .thenComparingLong(engine -> -engine.version(model).orElse(0))
+                        .thenComparingDouble(
+                                engine -> (double) state.loads().running(engine.name()) / Math.max(1, engine.slots())));
+    }
+
+    /**
+     * Returns whether an engine is taken to be slow.
+     *
+     * @param tick The tick.
+     * @param engine The engine.
+     * @return {@code true} if it is.
+     */
+    boolean isSlow(Tick tick, EndpointName engine) {
+        return state.rates().isSlow(engine, tick.now());
+    }
+}
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ResultRelaySystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ResultRelaySystem.java
@@ -6,9 +6,7 @@
 import io.yuccaswitch.core.identity.NodeName;
 import io.yuccaswitch.core.peer.PeerEffect;
 import io.yuccaswitch.core.peer.PeerEvent;
-import io.yuccaswitch.core.platform.PlatformEffect;
 import io.yuccaswitch.core.platform.PlatformEvent;
-import io.yuccaswitch.core.platform.PlatformPurpose;
 import io.yuccaswitch.core.value.Bytes;
 import java.util.OptionalLong;
 
@@ -47,25 +45,21 @@
      * @param store What to create.
      */
     private void write(Tick tick, NodeName sender, BatchMessage.StoreResults store) {
-        state.calls()
-                .call(
-                        tick,
-                        token -> new PlatformEffect.Write(
-                                token,
-                                PlatformPurpose.BATCH,
-                                BatchObjects.results(new BatchJobId(store.id()), store.number()),
-                                OptionalLong.empty(),
-                                store.value()),
-                        (later, event) -> {
-                            BatchMessage.ResultsStored answer = answer(store, event);
-                            later.emit(new PeerEffect.Send(sender, answer));
-                            later.decide(Decision.of(
-                                    "batch-relay",
-                                    store.id(),
-                                    answer.listed() ? "listed" : "not listed",
-                                    "object " + store.number() + " for " + sender + ", the platform answered "
-                                            + event.getClass().getSimpleName()));
-                        });
+        state.write(
+                tick,
+                BatchObjects.results(new BatchJobId(store.id()), store.number()),
+                OptionalLong.empty(),
+                store.value(),
+                (later, event) -> {
+                    BatchMessage.ResultsStored answer = answer(store, event);
+                    later.emit(new PeerEffect.Send(sender, answer));
+                    later.decide(Decision.of(
+                            "batch-relay",
+                            store.id(),
+                            answer.listed() ? "listed" : "not listed",
+                            "object " + store.number() + " for " + sender + ", the platform answered "
+                                    + event.getClass().getSimpleName()));
+                });
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/TextCheckpointSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/TextCheckpointSystem.java
@@ -3,9 +3,7 @@
 import io.yuccaswitch.core.decision.Decision;
 import io.yuccaswitch.core.decision.DecisionSystem;
 import io.yuccaswitch.core.decision.Tick;
-import io.yuccaswitch.core.platform.PlatformEffect;
 import io.yuccaswitch.core.platform.PlatformEvent;
-import io.yuccaswitch.core.platform.PlatformPurpose;
 import io.yuccaswitch.core.time.MonotonicTime;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -124,16 +122,12 @@
         List<TextPart> parts = pending.take();
         int number = state.running().find(id).orElseThrow().nextTextObject();
         pending.writing = true;
-        state.calls()
-                .call(
-                        tick,
-                        token -> new PlatformEffect.Write(
-                                token,
-                                PlatformPurpose.BATCH,
-                                BatchObjects.texts(id, number),
-                                OptionalLong.empty(),
-                                state.codec().writeTexts(parts)),
-                        (later, event) -> receive(later, id, pending, parts, event));
+        state.write(
+                tick,
+                BatchObjects.texts(id, number),
+                OptionalLong.empty(),
+                state.codec().writeTexts(parts),
+                (later, event) -> receive(later, id, pending, parts, event));
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/LeaseRelay.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/LeaseRelay.java
@@ -3,12 +3,12 @@
 import io.yuccaswitch.core.decision.Tick;
 import io.yuccaswitch.core.identity.NodeName;
 import io.yuccaswitch.core.membership.MembershipView;
+import io.yuccaswitch.core.membership.RandomPeer;
 import io.yuccaswitch.core.peer.PeerEffect;
 import io.yuccaswitch.core.peer.PeerEvent;
 import io.yuccaswitch.core.time.MonotonicTime;
 import io.yuccaswitch.core.value.Bytes;
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 
 /**
@@ -48,7 +48,7 @@
      * @return Whether there is one to ask.
      */
     boolean ask(Tick tick, long expectedVersion, LeaseValue value) {
-        Optional<NodeName> other = anyOther(tick, membership);
+        Optional<NodeName> other = RandomPeer.choose(tick, membership);
         if (other.isEmpty()) {
             return false;
         }
@@ -84,24 +84,6 @@
         return Optional.of(new Outcome(asked.value(), asked.sentAt(), Optional.empty()));
     }
 
-    /**
-     * Chooses another working node at random.
-     *
-     * @param tick The tick.
-     * @param membership The nodes of the site.
-     * @return The node, or empty if this one is alone.
-     */
-    static Optional<NodeName> anyOther(Tick tick, MembershipView membership) {
-        NodeName self = membership.self().identity().name();
-        List<NodeName> others = membership.working().stream()
-                .map(member -> member.identity().name())
-                .filter(name -> !name.equals(self))
-                .toList();
-        return others.isEmpty()
-                ? Optional.empty()
-                : Optional.of(others.get(tick.random().nextInt(others.size())));
-    }
-
     /**
      * A request to another node.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/NamedVersionSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/NamedVersionSystem.java
@@ -4,6 +4,7 @@
 import io.yuccaswitch.core.decision.DecisionSystem;
 import io.yuccaswitch.core.decision.Tick;
 import io.yuccaswitch.core.membership.MembershipView;
+import io.yuccaswitch.core.membership.RandomPeer;
 import io.yuccaswitch.core.peer.PeerEffect;
 import io.yuccaswitch.core.peer.PeerEvent;
 import io.yuccaswitch.core.platform.KindWatch;
@@ -99,7 +100,7 @@
             return;
         }
         relayAt = tick.now().plus(RELAY_INTERVAL);
-        LeaseRelay.anyOther(tick, membership)
+        RandomPeer.choose(tick, membership)
                 .ifPresent(node -> tick.emit(new PeerEffect.Send(node, new OrderMessage.ReadVersions())));
     }
 
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/OrderLease.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/OrderLease.java
@@ -389,7 +389,7 @@
     private void giveBack(Tick tick) {
         permittedUntil = new MonotonicTime(Long.MIN_VALUE);
         OptionalLong expected = version();
-        Duration quiet = orderedAt.map(now::since).orElse(safetyTime.plus(MARGIN));
+        Duration quiet = orderedAt.map(now::since).orElseGet(() -> safetyTime.plus(MARGIN));
         LeaseValue value = observed.orElseThrow().value().givenBack(quiet);
         held = false;
         calls.call(
