Let scoring requests wait between attempts in a row, and bear bad input

Cause, by reading: a service that refuses all of them would be asked again as fast as it refuses, some hundred times a second for each item; an identifier that no header can bear would have ended the node as an unhandled exception; and each attempt left a small object behind for the life of the process.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ItemScoring.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ItemScoring.java
@@ -32,6 +32,12 @@
     /** The number of attempts at which an endpoint failed. */
     private int failures;
 
+    /** The number of attempts that ended without a score, in a row. */
+    private int misses;
+
+    /** When the next attempt may begin. */
+    private MonotonicTime nextAt;
+
     /** Since when no route serves the request, if none does. */
     private Optional<MonotonicTime> withoutRouteSince = Optional.empty();
 
@@ -46,6 +52,7 @@
         this.request = request;
         this.unscored = unscored;
         since = now;
+        nextAt = now;
     }
 
     /**
@@ -132,6 +139,35 @@
         return runs + running.size();
     }
 
+    /**
+     * Counts an attempt that ended without a score.
+     *
+     * @return The number of such attempts in a row.
+     */
+    int miss() {
+        misses++;
+        return misses;
+    }
+
+    /**
+     * Lets the next attempt wait.
+     *
+     * @param until When it may begin.
+     */
+    void waitUntil(MonotonicTime until) {
+        nextAt = until;
+    }
+
+    /**
+     * Returns whether the next attempt may begin.
+     *
+     * @param now The present.
+     * @return {@code true} unless it is to wait.
+     */
+    boolean mayBegin(MonotonicTime now) {
+        return !now.isBefore(nextAt);
+    }
+
     /**
      * Counts an attempt at which an endpoint failed.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ScoringRequest.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ScoringRequest.java
@@ -1,6 +1,7 @@
 package io.yuccaswitch.core.batch;
 
 import io.yuccaswitch.core.value.Bytes;
+import java.util.regex.Pattern;
 
 /**
  * The request to a plain service that scores the output of an item. It is idempotent, and is sent by {@code POST}
@@ -13,13 +14,16 @@
  */
 public record ScoringRequest(String id, String host, String path, Bytes body) {
 
+    /** What a header can bear. */
+    private static final Pattern HEADER_TEXT = Pattern.compile("[!-~]{1,256}");
+
     /** Checks that the request can be sent. */
     public ScoringRequest {
-        if (id.isEmpty()) {
-            throw new IllegalArgumentException("A scoring request needs an identifier");
+        if (!HEADER_TEXT.matcher(id).matches()) {
+            throw new IllegalArgumentException("A scoring request needs an identifier of visible characters");
         }
-        if (host.isEmpty()) {
-            throw new IllegalArgumentException("A scoring request needs a host");
+        if (!HEADER_TEXT.matcher(host).matches()) {
+            throw new IllegalArgumentException("A scoring request needs a host of visible characters");
         }
         if (!path.startsWith("/")) {
             throw new IllegalArgumentException("The path of a scoring request begins with a slash: " + path);
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ScoringSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ScoringSystem.java
@@ -43,6 +43,15 @@
      */
     private static final Duration ROUTE_PATIENCE = Duration.ofSeconds(5);
 
+    /** The wait before the third attempt in a row, which doubles with each further one. The second is made at once. */
+    private static final Duration FIRST_WAIT = Duration.ofMillis(50);
+
+    /**
+     * The longest wait between attempts in a row. It answers a service that is gone or full for all: without a wait
+     * each request would be sent again as fast as it is refused, some hundred times a second.
+     */
+    private static final Duration LONGEST_WAIT = Duration.ofMillis(400);
+
     /** The least time that is worth an attempt. */
     private static final Duration LEAST_TIME = Duration.ofMillis(5);
 
@@ -134,7 +143,7 @@
     private static boolean isDue(Tick tick, Outstanding entry, Route route) {
         List<ItemScoring.Attempt> running = entry.scoring().running();
         if (running.isEmpty()) {
-            return true;
+            return entry.scoring().mayBegin(tick.now());
         }
         boolean allowed =
                 running.size() < MAXIMUM_IN_PROGRESS && entry.scoring().runs() < Math.max(1, route.maximumAttempts());
@@ -269,6 +278,8 @@
      * @param reason Why.
      */
     private static void again(Tick tick, Outstanding entry, ItemScoring.Attempt attempt, String reason) {
+        int misses = entry.scoring().miss();
+        entry.scoring().waitUntil(tick.now().plus(pause(misses, tick.random().nextDouble())));
         tick.decide(Decision.of(
                 "batch-score",
                 entry.item().item().id(),
@@ -277,6 +288,22 @@
                         + attempt.endpoint().name().value() + ": " + reason));
     }
 
+    /**
+     * Returns how long the next attempt waits.
+     *
+     * @param misses The number of attempts in a row that ended without a score.
+     * @param drawn A number from 0 to below 1, by which requests that were refused together come back spread.
+     * @return The time.
+     */
+    private static Duration pause(int misses, double drawn) {
+        if (misses < 2) {
+            return Duration.ZERO;
+        }
+        Duration doubled = FIRST_WAIT.multipliedBy(1L << Math.min(misses - 2, 4));
+        Duration longest = doubled.compareTo(LONGEST_WAIT) < 0 ? doubled : LONGEST_WAIT;
+        return Duration.ofNanos((long) (longest.toNanos() * (0.5 + drawn / 2)));
+    }
+
     /**
      * Gives an item up.
      *
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/ScoringSystemTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/ScoringSystemTest.java
@@ -111,6 +111,16 @@
                 .isTrue());
     }
 
+    @Test
+    void aServiceThatRefusesAllIsNotAskedFasterAndFaster() {
+        TestNode node = site.node("node-1");
+        site.run(100);
+        site.scorers(_score -> Optional.of(new ScoringOutcome.Refused("full")));
+        site.submit(node, BatchSite.scoredJob("job", 1));
+        site.run(4000);
+        assertThat(site.scored).as("about three a second after the first few").hasSizeBetween(10, 25);
+    }
+
     @Test
     void theEndOfAJobBreaksItsScoringOffAndStartsNoMore() {
         TestNode node = site.node("node-1");
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ScoringRunner.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ScoringRunner.java
@@ -1,7 +1,6 @@
 package io.yuccaswitch.node.gateway;
 
 import com.codahale.metrics.MetricRegistry;
-import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.disposables.CompositeDisposable;
 import io.reactivex.rxjava3.schedulers.Schedulers;
 import io.yuccaswitch.core.batch.BatchEffect;
@@ -18,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import okhttp3.Call;
 import okhttp3.Response;
+import org.jboss.logging.Logger;
 
 /** Sends scoring requests to endpoints, and tells the core what became of each attempt. */
 final class ScoringRunner implements AutoCloseable {
@@ -31,6 +31,9 @@
     /** The status of an endpoint that failed while it ran the request. */
     private static final int FAILED = 500;
 
+    /** The logger. */
+    private static final Logger LOGGER = Logger.getLogger(ScoringRunner.class);
+
     /** Sends requests to endpoints. */
     private final EndpointAttempts attempts;
 
@@ -80,9 +83,7 @@
     private void start(BatchEffect.Score score) {
         Sending sending = new Sending(score);
         running.put(Key.of(score), sending);
-        subscriptions.add(Completable.fromAction(sending::run)
-                .subscribeOn(Schedulers.io())
-                .subscribe());
+        Schedulers.io().scheduleDirect(sending::run);
     }
 
     /**
@@ -193,12 +194,7 @@
                 return;
             }
             long begun = System.nanoTime();
-            EndpointAttempts.Opened opened = attempts.open(
-                    request(score),
-                    score.endpoint(),
-                    new EndpointAttempts.Times(score.timeLeft(), score.timeLeft()),
-                    Optional.empty(),
-                    this::attach);
+            EndpointAttempts.Opened opened = open();
             AttemptResult result = opened.failure().orElseGet(() -> attempts.readWhole(opened));
             if (cancelled) {
                 return;
@@ -212,6 +208,23 @@
             loop.accept(new BatchEvent.ScoringEnded(score.id(), score.item(), score.attempt(), outcome, load));
         }
 
+        /**
+         * Sends the request and waits for the head of its answer.
+         *
+         * @return The attempt in progress.
+         */
+        private EndpointAttempts.Opened open() {
+            EndpointAttempts.Times times = new EndpointAttempts.Times(score.timeLeft(), score.timeLeft());
+            try {
+                return attempts.open(request(score), score.endpoint(), times, Optional.empty(), this::attach);
+            } catch (IllegalArgumentException exception) {
+                LOGGER.warnf(
+                        "event=scoring-not-sent id=%s reason=\"%s\"",
+                        score.request().id(), exception);
+                return EndpointAttempts.Opened.failed(new AttemptResult.NotRun("it can't be sent"));
+            }
+        }
+
         /** Breaks the attempt off. */
         void cancel() {
             cancelled = true;
