--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchSystem.java
@@ -9,7 +9,7 @@
 import io.yuccaswitch.core.platform.PlatformTokens;
 import io.yuccaswitch.core.registry.EndpointRegistrySystem;
 import io.yuccaswitch.core.route.RouteConfigurationSystem;
-import io.yuccaswitch.core.watch.SharedKindWatch;
+import io.yuccaswitch.core.watch.SharedWatches;
 import java.time.Duration;
 import java.util.List;
 import java.util.function.LongSupplier;
@@ -30,6 +30,7 @@
      * Creates a system without jobs.
      *
      * @param membership The nodes of the site.
+     * @param watches This node's shared watches.
      * @param registry The engines.
      * @param routes The configuration of routes.
      * @param codec Writes and reads what is kept on the platform.
@@ -38,13 +39,14 @@
      */
     public BatchSystem(
             MembershipView membership,
+            SharedWatches watches,
             EndpointRegistrySystem registry,
             RouteConfigurationSystem routes,
             BatchCodec codec,
             PlatformTokens tokens,
             LongSupplier timeOfDay) {
         KindFeed entries =
-                new SharedKindWatch(BatchObjects.INDEX, PlatformPurpose.BATCH, tokens, GATHERING, membership);
+                watches.watch(BatchObjects.INDEX, PlatformPurpose.BATCH, tokens, GATHERING);
         BatchIndex index = new BatchIndex(entries, codec);
         state = BatchState.empty(membership, registry, routes, codec, new PlatformCalls(tokens), index);
         GiveUpTimes giveUpTimes = new GiveUpTimes(routes, timeOfDay);
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/decision/Tick.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/decision/Tick.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.function.Predicate;
 
 /** One tick of the decision core: the time, the events to consider, and a place for effects and decisions. */
 public final class Tick {
@@ -62,15 +63,26 @@
      * @return A copy of the events of this type.
      */
     public <T extends Event> List<T> events(Class<T> type) {
-        List<T> matching = new ArrayList<>();
+        List<T> matching = List.of();
         for (Event event : events) {
             if (type.isInstance(event)) {
+                matching = matching.isEmpty() ? new ArrayList<>() : matching;
                 matching.add(type.cast(event));
             }
         }
         return matching;
     }
 
+    /**
+     * Returns whether all events of this tick so far are of a kind.
+     *
+     * @param kind The kind.
+     * @return {@code true} if they are, or there are none.
+     */
+    public boolean hasOnly(Predicate<Event> kind) {
+        return events.stream().allMatch(kind);
+    }
+
     /**
      * Raises an event for the systems that run after this one in the same tick.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/MemberMerge.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/MemberMerge.java
@@ -4,6 +4,10 @@
 import io.yuccaswitch.core.decision.Tick;
 import io.yuccaswitch.core.identity.NodeIdentity;
 import io.yuccaswitch.core.identity.NodeName;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 /** Takes beliefs into the table of members, wherever they come from, and raises the events that follow. */
@@ -24,6 +28,9 @@
     /** The counters. */
     private final MembershipCounters counters;
 
+    /** The members that this tick made known, by who told of them, until they are explained. */
+    private final Map<String, List<Decision.Candidate>> newcomers = new LinkedHashMap<>();
+
     /**
      * Creates a new merge.
      *
@@ -104,11 +111,43 @@
                 .isEmpty()) {
             tick.emit(new MembershipEffect.LearnAddress(row.name(), member.peerAddress()));
         }
-        tick.decide(Decision.of(
-                DECISION_KIND, member.identity().toString(), member.condition().name(), reason));
+        explain(tick, member, known.isEmpty(), reason);
         raiseEvents(tick, row, known);
     }
 
+    /**
+     * Explains a belief that was taken in. Living members that were not known before wait for one decision that names
+     * them all: a node that starts learns of the whole site at once, and a line each would cost nodes times nodes.
+     *
+     * @param tick The tick.
+     * @param member The member.
+     * @param unknown Whether it was not known before.
+     * @param reason Where the belief comes from.
+     */
+    private void explain(Tick tick, Member member, boolean unknown, String reason) {
+        String subject = member.identity().toString();
+        if (unknown && member.condition() == MemberCondition.ALIVE) {
+            newcomers
+                    .computeIfAbsent(reason, _reason -> new ArrayList<>())
+                    .add(new Decision.Candidate(subject, 0));
+            return;
+        }
+        tick.decide(Decision.of(DECISION_KIND, subject, member.condition().name(), reason));
+    }
+
+    /**
+     * Explains the members that became known in this tick.
+     *
+     * @param tick The tick.
+     */
+    void explainNewcomers(Tick tick) {
+        newcomers.forEach((reason, members) -> {
+            String subject = members.size() == 1 ? members.get(0).name() : members.size() + " members";
+            tick.decide(new Decision(DECISION_KIND, subject, MemberCondition.ALIVE.name(), reason, members));
+        });
+        newcomers.clear();
+    }
+
     /**
      * Starts and stops the timers of a member.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/MembershipSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/MembershipSystem.java
@@ -87,6 +87,7 @@
     public void run(Tick tick) {
         state.platform().observe(tick);
         parts.forEach(part -> part.run(tick));
+        state.merge().explainNewcomers(tick);
         tick.events(MembershipEvent.Forgotten.class)
                 .forEach(event -> state.reports().remove(event.identity().name()));
     }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/RendezvousRanking.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/RendezvousRanking.java
@@ -24,11 +24,12 @@
      * @return The members from the highest to the lowest rank.
      */
     public static List<Member> rank(String key, Collection<Member> members) {
-        List<Member> ranked = new ArrayList<>(members);
-        ranked.sort(Comparator.comparingLong((Member member) -> weight(key, member))
+        List<Weighted> weighted = new ArrayList<>(members.size());
+        members.forEach(member -> weighted.add(new Weighted(weight(key, member), member)));
+        weighted.sort(Comparator.comparingLong(Weighted::weight)
                 .reversed()
-                .thenComparing(Member::identity));
-        return ranked;
+                .thenComparing(row -> row.member().identity()));
+        return weighted.stream().map(Weighted::member).toList();
     }
 
     /**
@@ -67,4 +68,12 @@
                         .asLong()
                 >>> 1;
     }
+
+    /**
+     * A member with its weight for a key, so that a key is hashed once for each member and not at each comparison.
+     *
+     * @param weight The weight.
+     * @param member The member.
+     */
+    private record Weighted(long weight, Member member) {}
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/OrderLease.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/OrderLease.java
@@ -5,9 +5,9 @@
 import io.yuccaswitch.core.decision.Tick;
 import io.yuccaswitch.core.identity.NodeName;
 import io.yuccaswitch.core.membership.Member;
+import io.yuccaswitch.core.membership.MemberRanking;
 import io.yuccaswitch.core.membership.MembershipEvent;
 import io.yuccaswitch.core.membership.MembershipView;
-import io.yuccaswitch.core.membership.RendezvousRanking;
 import io.yuccaswitch.core.peer.PeerEffect;
 import io.yuccaswitch.core.peer.PeerEvent;
 import io.yuccaswitch.core.platform.CallBackOff;
@@ -61,6 +61,9 @@
     /** The nodes of the site. */
     private final MembershipView membership;
 
+    /** The order in which the working nodes may succeed to the lease. */
+    private final MemberRanking ranking;
+
     /** The calls to the platform that wait for their answers. */
     private final PlatformCalls calls;
 
@@ -110,6 +113,7 @@
     OrderLease(MembershipView membership, PlatformTokens tokens, Duration safetyTime) {
         this.membership = membership;
         this.safetyTime = safetyTime;
+        ranking = new MemberRanking(KEY.name(), membership);
         calls = new PlatformCalls(tokens);
         relay = new LeaseRelay(membership);
     }
@@ -186,9 +190,7 @@
         if (observed.isEmpty() || observed.get().value().holder().equals(holderName())) {
             return true;
         }
-        Member self = membership.self();
-        List<Member> ranked = RendezvousRanking.rank(KEY.name(), membership.working());
-        return ranked.stream().limit(FOLLOWERS).anyMatch(self::equals);
+        return ranking.isSelfAmong(FOLLOWERS);
     }
 
     /**
@@ -415,10 +417,8 @@
      */
     private void tellFollowers(Tick tick, OrderMessage.LeaseGivenBack message) {
         Member self = membership.self();
-        List<Member> others = membership.working().stream()
+        ranking.members().stream()
                 .filter(member -> !member.equals(self))
-                .toList();
-        RendezvousRanking.rank(KEY.name(), others).stream()
                 .limit(FOLLOWERS)
                 .forEach(member ->
                         tick.emit(new PeerEffect.Send(member.identity().name(), message)));
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/registry/EndpointRegistrySystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/registry/EndpointRegistrySystem.java
@@ -6,13 +6,12 @@
 import io.yuccaswitch.core.decision.Tick;
 import io.yuccaswitch.core.identity.EndpointName;
 import io.yuccaswitch.core.identity.PoolName;
-import io.yuccaswitch.core.membership.MembershipView;
 import io.yuccaswitch.core.platform.KindFeed;
 import io.yuccaswitch.core.platform.PlatformPurpose;
 import io.yuccaswitch.core.platform.PlatformTokens;
 import io.yuccaswitch.core.platform.StoredObject;
 import io.yuccaswitch.core.time.MonotonicTime;
-import io.yuccaswitch.core.watch.SharedKindWatch;
+import io.yuccaswitch.core.watch.SharedWatches;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
@@ -54,15 +53,15 @@
     /**
      * Creates a system that knows no endpoints.
      *
-     * @param membership The nodes of the site, of which a few watch the registry for all.
+     * @param watches This node's shared watches.
      * @param tokens Hands out the tokens of calls.
      * @param decoder Reads an entry, or returns empty where it can't be read.
      */
     public EndpointRegistrySystem(
-            MembershipView membership,
+            SharedWatches watches,
             PlatformTokens tokens,
             Function<StoredObject, Optional<RegisteredEndpoint>> decoder) {
-        feed = new SharedKindWatch(KIND, PlatformPurpose.DISCOVERY, tokens, GATHERING, membership);
+        feed = watches.watch(KIND, PlatformPurpose.DISCOVERY, tokens, GATHERING);
         this.decoder = decoder;
     }
 
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/route/RouteConfigurationSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/route/RouteConfigurationSystem.java
@@ -3,12 +3,11 @@
 import io.yuccaswitch.core.decision.Decision;
 import io.yuccaswitch.core.decision.DecisionSystem;
 import io.yuccaswitch.core.decision.Tick;
-import io.yuccaswitch.core.membership.MembershipView;
 import io.yuccaswitch.core.platform.KindFeed;
 import io.yuccaswitch.core.platform.PlatformPurpose;
 import io.yuccaswitch.core.platform.PlatformTokens;
 import io.yuccaswitch.core.platform.StoredObject;
-import io.yuccaswitch.core.watch.SharedKindWatch;
+import io.yuccaswitch.core.watch.SharedWatches;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.function.Function;
@@ -34,15 +33,15 @@
     /**
      * Creates a system that has no configuration.
      *
-     * @param membership The nodes of the site, of which a few watch the configuration for all.
+     * @param watches This node's shared watches.
      * @param tokens Hands out the tokens of calls.
      * @param decoder Reads a configuration, or returns empty where it can't be read.
      */
     public RouteConfigurationSystem(
-            MembershipView membership,
+            SharedWatches watches,
             PlatformTokens tokens,
             Function<StoredObject, Optional<RouteConfiguration>> decoder) {
-        feed = new SharedKindWatch(KIND, PlatformPurpose.CONFIGURATION, tokens, GATHERING, membership);
+        feed = watches.watch(KIND, PlatformPurpose.CONFIGURATION, tokens, GATHERING);
         this.decoder = decoder;
     }
 
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/SharedKindWatch.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/SharedKindWatch.java
@@ -2,7 +2,6 @@
 
 import io.yuccaswitch.core.decision.Tick;
 import io.yuccaswitch.core.identity.NodeName;
-import io.yuccaswitch.core.membership.MembershipView;
 import io.yuccaswitch.core.platform.CallBackOff;
 import io.yuccaswitch.core.platform.KindFeed;
 import io.yuccaswitch.core.platform.KindWatch;
@@ -59,17 +58,19 @@
      * @param purpose The purpose of the calls.
      * @param tokens Hands out the tokens of calls.
      * @param gathering The pause after an answer of the platform that gathers further changes into the next one.
-     * @param membership The nodes of the site.
+     * @param roles Which nodes watch.
+     * @param follower Asks the watching nodes.
      */
-    public SharedKindWatch(
+    SharedKindWatch(
             String kind,
             PlatformPurpose purpose,
             PlatformTokens tokens,
             Duration gathering,
-            MembershipView membership) {
+            WatchRoles roles,
+            WatchFollower follower) {
         direct = new KindWatch(kind, purpose, tokens, gathering, WAIT_TIME);
-        roles = new WatchRoles(kind, membership);
-        follower = new WatchFollower(kind);
+        this.roles = roles;
+        this.follower = follower;
         server = new WatchServer(kind, replica, direct);
     }
 
@@ -160,11 +161,11 @@
      */
     private void ask(Tick tick) {
         MonotonicTime now = tick.now();
-        if (roles.isWatcher(now) || (doubtful && backOff.allows(now))) {
+        if (roles.isWatcher() || (doubtful && backOff.allows(now))) {
             direct.callIfDue(tick);
             return;
         }
-        Optional<NodeName> watcher = follower.choose(roles.watchers(now), now);
+        Optional<NodeName> watcher = follower.choose(roles.watchers(), now);
         if (watcher.isPresent()) {
             follower.ask(tick, watcher.get(), replica.version());
         } else if (backOff.allows(now)) {
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/SharedWatches.java
@@ -0,0 +1,43 @@
+package io.yuccaswitch.core.watch;
+
+import io.yuccaswitch.core.membership.MembershipView;
+import io.yuccaswitch.core.platform.PlatformPurpose;
+import io.yuccaswitch.core.platform.PlatformTokens;
+import java.time.Duration;
+
+/** Creates the shared watches of one node, which use one view of the nodes that watch. */
+public final class SharedWatches {
+
+    /** The nodes of the site. */
+    private final MembershipView membership;
+
+    /** What is known of the nodes that watch. */
+    private final WatcherContacts contacts = new WatcherContacts();
+
+    /** Whether the kind that notices a lost node was created. */
+    private boolean probed;
+
+    /**
+     * Creates a node's watches.
+     *
+     * @param membership The nodes of the site.
+     */
+    public SharedWatches(MembershipView membership) {
+        this.membership = membership;
+    }
+
+    /**
+     * Creates the watch of a kind. The first one notices lost nodes for all.
+     *
+     * @param kind The kind of the objects.
+     * @param purpose The purpose of the calls.
+     * @param tokens Hands out the tokens of calls.
+     * @param gathering The pause after an answer of the platform that gathers further changes into the next one.
+     * @return The watch.
+     */
+    public SharedKindWatch watch(String kind, PlatformPurpose purpose, PlatformTokens tokens, Duration gathering) {
+        WatchFollower follower = new WatchFollower(kind, contacts, !probed);
+        probed = true;
+        return new SharedKindWatch(kind, purpose, tokens, gathering, new WatchRoles(membership), follower);
+    }
+}
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchFollower.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchFollower.java
@@ -2,21 +2,32 @@
 
 import io.yuccaswitch.core.decision.Decision;
 import io.yuccaswitch.core.decision.Tick;
+import io.yuccaswitch.core.identity.NodeIdentity;
 import io.yuccaswitch.core.identity.NodeName;
 import io.yuccaswitch.core.peer.PeerEffect;
 import io.yuccaswitch.core.peer.PeerEvent;
 import io.yuccaswitch.core.time.MonotonicTime;
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 
 /** Asks a watching node for the changes of one kind, with one request at a time. */
 final class WatchFollower {
 
-    /** How long an answer may take: the time for which the watching node holds a request, and some for the way. */
-    private static final Duration TIMEOUT = WatchServer.HOLD_TIME.plus(Duration.ofMillis(300));
+    /** How long the request that notices a lost node is held. Half of it passes before the node is missed. */
+    private static final Duration SHORT_HOLD = Duration.ofMillis(500);
+
+    /**
+     * How long a request is held while another kind hears from the same node. At five seconds a request costs a tenth of
+     * the messages of a short one, and changes are told at once all the same.
+     */
+    private static final Duration LONG_HOLD = Duration.ofSeconds(5);
+
+    /** How long an answer may take beyond the time for which the request is held. */
+    private static final Duration DELIVERY_TIME = Duration.ofMillis(300);
+
+    /** After which silence a node is missed. */
+    static final Duration TIMEOUT = SHORT_HOLD.plus(DELIVERY_TIME);
 
     /** How long a node that did not answer is left alone, by when the membership knows whether it is gone. */
     private static final Duration SILENT_PAUSE = Duration.ofSeconds(3);
@@ -27,8 +38,11 @@
     /** The kind. */
     private final String kind;
 
-    /** Until when nodes are left alone. */
-    private final Map<NodeName, MonotonicTime> pausedUntil = new HashMap<>();
+    /** What is known of the nodes that watch. */
+    private final WatcherContacts contacts;
+
+    /** Whether this kind notices lost nodes for the others. */
+    private final boolean probes;
 
     /** The request that waits for its answer, if any. */
     private Optional<Request> request = Optional.empty();
@@ -40,9 +54,13 @@
      * Creates a follower that has asked nothing.
      *
      * @param kind The kind.
+     * @param contacts What is known of the nodes that watch.
+     * @param probes Whether this kind notices lost nodes for the others.
      */
-    WatchFollower(String kind) {
+    WatchFollower(String kind, WatcherContacts contacts, boolean probes) {
         this.kind = kind;
+        this.contacts = contacts;
+        this.probes = probes;
     }
 
     /**
@@ -62,9 +80,8 @@
      * @return The first such node, or empty if there is none.
      */
     Optional<NodeName> choose(List<NodeName> watchers, MonotonicTime now) {
-        pausedUntil.values().removeIf(until -> !now.isBefore(until));
         return watchers.stream()
-                .filter(watcher -> !pausedUntil.containsKey(watcher))
+                .filter(watcher -> !contacts.isPaused(watcher, now))
                 .findFirst();
     }
 
@@ -77,8 +94,10 @@
      */
     void ask(Tick tick, NodeName watcher, long version) {
         number++;
-        request = Optional.of(new Request(watcher, number, version, tick.now()));
-        tick.emit(new PeerEffect.Send(watcher, new WatchMessage.Follow(kind, number, version)));
+        Optional<NodeIdentity> heard = probes ? Optional.empty() : contacts.inTouch(watcher, tick.now());
+        Duration hold = heard.isPresent() ? LONG_HOLD : SHORT_HOLD;
+        request = Optional.of(new Request(watcher, number, version, tick.now(), hold, heard));
+        tick.emit(new PeerEffect.Send(watcher, new WatchMessage.Follow(kind, number, version, hold.toMillis())));
     }
 
     /**
@@ -91,23 +110,49 @@
         if (request.isEmpty()) {
             return Optional.empty();
         }
-        Optional<WatchMessage.Changes> changes = tick.events(PeerEvent.Received.class).stream()
-                .map(PeerEvent.Received::message)
-                .filter(WatchMessage.Changes.class::isInstance)
-                .map(WatchMessage.Changes.class::cast)
-                .filter(found -> found.kind().equals(kind)
-                        && found.number() == request.get().number()
-                        && found.behind() == request.get().version())
-                .findFirst();
-        if (changes.isPresent()) {
-            return Optional.of(answered(tick, changes.get()));
+        for (PeerEvent.Received received : tick.events(PeerEvent.Received.class)) {
+            if (received.message() instanceof WatchMessage.Changes changes && answersRequest(changes)) {
+                contacts.answered(received.sender(), tick.now());
+                return Optional.of(answered(tick, changes));
+            }
         }
-        if (isUndeliverable(tick) || tick.now().since(request.get().askedAt()).compareTo(TIMEOUT) > 0) {
+        Request waiting = request.get();
+        if (isUndeliverable(tick) || waiting.isOverdue(tick.now())) {
             return Optional.of(silent(tick));
         }
+        if (isLost(waiting, tick.now())) {
+            request = Optional.empty();
+        }
         return Optional.empty();
     }
 
+    /**
+     * Returns whether a message answers the request.
+     *
+     * @param changes The message.
+     * @return {@code true} if it does.
+     */
+    private boolean answersRequest(WatchMessage.Changes changes) {
+        Request waiting = request.orElseThrow();
+        return changes.kind().equals(kind)
+                && changes.number() == waiting.number()
+                && changes.behind() == waiting.version();
+    }
+
+    /**
+     * Returns whether a request that is held for long may be lost, because the life of the node that holds it was not
+     * heard since, or another kind found that the node is of no use.
+     *
+     * @param waiting The request.
+     * @param now The present.
+     * @return {@code true} if it has to be sent anew.
+     */
+    private boolean isLost(Request waiting, MonotonicTime now) {
+        return waiting.heard().isPresent()
+                && (contacts.isPaused(waiting.watcher(), now)
+                        || !contacts.inTouch(waiting.watcher(), now).equals(waiting.heard()));
+    }
+
     /**
      * Takes an answer.
      *
@@ -119,7 +164,7 @@
         Request answered = request.orElseThrow();
         request = Optional.empty();
         if (!changes.inContact()) {
-            pausedUntil.put(answered.watcher(), tick.now().plus(CONTACTLESS_PAUSE));
+            contacts.pause(answered.watcher(), tick.now().plus(CONTACTLESS_PAUSE));
         }
         return new Outcome(answered.version(), Optional.of(changes));
     }
@@ -133,7 +178,7 @@
     private Outcome silent(Tick tick) {
         Request lost = request.orElseThrow();
         request = Optional.empty();
-        pausedUntil.put(lost.watcher(), tick.now().plus(SILENT_PAUSE));
+        contacts.pause(lost.watcher(), tick.now().plus(SILENT_PAUSE));
         tick.decide(Decision.of(
                 "watch",
                 kind,
@@ -164,8 +209,27 @@
      * @param number The number of the request.
      * @param version The version up to which changes were known.
      * @param askedAt When it was sent.
+     * @param hold How long the node may hold it.
+     * @param heard The life of the node that another kind hears from meanwhile, or empty if this one notices its loss.
      */
-    private record Request(NodeName watcher, long number, long version, MonotonicTime askedAt) {}
+    private record Request(
+            NodeName watcher,
+            long number,
+            long version,
+            MonotonicTime askedAt,
+            Duration hold,
+            Optional<NodeIdentity> heard) {
+
+        /**
+         * Returns whether the answer should be there.
+         *
+         * @param now The present.
+         * @return {@code true} if it should.
+         */
+        boolean isOverdue(MonotonicTime now) {
+            return now.since(askedAt).compareTo(hold.plus(DELIVERY_TIME)) > 0;
+        }
+    }
 
     /**
      * What became of a request.
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchMessage.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchMessage.java
@@ -14,14 +14,15 @@
     long NEVER = -1;
 
     /**
-     * Asks for the changes of a kind behind a version. The receiver answers as soon as it knows any, and after a short
-     * time in any case.
+     * Asks for the changes of a kind behind a version. The receiver answers as soon as it knows any or loses the
+     * platform, and after the told time in any case.
      *
      * @param kind The kind of the objects.
      * @param number The number of the request, which the answer bears.
      * @param version The version up to which the sender knows all changes, or {@link #UNKNOWN_VERSION}.
+     * @param holdMillis How long the receiver may hold the request, in milliseconds.
      */
-    record Follow(String kind, long number, long version) implements WatchMessage {}
+    record Follow(String kind, long number, long version, long holdMillis) implements WatchMessage {}
 
     /**
      * Answers a request for changes.
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchServer.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchServer.java
@@ -7,16 +7,12 @@
 import io.yuccaswitch.core.platform.KindFeed;
 import io.yuccaswitch.core.platform.KindWatch;
 import io.yuccaswitch.core.time.MonotonicTime;
-import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 
 /** Answers the nodes that follow this one, as soon as there are changes or this node loses the platform. */
 final class WatchServer {
 
-    /** How long a request is held while there are no changes. Half of it passes before a lost node is noticed. */
-    static final Duration HOLD_TIME = Duration.ofMillis(500);
-
     /** The kind. */
     private final String kind;
 
@@ -71,7 +67,7 @@
      * @return Whether it was answered.
      */
     private boolean answerIfDue(Tick tick, NodeName sender, Held request, boolean inContact) {
-        boolean held = tick.now().since(request.at()).compareTo(HOLD_TIME) >= 0;
+        boolean held = tick.now().since(request.at()).toMillis() >= request.follow().holdMillis();
         boolean newer = replica.hasNewsBehind(request.follow().version());
         if (inContact && !held && !newer) {
             return false;
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSite.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSite.java
@@ -14,6 +14,7 @@
 import io.yuccaswitch.core.site.TestNode;
 import io.yuccaswitch.core.site.TestSite;
 import io.yuccaswitch.core.value.Bytes;
+import io.yuccaswitch.core.watch.SharedWatches;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -88,9 +89,10 @@
     TestNode node(String name) {
         nodes.removeIf(node -> node.name().equals(name));
         TestNode started = site.start(name, (node, tokens) -> {
-            EndpointRegistrySystem registry = new EndpointRegistrySystem(node, tokens, BatchSite::endpoint);
-            RouteConfigurationSystem routes = new RouteConfigurationSystem(node, tokens, this::configuration);
-            return List.of(routes, registry, new BatchSystem(node, registry, routes, codec, tokens, () -> 1000));
+            SharedWatches watches = new SharedWatches(node);
+            EndpointRegistrySystem registry = new EndpointRegistrySystem(watches, tokens, BatchSite::endpoint);
+            RouteConfigurationSystem routes = new RouteConfigurationSystem(watches, tokens, this::configuration);
+            return List.of(routes, registry, new BatchSystem(node, watches, registry, routes, codec, tokens, () -> 1000));
         });
         started.accept(new MembershipEvent.SelfJoined(false));
         nodes.add(started);
--- /dev/null
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/decision/PacedSystemTest.java
@@ -0,0 +1,55 @@
+package io.yuccaswitch.core.decision;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.yuccaswitch.core.time.MonotonicTime;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+final class PacedSystemTest {
+
+    private final List<Long> runs = new ArrayList<>();
+    private final PacedSystem paced = new PacedSystem(
+            List.of(tick -> runs.add(tick.now().nanoseconds() / 1_000_000)),
+            Foreign.class::isInstance,
+            () -> Duration.ofMillis(100));
+
+    @Test
+    void aTickWithoutEventsWaitsForThePace() {
+        tick(0);
+        tick(40);
+        tick(99);
+        tick(100);
+        assertThat(runs).containsExactly(0L, 100L);
+    }
+
+    @Test
+    void anEventThatNoSystemLooksAtRunsNothing() {
+        tick(0);
+        tick(10, new Foreign());
+        assertThat(runs).containsExactly(0L);
+    }
+
+    @Test
+    void anyOtherEventRunsTheSystemsAtOnce() {
+        tick(0);
+        tick(10, new Foreign(), new Own());
+        tick(50);
+        assertThat(runs).containsExactly(0L, 10L);
+    }
+
+    private void tick(long millis, Event... events) {
+        paced.run(new Tick(
+                new MonotonicTime(Duration.ofMillis(millis).toNanos()),
+                Arrays.asList(events),
+                new SplittableRandom(1)));
+    }
+
+    private record Foreign() implements Event {}
+
+    private record Own() implements Event {}
+}
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/modelversion/VersionSystemsTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/modelversion/VersionSystemsTest.java
@@ -14,6 +14,7 @@
 import io.yuccaswitch.core.route.RouteConfigurationSystem;
 import io.yuccaswitch.core.site.TestNode;
 import io.yuccaswitch.core.site.TestSite;
+import io.yuccaswitch.core.watch.SharedWatches;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -375,9 +376,10 @@
 
     private TestNode start(String name) {
         TestNode node = site.start(name, (self, tokens) -> {
-            EndpointRegistrySystem registry = new EndpointRegistrySystem(self, tokens, this::endpoint);
+            SharedWatches watches = new SharedWatches(self);
+            EndpointRegistrySystem registry = new EndpointRegistrySystem(watches, tokens, this::endpoint);
             RouteConfigurationSystem routes =
-                    new RouteConfigurationSystem(self, tokens, VersionSystemsTest::configuration);
+                    new RouteConfigurationSystem(watches, tokens, VersionSystemsTest::configuration);
             return List.of(
                     routes,
                     registry,
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/registry/EndpointRegistrySystemTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/registry/EndpointRegistrySystemTest.java
@@ -7,6 +7,7 @@
 import io.yuccaswitch.core.identity.PoolName;
 import io.yuccaswitch.core.platform.StoredObject;
 import io.yuccaswitch.core.site.TestSite;
+import io.yuccaswitch.core.watch.SharedWatches;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -23,7 +24,7 @@
     @BeforeEach
     void startNode() {
         site.start("node", (node, tokens) -> {
-            registry = new EndpointRegistrySystem(node, tokens, EndpointRegistrySystemTest::decode);
+            registry = new EndpointRegistrySystem(new SharedWatches(node), tokens, EndpointRegistrySystemTest::decode);
             return List.of(registry);
         });
         put("one", "ledger 10.0.0.1:80 ready");
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/route/RouteConfigurationTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/route/RouteConfigurationTest.java
@@ -4,6 +4,7 @@
 
 import io.yuccaswitch.core.identity.PoolName;
 import io.yuccaswitch.core.site.TestSite;
+import io.yuccaswitch.core.watch.SharedWatches;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -50,7 +51,7 @@
         RouteConfigurationSystem[] system = new RouteConfigurationSystem[1];
         site.start("node", (node, tokens) -> {
             system[0] = new RouteConfigurationSystem(
-                    node,
+                    new SharedWatches(node),
                     tokens,
                     object -> Optional.of(
                             configuration(Long.parseLong(object.value().toUtf8()))));
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/watch/SharedKindWatchTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/watch/SharedKindWatchTest.java
@@ -7,6 +7,7 @@
 import io.yuccaswitch.core.identity.NodeIdentity;
 import io.yuccaswitch.core.identity.NodeName;
 import io.yuccaswitch.core.membership.RendezvousRanking;
+import io.yuccaswitch.core.peer.PeerEffect;
 import io.yuccaswitch.core.peer.PeerEvent;
 import io.yuccaswitch.core.platform.KindFeed;
 import io.yuccaswitch.core.platform.PlatformPurpose;
@@ -28,12 +29,14 @@
 final class SharedKindWatchTest {
 
     private static final String KIND = "thing";
+    private static final String OTHER_KIND = "other";
 
     /** The bound within which every node in touch has to know a change. */
     private static final Duration BOUND = Duration.ofMillis(1900);
 
     private final TestSite site = new TestSite();
     private final Map<String, Copy> copies = new TreeMap<>();
+    private final Map<String, Copy> others = new TreeMap<>();
 
     @BeforeEach
     void startNodes() {
@@ -67,7 +70,7 @@
         int before = site.platform().log().size();
         site.run(Duration.ofSeconds(10));
         int calls = site.platform().log().size() - before;
-        assertThat(calls).isBetween(24, 30);
+        assertThat(calls).isBetween(48, 60);
     }
 
     @Test
@@ -159,15 +162,17 @@
         site.run(Duration.ofSeconds(2));
         int before = site.platform().log().size();
         site.run(Duration.ofSeconds(10));
-        double perNodeAndSecond = (site.platform().log().size() - before) / 100.0;
-        assertThat(perNodeAndSecond).isLessThan(1.2);
+        double perNodeKindAndSecond = (site.platform().log().size() - before) / 200.0;
+        assertThat(perNodeKindAndSecond).isLessThan(1.2);
     }
 
     @Test
     void anAnswerToTheRequestOfAnEarlierLifeIsNotTaken() {
         Copy copy = inTouch(watchers()).iterator().next();
-        long number = copy.node.take(io.yuccaswitch.core.peer.PeerEffect.Send.class).stream()
-                .map(send -> ((WatchMessage.Follow) send.message()).number())
+        long number = copy.node.take(PeerEffect.Send.class).stream()
+                .map(send -> (WatchMessage.Follow) send.message())
+                .filter(follow -> follow.kind().equals(KIND))
+                .map(WatchMessage.Follow::number)
                 .max(Long::compare)
                 .orElseThrow();
         StoredObject strange = new StoredObject(
@@ -182,19 +187,57 @@
         assertThat(copy.content).doesNotContainKey("z");
     }
 
+    @Test
+    void aChangeOfAnotherKindIsKnownInTimeThoughTheWatchingNodesFellSilent() {
+        site.run(Duration.ofSeconds(2));
+        Set<String> watchers = watchers();
+        site.connect((from, to) -> watchers.contains(from) || watchers.contains(to));
+        site.platform().put(OTHER_KIND, "a", "second");
+        site.run(BOUND);
+        assertThat(others.entrySet())
+                .filteredOn(other -> !watchers.contains(other.getKey()))
+                .allSatisfy(other -> assertThat(other.getValue().content).containsEntry("a", "second"));
+    }
+
+    @Test
+    void aChangeOfAnotherKindIsKnownInTimeThoughTheWatchingNodesBeganAnew() {
+        site.run(Duration.ofSeconds(2));
+        watchers().forEach(this::start);
+        site.run(Duration.ofMillis(300));
+        site.platform().put(OTHER_KIND, "a", "second");
+        site.run(BOUND);
+        assertThat(others.values()).allSatisfy(other -> assertThat(other.content).containsEntry("a", "second"));
+    }
+
+    @Test
+    void aFurtherKindCostsATenthOfTheMessagesOfTheFirst() {
+        site.run(Duration.ofSeconds(2));
+        copies.values().forEach(copy -> copy.node.take(PeerEffect.Send.class));
+        site.run(Duration.ofSeconds(20));
+        Map<String, Long> asked = copies.values().stream()
+                .flatMap(copy -> copy.node.take(PeerEffect.Send.class).stream())
+                .map(PeerEffect.Send::message)
+                .filter(WatchMessage.Follow.class::isInstance)
+                .map(message -> ((WatchMessage.Follow) message).kind())
+                .collect(Collectors.groupingBy(kind -> kind, Collectors.counting()));
+        assertThat(asked.get(OTHER_KIND)).isBetween(1L, asked.get(KIND) / 8);
+    }
+
     private void start(String name) {
         site.start(name, (node, tokens) -> {
-            SharedKindWatch feed =
-                    new SharedKindWatch(KIND, PlatformPurpose.DISCOVERY, tokens, Duration.ofMillis(100), node);
-            Copy copy = new Copy(node, feed);
+            SharedWatches watches = new SharedWatches(node);
+            Duration gathering = Duration.ofMillis(100);
+            Copy copy = new Copy(node, watches.watch(KIND, PlatformPurpose.DISCOVERY, tokens, gathering));
+            Copy other = new Copy(node, watches.watch(OTHER_KIND, PlatformPurpose.DISCOVERY, tokens, gathering));
             copies.put(name, copy);
-            return List.of(copy);
+            others.put(name, other);
+            return List.of(copy, other);
         });
     }
 
     private Set<String> watchers() {
         TestNode any = copies.get("node-0").node;
-        return RendezvousRanking.pair(KIND, any.working()).stream()
+        return RendezvousRanking.pair(WatchRoles.KEY, any.working()).stream()
                 .map(member -> member.identity().name().value())
                 .collect(Collectors.toCollection(TreeSet::new));
     }
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/decision/DecisionLog.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/decision/DecisionLog.java
@@ -43,13 +43,9 @@
      * @param decision The decision.
      */
     public static void write(Decision decision) {
-        LOGGER.infof(
-                "event=decision kind=%s subject=%s choice=%s reason=\"%s\" candidates=%s",
-                decision.kind(),
-                decision.subject(),
-                decision.choice(),
-                decision.reason(),
-                describe(decision.candidates()));
+        LOGGER.info("event=decision kind=" + decision.kind() + " subject=" + decision.subject() + " choice="
+                + decision.choice() + " reason=\"" + decision.reason() + "\" candidates="
+                + describe(decision.candidates()));
     }
 
     /**
@@ -84,6 +80,9 @@
      * @return The names and scores of the first candidates.
      */
     private static String describe(List<Decision.Candidate> candidates) {
+        if (candidates.isEmpty()) {
+            return "[]";
+        }
         return candidates.stream()
                 .limit(CANDIDATES_PER_LINE)
                 .map(candidate -> String.format("%s:%.3f", candidate.name(), candidate.score()))
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/decision/DecisionLoop.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/decision/DecisionLoop.java
@@ -20,13 +20,20 @@
 import org.jboss.logging.Logger;
 
 /**
- * Runs the decision core on one thread: a tick whenever events are waiting, and otherwise at a steady interval.
+ * Runs the decision core on one thread: a tick whenever events are waiting, and otherwise at an interval that follows from what the
+ * core does.
  * Subscribers of effects and decisions are called on that thread and must not block.
  */
 public final class DecisionLoop implements EventSink, AutoCloseable {
 
-    /** The longest pause between two ticks. */
-    private static final Duration TICK_INTERVAL = Duration.ofMillis(20);
+    /** The longest pause between two ticks while the core follows something that waits for a moment in time. */
+    public static final Duration BUSY_INTERVAL = Duration.ofMillis(20);
+
+    /**
+     * The longest pause between two ticks otherwise. Events are taken at once at either pace, so it bounds only how late
+     * a timer is seen, and timers of an idle node count in hundreds of milliseconds.
+     */
+    public static final Duration IDLE_INTERVAL = Duration.ofMillis(100);
 
     /** The largest number of events of one tick. */
     private static final int EVENTS_PER_TICK = 1024;
@@ -40,6 +47,9 @@
     /** What to do when an invariant of the core broke. */
     private final Runnable onBrokenInvariant;
 
+    /** How long the pause between two ticks may be, asked on the loop's thread before each. */
+    private final Supplier<Duration> pace;
+
     /** The events that wait for the next tick. */
     private final BlockingQueue<Event> waiting = new LinkedBlockingQueue<>();
 
@@ -56,14 +66,26 @@
     private volatile boolean running = true;
 
     /**
-     * Creates a new loop that does not run yet.
+     * Creates a new loop that does not run yet and ticks as often as a busy one.
      *
      * @param core The decision core to run.
      * @param onBrokenInvariant What to do when a tick fails, which means that an invariant is broken.
      */
     public DecisionLoop(DecisionCore core, Runnable onBrokenInvariant) {
+        this(core, onBrokenInvariant, () -> BUSY_INTERVAL);
+    }
+
+    /**
+     * Creates a new loop that does not run yet.
+     *
+     * @param core The decision core to run.
+     * @param onBrokenInvariant What to do when a tick fails, which means that an invariant is broken.
+     * @param pace How long the pause between two ticks may be, asked on the loop's thread before each.
+     */
+    public DecisionLoop(DecisionCore core, Runnable onBrokenInvariant, Supplier<Duration> pace) {
         this.core = core;
         this.onBrokenInvariant = onBrokenInvariant;
+        this.pace = pace;
         thread = new Thread(this::run, "decision-loop");
     }
 
@@ -175,14 +197,14 @@
     }
 
     /**
-     * Waits for events, at most for the tick interval.
+     * Waits for events, at most for the longest pause between two ticks.
      *
      * @return The events of the next tick, which may be none.
      * @throws InterruptedException If the loop is closed.
      */
     private List<Event> awaitEvents() throws InterruptedException {
         List<Event> events = new ArrayList<>();
-        Event first = waiting.poll(TICK_INTERVAL.toNanos(), TimeUnit.NANOSECONDS);
+        Event first = waiting.poll(pace.get().toNanos(), TimeUnit.NANOSECONDS);
         if (first != null) {
             events.add(first);
             waiting.drainTo(events, EVENTS_PER_TICK - 1);
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/DisconnectWatch.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/DisconnectWatch.java
@@ -20,13 +20,8 @@
     private final Set<Watched> watched =
             Collections.newSetFromMap(Collections.synchronizedMap(new IdentityHashMap<>()));
 
-    /** The timer. */
-    private final Disposable timer;
-
-    /** Creates a watch without requests and starts its timer. */
-    DisconnectWatch() {
-        timer = Observable.interval(INTERVAL.toMillis(), TimeUnit.MILLISECONDS).subscribe(_tick -> look());
-    }
+    /** The timer, which runs only while there are requests: an idle process should not wake for nothing. */
+    private Disposable timer = Disposable.disposed();
 
     /**
      * Watches a request.
@@ -36,13 +31,21 @@
      */
     Watched watch(ClientConnection connection) {
         Watched added = new Watched(connection);
-        watched.add(added);
+        synchronized (watched) {
+            watched.add(added);
+            if (timer.isDisposed()) {
+                timer = Observable.interval(INTERVAL.toMillis(), TimeUnit.MILLISECONDS)
+                        .subscribe(_tick -> look());
+            }
+        }
         return added;
     }
 
     @Override
     public void close() {
-        timer.dispose();
+        synchronized (watched) {
+            timer.dispose();
+        }
     }
 
     /** Looks at all requests in progress. */
@@ -50,6 +53,9 @@
         List<Watched> current;
         synchronized (watched) {
             current = List.copyOf(watched);
+            if (current.isEmpty()) {
+                timer.dispose();
+            }
         }
         current.forEach(Watched::look);
     }
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
@@ -123,7 +123,7 @@
         MetricRegistry metrics = new MetricRegistry();
         Member self = self(settings);
         core = new GatewayCore(self, settings, dialects, view);
-        loop = new DecisionLoop(core.core(), () -> Runtime.getRuntime().halt(EXIT_BROKEN_INVARIANT));
+        loop = new DecisionLoop(core.core(), () -> Runtime.getRuntime().halt(EXIT_BROKEN_INVARIANT), core::pace);
         NodeSettings.PlatformSettings limits = settings.platform();
         platform = new PlatformClient(
                 PlatformClientSettings.of("http://" + limits.address())
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayCore.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayCore.java
@@ -3,14 +3,22 @@
 import io.yuccaswitch.core.batch.BatchSystem;
 import io.yuccaswitch.core.configuration.MembershipSettings;
 import io.yuccaswitch.core.decision.DecisionCore;
+import io.yuccaswitch.core.decision.DecisionSystem;
+import io.yuccaswitch.core.decision.Event;
+import io.yuccaswitch.core.decision.PacedSystem;
 import io.yuccaswitch.core.membership.Member;
+import io.yuccaswitch.core.membership.MembershipEvent;
+import io.yuccaswitch.core.membership.MembershipMessage;
 import io.yuccaswitch.core.membership.MembershipOptions;
 import io.yuccaswitch.core.membership.MembershipSystem;
 import io.yuccaswitch.core.modelversion.VersionSystems;
+import io.yuccaswitch.core.peer.PeerEvent;
 import io.yuccaswitch.core.platform.PlatformTokens;
 import io.yuccaswitch.core.registry.EndpointRegistrySystem;
 import io.yuccaswitch.core.retirement.RetirementSystem;
 import io.yuccaswitch.core.route.RouteConfigurationSystem;
+import io.yuccaswitch.core.watch.SharedWatches;
+import io.yuccaswitch.node.decision.DecisionLoop;
 import java.time.Duration;
 import java.util.List;
 
@@ -22,7 +30,7 @@
      * it and its batch jobs wait meanwhile.
      */
     private static final MembershipSettings MEMBERSHIP =
-            new MembershipSettings(Duration.ofMillis(250), Duration.ofMillis(700), Duration.ofSeconds(5));
+            new MembershipSettings(Duration.ofMillis(400), Duration.ofMillis(700), Duration.ofSeconds(5));
 
     /** The times of the membership that depend on how long a healthy node may take to answer. */
     private static final MembershipOptions OPTIONS = new MembershipOptions(
@@ -63,22 +71,23 @@
     GatewayCore(Member self, GatewaySettings settings, GatewayDialects dialects, GatewayView view) {
         PlatformTokens tokens = new PlatformTokens();
         membership = new MembershipSystem(self, settings.seeds(), view, tokens, OPTIONS, MEMBERSHIP);
-        registry = new EndpointRegistrySystem(membership, tokens, dialects.endpointEntries());
+        SharedWatches watches = new SharedWatches(membership);
+        registry = new EndpointRegistrySystem(watches, tokens, dialects.endpointEntries());
         RouteConfigurationSystem routes =
-                new RouteConfigurationSystem(membership, tokens, dialects.routeConfigurations());
+                new RouteConfigurationSystem(watches, tokens, dialects.routeConfigurations());
         versions = new VersionSystems(
                 membership, registry, routes, tokens, dialects.namedVersions(), settings.orderSafetyTime());
         batches =
-                new BatchSystem(membership, registry, routes, new JsonBatchCodec(), tokens, System::currentTimeMillis);
+                new BatchSystem(membership, watches, registry, routes, new JsonBatchCodec(), tokens, System::currentTimeMillis);
+        List<DecisionSystem> others = List.of(
+                routes,
+                registry,
+                versions,
+                new RetirementSystem(tokens, versions::givesOrders),
+                batches,
+                view.observer(membership));
         core = new DecisionCore(
-                List.of(
-                        routes,
-                        registry,
-                        membership,
-                        versions,
-                        new RetirementSystem(tokens, versions::givesOrders),
-                        batches,
-                        view.observer(membership)),
+                List.of(membership, new PacedSystem(others, GatewayCore::concernsMembershipOnly, this::pace)),
                 self.identity().hashCode());
     }
 
@@ -108,4 +117,27 @@
     BatchSystem batches() {
         return batches;
     }
+
+    /**
+     * Returns how long the core may be left alone while no event arrives. A node that runs jobs or gives orders has timers
+     * that count in tens of milliseconds. All others watch the membership and the platform, whose timers are longer.
+     *
+     * @return The longest pause between two ticks.
+     */
+    Duration pace() {
+        boolean busy = batches.runningJobs() > 0 || versions.givesOrders();
+        return busy ? DecisionLoop.BUSY_INTERVAL : DecisionLoop.IDLE_INTERVAL;
+    }
+
+    /**
+     * Returns whether an event concerns nothing but the exchange between members. What the membership learns from it is
+     * raised as further events.
+     *
+     * @param event The event.
+     * @return {@code true} if only the membership looks at it.
+     */
+    private static boolean concernsMembershipOnly(Event event) {
+        return event instanceof MembershipEvent.PeerReported
+                || (event instanceof PeerEvent.Received received && received.message() instanceof MembershipMessage);
+    }
 }
--- a/yuccaswitch-node/src/test/java/io/yuccaswitch/node/watch/SharedWatchBenchmark.java
+++ b/yuccaswitch-node/src/test/java/io/yuccaswitch/node/watch/SharedWatchBenchmark.java
@@ -6,6 +6,7 @@
 import io.yuccaswitch.core.site.TestNode;
 import io.yuccaswitch.core.site.TestSite;
 import io.yuccaswitch.core.watch.SharedKindWatch;
+import io.yuccaswitch.core.watch.SharedWatches;
 import io.yuccaswitch.node.peer.PeerMessages;
 import io.yuccaswitch.protocol.PeerMessageCodec;
 import io.yuccaswitch.protocol.PeerTransportSettings;
@@ -45,7 +46,7 @@
         for (int i = 0; i < count; i++) {
             nodes.add(site.start("node-" + i, (node, tokens) -> {
                 SharedKindWatch watch =
-                        new SharedKindWatch(KIND, PlatformPurpose.DISCOVERY, tokens, Duration.ofMillis(250), node);
+                        new SharedWatches(node).watch(KIND, PlatformPurpose.DISCOVERY, tokens, Duration.ofMillis(250));
                 return List.of((DecisionSystem) watch::run);
             }));
         }
--- a/yuccaswitch-protocol/src/main/java/io/yuccaswitch/protocol/OutgoingPeer.java
+++ b/yuccaswitch-protocol/src/main/java/io/yuccaswitch/protocol/OutgoingPeer.java
@@ -21,6 +21,13 @@
      */
     private static final Duration SILENCE_TIMEOUT = Duration.ofSeconds(1);
 
+    /**
+     * After how many messages a keep-alive is sent. A node of a large site writes to most others once in half a minute,
+     * and a keep-alive for each of these messages would treble the frames; what is lost on one is asked again through
+     * others. A connection in regular use is looked at as often as it is used.
+     */
+    private static final int UNCONFIRMED_MESSAGES = 2;
+
     /** What all connections share. */
     private final TransportContext context;
 
@@ -57,8 +64,8 @@
     /** Whether the peer has answered a keep-alive on this connection, which older releases do not. */
     private boolean answersKeepAlives;
 
-    /** Whether a message was written since the last keep-alive. */
-    private boolean written;
+    /** How many messages were written since the last keep-alive. */
+    private int unconfirmed;
 
     /** The time to wait after the next failed attempt. */
     private Duration backOff;
@@ -162,7 +169,7 @@
             disconnect("idle", now);
         } else if (state == State.OPEN && isSilent(now)) {
             failed("silent", now);
-        } else if (state == State.OPEN && !pending && written && askedAt.isEmpty()) {
+        } else if (state == State.OPEN && !pending && unconfirmed >= UNCONFIRMED_MESSAGES && askedAt.isEmpty()) {
             attempt(() -> keepAlive(channel.get(), now), now);
         }
         boolean waited = now - stateSince > settings.idleTimeout().toNanos();
@@ -189,7 +196,7 @@
      */
     private void keepAlive(PeerChannel connected, long now) throws IOException {
         askedAt = Optional.of(now);
-        written = false;
+        unconfirmed = 0;
         if (!connected.write(Frame.keepAlive())) {
             throw new IOException("The peer takes no keep-alive");
         }
@@ -323,7 +330,7 @@
                 return;
             }
             context.metrics().messageOut();
-            written = true;
+            unconfirmed++;
             current = Optional.empty();
         }
         connected.interest(SelectionKey.OP_READ);
@@ -380,7 +387,7 @@
         state = entered;
         askedAt = Optional.empty();
         answersKeepAlives = false;
-        written = true;
+        unconfirmed = UNCONFIRMED_MESSAGES;
         stateSince = now;
         lastProgress = now;
     }
