Tell the starts of an endpoint apart, read entries strictly, and use all pools of a split route

Cause: an endpoint may start again under its name, and entries may come from other writers. The name alone was the identity, so counts, loads, rates and orders of an earlier start went on for the later one, and attempts there ended only by their time-outs. Items of a split route went to the pool with the largest weight alone. Change: the time of its start is part of an endpoint's name, so all that is kept by name begins anew; attempts at an earlier start are broken off at once and go on elsewhere, a report of another start orders nothing. Groups of a split route go to its pools by weight, and to another pool where theirs is full.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchRunSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchRunSystem.java
@@ -85,7 +85,7 @@
      */
     private void startSomewhere(
             Tick tick, RunningJob job, RunningItem item, List<RegisteredEndpoint> engines, Route route) {
-        choice.choose(tick, job, item, engines).ifPresent(engine -> start(tick, job, item, engine, route));
+        choice.choose(tick, job, item, engines, route).ifPresent(engine -> start(tick, job, item, engine, route));
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchSystem.java
@@ -45,8 +45,7 @@
             BatchCodec codec,
             PlatformTokens tokens,
             LongSupplier timeOfDay) {
-        KindFeed entries =
-                watches.watch(BatchObjects.INDEX, PlatformPurpose.BATCH, tokens, GATHERING);
+        KindFeed entries = watches.watch(BatchObjects.INDEX, PlatformPurpose.BATCH, tokens, GATHERING);
         BatchIndex index = new BatchIndex(entries, codec);
         state = BatchState.empty(membership, registry, routes, codec, new PlatformCalls(tokens), index);
         GiveUpTimes giveUpTimes = new GiveUpTimes(routes, timeOfDay);
@@ -54,6 +53,7 @@
                 new BatchAdmissionSystem(state, giveUpTimes),
                 new BatchOwnershipSystem(state, giveUpTimes),
                 new BatchEndSystem(state),
+                new RestartedEngineSystem(state),
                 new SlowEngineSystem(state),
                 new BatchRunSystem(state),
                 new TextCheckpointSystem(state),
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/EngineChoice.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/EngineChoice.java
@@ -1,9 +1,12 @@
 package io.yuccaswitch.core.batch;
 
+import com.google.common.hash.Hashing;
 import io.yuccaswitch.core.decision.Tick;
 import io.yuccaswitch.core.identity.EndpointName;
+import io.yuccaswitch.core.identity.PoolName;
 import io.yuccaswitch.core.registry.RegisteredEndpoint;
 import io.yuccaswitch.core.route.Route;
+import java.nio.charset.StandardCharsets;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
@@ -32,13 +35,9 @@
      * @return The working engines with the job's version that are not left alone.
      */
     List<RegisteredEndpoint> engines(Tick tick, RunningJob job, Route route) {
-        Optional<Route.PoolShare> pool = route.pools().stream()
+        return route.pools().stream()
                 .filter(share -> share.weight() > 0)
-                .max(Comparator.comparingDouble(Route.PoolShare::weight));
-        if (pool.isEmpty()) {
-            return List.of();
-        }
-        return state.registry().working(pool.get().pool()).stream()
+                .flatMap(share -> state.registry().working(share.pool()).stream())
                 .filter(engine ->
                         engine.servesAtLeast(job.job().model(), job.job().minimumVersion()))
                 .filter(engine ->
@@ -54,9 +53,11 @@
      * @param job The job.
      * @param item The item.
      * @param engines The engines that may run it.
+     * @param route The job's route.
      * @return The engine, or empty if all have enough to do.
      */
-    Optional<RegisteredEndpoint> choose(Tick tick, RunningJob job, RunningItem item, List<RegisteredEndpoint> engines) {
+    Optional<RegisteredEndpoint> choose(
+            Tick tick, RunningJob job, RunningItem item, List<RegisteredEndpoint> engines, Route route) {
         List<RegisteredEndpoint> free = engines.stream()
                 .filter(engine -> state.loads().running(engine.name()) < engine.slots())
                 .filter(engine ->
@@ -72,13 +73,29 @@
             return same;
         }
         String model = job.job().model();
+        Optional<PoolName> pool = route.pick(pointOf(item.item().group()));
         return free.stream()
                 .min(Comparator.comparing((RegisteredEndpoint engine) -> isSlow(tick, engine.name()))
+                        .thenComparing(
+                                engine -> pool.filter(engine.pool()::equals).isEmpty())
                         .thenComparingLong(engine -> -engine.version(model).orElse(0))
                         .thenComparingDouble(
                                 engine -> (double) state.loads().running(engine.name()) / Math.max(1, engine.slots())));
     }
 
+    /**
+     * Returns where a group lies between the pools of a split route. All its items lie there, as they share a prompt.
+     *
+     * @param group The group.
+     * @return A number from 0 to below 1.
+     */
+    private static double pointOf(String group) {
+        long hash = Hashing.farmHashFingerprint64()
+                .hashString(group, StandardCharsets.UTF_8)
+                .asLong();
+        return (hash >>> 1) / (double) Long.MAX_VALUE;
+    }
+
     /**
      * Returns whether an engine is taken to be slow.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/decision/PacedSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/decision/PacedSystem.java
@@ -7,8 +7,8 @@
 import java.util.function.Supplier;
 
 /**
- * Runs systems in ticks whose events may concern them, and otherwise only as often as their timers need. Most ticks of an
- * idle node bring a message of the membership and nothing else, and running all systems is what such a tick costs.
+ * Runs systems in ticks whose events may concern them, and otherwise only as often as their timers need. Most ticks of
+ * an idle node bring a message of the membership and nothing else, and running all systems is what such a tick costs.
  */
 public final class PacedSystem implements DecisionSystem {
 
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/MemberMerge.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/MemberMerge.java
@@ -127,9 +127,7 @@
     private void explain(Tick tick, Member member, boolean unknown, String reason) {
         String subject = member.identity().toString();
         if (unknown && member.condition() == MemberCondition.ALIVE) {
-            newcomers
-                    .computeIfAbsent(reason, _reason -> new ArrayList<>())
-                    .add(new Decision.Candidate(subject, 0));
+            newcomers.computeIfAbsent(reason, _reason -> new ArrayList<>()).add(new Decision.Candidate(subject, 0));
             return;
         }
         tick.decide(Decision.of(DECISION_KIND, subject, member.condition().name(), reason));
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/RendezvousRanking.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/RendezvousRanking.java
@@ -26,9 +26,8 @@
     public static List<Member> rank(String key, Collection<Member> members) {
         List<Weighted> weighted = new ArrayList<>(members.size());
         members.forEach(member -> weighted.add(new Weighted(weight(key, member), member)));
-        weighted.sort(Comparator.comparingLong(Weighted::weight)
-                .reversed()
-                .thenComparing(row -> row.member().identity()));
+        weighted.sort(Comparator.comparingLong(Weighted::weight).reversed().thenComparing(row -> row.member()
+                .identity()));
         return weighted.stream().map(Weighted::member).toList();
     }
 
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/OrderLease.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/OrderLease.java
@@ -20,7 +20,6 @@
 import io.yuccaswitch.core.platform.StoredObject;
 import io.yuccaswitch.core.time.MonotonicTime;
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/VersionOrderSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/VersionOrderSystem.java
@@ -247,17 +247,21 @@
      * @param read The report.
      */
     private void takeReport(Tick tick, OrderEvent.ReportRead read) {
-        read.report().ifPresent(report -> report.versions()
+        Optional<EngineReport> told = read.report();
+        if (told.isPresent() && isOfAnotherStart(tick, read.engine(), told.get())) {
+            return;
+        }
+        told.ifPresent(report -> report.versions()
                 .forEach((model, version) -> registry.noteVersion(tick, read.engine(), model, version)));
         Optional<EngineOrderRow> row = rows.find(read.engine()).filter(EngineOrderRow::awaitsReport);
         if (row.isEmpty()) {
             return;
         }
-        if (read.report().isEmpty()) {
+        if (told.isEmpty()) {
             rows.put(read.engine(), row.get().withStage(EngineOrderRow.Stage.UNREACHABLE, tick.now(), FAILURE_PAUSE));
             return;
         }
-        EngineReport report = read.report().get();
+        EngineReport report = told.get();
         PoolName pool = read.engine().pool();
         boolean there = report.versions().getOrDefault(row.get().model(), 0L)
                 >= row.get().version();
@@ -273,6 +277,25 @@
         order(tick, row.get(), report.sequence());
     }
 
+    /**
+     * Returns whether a report is not of the start of the engine that was asked. What an engine has loaded and how many
+     * orders it has accepted begins anew with each start, so nothing of such a report counts.
+     *
+     * @param tick The tick.
+     * @param engine The start that was asked.
+     * @param report The report.
+     * @return {@code true} if it is of another one.
+     */
+    private boolean isOfAnotherStart(Tick tick, EndpointName engine, EngineReport report) {
+        EndpointName reporting = engine.withIncarnation(report.incarnation());
+        if (engine.isBefore(reporting)) {
+            registry.noteIncarnation(tick, engine, report.incarnation());
+            rows.remove(engine);
+            return true;
+        }
+        return reporting.isBefore(engine);
+    }
+
     /**
      * Orders an engine to a version, if this node is permitted to.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/registry/EndpointRegistrySystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/registry/EndpointRegistrySystem.java
@@ -50,6 +50,9 @@
     /** Whether the registry was read once. */
     private boolean listed;
 
+    /** How often the endpoints have changed. */
+    private long changes;
+
     /**
      * Creates a system that knows no endpoints.
      *
@@ -71,7 +74,7 @@
         boolean changed = news.isPresent() && take(tick, news.get());
         changed |= entries.removeIf(row -> row.hasLapsed(tick.now(), LAPSE_GRACE));
         if (changed) {
-            tick.emit(new RegistryEffect.Changed(working()));
+            tell(tick);
         }
     }
 
@@ -86,7 +89,39 @@
 
     @Override
     public Optional<RegisteredEndpoint> find(EndpointName name) {
-        return entries.find(name.value()).map(Row::endpoint);
+        return entries.find(name.value()).map(Row::endpoint).filter(endpoint -> endpoint.name()
+                .equals(name));
+    }
+
+    /**
+     * Returns whether an endpoint has started again since the start that a name tells of, such that whatever was under
+     * way there is lost.
+     *
+     * @param name The name.
+     * @return {@code true} if a later start is known.
+     */
+    public boolean isSucceeded(EndpointName name) {
+        return entries.find(name.value())
+                .filter(row -> name.isBefore(row.endpoint().name()))
+                .isPresent();
+    }
+
+    /**
+     * Notes that an endpoint said of itself that it started again, which its entry may not tell yet.
+     *
+     * @param tick The tick.
+     * @param name The start that was known.
+     * @param incarnation The incarnation that the endpoint told.
+     */
+    public void noteIncarnation(Tick tick, EndpointName name, long incarnation) {
+        Optional<RegisteredEndpoint> known = find(name);
+        if (known.isEmpty() || !name.isBefore(name.withIncarnation(incarnation))) {
+            return;
+        }
+        RegisteredEndpoint started = known.get().withIncarnation(incarnation);
+        entries.put(name.value(), new Row(started, Optional.empty()));
+        decide(tick, started.name(), "started again", "it said so itself");
+        tell(tick);
     }
 
     @Override
@@ -114,7 +149,8 @@
      * @param version The version.
      */
     public void noteVersion(Tick tick, EndpointName name, String model, long version) {
-        Optional<Row> row = entries.find(name.value());
+        Optional<Row> row = entries.find(name.value())
+                .filter(known -> known.endpoint().name().equals(name));
         if (row.isEmpty() || row.get().endpoint().servesAtLeast(model, version)) {
             return;
         }
@@ -123,6 +159,25 @@
                 new Row(
                         row.get().endpoint().withVersion(model, version),
                         row.get().lapsedAt()));
+        tell(tick);
+    }
+
+    /**
+     * Returns how often the endpoints have changed, such that a system looks at them only after a change.
+     *
+     * @return The number of changes.
+     */
+    public long changes() {
+        return changes;
+    }
+
+    /**
+     * Tells that the endpoints have changed.
+     *
+     * @param tick The tick.
+     */
+    private void tell(Tick tick) {
+        changes++;
         tick.emit(new RegistryEffect.Changed(working()));
     }
 
@@ -159,17 +214,22 @@
      * @return Whether anything changed.
      */
     private boolean put(Tick tick, StoredObject object) {
+        String name = object.key().name();
         Optional<RegisteredEndpoint> decoded = decoder.apply(object);
         if (decoded.isEmpty()) {
-            return false;
+            return discard(tick, name);
         }
         RegisteredEndpoint endpoint = decoded.get();
-        String name = endpoint.name().value();
         Optional<RegisteredEndpoint> before = entries.find(name).map(Row::endpoint);
+        if (before.filter(known -> endpoint.name().isBefore(known.name())).isPresent()) {
+            return false;
+        }
         entries.removeIf(row -> !row.endpoint().name().value().equals(name)
                 && row.endpoint().address().equals(endpoint.address()));
         entries.put(name, new Row(endpoint, Optional.empty()));
-        boolean news = before.isEmpty() || before.get().leaving() != endpoint.leaving();
+        boolean news = before.isEmpty()
+                || before.get().leaving() != endpoint.leaving()
+                || !before.get().name().equals(endpoint.name());
         if (news) {
             decide(
                     tick,
@@ -180,6 +240,20 @@
         return before.isEmpty() || !before.get().equals(endpoint);
     }
 
+    /**
+     * Gives an endpoint up whose entry was replaced by one that can't be used. Whoever wrote it, nothing tells where
+     * the endpoint is or whether it leaves.
+     *
+     * @param tick The tick.
+     * @param name The name of the entry.
+     * @return Whether an endpoint was known by that name.
+     */
+    private boolean discard(Tick tick, String name) {
+        Optional<Row> row = entries.remove(name);
+        row.ifPresent(known -> decide(tick, known.endpoint().name(), "not used", "its entry can't be used any more"));
+        return row.isPresent();
+    }
+
     /**
      * Takes the removal of an entry: the endpoint is gone, unless the platform was away and the entry may have lapsed
      * meanwhile.
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/registry/RegisteredEndpoint.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/registry/RegisteredEndpoint.java
@@ -9,7 +9,7 @@
 /**
  * One start of an endpoint, as it registered itself.
  *
- * @param name The pool and the identifier of this start. A restarted endpoint has a new one.
+ * @param name The name of this start.
  * @param address The host and port.
  * @param availabilityZone The availability zone.
  * @param slots The number of requests that it processes at once.
@@ -29,6 +29,17 @@
         versions = Map.copyOf(versions);
     }
 
+    /**
+     * Returns a later start of this endpoint, of which nothing is known but that it is there.
+     *
+     * @param incarnation The incarnation of the start.
+     * @return The endpoint, without versions.
+     */
+    public RegisteredEndpoint withIncarnation(long incarnation) {
+        return new RegisteredEndpoint(
+                name.withIncarnation(incarnation), address, availabilityZone, slots, leaving, Map.of());
+    }
+
     /**
      * Returns the pool.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchFollower.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchFollower.java
@@ -18,8 +18,8 @@
     private static final Duration SHORT_HOLD = Duration.ofMillis(500);
 
     /**
-     * How long a request is held while another kind hears from the same node. At five seconds a request costs a tenth of
-     * the messages of a short one, and changes are told at once all the same.
+     * How long a request is held while another kind hears from the same node. At five seconds a request costs a tenth
+     * of the messages of a short one, and changes are told at once all the same.
      */
     private static final Duration LONG_HOLD = Duration.ofSeconds(5);
 
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchRoles.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchRoles.java
@@ -8,9 +8,9 @@
 import java.util.List;
 
 /**
- * Which nodes watch at the platform, for all kinds: the two of each region that rank highest among its working nodes, in two
- * availability zones where there are two. The platform's calls thus grow with the regions and not with the nodes. A
- * node that knows no other one watches for itself.
+ * Which nodes watch at the platform, for all kinds: the two of each region that rank highest among its working nodes,
+ * in two availability zones where there are two. The platform's calls thus grow with the regions and not with the
+ * nodes. A node that knows no other one watches for itself.
  */
 final class WatchRoles {
 
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchServer.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchServer.java
@@ -67,7 +67,8 @@
      * @return Whether it was answered.
      */
     private boolean answerIfDue(Tick tick, NodeName sender, Held request, boolean inContact) {
-        boolean held = tick.now().since(request.at()).toMillis() >= request.follow().holdMillis();
+        boolean held =
+                tick.now().since(request.at()).toMillis() >= request.follow().holdMillis();
         boolean newer = replica.hasNewsBehind(request.follow().version());
         if (inContact && !held && !newer) {
             return false;
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatcherContacts.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatcherContacts.java
@@ -8,8 +8,9 @@
 import java.util.Optional;
 
 /**
- * What a node knows of the nodes that watch for it, shared by the kinds that it follows. One kind asks at short intervals
- * and so notices a watching node that is gone. The others have their requests held for longer, and rely on that one.
+ * What a node knows of the nodes that watch for it, shared by the kinds that it follows. One kind asks at short
+ * intervals and so notices a watching node that is gone. The others have their requests held for longer, and rely on
+ * that one.
  */
 final class WatcherContacts {
 
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSystemTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSystemTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.yuccaswitch.core.identity.EndpointName;
 import io.yuccaswitch.core.peer.PeerEffect;
 import io.yuccaswitch.core.platform.PlatformEffect;
 import io.yuccaswitch.core.site.TestNode;
@@ -103,6 +104,81 @@
         assertThat(site.answer(other)).contains(new BatchAnswer.Mismatch());
     }
 
+    @Test
+    void anAttemptAtAnEngineThatStartedAgainGoesOnElsewhereAtOnce() {
+        site.registerEngine("engine-1", 1, 3);
+        site.registerEngine("engine-2", 1, 3);
+        TestNode node = site.node("node-1");
+        site.run(100);
+        EndpointName silent = new EndpointName(BatchSite.POOL, "engine-1", 3);
+        site.engines(
+                run -> run.endpoint().name().equals(silent) ? Optional.empty() : Optional.of(BatchSite.whole(run, 1)));
+        site.submit(node, BatchSite.job("job", 4));
+        site.run(500);
+        assertThat(site.listed("job")).hasSize(2);
+        site.registerEngine("engine-1", 1, 7);
+        site.run(500);
+        assertThat(site.cancelled).hasSize(2);
+        for (BatchEffect.Cancel cancel : List.copyOf(site.cancelled)) {
+            BatchEffect.Run broken = site.started.stream()
+                    .filter(run -> run.item().id().equals(cancel.item()) && run.attempt() == cancel.attempt())
+                    .findFirst()
+                    .orElseThrow();
+            node.accept(BatchSite.ended(
+                    broken, new AttemptOutcome.Interrupted("broken off", false), BatchSite.text(broken, 2, 1)));
+        }
+        site.run(500);
+        assertThat(site.listed("job")).hasSize(4);
+        assertThat(site.started.get(site.started.size() - 1).lastEventId()).isEqualTo(2);
+    }
+
+    @Test
+    void anAttemptEndsOnceThoughTheRegistryChangesAgain() {
+        site.registerEngine("engine-1", 1, 3);
+        site.registerEngine("engine-2", 1, 3);
+        TestNode node = site.node("node-1");
+        site.run(100);
+        site.engines(_run -> Optional.empty());
+        site.submit(node, BatchSite.job("job", 1));
+        site.run(300);
+        for (int start = 5; start < 8; start++) {
+            site.registerEngine("engine-1", 1, start);
+            site.registerEngine("engine-2", 1, start);
+            site.run(500);
+        }
+        assertThat(site.cancelled).hasSize(1);
+    }
+
+    @Test
+    void theGroupsOfASplitRouteGoToItsPoolsByWeight() {
+        for (int i = 0; i < 20; i++) {
+            site.registerEngine("other-" + i, 1, 0);
+            site.registerEngine("engine-" + i, 1, 0);
+        }
+        site.splitRoute(3, 1);
+        TestNode node = site.node("node-1");
+        site.run(100);
+        site.engines(_run -> Optional.empty());
+        site.submit(node, BatchSite.job("job", 60));
+        site.run(300);
+        long other = site.started.stream()
+                .filter(run -> run.endpoint().name().value().startsWith("other"))
+                .count();
+        assertThat(other).isBetween(8L, 24L);
+    }
+
+    @Test
+    void theItemsOfASplitRouteGoToTheOtherPoolWhereOneIsFull() {
+        site.registerEngine("other-1", 1, 0);
+        site.splitRoute(1, 1);
+        TestNode node = site.node("node-1");
+        site.run(100);
+        site.engines(_run -> Optional.empty());
+        site.submit(node, BatchSite.job("job", 12));
+        site.run(300);
+        assertThat(site.started).hasSize(12);
+    }
+
     @Test
     void aGroupThatBecomesWholeIsListedWithoutTheLongPauseAfterTheLastResults() {
         TestNode node = site.node("node-1");
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/decision/DecisionLoop.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/decision/DecisionLoop.java
@@ -20,9 +20,8 @@
 import org.jboss.logging.Logger;
 
 /**
- * Runs the decision core on one thread: a tick whenever events are waiting, and otherwise at an interval that follows from what the
- * core does.
- * Subscribers of effects and decisions are called on that thread and must not block.
+ * Runs the decision core on one thread: a tick whenever events are waiting, and otherwise at an interval that follows
+ * from what the core does. Subscribers of effects and decisions are called on that thread and must not block.
  */
 public final class DecisionLoop implements EventSink, AutoCloseable {
 
@@ -30,8 +29,8 @@
     public static final Duration BUSY_INTERVAL = Duration.ofMillis(20);
 
     /**
-     * The longest pause between two ticks otherwise. Events are taken at once at either pace, so it bounds only how late
-     * a timer is seen, and timers of an idle node count in hundreds of milliseconds.
+     * The longest pause between two ticks otherwise. Events are taken at once at either pace, so it bounds only how
+     * late a timer is seen, and timers of an idle node count in hundreds of milliseconds.
      */
     public static final Duration IDLE_INTERVAL = Duration.ofMillis(100);
 
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointAttempts.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointAttempts.java
@@ -2,6 +2,7 @@
 
 import io.reactivex.rxjava3.disposables.Disposable;
 import io.reactivex.rxjava3.schedulers.Schedulers;
+import io.yuccaswitch.core.identity.EndpointName;
 import io.yuccaswitch.core.registry.RegisteredEndpoint;
 import io.yuccaswitch.core.value.Bytes;
 import io.yuccaswitch.endpoint.EndpointHttp;
@@ -9,18 +10,26 @@
 import io.yuccaswitch.endpoint.Transmission;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import okhttp3.Call;
+import okhttp3.EventListener;
 import okhttp3.HttpUrl;
 import okhttp3.Request;
 import okhttp3.Response;
+import org.jboss.logging.Logger;
 
 /** Sends plain requests to endpoints and judges whether an answer is whole and belongs to its request. */
 final class EndpointAttempts {
 
+    /** The logger. */
+    private static final Logger LOGGER = Logger.getLogger(EndpointAttempts.class);
+
     /** The largest answer that is passed on, in bytes. */
     private static final long MAXIMUM_ANSWER_BYTES = 16L << 20;
 
@@ -39,6 +48,9 @@
     /** How endpoints speak. */
     private final EndpointDialect dialect;
 
+    /** The calls in progress, by the start of the endpoint that they were sent to. */
+    private final Map<Call, EndpointName> running = new ConcurrentHashMap<>();
+
     /**
      * Creates a sender.
      *
@@ -78,6 +90,7 @@
         dialect.address(builder, endpoint.name(), times.whole());
         lastEventId.ifPresent(id -> dialect.resume(builder, id));
         Call call = http.call(builder, transmission, times.whole());
+        track(call, endpoint.name());
         begun.accept(call);
         Disposable watchdog = Schedulers.computation()
                 .scheduleDirect(call::cancel, times.untilHead().toNanos(), TimeUnit.NANOSECONDS);
@@ -94,6 +107,47 @@
         }
     }
 
+    /**
+     * Breaks off the calls to starts of endpoints that are followed by later ones. Such an endpoint answers no more,
+     * and where its connections fell silent the call would wait for its time-out.
+     *
+     * @param working The working endpoints.
+     */
+    void breakOffSucceeded(List<RegisteredEndpoint> working) {
+        if (running.isEmpty()) {
+            return;
+        }
+        Map<String, EndpointName> current = new HashMap<>();
+        working.forEach(endpoint -> current.put(endpoint.name().value(), endpoint.name()));
+        running.forEach((call, endpoint) -> {
+            if (endpoint.isBefore(current.getOrDefault(endpoint.value(), endpoint))) {
+                LOGGER.infof("event=attempt-broken-off endpoint=%s reason=\"it has started again\"", endpoint);
+                call.cancel();
+            }
+        });
+    }
+
+    /**
+     * Remembers a call until it ends.
+     *
+     * @param call The call.
+     * @param endpoint The endpoint.
+     */
+    private void track(Call call, EndpointName endpoint) {
+        running.put(call, endpoint);
+        call.addEventListener(new EventListener() {
+            @Override
+            public void callEnd(Call ended) {
+                running.remove(ended);
+            }
+
+            @Override
+            public void callFailed(Call ended, IOException _exception) {
+                running.remove(ended);
+            }
+        });
+    }
+
     /**
      * Reads an answer that is passed on as a whole.
      *
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
@@ -97,6 +97,9 @@
     /** Chooses endpoints for plain requests. */
     private final EndpointSelection selection;
 
+    /** Sends requests to endpoints. */
+    private final EndpointAttempts attempts;
+
     /** Runs items. */
     private final ItemRunner items;
 
@@ -148,7 +151,7 @@
         items = new ItemRunner(http, dialects.endpoints(), loop);
         orders = new OrderCaller(http, dialects.endpoints(), loop);
         replies = new PendingReplies(loop);
-        EndpointAttempts attempts = new EndpointAttempts(http, dialects.endpoints());
+        attempts = new EndpointAttempts(http, dialects.endpoints());
         scorings = new ScoringRunner(attempts, dialects.endpoints(), loop, metrics);
         server = new GatewayServer(
                 settings,
@@ -229,6 +232,7 @@
             synchronized (selection) {
                 selection.retain(effect.working());
             }
+            attempts.breakOffSucceeded(effect.working());
         });
     }
 
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayCore.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayCore.java
@@ -73,12 +73,11 @@
         membership = new MembershipSystem(self, settings.seeds(), view, tokens, OPTIONS, MEMBERSHIP);
         SharedWatches watches = new SharedWatches(membership);
         registry = new EndpointRegistrySystem(watches, tokens, dialects.endpointEntries());
-        RouteConfigurationSystem routes =
-                new RouteConfigurationSystem(watches, tokens, dialects.routeConfigurations());
+        RouteConfigurationSystem routes = new RouteConfigurationSystem(watches, tokens, dialects.routeConfigurations());
         versions = new VersionSystems(
                 membership, registry, routes, tokens, dialects.namedVersions(), settings.orderSafetyTime());
-        batches =
-                new BatchSystem(membership, watches, registry, routes, new JsonBatchCodec(), tokens, System::currentTimeMillis);
+        batches = new BatchSystem(
+                membership, watches, registry, routes, new JsonBatchCodec(), tokens, System::currentTimeMillis);
         List<DecisionSystem> others = List.of(
                 routes,
                 registry,
@@ -119,8 +118,9 @@
     }
 
     /**
-     * Returns how long the core may be left alone while no event arrives. A node that runs jobs or gives orders has timers
-     * that count in tens of milliseconds. All others watch the membership and the platform, whose timers are longer.
+     * Returns how long the core may be left alone while no event arrives. A node that runs jobs or gives orders has
+     * timers that count in tens of milliseconds. All others watch the membership and the platform, whose timers are
+     * longer.
      *
      * @return The longest pause between two ticks.
      */
--- a/yuccaswitch-protocol/src/main/java/io/yuccaswitch/protocol/WireModule.java
+++ b/yuccaswitch-protocol/src/main/java/io/yuccaswitch/protocol/WireModule.java
@@ -55,14 +55,19 @@
     }
 
     /**
-     * Parses an endpoint's name, which is the name of its pool, a slash and the name within the pool.
+     * Parses an endpoint's name, which is the name of its pool, a slash and the name within the pool, and behind an at
+     * sign the incarnation, if it is told.
      *
      * @param text The text.
      * @return The name.
      */
     private static EndpointName endpointName(String text) {
         int slash = text.indexOf('/');
-        return new EndpointName(new PoolName(text.substring(0, slash)), text.substring(slash + 1));
+        int at = text.lastIndexOf('@');
+        PoolName pool = new PoolName(text.substring(0, slash));
+        return at < 0
+                ? new EndpointName(pool, text.substring(slash + 1))
+                : new EndpointName(pool, text.substring(slash + 1, at), Long.parseLong(text.substring(at + 1)));
     }
 
     /**
