Take the endpoint to which a connection is open, and keep connections from step to step

Change: idle connections are kept for 5 s; an endpoint that was not measured is expected to be as fast as the measured ones usually are; a new connection counts 3 ms; nodes that know nothing choose different endpoints.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ScoringLoads.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ScoringLoads.java
@@ -1,7 +1,7 @@
 package io.yuccaswitch.core.batch;
 
-import io.yuccaswitch.core.identity.AvailabilityZone;
 import io.yuccaswitch.core.identity.EndpointName;
+import io.yuccaswitch.core.membership.Member;
 import io.yuccaswitch.core.proxy.EndpointSelection;
 import io.yuccaswitch.core.registry.RegisteredEndpoint;
 import io.yuccaswitch.core.time.MonotonicTime;
@@ -26,10 +26,11 @@
     /**
      * Creates loads without requests.
      *
-     * @param ownZone The availability zone of this node.
+     * @param self This node.
      */
-    ScoringLoads(AvailabilityZone ownZone) {
-        selection = new EndpointSelection(ownZone);
+    ScoringLoads(Member self) {
+        selection = new EndpointSelection(
+                self.availabilityZone(), self.identity().name().value());
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/proxy/EndpointSelection.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/proxy/EndpointSelection.java
@@ -1,9 +1,11 @@
 package io.yuccaswitch.core.proxy;
 
+import com.google.common.hash.Hashing;
 import io.yuccaswitch.core.identity.AvailabilityZone;
 import io.yuccaswitch.core.identity.EndpointName;
 import io.yuccaswitch.core.registry.RegisteredEndpoint;
 import io.yuccaswitch.core.time.MonotonicTime;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Collection;
 import java.util.Comparator;
@@ -19,9 +21,18 @@
  */
 public final class EndpointSelection {
 
-    /** The time that an answer is expected to take where nothing was measured. */
+    /** The time that an answer is expected to take where nothing was measured, of any endpoint of the pool. */
     private static final double DEFAULT_MILLIS = 30;
 
+    /**
+     * What a new connection adds to the time of an answer, in milliseconds: a round trip and work at the endpoint.
+     * Where endpoints are equally good, the one to which a connection is open is taken.
+     */
+    private static final double CONNECTING_MILLIS = 3;
+
+    /** For how long after an answer a connection is taken to be open, below the time for which idle ones are kept. */
+    private static final Duration OPEN_TIME = Duration.ofSeconds(4);
+
     /** The weight of the newest measurement in the mean of an endpoint. */
     private static final double NEWEST_WEIGHT = 0.4;
 
@@ -43,6 +54,9 @@
     /** The availability zone of this node. */
     private final AvailabilityZone ownZone;
 
+    /** The name of this node, by which nodes that know equally little choose different endpoints. */
+    private final String node;
+
     /** What is known of the endpoints. */
     private final Map<EndpointName, Row> rows = new HashMap<>();
 
@@ -50,9 +64,11 @@
      * Creates a selection without measurements.
      *
      * @param ownZone The availability zone of this node.
+     * @param node The name of this node.
      */
-    public EndpointSelection(AvailabilityZone ownZone) {
+    public EndpointSelection(AvailabilityZone ownZone, String node) {
         this.ownZone = ownZone;
+        this.node = node;
     }
 
     /**
@@ -65,13 +81,44 @@
      */
     public Optional<RegisteredEndpoint> choose(
             List<RegisteredEndpoint> working, Set<EndpointName> excluded, MonotonicTime now) {
+        double usual = usualMillis(working, now);
         return working.stream()
                 .min(Comparator.comparing((RegisteredEndpoint endpoint) -> excluded.contains(endpoint.name()))
                         .thenComparing(endpoint -> row(endpoint).isPaused(now))
-                        .thenComparingDouble(endpoint -> cost(endpoint, now))
+                        .thenComparingDouble(endpoint -> cost(endpoint, usual, now))
+                        .thenComparingInt(endpoint -> preference(endpoint.name()))
                         .thenComparing(RegisteredEndpoint::name));
     }
 
+    /**
+     * Returns the rank of an endpoint at this node, which differs between nodes.
+     *
+     * @param endpoint The endpoint.
+     * @return The rank.
+     */
+    private int preference(EndpointName endpoint) {
+        return Hashing.murmur3_32_fixed()
+                .hashString(node + '\n' + endpoint.value(), StandardCharsets.UTF_8)
+                .asInt();
+    }
+
+    /**
+     * Returns the time that an answer of the endpoints usually takes, which is expected of those that were not
+     * measured.
+     *
+     * @param working The endpoints.
+     * @param now The present.
+     * @return The mean of the measured ones, in milliseconds.
+     */
+    private double usualMillis(List<RegisteredEndpoint> working, MonotonicTime now) {
+        return working.stream()
+                .map(this::row)
+                .filter(row -> row.isMeasured(now) && !row.late)
+                .mapToDouble(row -> row.meanMillis)
+                .average()
+                .orElse(DEFAULT_MILLIS);
+    }
+
     /**
      * Returns the number of this node's requests in progress at an endpoint.
      *
@@ -110,6 +157,7 @@
     public void succeed(RegisteredEndpoint endpoint, Duration took, MonotonicTime now) {
         Row row = row(endpoint);
         row.measure(took, now);
+        row.late = false;
         row.failures = 0;
     }
 
@@ -121,7 +169,9 @@
      * @param now The present.
      */
     public void slow(RegisteredEndpoint endpoint, Duration took, MonotonicTime now) {
-        row(endpoint).measure(took.multipliedBy(2), now);
+        Row row = row(endpoint);
+        row.measure(took.multipliedBy(2), now);
+        row.late = true;
     }
 
     /**
@@ -198,12 +248,13 @@
      * @param now The present.
      * @return The time in milliseconds.
      */
-    private double cost(RegisteredEndpoint endpoint, MonotonicTime now) {
+    private double cost(RegisteredEndpoint endpoint, double usual, MonotonicTime now) {
         Row row = row(endpoint);
         int load = Math.max(row.running, row.load(now));
         double busy = (double) load / Math.max(1, endpoint.slots());
         double factor = endpoint.availabilityZone().equals(ownZone) ? 1 : OTHER_ZONE_FACTOR;
-        return row.expectedMillis(now) * (1 + busy) * factor;
+        double expected = row.isMeasured(now) ? row.meanMillis : usual;
+        return expected * (1 + busy) * factor + (row.isConnected(now) ? 0 : CONNECTING_MILLIS);
     }
 
     /**
@@ -225,6 +276,9 @@
         /** The mean time of answers in milliseconds. */
         private double meanMillis = DEFAULT_MILLIS;
 
+        /** Whether the last measurement was of an answer that did not come in time, which tells nothing of others. */
+        private boolean late;
+
         /** When an answer was last measured. */
         private MonotonicTime measuredAt = new MonotonicTime(Long.MIN_VALUE / 2);
 
@@ -259,7 +313,27 @@
          * @return The time in milliseconds.
          */
         private double expectedMillis(MonotonicTime now) {
-            return now.since(measuredAt).compareTo(MEMORY) < 0 ? meanMillis : DEFAULT_MILLIS;
+            return isMeasured(now) ? meanMillis : DEFAULT_MILLIS;
+        }
+
+        /**
+         * Returns whether an answer was measured lately.
+         *
+         * @param now The present.
+         * @return {@code true} if one was.
+         */
+        private boolean isMeasured(MonotonicTime now) {
+            return now.since(measuredAt).compareTo(MEMORY) < 0;
+        }
+
+        /**
+         * Returns whether a connection to the endpoint is likely open.
+         *
+         * @param now The present.
+         * @return {@code true} if an answer came lately, and nothing failed since.
+         */
+        private boolean isConnected(MonotonicTime now) {
+            return failures == 0 && now.since(measuredAt).compareTo(OPEN_TIME) < 0;
         }
 
         /**
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/proxy/EndpointSelectionTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/proxy/EndpointSelectionTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 /** Which endpoint a plain request is sent to. */
@@ -19,7 +20,7 @@
     private static final AvailabilityZone NEAR = new AvailabilityZone("near");
     private static final AvailabilityZone FAR = new AvailabilityZone("far");
 
-    private final EndpointSelection selection = new EndpointSelection(NEAR);
+    private final EndpointSelection selection = new EndpointSelection(NEAR, "node");
     private final RegisteredEndpoint near = endpoint("a-near", NEAR);
     private final RegisteredEndpoint far = endpoint("b-far", FAR);
     private final List<RegisteredEndpoint> both = List.of(near, far);
@@ -30,6 +31,27 @@
         assertThat(selection.choose(both, Set.of(), now)).contains(near);
     }
 
+    @Test
+    void betweenEqualEndpointsTheOneWithAnOpenConnectionIsTakenAgain() {
+        List<RegisteredEndpoint> equal = List.of(endpoint("a", NEAR), endpoint("b", NEAR), endpoint("c", NEAR));
+        RegisteredEndpoint first = selection.choose(equal, Set.of(), now).orElseThrow();
+        for (int request = 0; request < 10; request++) {
+            assertThat(selection.choose(equal, Set.of(), now)).contains(first);
+            selection.succeed(first, Duration.ofMillis(36), now);
+            now = now.plus(Duration.ofMillis(3500));
+        }
+    }
+
+    @Test
+    void nodesThatKnowNothingChooseDifferentEndpoints() {
+        List<RegisteredEndpoint> equal = List.of(endpoint("a", NEAR), endpoint("b", NEAR), endpoint("c", NEAR));
+        long chosen = IntStream.range(0, 30)
+                .mapToObj(node -> new EndpointSelection(NEAR, "node-" + node).choose(equal, Set.of(), now))
+                .distinct()
+                .count();
+        assertThat(chosen).isEqualTo(3);
+    }
+
     @Test
     void aBusyEndpointIsAvoided() {
         selection.begin(near);
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
@@ -50,7 +50,7 @@
 
     /** How connections to endpoints behave. They are in the same region, and close idle connections after seconds. */
     private static final EndpointClientSettings ENDPOINTS = new EndpointClientSettings(
-            Duration.ofMillis(300), Duration.ofMillis(500), Duration.ofSeconds(2), 48, 16L << 20, 1L << 20);
+            Duration.ofMillis(300), Duration.ofMillis(500), Duration.ofSeconds(5), 192, 16L << 20, 1L << 20);
 
     /** How long callers may still come to a stopping node: three times the validity of the directory's answers. */
     private static final Duration LINGERING_TIME = Duration.ofMillis(3300);
@@ -147,7 +147,7 @@
                 loop::accept,
                 metrics);
         membership = new MembershipService(loop, transport, addresses);
-        selection = new EndpointSelection(settings.availabilityZone());
+        selection = new EndpointSelection(settings.availabilityZone(), settings.name());
         items = new ItemRunner(http, dialects.endpoints(), loop);
         orders = new OrderCaller(http, dialects.endpoints(), loop);
         replies = new PendingReplies(loop);
