--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchMessage.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchMessage.java
@@ -1,8 +1,10 @@
 package io.yuccaswitch.core.batch;
 
+import io.yuccaswitch.core.identity.EndpointName;
 import io.yuccaswitch.core.peer.PeerMessage;
 import io.yuccaswitch.core.value.Bytes;
 import java.util.List;
+import java.util.Map;
 
 /** What nodes tell each other about batch jobs. */
 public sealed interface BatchMessage extends PeerMessage {
@@ -79,6 +81,30 @@
      */
     record ResultsStored(long ticket, String id, int number, boolean listed, Bytes value) implements BatchMessage {}
 
+    /**
+     * Tells another node that runs jobs what the sender has at the engines and still has to place.
+     *
+     * @param running The items that the sender has in progress, by engine.
+     * @param demands The jobs that wait for places.
+     */
+    record EnginesInUse(Map<EndpointName, Integer> running, List<Demand> demands) implements BatchMessage {
+
+        /** Copies the lists. */
+        public EnginesInUse {
+            running = Map.copyOf(running);
+            demands = List.copyOf(demands);
+        }
+    }
+
+    /**
+     * A job that waits for places at engines.
+     *
+     * @param model The model.
+     * @param submittedAt When the job was submitted, in milliseconds of the time of day.
+     * @param waiting How many of its items wait.
+     */
+    record Demand(String model, long submittedAt, int waiting) {}
+
     /**
      * Says that the sender does not run the job or knows nothing of the item, such that the platform has to be asked.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchRunSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchRunSystem.java
@@ -67,10 +67,14 @@
             giveUp(tick, job, route.isEmpty() ? "the route is gone" : "its time is up");
             return;
         }
+        List<RunningItem> waiting = job.waiting();
+        if (waiting.isEmpty()) {
+            return;
+        }
         List<RegisteredEndpoint> engines = choice.engines(tick, job, route.get());
-        job.items().stream()
-                .filter(RunningItem::isWaiting)
+        waiting.stream()
                 .sorted(BEGUN_FIRST)
+                .limit(choice.startable(tick, job, engines))
                 .forEach(item -> startSomewhere(tick, job, item, engines, route.get()));
     }
 
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
@@ -4,6 +4,7 @@
 import io.yuccaswitch.core.decision.EntityTable;
 import io.yuccaswitch.core.decision.Tick;
 import io.yuccaswitch.core.identity.EndpointName;
+import io.yuccaswitch.core.identity.NodeName;
 import io.yuccaswitch.core.membership.MembershipView;
 import io.yuccaswitch.core.platform.ObjectKey;
 import io.yuccaswitch.core.platform.PlatformCalls;
@@ -41,6 +42,7 @@
  * @param loads How many items run at each engine.
  * @param rates How fast the engines are.
  * @param scoringLoads Chooses the endpoints of scoring requests.
+ * @param runners What other nodes that run jobs have at the engines.
  */
 record BatchState(
         MembershipView membership,
@@ -55,7 +57,8 @@
         EntityTable<BatchJobId, ResultLog> logs,
         EngineLoads loads,
         EngineRates rates,
-        ScoringLoads scoringLoads) {
+        ScoringLoads scoringLoads,
+        OtherRunners runners) {
 
     /** The largest size of the outputs that are kept here, in bytes. Others are read from the platform again. */
     private static final long LOG_BYTES = 6L << 20;
@@ -91,7 +94,8 @@
                 new EntityTable<>(),
                 new EngineLoads(),
                 new EngineRates(),
-                new ScoringLoads(membership.self().availabilityZone()));
+                new ScoringLoads(membership.self()),
+                new OtherRunners());
     }
 
     /**
@@ -231,6 +235,18 @@
         return running.find(id).flatMap(job -> job.job().find(item)).map(BatchItem::body);
     }
 
+    /**
+     * Returns the other nodes that run jobs, as far as this one knows.
+     *
+     * @return The nodes.
+     */
+    Set<NodeName> otherRunners() {
+        Set<NodeName> others = new HashSet<>(runners.nodes());
+        index.open().forEach(row -> others.add(row.entry().runner()));
+        others.remove(membership.self().identity().name());
+        return others;
+    }
+
     /**
      * Returns the route of a job as it is now.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchSystem.java
@@ -53,6 +53,7 @@
                 new BatchAdmissionSystem(state, giveUpTimes),
                 new BatchOwnershipSystem(state, giveUpTimes),
                 new BatchEndSystem(state),
+                new LoadSharingSystem(state),
                 new RestartedEngineSystem(state),
                 new SlowEngineSystem(state),
                 new BatchRunSystem(state),
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/EngineChoice.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/EngineChoice.java
@@ -7,6 +7,7 @@
 import io.yuccaswitch.core.registry.RegisteredEndpoint;
 import io.yuccaswitch.core.route.Route;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
@@ -14,6 +15,12 @@
 /** Chooses the engines that run the items of a job. */
 final class EngineChoice {
 
+    /**
+     * How long a new job waits to hear what other nodes have at the engines. They answer within a round trip, and an
+     * item that is refused by a full engine loses more.
+     */
+    private static final Duration HEARING_TIME = Duration.ofMillis(60);
+
     /** The tables of the batch system. */
     private final BatchState state;
 
@@ -59,10 +66,10 @@
     Optional<RegisteredEndpoint> choose(
             Tick tick, RunningJob job, RunningItem item, List<RegisteredEndpoint> engines, Route route) {
         List<RegisteredEndpoint> free = engines.stream()
-                .filter(engine -> state.loads().running(engine.name()) < engine.slots())
+                .filter(engine -> freePlaces(engine) > 0)
                 .filter(engine ->
                         !state.loads().isOnTrial(engine.name(), job.job().model()))
-                .filter(engine -> !isSlow(tick, engine.name()) || state.loads().running(engine.name()) == 0)
+                .filter(engine -> !isSlow(tick, engine.name()) || inUse(engine) == 0)
                 .toList();
         Optional<EndpointName> last = job.lastEngine(item.item().group());
         Optional<RegisteredEndpoint> same = free.stream()
@@ -79,8 +86,46 @@
                         .thenComparing(
                                 engine -> pool.filter(engine.pool()::equals).isEmpty())
                         .thenComparingLong(engine -> -engine.version(model).orElse(0))
-                        .thenComparingDouble(
-                                engine -> (double) state.loads().running(engine.name()) / Math.max(1, engine.slots())));
+                        .thenComparingDouble(engine -> (double) inUse(engine) / Math.max(1, engine.slots())));
+    }
+
+    /**
+     * Returns how many items of a job may start now: as many as places are free that no earlier job waits for. The
+     * trainer waits for the earlier one first, so a later one does not take its places.
+     *
+     * @param tick The tick.
+     * @param running The job.
+     * @param engines The engines that may run it.
+     * @return The number, which is zero for a moment while the other nodes that run jobs are asked.
+     */
+    long startable(Tick tick, RunningJob running, List<RegisteredEndpoint> engines) {
+        boolean isNew = tick.now().since(running.begunAt()).compareTo(HEARING_TIME) < 0;
+        if (isNew && !state.runners().nodes().containsAll(state.otherRunners())) {
+            return 0;
+        }
+        BatchJob job = running.job();
+        long free = engines.stream().mapToLong(this::freePlaces).sum();
+        return Math.max(0, free - state.runners().waitingBefore(job.model(), job.submittedAt()));
+    }
+
+    /**
+     * Returns how many items an engine can take, by what is known of this node and the others.
+     *
+     * @param engine The engine.
+     * @return The number, not negative.
+     */
+    long freePlaces(RegisteredEndpoint engine) {
+        return Math.max(0, engine.slots() - inUse(engine));
+    }
+
+    /**
+     * Returns how many items are in progress at an engine.
+     *
+     * @param engine The engine.
+     * @return The number.
+     */
+    private int inUse(RegisteredEndpoint engine) {
+        return state.loads().running(engine.name()) + state.runners().running(engine.name());
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/EngineLoads.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/EngineLoads.java
@@ -39,6 +39,15 @@
         return running.getOrDefault(endpoint, 0);
     }
 
+    /**
+     * Returns how many items run at each engine.
+     *
+     * @return The numbers, for engines with at least one.
+     */
+    Map<EndpointName, Integer> running() {
+        return Map.copyOf(running);
+    }
+
     /**
      * Counts an item that begins.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningJob.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningJob.java
@@ -31,6 +31,9 @@
     /** The number of the next object with texts in progress. */
     private int textObjects;
 
+    /** When this node began to run the job. */
+    private final MonotonicTime begunAt;
+
     /** Whether results are on their way to the platform. */
     private boolean committing;
 
@@ -46,6 +49,7 @@
      * @param giveUpAt When the job is given up.
      */
     RunningJob(BatchJob job, ResultLog log, MonotonicTime now, MonotonicTime giveUpAt) {
+        begunAt = now;
         this.job = job;
         this.giveUpAt = giveUpAt;
         commitAt = now;
@@ -76,6 +80,24 @@
         return List.copyOf(items.values());
     }
 
+    /**
+     * Returns when this node began to run the job.
+     *
+     * @return The time.
+     */
+    MonotonicTime begunAt() {
+        return begunAt;
+    }
+
+    /**
+     * Returns the items that wait for a place at an engine.
+     *
+     * @return The items, in the order in which they are run.
+     */
+    List<RunningItem> waiting() {
+        return items.values().stream().filter(RunningItem::isWaiting).toList();
+    }
+
     /**
      * Finds an item whose result is not listed.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/SlowEngineSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/SlowEngineSystem.java
@@ -107,7 +107,7 @@
                 .toList();
         long places = choice.engines(tick, job, route.get()).stream()
                 .filter(engine -> !choice.isSlow(tick, engine.name()))
-                .mapToLong(engine -> Math.max(0, engine.slots() - state.loads().running(engine.name())))
+                .mapToLong(choice::freePlaces)
                 .sum();
         long moving = state.running().view().stream()
                 .flatMap(other -> other.items().stream())
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSystemTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSystemTest.java
@@ -7,8 +7,11 @@
 import io.yuccaswitch.core.platform.PlatformEffect;
 import io.yuccaswitch.core.site.TestNode;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 
 /** Batch jobs across nodes, with the platform and engines played. */
@@ -149,6 +152,61 @@
         assertThat(site.cancelled).hasSize(1);
     }
 
+    @Test
+    void twoNodesThatRunJobsDoNotOverfillTheSameEngine() {
+        TestNode first = site.node("node-1");
+        TestNode second = site.node("node-2");
+        site.run(100);
+        site.engines(_run -> Optional.empty());
+        site.submit(first, BatchSite.job("job-a", 6));
+        site.run(1500);
+        site.submit(second, submittedAt(BatchSite.job("job-b", 6), 2000));
+        site.run(1500);
+        Map<EndpointName, Long> runs = site.started.stream()
+                .collect(Collectors.groupingBy(run -> run.endpoint().name(), Collectors.counting()));
+        assertThat(runs.values()).allMatch(count -> count <= 4);
+        assertThat(site.started).hasSize(8);
+    }
+
+    @Test
+    void aLaterJobLeavesThePlacesThatAnEarlierOneAtAnotherNodeWaitsFor() {
+        TestNode first = site.node("node-1");
+        TestNode second = site.node("node-2");
+        site.run(100);
+        List<BatchEffect.Run> held = new ArrayList<>();
+        site.engines(run -> {
+            held.add(run);
+            return Optional.empty();
+        });
+        site.submit(first, BatchSite.job("job-a", 12));
+        site.run(1500);
+        site.submit(second, submittedAt(BatchSite.job("job-b", 4), 2000));
+        site.run(1000);
+        List<BatchEffect.Run> ending = List.copyOf(held.subList(0, 4));
+        ending.forEach(run -> first.accept(BatchSite.whole(run, 1)));
+        site.run(600);
+        assertThat(held).hasSize(12).allMatch(run -> run.id().value().equals("job-a"));
+        List.copyOf(held.subList(4, 8)).forEach(run -> first.accept(BatchSite.whole(run, 1)));
+        site.run(600);
+        assertThat(held).hasSize(16);
+    }
+
+    @Test
+    void whatAnotherNodeHasAtTheEnginesIsForgottenOnceItFallsSilent() {
+        TestNode first = site.node("node-1");
+        TestNode second = site.node("node-2");
+        site.run(100);
+        site.engines(_run -> Optional.empty());
+        site.submit(first, BatchSite.job("job-a", 12));
+        site.run(1500);
+        site.submit(second, submittedAt(BatchSite.job("job-b", 4), 2000));
+        site.run(300);
+        site.kill(first);
+        site.started.clear();
+        site.run(700);
+        assertThat(site.started).anyMatch(run -> run.id().value().equals("job-b"));
+    }
+
     @Test
     void theGroupsOfASplitRouteGoToItsPoolsByWeight() {
         for (int i = 0; i < 20; i++) {
@@ -632,4 +690,8 @@
     private static boolean writesTo(PlatformEffect call, String kind) {
         return call instanceof PlatformEffect.Write write && write.key().kind().equals(kind);
     }
+
+    private static BatchJob submittedAt(BatchJob job, long millis) {
+        return new BatchJob(job.id(), job.host(), job.path(), job.model(), job.minimumVersion(), millis, job.items());
+    }
 }
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/peer/PeerMessages.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/peer/PeerMessages.java
@@ -42,7 +42,8 @@
                 .register(PeerMessageRange.BATCH, 124, BatchMessage.BodyRead.class)
                 .register(PeerMessageRange.BATCH, 125, BatchMessage.ReadDeclined.class)
                 .register(PeerMessageRange.BATCH, 126, BatchMessage.StoreResults.class)
-                .register(PeerMessageRange.BATCH, 127, BatchMessage.ResultsStored.class);
+                .register(PeerMessageRange.BATCH, 127, BatchMessage.ResultsStored.class)
+                .register(PeerMessageRange.BATCH, 128, BatchMessage.EnginesInUse.class);
         builder.register(PeerMessageRange.WATCH, 140, WatchMessage.Follow.class)
                 .register(PeerMessageRange.WATCH, 141, WatchMessage.Changes.class);
         return builder.build();
