--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchMessage.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchMessage.java
@@ -89,7 +89,12 @@
      */
     record EnginesInUse(Map<EndpointName, Integer> running, List<Demand> demands) implements BatchMessage {
 
-        /** Copies the lists. */
+        /**
+         * Copies the lists.
+         *
+         * @param running The items that the sender has in progress, by engine.
+         * @param demands The jobs that wait for places.
+         */
         public EnginesInUse {
             running = Map.copyOf(running);
             demands = List.copyOf(demands);
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/proxy/EndpointSelection.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/proxy/EndpointSelection.java
@@ -245,6 +245,7 @@
      * Estimates the time that an answer of an endpoint takes.
      *
      * @param endpoint The endpoint.
+     * @param usual The time that is expected of an endpoint that was not measured, in milliseconds.
      * @param now The present.
      * @return The time in milliseconds.
      */
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
@@ -147,7 +147,7 @@
                 loop::accept,
                 metrics);
         membership = new MembershipService(loop, transport, addresses);
-        selection = new EndpointSelection(settings.availabilityZone(), settings.name());
+        selection = new EndpointSelection(settings.availabilityZone(), settings.name().value());
         items = new ItemRunner(http, dialects.endpoints(), loop);
         orders = new OrderCaller(http, dialects.endpoints(), loop);
         replies = new PendingReplies(loop);
