--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/MemberRanking.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/MemberRanking.java
@@ -15,7 +15,7 @@
     /** The members. */
     private final MembershipView membership;
 
-    /** The working members that are ranked. */
+    /** The working members that are ranked, which are another collection after each change. */
     private Collection<Member> ranked = List.of();
 
     /** The ranking. */
@@ -39,10 +39,10 @@
      */
     public List<Member> members() {
         Collection<Member> working = membership.working();
-        if (working != ranked && !working.equals(ranked)) {
+        if (working != ranked) {
+            ranked = working;
             ranking = RendezvousRanking.rank(key, working);
         }
-        ranked = working;
         return ranking;
     }
 
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
@@ -147,7 +147,8 @@
                 loop::accept,
                 metrics);
         membership = new MembershipService(loop, transport, addresses);
-        selection = new EndpointSelection(settings.availabilityZone(), settings.name().value());
+        selection = new EndpointSelection(
+                settings.availabilityZone(), settings.name().value());
         items = new ItemRunner(http, dialects.endpoints(), loop);
         orders = new OrderCaller(http, dialects.endpoints(), loop);
         replies = new PendingReplies(loop);
