Let the soak restart engines under their names and write foreign entries

Two faults are added: an engine ends and starts again under its name, and an entry that no endpoint wrote appears, as a new one or in the place of an endpoint's own.

--- a/yuccaswitch-soak/src/test/java/io/yuccaswitch/soak/SoakFaults.java
+++ b/yuccaswitch-soak/src/test/java/io/yuccaswitch/soak/SoakFaults.java
@@ -18,6 +18,14 @@
 /** Faults from outside the programs, drawn with a seed, in series and overlapping, each of which passes. */
 final class SoakFaults {
 
+    private static final List<String> FOREIGN_ENTRIES = List.of(
+            "{}",
+            "[]",
+            "7",
+            "{\"service\":7,\"address\":[],\"zone\":null}",
+            "{\"service\":\"ledger\",\"address\":\"127.0.0.1:1\",\"zone\":\"zone-a\",\"slots\":\"4\",\"state\":\"ready\"}",
+            "{\"service\":\"sampler\",\"address\":\"127.0.0.1:1\",\"zone\":\"zone-a\",\"slots\":4,\"state\":\"resting\"}",
+            "{\"service\":\"other\",\"address\":\"127.0.0.1:1\",\"zone\":\"zone-a\",\"slots\":4,\"state\":\"ready\"}");
     private static final int LONGEST_FAULT_MILLIS = 3500;
 
     private final SoakSite site;
@@ -102,6 +110,11 @@
                 site.engines.get(engine()).misbehave(faults[random.nextInt(faults.length)], 1 + random.nextInt(6));
             }
             case ENGINE_REPLACED -> site.replaceEngine(engine());
+            case ENGINE_RESTARTED -> site.restartEngine(engine());
+            case FOREIGN_ENTRY ->
+                site.writeForeignEntry(
+                        random.nextBoolean() ? engine() : "foreign-" + random.nextInt(4),
+                        FOREIGN_ENTRIES.get(random.nextInt(FOREIGN_ENTRIES.size())));
             case CONFIGURATION ->
                 site.store.put(
                         "config",
@@ -153,6 +166,8 @@
         ENGINE_LINK,
         ENGINE_MISBEHAVES,
         ENGINE_REPLACED,
+        ENGINE_RESTARTED,
+        FOREIGN_ENTRY,
         CONFIGURATION,
         VERSION
     }
--- a/yuccaswitch-soak/src/test/java/io/yuccaswitch/soak/SoakRun.java
+++ b/yuccaswitch-soak/src/test/java/io/yuccaswitch/soak/SoakRun.java
@@ -69,8 +69,9 @@
             }
             judgeLeaving(site, caller, history);
             for (EngineStandIn engine : site.allEngines()) {
-                history.runs.put(engine.id(), engine.seen());
-                history.orders.put(engine.id(), engine.orders());
+                String start = engine.id() + "@" + engine.born();
+                history.runs.put(start, engine.seen());
+                history.orders.put(start, engine.orders());
             }
         }
         return new Result(
--- a/yuccaswitch-soak/src/test/java/io/yuccaswitch/soak/SoakSite.java
+++ b/yuccaswitch-soak/src/test/java/io/yuccaswitch/soak/SoakSite.java
@@ -82,6 +82,24 @@
         retired.add(engines.remove(id));
     }
 
+    /** Ends an endpoint and starts it again under its name, with its version and nothing else that it held. */
+    synchronized void restartEngine(String id) throws IOException {
+        EngineStandIn before = engines.get(id);
+        before.close();
+        retired.add(before);
+        EngineStandIn started = new EngineStandIn(id);
+        started.version(before.version());
+        engineLinks.get(id).close();
+        engines.put(id, started);
+        engineLinks.put(id, new Link(0, address(started.address())));
+        store.put("servers", id, entry(id));
+    }
+
+    /** Writes an entry that no endpoint wrote, as a new one or in the place of an endpoint's own. */
+    synchronized void writeForeignEntry(String id, String entry) {
+        store.put("servers", id, entry);
+    }
+
     /** Writes the newest versions to the registry, as engines do. */
     synchronized void beat() {
         engines.keySet().forEach(id -> store.put("servers", id, entry(id)));
