Let a job take places that an earlier one leaves free for 0.6 s

Cause, by reading: a later job left free places to an earlier one for as long as that had items waiting, also where the earlier one can't use them, such as at engines that its node does not reach. Change: places that stay free for 0.6 s in a row are taken. A test plays an earlier job that waits without end: without the change nothing starts.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/EngineChoice.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/EngineChoice.java
@@ -21,6 +21,12 @@
      */
     private static final Duration HEARING_TIME = Duration.ofMillis(60);
 
+    /**
+     * For how long a job leaves places to an earlier one in a row. A place that is still free then is one that the
+     * earlier job can't use, such as at an engine that its node does not reach.
+     */
+    private static final Duration YIELDING_TIME = Duration.ofMillis(600);
+
     /** The tables of the batch system. */
     private final BatchState state;
 
@@ -105,7 +111,10 @@
         }
         BatchJob job = running.job();
         long free = engines.stream().mapToLong(this::freePlaces).sum();
-        return Math.max(0, free - state.runners().waitingBefore(job.model(), job.submittedAt()));
+        long startable = free - state.runners().waitingBefore(job.model(), job.submittedAt());
+        return running.hasYielded(free > 0 && startable <= 0, tick.now(), YIELDING_TIME)
+                ? free
+                : Math.max(0, startable);
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningJob.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningJob.java
@@ -31,6 +31,9 @@
     /** The number of the next object with texts in progress. */
     private int textObjects;
 
+    /** Since when free places were left to an earlier job in a row, if they are. */
+    private Optional<MonotonicTime> yieldingSince = Optional.empty();
+
     /** When this node began to run the job. */
     private final MonotonicTime begunAt;
 
@@ -80,6 +83,23 @@
         return List.copyOf(items.values());
     }
 
+    /**
+     * Notes whether free places are left to an earlier job, and returns whether that has lasted for long enough.
+     *
+     * @param yielding Whether they are.
+     * @param now The present.
+     * @param longest For how long they may be left in a row.
+     * @return {@code true} if they were left for that long.
+     */
+    boolean hasYielded(boolean yielding, MonotonicTime now, Duration longest) {
+        if (!yielding) {
+            yieldingSince = Optional.empty();
+            return false;
+        }
+        yieldingSince = Optional.of(yieldingSince.orElse(now));
+        return now.since(yieldingSince.get()).compareTo(longest) >= 0;
+    }
+
     /**
      * Returns when this node began to run the job.
      *
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSystemTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSystemTest.java
@@ -3,7 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.yuccaswitch.core.identity.EndpointName;
+import io.yuccaswitch.core.identity.NodeIdentity;
+import io.yuccaswitch.core.identity.NodeName;
 import io.yuccaswitch.core.peer.PeerEffect;
+import io.yuccaswitch.core.peer.PeerEvent;
 import io.yuccaswitch.core.platform.PlatformEffect;
 import io.yuccaswitch.core.site.TestNode;
 import java.time.Duration;
@@ -191,6 +194,28 @@
         assertThat(held).hasSize(16);
     }
 
+    @Test
+    void placesThatAnEarlierJobCantUseAreLeftToItForAMomentOnly() {
+        TestNode node = site.node("node-1");
+        site.run(100);
+        site.engines(_run -> Optional.empty());
+        NodeIdentity other = new NodeIdentity(new NodeName("node-9"), 1);
+        BatchMessage.EnginesInUse waits =
+                new BatchMessage.EnginesInUse(Map.of(), List.of(new BatchMessage.Demand(BatchSite.MODEL, 10, 100)));
+        node.accept(new PeerEvent.Received(other, waits));
+        site.submit(node, BatchSite.job("job", 4));
+        for (int i = 0; i < 5; i++) {
+            node.accept(new PeerEvent.Received(other, waits));
+            site.run(100);
+        }
+        assertThat(site.started).isEmpty();
+        for (int i = 0; i < 5; i++) {
+            node.accept(new PeerEvent.Received(other, waits));
+            site.run(100);
+        }
+        assertThat(site.started).hasSize(4);
+    }
+
     @Test
     void whatAnotherNodeHasAtTheEnginesIsForgottenOnceItFallsSilent() {
         TestNode first = site.node("node-1");
