--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RestartedEngineSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RestartedEngineSystem.java
@@ -36,7 +36,7 @@
         for (RunningJob job : state.running().rows()) {
             for (RunningItem item : job.items()) {
                 item.endpoint()
-                        .filter(engine -> !item.isMoving() && state.registry().isSucceeded(engine))
+                        .filter(engine -> !item.isMoving() && state.registry().hasStartedAgain(engine))
                         .ifPresent(engine -> breakOff(tick, job, item, engine));
             }
         }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/registry/EndpointRegistrySystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/registry/EndpointRegistrySystem.java
@@ -100,7 +100,7 @@
      * @param name The name.
      * @return {@code true} if a later start is known.
      */
-    public boolean isSucceeded(EndpointName name) {
+    public boolean hasStartedAgain(EndpointName name) {
         return entries.find(name.value())
                 .filter(row -> name.isBefore(row.endpoint().name()))
                 .isPresent();
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointAttempts.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointAttempts.java
@@ -113,7 +113,7 @@
      *
      * @param working The working endpoints.
      */
-    void breakOffSucceeded(List<RegisteredEndpoint> working) {
+    void breakOffEarlierStarts(List<RegisteredEndpoint> working) {
         if (running.isEmpty()) {
             return;
         }
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
@@ -233,7 +233,7 @@
             synchronized (selection) {
                 selection.retain(effect.working());
             }
-            attempts.breakOffSucceeded(effect.working());
+            attempts.breakOffEarlierStarts(effect.working());
         });
     }
 
