Break an attempt off for another engine in one place

A slow engine and one that started again were left by the same three steps, written twice; BatchState.move serves both. Behaviour is as it was.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
@@ -208,6 +208,21 @@
         return engine.isPresent();
     }
 
+    /**
+     * Breaks off an attempt such that its item goes on elsewhere. The end of the attempt then brings the events that
+     * arrived.
+     *
+     * @param tick The tick.
+     * @param job The job.
+     * @param item The item.
+     * @param reason Why the engine is left, for logs.
+     */
+    void move(Tick tick, RunningJob job, RunningItem item, String reason) {
+        item.move();
+        tick.emit(new BatchEffect.Cancel(job.job().id(), item.item().id(), item.attempt()));
+        tick.decide(Decision.of("batch-item", item.item().id(), "move", reason));
+    }
+
     /**
      * Breaks off the attempts to score an item's output.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RestartedEngineSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RestartedEngineSystem.java
@@ -1,9 +1,7 @@
 package io.yuccaswitch.core.batch;
 
-import io.yuccaswitch.core.decision.Decision;
 import io.yuccaswitch.core.decision.DecisionSystem;
 import io.yuccaswitch.core.decision.Tick;
-import io.yuccaswitch.core.identity.EndpointName;
 
 /**
  * Breaks off attempts at engines that have started again since. Such an engine knows nothing of them, and where its
@@ -37,22 +35,8 @@
             for (RunningItem item : job.items()) {
                 item.endpoint()
                         .filter(engine -> !item.isMoving() && state.registry().hasStartedAgain(engine))
-                        .ifPresent(engine -> breakOff(tick, job, item, engine));
+                        .ifPresent(engine -> state.move(tick, job, item, engine + " has started again"));
             }
         }
     }
-
-    /**
-     * Breaks off an attempt, whose end then returns with the events that arrived.
-     *
-     * @param tick The tick.
-     * @param job The job.
-     * @param item The item.
-     * @param engine The start of the engine that is gone.
-     */
-    private static void breakOff(Tick tick, RunningJob job, RunningItem item, EndpointName engine) {
-        item.move();
-        tick.emit(new BatchEffect.Cancel(job.job().id(), item.item().id(), item.attempt()));
-        tick.decide(Decision.of("batch-item", item.item().id(), "move", engine + " has started again"));
-    }
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/SlowEngineSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/SlowEngineSystem.java
@@ -128,13 +128,8 @@
      */
     private void move(Tick tick, RunningJob job, RunningItem item) {
         EndpointName engine = item.endpoint().orElseThrow();
-        item.move();
         state.loads().pause(engine, job.job().model(), tick.now(), SLOW_PAUSE);
-        tick.emit(new BatchEffect.Cancel(job.job().id(), item.item().id(), item.attempt()));
-        tick.decide(Decision.of(
-                "batch-item",
-                item.item().id(),
-                "move",
-                engine.value() + " is slow: " + state.rates().describe(engine)));
+        state.move(
+                tick, job, item, engine.value() + " is slow: " + state.rates().describe(engine));
     }
 }
