Log what tells a harmful request from a failing endpoint: content, time and connection of attempts, a check

Cause: the lines of the incident in which one request ended all endpoints of a service name neither the content of a request nor the time and the connection of its attempts, and the registry says only 3.6 s later whether an endpoint has ended, so that four hypotheses could not be told apart.

Change: the line of a request whose attempt got no answer bears a digest of its caller, host, method, path and body; each such attempt tells how long it lasted and whether its connection was new; an endpoint whose connection ended under a request is connected to once, and the result is logged and counted. Choices of endpoints are as before.

GatewayProcessTest (24) and RequestFingerprintTest (3) pass.

--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/quarantine/package-info.java
@@ -0,0 +1,2 @@
+/** Requests under which endpoints end: how they are recognised when they come again, and kept away from endpoints. */
+package io.yuccaswitch.core.quarantine;
--- a/yuccaswitch-endpoint/src/main/java/io/yuccaswitch/endpoint/Transmission.java
+++ b/yuccaswitch-endpoint/src/main/java/io/yuccaswitch/endpoint/Transmission.java
@@ -1,7 +1,11 @@
 package io.yuccaswitch.endpoint;
 
+import io.yuccaswitch.core.quarantine.LostAnswer;
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Proxy;
 import java.net.Socket;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
@@ -9,6 +13,7 @@
 import okhttp3.Connection;
 import okhttp3.EventListener;
 import okhttp3.Interceptor;
+import okhttp3.Protocol;
 import okhttp3.Response;
 
 /**
@@ -20,6 +25,12 @@
     /** The header whose value of zero makes OkHttp send a request again. */
     private static final String RETRY_AFTER = "Retry-After";
 
+    /**
+     * Within what time a kept connection shows that the endpoint had closed it before: some round trips within a
+     * region, and less than the work of most requests.
+     */
+    private static final Duration STALE_TIME = Duration.ofMillis(20);
+
     /** Says, right before the first byte, whether the request may still be sent. */
     private final BooleanSupplier maySend;
 
@@ -29,6 +40,12 @@
     /** Whether a byte of the request may have left. */
     private volatile boolean begun;
 
+    /** Whether a connection was made for this call. */
+    private volatile boolean connected;
+
+    /** When the first byte may have left, in nanoseconds. */
+    private volatile long begunAt;
+
     /** The connection that carries the call, or empty before there is one. */
     private volatile Optional<Connection> connection = Optional.empty();
 
@@ -55,6 +72,48 @@
         return begun;
     }
 
+    /**
+     * Returns whether the request went over a connection that was made for it. The endpoint then lived when it was
+     * sent, which a connection that was kept from an earlier request does not tell.
+     *
+     * @return {@code false} for a kept connection, or if there was none.
+     */
+    public boolean isOnNewConnection() {
+        return connected;
+    }
+
+    /**
+     * Returns for how long the request has been on its way.
+     *
+     * @return The time since the first byte may have left, which is zero before.
+     */
+    public Duration sinceBegun() {
+        return begun ? Duration.ofNanos(System.nanoTime() - begunAt) : Duration.ZERO;
+    }
+
+    /**
+     * Judges why a call that had begun brought no answer.
+     *
+     * @param brokenOff Whether this node broke it off.
+     * @return What that says of the endpoint.
+     */
+    public LostAnswer lostAnswer(boolean brokenOff) {
+        if (brokenOff) {
+            return LostAnswer.BROKEN_OFF;
+        }
+        boolean lived = connected || sinceBegun().compareTo(STALE_TIME) >= 0;
+        return lived ? LostAnswer.CONNECTION_LOST : LostAnswer.STALE_CONNECTION;
+    }
+
+    /**
+     * Describes how far the call has come, for logs.
+     *
+     * @return The time since it began, and whether its connection is a new one.
+     */
+    public String describe() {
+        return "after " + sinceBegun().toMillis() + " ms on a " + (connected ? "new" : "kept") + " connection";
+    }
+
     /** Closes the connection, such that no other request uses it. */
     public void closeConnection() {
         try {
@@ -67,6 +126,12 @@
         }
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public void connectEnd(Call _call, InetSocketAddress _address, Proxy _proxy, Protocol _protocol) {
+        connected = true;
+    }
+
     /** {@inheritDoc} */
     @Override
     public void connectionAcquired(Call _call, Connection acquired) {
@@ -76,6 +141,7 @@
     /** {@inheritDoc} */
     @Override
     public void requestHeadersStart(Call _call) {
+        begunAt = System.nanoTime();
         begun = true;
     }
 
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/AttemptResult.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/AttemptResult.java
@@ -1,5 +1,6 @@
 package io.yuccaswitch.node.gateway;
 
+import io.yuccaswitch.core.quarantine.LostAnswer;
 import io.yuccaswitch.core.value.Bytes;
 import okhttp3.Headers;
 
@@ -28,7 +29,8 @@
     /**
      * The request may have run, and there is no answer that can be passed on.
      *
+     * @param lost What the loss of the answer says of the endpoint.
      * @param reason The reason, for logs.
      */
-    record MayHaveRun(String reason) implements AttemptResult {}
+    record MayHaveRun(LostAnswer lost, String reason) implements AttemptResult {}
 }
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointAttempts.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointAttempts.java
@@ -3,6 +3,7 @@
 import io.reactivex.rxjava3.disposables.Disposable;
 import io.reactivex.rxjava3.schedulers.Schedulers;
 import io.yuccaswitch.core.identity.EndpointName;
+import io.yuccaswitch.core.quarantine.LostAnswer;
 import io.yuccaswitch.core.registry.RegisteredEndpoint;
 import io.yuccaswitch.core.value.Bytes;
 import io.yuccaswitch.endpoint.EndpointHttp;
@@ -100,10 +101,10 @@
             return judge(request, new Opened(Optional.of(response), Optional.empty(), transmission, call));
         } catch (IOException exception) {
             watchdog.dispose();
-            return Opened.failed(
-                    transmission.begun()
-                            ? new AttemptResult.MayHaveRun(describe(exception))
-                            : new AttemptResult.NotRun(describe(exception)));
+            AttemptResult result = transmission.begun()
+                    ? lost(call, transmission, describe(exception))
+                    : new AttemptResult.NotRun(describe(exception));
+            return new Opened(Optional.empty(), Optional.of(result), transmission, call);
         }
     }
 
@@ -162,15 +163,50 @@
                     : response.body().source().readByteArray();
             if (body.length == 0 && !response.body().source().exhausted()) {
                 opened.discard();
-                return new AttemptResult.MayHaveRun("the answer is too large");
+                return unusable("the answer is too large");
             }
             return new AttemptResult.Whole(response.code(), response.headers(), Bytes.wrap(body));
         } catch (IOException exception) {
+            AttemptResult result = lost(opened, "the answer broke off: " + describe(exception));
             opened.discard();
-            return new AttemptResult.MayHaveRun("the answer broke off: " + describe(exception));
+            return result;
         }
     }
 
+    /**
+     * Returns the result of an attempt whose answer did not come, or broke off.
+     *
+     * @param opened The attempt, which is not discarded yet.
+     * @param reason The reason, for logs.
+     * @return The result.
+     */
+    static AttemptResult lost(Opened opened, String reason) {
+        return lost(opened.call(), opened.transmission(), reason);
+    }
+
+    /**
+     * Returns the result of an attempt whose answer did not come, or broke off.
+     *
+     * @param call The call.
+     * @param transmission The watcher of the call.
+     * @param reason The reason, for logs.
+     * @return The result.
+     */
+    private static AttemptResult lost(Call call, Transmission transmission, String reason) {
+        LostAnswer lost = transmission.lostAnswer(call.isCanceled());
+        return new AttemptResult.MayHaveRun(lost, reason + " " + transmission.describe());
+    }
+
+    /**
+     * Returns the result of an attempt whose answer can't be passed on.
+     *
+     * @param reason The reason, for logs.
+     * @return The result.
+     */
+    static AttemptResult unusable(String reason) {
+        return new AttemptResult.MayHaveRun(LostAnswer.UNUSABLE, reason);
+    }
+
     /**
      * Describes an exception in one line.
      *
@@ -193,24 +229,24 @@
         String echoed = response.header(dialect.requestIdHeader());
         if (!request.id().isEmpty() && echoed != null && !echoed.equals(request.id())) {
             opened.discard();
-            return Opened.failed(new AttemptResult.MayHaveRun("the answer belongs to another request"));
+            return opened.withFailure(unusable("the answer belongs to another request"));
         }
         if (dialect.saysNotRun(response.code(), response.headers()) || dialect.isMisdirected(response.code())) {
             response.close();
-            return Opened.failed(new AttemptResult.NotRun("refused with status " + response.code()));
+            return opened.withFailure(new AttemptResult.NotRun("refused with status " + response.code()));
         }
         if (PROMISING.contains(response.code())) {
             response.close();
-            return Opened.failed(new AttemptResult.MayHaveRun("status " + response.code() + " without a promise"));
+            return opened.withFailure(unusable("status " + response.code() + " without a promise"));
         }
         boolean success = response.code() / 100 == SUCCESS_CLASS;
         if (success && !dialect.isSigned(response.headers())) {
             opened.discard();
-            return Opened.failed(new AttemptResult.MayHaveRun("the answer is not signed"));
+            return opened.withFailure(unusable("the answer is not signed"));
         }
         if (success && echoed == null) {
             opened.discard();
-            return Opened.failed(new AttemptResult.MayHaveRun("the answer names no request"));
+            return opened.withFailure(unusable("the answer names no request"));
         }
         return opened;
     }
@@ -247,7 +283,17 @@
     record Opened(Optional<Response> response, Optional<AttemptResult> failure, Transmission transmission, Call call) {
 
         /**
-         * Creates an attempt that failed.
+         * Returns this attempt as one whose answer can't be passed on.
+         *
+         * @param why Why.
+         * @return The attempt, without its answer.
+         */
+        Opened withFailure(AttemptResult why) {
+            return new Opened(Optional.empty(), Optional.of(why), transmission, call);
+        }
+
+        /**
+         * Creates an attempt that was never begun.
          *
          * @param failure Why.
          * @return The attempt.
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
@@ -158,7 +158,8 @@
                 settings,
                 dialects,
                 view,
-                new PlainRequestHandler(view, attempts, dialects.endpoints(), selection, metrics),
+                new PlainRequestHandler(
+                        view, attempts, dialects.endpoints(), selection, new EndpointChecks(metrics), metrics),
                 new BatchHandler(replies, dialects.callers(), metrics),
                 new MetricsText(metrics));
     }
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ItemRunner.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ItemRunner.java
@@ -379,7 +379,7 @@
          * @param reason The reason.
          */
         private void interrupted(String reason) {
-            String told = silent ? "silent for too long" : reason;
+            String told = (silent ? "silent for too long" : reason) + " " + transmission.describe();
             end(run, new AttemptOutcome.Interrupted(told, !transmission.begun()), text());
         }
 
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/OutgoingRequest.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/OutgoingRequest.java
@@ -19,4 +19,18 @@
     OutgoingRequest {
         headers = List.copyOf(headers);
     }
+
+    /**
+     * Returns a header.
+     *
+     * @param name The name, in any case.
+     * @return The first value, or an empty text if there is none.
+     */
+    String header(String name) {
+        return headers.stream()
+                .filter(header -> header.getKey().equalsIgnoreCase(name))
+                .map(Map.Entry::getValue)
+                .findFirst()
+                .orElse("");
+    }
 }
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/PlainRequestHandler.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/PlainRequestHandler.java
@@ -6,6 +6,7 @@
 import io.yuccaswitch.core.proxy.EndpointSelection;
 import io.yuccaswitch.core.proxy.RequestPlan;
 import io.yuccaswitch.core.proxy.ReturnTime;
+import io.yuccaswitch.core.quarantine.LostAnswer;
 import io.yuccaswitch.core.registry.RegisteredEndpoint;
 import io.yuccaswitch.core.time.MonotonicTime;
 import io.yuccaswitch.node.decision.DecisionLoop;
@@ -63,6 +64,9 @@
     /** Chooses endpoints. It is guarded by itself. */
     private final EndpointSelection selection;
 
+    /** Finds out whether endpoints have ended. */
+    private final EndpointChecks checks;
+
     /** The metrics. */
     private final MetricRegistry metrics;
 
@@ -73,6 +77,7 @@
      * @param attempts Sends requests to endpoints.
      * @param dialect How endpoints speak.
      * @param selection Chooses endpoints.
+     * @param checks Finds out whether endpoints have ended.
      * @param metrics The metrics.
      */
     PlainRequestHandler(
@@ -80,11 +85,13 @@
             EndpointAttempts attempts,
             EndpointDialect dialect,
             EndpointSelection selection,
+            EndpointChecks checks,
             MetricRegistry metrics) {
         this.view = view;
         this.attempts = attempts;
         this.dialect = dialect;
         this.selection = selection;
+        this.checks = checks;
         this.metrics = metrics;
     }
 
@@ -106,8 +113,10 @@
         metrics.counter("gateway.requests." + outcome.replace(' ', '-')).inc();
         metrics.timer("gateway.request-time").update(micros, TimeUnit.MICROSECONDS);
         LOGGER.infof(
-                "event=request id=%s route=%s pool=%s outcome=\"%s\" attempts=\"%s\" configuration=%d micros=%d",
+                "event=request id=%s content=%s route=%s pool=%s outcome=\"%s\" attempts=\"%s\" configuration=%d"
+                        + " micros=%d",
                 request.id(),
+                exchange.lostAnswer ? request.fingerprint() : "-",
                 request.route().name(),
                 pool.map(PoolName::value).orElse("none"),
                 outcome,
@@ -150,6 +159,9 @@
         /** The endpoints and results of the attempts, for logs. */
         private final StringBuilder history = new StringBuilder();
 
+        /** Whether an attempt was sent and got no answer, after which the request's fingerprint is logged. */
+        private boolean lostAnswer;
+
         /**
          * Creates an exchange.
          *
@@ -185,7 +197,6 @@
                     return giveUp("no endpoint", BAD_GATEWAY);
                 }
                 AttemptResult result = attempt(endpoint.get(), left);
-                note(endpoint.get(), result);
                 if (watched.isGone()) {
                     caller.abort();
                     return "caller gone";
@@ -250,6 +261,7 @@
             EndpointAttempts.Opened opened =
                     attempts.open(request.outgoing(), endpoint, times, relay.lastEventId(), watched::attach);
             AttemptResult result = opened.failure().orElseGet(() -> receive(opened));
+            note(endpoint, result);
             MonotonicTime now = DecisionLoop.now();
             synchronized (selection) {
                 selection.end(endpoint);
@@ -295,7 +307,7 @@
             boolean success = opened.response().orElseThrow().isSuccessful();
             if (relay.hasBegun() && !success) {
                 opened.discard();
-                return new AttemptResult.MayHaveRun("the stream was not resumed");
+                return EndpointAttempts.unusable("the stream was not resumed");
             }
             if (!success || !request.route().streaming()) {
                 return attempts.readWhole(opened);
@@ -305,8 +317,9 @@
                     opened.response().get().close();
                     return new AttemptResult.Relayed();
                 }
+                AttemptResult result = EndpointAttempts.lost(opened, "the stream broke off");
                 opened.discard();
-                return new AttemptResult.MayHaveRun("the stream broke off");
+                return result;
             } catch (EventRelay.CallerGoneException _exception) {
                 opened.discard();
                 return new AttemptResult.Relayed();
@@ -324,6 +337,7 @@
             if (result instanceof AttemptResult.NotRun notRun) {
                 text = "not run: " + notRun.reason();
             } else if (result instanceof AttemptResult.MayHaveRun mayHaveRun) {
+                takeLoss(endpoint, mayHaveRun.lost());
                 text = "may have run: " + mayHaveRun.reason();
             } else if (result instanceof AttemptResult.Whole whole) {
                 text = "status " + whole.status();
@@ -334,6 +348,21 @@
                     .append(text);
         }
 
+        /**
+         * Takes that an attempt was sent and brought no answer.
+         *
+         * @param endpoint The endpoint.
+         * @param lost What the loss says of the endpoint.
+         */
+        private void takeLoss(RegisteredEndpoint endpoint, LostAnswer lost) {
+            lostAnswer = true;
+            metrics.counter("gateway.lost-answers." + lost.name().toLowerCase(Locale.ROOT))
+                    .inc();
+            if (lost == LostAnswer.CONNECTION_LOST || lost == LostAnswer.STALE_CONNECTION) {
+                checks.check(endpoint);
+            }
+        }
+
         /**
          * Returns when the caller should come back.
          *
