--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/AttemptOutcome.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/AttemptOutcome.java
@@ -1,5 +1,7 @@
 package io.yuccaswitch.core.batch;
 
+import io.yuccaswitch.core.quarantine.Loss;
+
 /** What became of one attempt to run an item at an engine. */
 public sealed interface AttemptOutcome {
 
@@ -11,8 +13,20 @@
      *
      * @param reason The reason, for logs.
      * @param unreachable Whether the engine could not even be connected to.
+     * @param loss What the loss of the answer says of the engine.
      */
-    record Interrupted(String reason, boolean unreachable) implements AttemptOutcome {}
+    record Interrupted(String reason, boolean unreachable, Loss loss) implements AttemptOutcome {
+
+        /**
+         * Creates an outcome of an engine of which the end of the attempt tells nothing.
+         *
+         * @param reason The reason, for logs.
+         * @param unreachable Whether the engine could not even be connected to.
+         */
+        public Interrupted(String reason, boolean unreachable) {
+            this(reason, unreachable, Loss.UNUSABLE);
+        }
+    }
 
     /**
      * The engine said that it did not run the item.
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchEffect.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchEffect.java
@@ -17,6 +17,7 @@
      * @param endpoint The engine.
      * @param lastEventId The identifier of the event behind which the engine goes on, or 0 to begin anew.
      * @param timeLeft How long the item may still take.
+     * @param inDoubt Whether an engine may have ended under the item, such that it needs a connection of its own.
      */
     record Run(
             BatchJobId id,
@@ -25,7 +26,8 @@
             String host,
             RegisteredEndpoint endpoint,
             long lastEventId,
-            Duration timeLeft)
+            Duration timeLeft,
+            boolean inDoubt)
             implements BatchEffect {}
 
     /**
@@ -46,6 +48,7 @@
      * @param request The scoring request.
      * @param endpoint The endpoint.
      * @param timeLeft How long the attempt may take.
+     * @param inDoubt Whether an endpoint may have ended under the request, such that it needs a connection of its own.
      */
     record Score(
             BatchJobId id,
@@ -53,7 +56,8 @@
             int attempt,
             ScoringRequest request,
             RegisteredEndpoint endpoint,
-            Duration timeLeft)
+            Duration timeLeft,
+            boolean inDoubt)
             implements BatchEffect {}
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchItem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchItem.java
@@ -1,5 +1,6 @@
 package io.yuccaswitch.core.batch;
 
+import io.yuccaswitch.core.quarantine.RequestFingerprint;
 import io.yuccaswitch.core.value.Bytes;
 import java.util.Map;
 import java.util.Optional;
@@ -24,8 +25,32 @@
         long expectedTokens,
         Optional<ScoringRequest> scoring) {
 
+    /** The method of the requests. */
+    private static final String METHOD = "POST";
+
     /** Copies the headers. */
     public BatchItem {
         headers = Map.copyOf(headers);
     }
+
+    /**
+     * Computes the fingerprint by which the item is recognised at other nodes and in later jobs. Items of a group may
+     * have the same body, so the identifier counts too.
+     *
+     * @param host The host of the job's route.
+     * @return The fingerprint.
+     */
+    RequestFingerprint fingerprint(String host) {
+        return RequestFingerprint.of(id, host, METHOD, path, body);
+    }
+
+    /**
+     * Describes the item for operators, without what its trainer sends.
+     *
+     * @param host The host of the job's route.
+     * @return The method, host, path and identifier.
+     */
+    String describe(String host) {
+        return METHOD + " " + host + path + " item " + id;
+    }
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchRunSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchRunSystem.java
@@ -4,12 +4,14 @@
 import io.yuccaswitch.core.decision.DecisionSystem;
 import io.yuccaswitch.core.decision.Tick;
 import io.yuccaswitch.core.identity.EndpointName;
+import io.yuccaswitch.core.quarantine.RequestFingerprint;
 import io.yuccaswitch.core.registry.RegisteredEndpoint;
 import io.yuccaswitch.core.route.Route;
 import java.time.Duration;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Supplier;
 
 /** Runs the items of jobs at engines, and takes what becomes of the attempts. */
 final class BatchRunSystem implements DecisionSystem {
@@ -89,7 +91,21 @@
      */
     private void startSomewhere(
             Tick tick, RunningJob job, RunningItem item, List<RegisteredEndpoint> engines, Route route) {
-        choice.choose(tick, job, item, engines, route).ifPresent(engine -> start(tick, job, item, engine, route));
+        Supplier<RequestFingerprint> fingerprint = () -> fingerprint(job, item.item());
+        if (state.quarantine().allows(tick, item.item().id(), fingerprint, engines)) {
+            choice.choose(tick, job, item, engines, route).ifPresent(engine -> start(tick, job, item, engine, route));
+        }
+    }
+
+    /**
+     * Returns what recognises an item.
+     *
+     * @param job The job.
+     * @param item The item.
+     * @return The fingerprint.
+     */
+    private static RequestFingerprint fingerprint(RunningJob job, BatchItem item) {
+        return item.fingerprint(job.job().host());
     }
 
     /**
@@ -117,7 +133,8 @@
                 job.job().host(),
                 engine,
                 item.text().lastEventId(),
-                job.giveUpAt().since(tick.now())));
+                job.giveUpAt().since(tick.now()),
+                state.quarantine().isInDoubt(() -> fingerprint(job, item.item()))));
         tick.decide(Decision.of(
                 "batch-item",
                 item.item().id(),
@@ -199,6 +216,11 @@
         AttemptOutcome outcome = ended.outcome();
         if (outcome instanceof AttemptOutcome.Completed) {
             state.loads().succeed(engine, model);
+            state.quarantine()
+                    .serve(
+                            tick,
+                            () -> fingerprint(job.get(), item.get().item()),
+                            item.get().attempt() > 1);
             complete(tick, job.get(), item.get(), engine);
         } else if (outcome instanceof AttemptOutcome.Impossible) {
             finish(tick, item.get(), BatchResult.givenUp(ended.item()), "the engine can never run it");
@@ -210,6 +232,14 @@
         } else if (outcome instanceof AttemptOutcome.Interrupted interrupted) {
             Duration pause = interrupted.unreachable() ? UNREACHABLE_PAUSE : INTERRUPTION_PAUSE;
             state.loads().pause(engine, model, tick.now(), pause);
+            BatchItem lost = item.get().item();
+            state.quarantine()
+                    .lose(
+                            tick,
+                            () -> fingerprint(job.get(), lost),
+                            lost.describe(job.get().job().host()),
+                            engine,
+                            interrupted.loss());
             again(tick, item.get(), engine, interrupted.reason());
         }
     }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
@@ -11,6 +11,7 @@
 import io.yuccaswitch.core.platform.PlatformEffect;
 import io.yuccaswitch.core.platform.PlatformEvent;
 import io.yuccaswitch.core.platform.PlatformPurpose;
+import io.yuccaswitch.core.quarantine.Quarantine;
 import io.yuccaswitch.core.registry.EndpointRegistrySystem;
 import io.yuccaswitch.core.route.Route;
 import io.yuccaswitch.core.route.RouteConfigurationSystem;
@@ -43,6 +44,7 @@
  * @param rates How fast the engines are.
  * @param scoringLoads Chooses the endpoints of scoring requests.
  * @param runners What other nodes that run jobs have at the engines.
+ * @param quarantine Keeps items under which engines ended away from further ones.
  */
 record BatchState(
         MembershipView membership,
@@ -58,7 +60,8 @@
         EngineLoads loads,
         EngineRates rates,
         ScoringLoads scoringLoads,
-        OtherRunners runners) {
+        OtherRunners runners,
+        ItemQuarantine quarantine) {
 
     /** The largest size of the outputs that are kept here, in bytes. Others are read from the platform again. */
     private static final long LOG_BYTES = 6L << 20;
@@ -72,6 +75,7 @@
      * @param codec Writes and reads what is kept on the platform.
      * @param calls The calls to the platform that wait for their answers.
      * @param index The jobs of the site.
+     * @param quarantine What is known of requests under which endpoints ended.
      * @return The tables.
      */
     static BatchState empty(
@@ -80,7 +84,8 @@
             RouteConfigurationSystem routes,
             BatchCodec codec,
             PlatformCalls calls,
-            BatchIndex index) {
+            BatchIndex index,
+            Quarantine quarantine) {
         return new BatchState(
                 membership,
                 registry,
@@ -95,7 +100,8 @@
                 new EngineLoads(),
                 new EngineRates(),
                 new ScoringLoads(membership.self()),
-                new OtherRunners());
+                new OtherRunners(),
+                new ItemQuarantine(quarantine));
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchSystem.java
@@ -7,6 +7,7 @@
 import io.yuccaswitch.core.platform.PlatformCalls;
 import io.yuccaswitch.core.platform.PlatformPurpose;
 import io.yuccaswitch.core.platform.PlatformTokens;
+import io.yuccaswitch.core.quarantine.Quarantine;
 import io.yuccaswitch.core.registry.EndpointRegistrySystem;
 import io.yuccaswitch.core.route.RouteConfigurationSystem;
 import io.yuccaswitch.core.watch.SharedWatches;
@@ -35,6 +36,7 @@
      * @param routes The configuration of routes.
      * @param codec Writes and reads what is kept on the platform.
      * @param tokens Hands out the tokens of calls.
+     * @param quarantine What is known of requests under which endpoints ended.
      * @param timeOfDay Tells the time of day in milliseconds since the epoch.
      */
     public BatchSystem(
@@ -44,10 +46,11 @@
             RouteConfigurationSystem routes,
             BatchCodec codec,
             PlatformTokens tokens,
+            Quarantine quarantine,
             LongSupplier timeOfDay) {
         KindFeed entries = watches.watch(BatchObjects.INDEX, PlatformPurpose.BATCH, tokens, GATHERING);
         BatchIndex index = new BatchIndex(entries, codec);
-        state = BatchState.empty(membership, registry, routes, codec, new PlatformCalls(tokens), index);
+        state = BatchState.empty(membership, registry, routes, codec, new PlatformCalls(tokens), index, quarantine);
         GiveUpTimes giveUpTimes = new GiveUpTimes(routes, timeOfDay);
         parts = List.of(
                 new BatchAdmissionSystem(state, giveUpTimes),
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ScoringOutcome.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ScoringOutcome.java
@@ -1,5 +1,7 @@
 package io.yuccaswitch.core.batch;
 
+import io.yuccaswitch.core.quarantine.Loss;
+
 /** What became of one attempt to have an output scored. */
 public sealed interface ScoringOutcome {
 
@@ -24,6 +26,17 @@
      * There is no answer that can be trusted, and the request may have run.
      *
      * @param reason The reason, for logs.
+     * @param loss What the loss of the answer says of the endpoint.
      */
-    record Interrupted(String reason) implements ScoringOutcome {}
+    record Interrupted(String reason, Loss loss) implements ScoringOutcome {
+
+        /**
+         * Creates an outcome of an endpoint that lives.
+         *
+         * @param reason The reason, for logs.
+         */
+        public Interrupted(String reason) {
+            this(reason, Loss.UNUSABLE);
+        }
+    }
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ScoringRequest.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ScoringRequest.java
@@ -1,5 +1,6 @@
 package io.yuccaswitch.core.batch;
 
+import io.yuccaswitch.core.quarantine.RequestFingerprint;
 import io.yuccaswitch.core.value.Bytes;
 import java.util.regex.Pattern;
 
@@ -14,6 +15,9 @@
  */
 public record ScoringRequest(String id, String host, String path, Bytes body) {
 
+    /** The method of the requests. */
+    private static final String METHOD = "POST";
+
     /** What a header can bear. */
     private static final Pattern HEADER_TEXT = Pattern.compile("[!-~]{1,256}");
 
@@ -30,6 +34,25 @@
         }
     }
 
+    /**
+     * Computes the fingerprint by which the request is recognised at other nodes. Requests for the items of a group may
+     * have the same body, so the identifier counts too.
+     *
+     * @return The fingerprint.
+     */
+    RequestFingerprint fingerprint() {
+        return RequestFingerprint.of(id, host, METHOD, path, body);
+    }
+
+    /**
+     * Describes the request for operators.
+     *
+     * @return The method, host, path and identifier.
+     */
+    String describe() {
+        return METHOD + " " + host + routePath() + " scoring " + id;
+    }
+
     /**
      * Returns the path without its query, by which the route is found.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ScoringSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ScoringSystem.java
@@ -129,7 +129,10 @@
         if (allowed.compareTo(LEAST_TIME) < 0) {
             return;
         }
-        choose(tick, scoring, route.get()).ifPresent(endpoint -> start(tick, entry, endpoint, allowed));
+        List<RegisteredEndpoint> working = working(tick, route.get());
+        if (state.quarantine().allows(tick, entry.item().item().id(), scoring.request()::fingerprint, working)) {
+            choose(tick, scoring, working).ifPresent(endpoint -> start(tick, entry, endpoint, allowed));
+        }
     }
 
     /**
@@ -140,7 +143,7 @@
      * @param route The route of the scoring request.
      * @return {@code true} if none is in progress, or if those in progress stay away for too long.
      */
-    private static boolean isDue(Tick tick, Outstanding entry, Route route) {
+    private boolean isDue(Tick tick, Outstanding entry, Route route) {
         List<ItemScoring.Attempt> running = entry.scoring().running();
         if (running.isEmpty()) {
             return entry.scoring().mayBegin(tick.now());
@@ -150,7 +153,21 @@
         ItemScoring.Attempt newest = running.get(running.size() - 1);
         Duration patience = Duration.ofNanos((long) (route.latencyTarget().toNanos() * HEDGE_SHARE))
                 .multipliedBy(running.size());
-        return allowed && tick.now().since(newest.begunAt()).compareTo(patience) >= 0;
+        return allowed
+                && tick.now().since(newest.begunAt()).compareTo(patience) >= 0
+                && state.quarantine().allowsHedge(entry.scoring().request()::fingerprint);
+    }
+
+    /**
+     * Returns the endpoints that may get a request.
+     *
+     * @param tick The tick.
+     * @param route The route of the scoring request.
+     * @return The working endpoints of one of the route's pools.
+     */
+    private List<RegisteredEndpoint> working(Tick tick, Route route) {
+        Optional<PoolName> pool = route.pick(tick.random().nextDouble());
+        return pool.map(name -> state.registry().working(name)).orElseGet(List::of);
     }
 
     /**
@@ -158,15 +175,14 @@
      *
      * @param tick The tick.
      * @param scoring The scoring.
-     * @param route The route of the scoring request.
+     * @param working The endpoints that may get the request.
      * @return The endpoint, or empty if there is none with a place.
      */
-    private Optional<RegisteredEndpoint> choose(Tick tick, ItemScoring scoring, Route route) {
-        Optional<PoolName> pool = route.pick(tick.random().nextDouble());
+    private Optional<RegisteredEndpoint> choose(Tick tick, ItemScoring scoring, List<RegisteredEndpoint> working) {
         Set<EndpointName> busy = scoring.running().stream()
                 .map(attempt -> attempt.endpoint().name())
                 .collect(Collectors.toSet());
-        return pool.flatMap(name -> state.scoringLoads().choose(state.registry().working(name), busy, tick.now()));
+        return state.scoringLoads().choose(working, busy, tick.now());
     }
 
     /**
@@ -185,7 +201,13 @@
         state.scoringLoads().begin(endpoint);
         BatchItem item = entry.item().item();
         tick.emit(new BatchEffect.Score(
-                entry.job().job().id(), item.id(), attempt, scoring.request(), endpoint, allowed));
+                entry.job().job().id(),
+                item.id(),
+                attempt,
+                scoring.request(),
+                endpoint,
+                allowed,
+                state.quarantine().isInDoubt(scoring.request()::fingerprint)));
         tick.decide(Decision.of(
                 "batch-score",
                 item.id(),
@@ -221,6 +243,9 @@
             again(tick, entry, attempt.get(), refused.reason());
         } else if (ended.outcome() instanceof ScoringOutcome.Interrupted interrupted) {
             scoring.get().mayHaveRun();
+            ScoringRequest request = scoring.get().request();
+            state.quarantine()
+                    .lose(tick, request::fingerprint, request.describe(), endpoint.name(), interrupted.loss());
             again(tick, entry, attempt.get(), interrupted.reason());
         }
     }
@@ -235,6 +260,7 @@
      */
     private void complete(Tick tick, Outstanding entry, ItemScoring.Attempt attempt, String score) {
         ItemScoring scoring = entry.scoring();
+        state.quarantine().serve(tick, scoring.request()::fingerprint, attempt.number() > 1);
         state.breakOffScoring(tick, entry.job().job().id(), entry.item());
         entry.item().finish(scoring.unscored().withScore(score));
         tick.decide(Decision.of(
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/platform/PlatformPurpose.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/platform/PlatformPurpose.java
@@ -17,5 +17,7 @@
     /** The registry in which endpoints say where they are. */
     DISCOVERY,
     /** Accepted batch jobs and their results. */
-    BATCH
+    BATCH,
+    /** Requests under which endpoints ended. */
+    QUARANTINE
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/registry/EndpointRegistrySystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/registry/EndpointRegistrySystem.java
@@ -10,6 +10,7 @@
 import io.yuccaswitch.core.platform.PlatformPurpose;
 import io.yuccaswitch.core.platform.PlatformTokens;
 import io.yuccaswitch.core.platform.StoredObject;
+import io.yuccaswitch.core.quarantine.EndpointStandings;
 import io.yuccaswitch.core.time.MonotonicTime;
 import io.yuccaswitch.core.watch.SharedWatches;
 import java.time.Duration;
@@ -21,7 +22,7 @@
 import java.util.stream.Collectors;
 
 /** Follows the registry in which endpoints say where they are and what they serve. */
-public final class EndpointRegistrySystem implements DecisionSystem, EndpointRegistry {
+public final class EndpointRegistrySystem implements DecisionSystem, EndpointRegistry, EndpointStandings {
 
     /** The kind of the registry's objects. */
     public static final String KIND = "endpoint";
@@ -50,6 +51,9 @@
     /** Whether the registry was read once. */
     private boolean listed;
 
+    /** Whether entries may be missing or out of date, as the platform was out of reach a short time ago. */
+    private boolean inDoubt;
+
     /** How often the endpoints have changed. */
     private long changes;
 
@@ -71,6 +75,7 @@
     @Override
     public void run(Tick tick) {
         Optional<KindFeed.News> news = feed.run(tick);
+        inDoubt = feed.hasFailedWithin(tick.now(), RECENT_FAILURE);
         boolean changed = news.isPresent() && take(tick, news.get());
         changed |= entries.removeIf(row -> row.hasLapsed(tick.now(), LAPSE_GRACE));
         if (changed) {
@@ -93,6 +98,18 @@
                 .equals(name));
     }
 
+    @Override
+    public Standing of(EndpointName name) {
+        if (!listed || inDoubt) {
+            return Standing.UNTOLD;
+        }
+        Optional<RegisteredEndpoint> known = find(name);
+        if (known.isEmpty()) {
+            return Standing.GONE;
+        }
+        return known.get().leaving() ? Standing.LEAVING : Standing.WORKING;
+    }
+
     /**
      * Returns whether an endpoint has started again since the start that a name tells of, such that whatever was under
      * way there is lost.
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSite.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSite.java
@@ -5,6 +5,7 @@
 import io.yuccaswitch.core.identity.PoolName;
 import io.yuccaswitch.core.membership.MembershipEvent;
 import io.yuccaswitch.core.platform.StoredObject;
+import io.yuccaswitch.core.quarantine.QuarantineSystem;
 import io.yuccaswitch.core.registry.EndpointRegistrySystem;
 import io.yuccaswitch.core.registry.RegisteredEndpoint;
 import io.yuccaswitch.core.route.RequestKind;
@@ -104,8 +105,12 @@
             SharedWatches watches = new SharedWatches(node);
             EndpointRegistrySystem registry = new EndpointRegistrySystem(watches, tokens, BatchSite::endpoint);
             RouteConfigurationSystem routes = new RouteConfigurationSystem(watches, tokens, this::configuration);
+            QuarantineSystem quarantine = new QuarantineSystem(node, tokens, registry, this::epochMillis);
             return List.of(
-                    routes, registry, new BatchSystem(node, watches, registry, routes, codec, tokens, () -> 1000));
+                    routes,
+                    registry,
+                    quarantine,
+                    new BatchSystem(node, watches, registry, routes, codec, tokens, quarantine, () -> 1000));
         });
         started.accept(new MembershipEvent.SelfJoined(false));
         nodes.add(started);
@@ -173,6 +178,10 @@
         return Optional.ofNullable(answers.get(ticket));
     }
 
+    long epochMillis() {
+        return site.now().nanoseconds() / 1_000_000;
+    }
+
     void run(int millis) {
         site.run(Duration.ofMillis(millis));
     }
--- a/yuccaswitch-endpoint/src/main/java/io/yuccaswitch/endpoint/EndpointHttp.java
+++ b/yuccaswitch-endpoint/src/main/java/io/yuccaswitch/endpoint/EndpointHttp.java
@@ -24,6 +24,9 @@
     /** The client. */
     private final OkHttpClient client;
 
+    /** The same client without kept connections. */
+    private final OkHttpClient connecting;
+
     /**
      * Creates a new client.
      *
@@ -51,6 +54,9 @@
                         TimeUnit.MILLISECONDS))
                 .addNetworkInterceptor(new Transmission.Gate())
                 .build();
+        connecting = client.newBuilder()
+                .connectionPool(new ConnectionPool(0, 1, TimeUnit.MILLISECONDS))
+                .build();
     }
 
     /**
@@ -71,7 +77,21 @@
      * @return The call, not begun yet.
      */
     public Call call(Request.Builder request, Transmission transmission, Duration timeout) {
-        Call call = client.newCall(request.header("Accept-Encoding", "identity")
+        return call(request, transmission, timeout, ConnectionUse.KEPT);
+    }
+
+    /**
+     * Prepares a call.
+     *
+     * @param request The request.
+     * @param transmission The watcher of the call.
+     * @param timeout The time after which the call is given up.
+     * @param connection Which connection it goes over.
+     * @return The call, not begun yet.
+     */
+    public Call call(Request.Builder request, Transmission transmission, Duration timeout, ConnectionUse connection) {
+        OkHttpClient chosen = connection == ConnectionUse.KEPT ? client : connecting;
+        Call call = chosen.newCall(request.header("Accept-Encoding", "identity")
                 .tag(Transmission.class, transmission)
                 .build());
         call.addEventListener(transmission);
@@ -86,4 +106,12 @@
         client.dispatcher().executorService().shutdown();
         client.connectionPool().evictAll();
     }
+
+    /** Which connection a call goes over. */
+    public enum ConnectionUse {
+        /** One that was kept from an earlier call, if there is one. */
+        KEPT,
+        /** A new one, which tells that the endpoint lives before the request is sent. */
+        NEW
+    }
 }
--- a/yuccaswitch-endpoint/src/main/java/io/yuccaswitch/endpoint/Transmission.java
+++ b/yuccaswitch-endpoint/src/main/java/io/yuccaswitch/endpoint/Transmission.java
@@ -1,6 +1,5 @@
 package io.yuccaswitch.endpoint;
 
-import io.yuccaswitch.core.quarantine.LostAnswer;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Proxy;
@@ -92,17 +91,13 @@
     }
 
     /**
-     * Judges why a call that had begun brought no answer.
+     * Returns whether the endpoint surely lived when it got the request, as far as this is known once the connection
+     * has ended.
      *
-     * @param brokenOff Whether this node broke it off.
-     * @return What that says of the endpoint.
+     * @return {@code false} if a kept connection ended at once.
      */
-    public LostAnswer lostAnswer(boolean brokenOff) {
-        if (brokenOff) {
-            return LostAnswer.BROKEN_OFF;
-        }
-        boolean lived = connected || sinceBegun().compareTo(STALE_TIME) >= 0;
-        return lived ? LostAnswer.CONNECTION_LOST : LostAnswer.STALE_CONNECTION;
+    public boolean reachedLivingEndpoint() {
+        return connected || sinceBegun().compareTo(STALE_TIME) >= 0;
     }
 
     /**
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/AttemptResult.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/AttemptResult.java
@@ -1,6 +1,6 @@
 package io.yuccaswitch.node.gateway;
 
-import io.yuccaswitch.core.quarantine.LostAnswer;
+import io.yuccaswitch.core.quarantine.Loss;
 import io.yuccaswitch.core.value.Bytes;
 import okhttp3.Headers;
 
@@ -22,15 +22,16 @@
     /**
      * The request was surely not run.
      *
+     * @param unreachable Whether nothing listens at the endpoint's address.
      * @param reason The reason, for logs.
      */
-    record NotRun(String reason) implements AttemptResult {}
+    record NotRun(boolean unreachable, String reason) implements AttemptResult {}
 
     /**
      * The request may have run, and there is no answer that can be passed on.
      *
-     * @param lost What the loss of the answer says of the endpoint.
+     * @param loss What the loss of the answer says of the endpoint.
      * @param reason The reason, for logs.
      */
-    record MayHaveRun(LostAnswer lost, String reason) implements AttemptResult {}
+    record MayHaveRun(Loss loss, String reason) implements AttemptResult {}
 }
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointAttempts.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointAttempts.java
@@ -3,13 +3,15 @@
 import io.reactivex.rxjava3.disposables.Disposable;
 import io.reactivex.rxjava3.schedulers.Schedulers;
 import io.yuccaswitch.core.identity.EndpointName;
-import io.yuccaswitch.core.quarantine.LostAnswer;
+import io.yuccaswitch.core.quarantine.Loss;
 import io.yuccaswitch.core.registry.RegisteredEndpoint;
 import io.yuccaswitch.core.value.Bytes;
+import io.yuccaswitch.endpoint.EndpointChecks;
 import io.yuccaswitch.endpoint.EndpointHttp;
 import io.yuccaswitch.endpoint.OneShotBody;
 import io.yuccaswitch.endpoint.Transmission;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
@@ -49,6 +51,9 @@
     /** How endpoints speak. */
     private final EndpointDialect dialect;
 
+    /** Finds out whether endpoints have ended. */
+    private final EndpointChecks checks;
+
     /** The calls in progress, by the start of the endpoint that they were sent to. */
     private final Map<Call, EndpointName> running = new ConcurrentHashMap<>();
 
@@ -57,10 +62,12 @@
      *
      * @param http The connections to endpoints.
      * @param dialect How endpoints speak.
+     * @param checks Finds out whether endpoints have ended.
      */
-    EndpointAttempts(EndpointHttp http, EndpointDialect dialect) {
+    EndpointAttempts(EndpointHttp http, EndpointDialect dialect, EndpointChecks checks) {
         this.http = http;
         this.dialect = dialect;
+        this.checks = checks;
     }
 
     /**
@@ -69,6 +76,7 @@
      * @param request The request.
      * @param endpoint The endpoint.
      * @param times The times that the attempt may take.
+     * @param connection Which connection it goes over.
      * @param lastEventId The event behind which a stream goes on, or empty to begin anew.
      * @param begun Takes the call, to break it off.
      * @return The attempt in progress.
@@ -77,12 +85,13 @@
             OutgoingRequest request,
             RegisteredEndpoint endpoint,
             Times times,
+            EndpointHttp.ConnectionUse connection,
             Optional<Long> lastEventId,
             Consumer<Call> begun) {
         Transmission transmission = new Transmission();
         HttpUrl url = HttpUrl.parse("http://" + endpoint.address() + request.target());
         if (url == null) {
-            return Opened.failed(new AttemptResult.NotRun("the path can't be sent"));
+            return Opened.failed(endpoint, new AttemptResult.NotRun(false, "the path can't be sent"));
         }
         Request.Builder builder = new Request.Builder().url(url).method(request.method(), bodyOf(request));
         for (Map.Entry<String, String> header : request.headers()) {
@@ -90,7 +99,7 @@
         }
         dialect.address(builder, endpoint.name(), times.whole());
         lastEventId.ifPresent(id -> dialect.resume(builder, id));
-        Call call = http.call(builder, transmission, times.whole());
+        Call call = http.call(builder, transmission, times.whole(), connection);
         track(call, endpoint.name());
         begun.accept(call);
         Disposable watchdog = Schedulers.computation()
@@ -98,13 +107,14 @@
         try {
             Response response = call.execute();
             watchdog.dispose();
-            return judge(request, new Opened(Optional.of(response), Optional.empty(), transmission, call));
+            return judge(request, new Opened(endpoint, Optional.of(response), Optional.empty(), transmission, call));
         } catch (IOException exception) {
             watchdog.dispose();
-            AttemptResult result = transmission.begun()
-                    ? lost(call, transmission, describe(exception))
-                    : new AttemptResult.NotRun(describe(exception));
-            return new Opened(Optional.empty(), Optional.of(result), transmission, call);
+            Opened failed = new Opened(endpoint, Optional.empty(), Optional.empty(), transmission, call);
+            return failed.withFailure(
+                    transmission.begun()
+                            ? lost(failed, describe(exception))
+                            : new AttemptResult.NotRun(exception instanceof ConnectException, describe(exception)));
         }
     }
 
@@ -180,21 +190,13 @@
      * @param reason The reason, for logs.
      * @return The result.
      */
-    static AttemptResult lost(Opened opened, String reason) {
-        return lost(opened.call(), opened.transmission(), reason);
-    }
-
-    /**
-     * Returns the result of an attempt whose answer did not come, or broke off.
-     *
-     * @param call The call.
-     * @param transmission The watcher of the call.
-     * @param reason The reason, for logs.
-     * @return The result.
-     */
-    private static AttemptResult lost(Call call, Transmission transmission, String reason) {
-        LostAnswer lost = transmission.lostAnswer(call.isCanceled());
-        return new AttemptResult.MayHaveRun(lost, reason + " " + transmission.describe());
+    AttemptResult lost(Opened opened, String reason) {
+        Transmission transmission = opened.transmission();
+        String described = reason + " " + transmission.describe();
+        RegisteredEndpoint endpoint = opened.endpoint();
+        Loss loss = checks.judge(
+                endpoint.name(), endpoint.address(), transmission, opened.call().isCanceled());
+        return new AttemptResult.MayHaveRun(loss, described);
     }
 
     /**
@@ -204,7 +206,7 @@
      * @return The result.
      */
     static AttemptResult unusable(String reason) {
-        return new AttemptResult.MayHaveRun(LostAnswer.UNUSABLE, reason);
+        return new AttemptResult.MayHaveRun(Loss.UNUSABLE, reason);
     }
 
     /**
@@ -233,7 +235,7 @@
         }
         if (dialect.saysNotRun(response.code(), response.headers()) || dialect.isMisdirected(response.code())) {
             response.close();
-            return opened.withFailure(new AttemptResult.NotRun("refused with status " + response.code()));
+            return opened.withFailure(new AttemptResult.NotRun(false, "refused with status " + response.code()));
         }
         if (PROMISING.contains(response.code())) {
             response.close();
@@ -275,12 +277,18 @@
     /**
      * An attempt whose answer has begun, or has failed to.
      *
+     * @param endpoint The endpoint.
      * @param response The answer, unless the attempt failed.
      * @param failure Why the attempt failed, if it did.
      * @param transmission The watcher of the call.
      * @param call The call.
      */
-    record Opened(Optional<Response> response, Optional<AttemptResult> failure, Transmission transmission, Call call) {
+    record Opened(
+            RegisteredEndpoint endpoint,
+            Optional<Response> response,
+            Optional<AttemptResult> failure,
+            Transmission transmission,
+            Call call) {
 
         /**
          * Returns this attempt as one whose answer can't be passed on.
@@ -289,17 +297,18 @@
          * @return The attempt, without its answer.
          */
         Opened withFailure(AttemptResult why) {
-            return new Opened(Optional.empty(), Optional.of(why), transmission, call);
+            return new Opened(endpoint, Optional.empty(), Optional.of(why), transmission, call);
         }
 
         /**
          * Creates an attempt that was never begun.
          *
+         * @param endpoint The endpoint.
          * @param failure Why.
          * @return The attempt.
          */
-        static Opened failed(AttemptResult failure) {
-            return new Opened(Optional.empty(), Optional.of(failure), new Transmission(), null);
+        static Opened failed(RegisteredEndpoint endpoint, AttemptResult failure) {
+            return new Opened(endpoint, Optional.empty(), Optional.of(failure), new Transmission(), null);
         }
 
         /** Breaks the answer off, and closes its connection. */
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
@@ -10,8 +10,10 @@
 import io.yuccaswitch.core.membership.MembershipEvent;
 import io.yuccaswitch.core.platform.PlatformEffect;
 import io.yuccaswitch.core.proxy.EndpointSelection;
+import io.yuccaswitch.core.quarantine.QuarantineEffect;
 import io.yuccaswitch.core.registry.RegistryEffect;
 import io.yuccaswitch.core.route.RouteEffect;
+import io.yuccaswitch.endpoint.EndpointChecks;
 import io.yuccaswitch.endpoint.EndpointClientSettings;
 import io.yuccaswitch.endpoint.EndpointHttp;
 import io.yuccaswitch.node.NodeSettings;
@@ -97,6 +99,9 @@
     /** Chooses endpoints for plain requests. */
     private final EndpointSelection selection;
 
+    /** Keeps requests under which endpoints ended away from further ones. */
+    private final QuarantineGate gate;
+
     /** Sends requests to endpoints. */
     private final EndpointAttempts attempts;
 
@@ -149,17 +154,18 @@
         membership = new MembershipService(loop, transport, addresses);
         selection = new EndpointSelection(
                 settings.availabilityZone(), settings.name().value());
-        items = new ItemRunner(http, dialects.endpoints(), loop);
+        gate = new QuarantineGate(loop);
+        EndpointChecks checks = new EndpointChecks(metrics);
+        items = new ItemRunner(http, dialects.endpoints(), checks, loop);
         orders = new OrderCaller(http, dialects.endpoints(), loop);
         replies = new PendingReplies(loop);
-        attempts = new EndpointAttempts(http, dialects.endpoints());
+        attempts = new EndpointAttempts(http, dialects.endpoints(), checks);
         scorings = new ScoringRunner(attempts, dialects.endpoints(), loop, metrics);
         server = new GatewayServer(
                 settings,
                 dialects,
                 view,
-                new PlainRequestHandler(
-                        view, attempts, dialects.endpoints(), selection, new EndpointChecks(metrics), metrics),
+                new PlainRequestHandler(view, attempts, dialects.endpoints(), selection, gate, metrics),
                 new BatchHandler(replies, dialects.callers(), metrics),
                 new MetricsText(metrics));
     }
@@ -229,6 +235,7 @@
             view.replace(effect.configuration());
             server.apply(effect.configuration());
         });
+        loop.effects(QuarantineEffect.Changed.class).subscribe(effect -> gate.replace(effect.view()));
         loop.effects(RegistryEffect.Changed.class).subscribe(effect -> {
             view.replace(effect.working());
             synchronized (selection) {
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayCore.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayCore.java
@@ -14,6 +14,7 @@
 import io.yuccaswitch.core.modelversion.VersionSystems;
 import io.yuccaswitch.core.peer.PeerEvent;
 import io.yuccaswitch.core.platform.PlatformTokens;
+import io.yuccaswitch.core.quarantine.QuarantineSystem;
 import io.yuccaswitch.core.registry.EndpointRegistrySystem;
 import io.yuccaswitch.core.retirement.RetirementSystem;
 import io.yuccaswitch.core.route.RouteConfigurationSystem;
@@ -51,6 +52,9 @@
     /** The endpoints. */
     private final EndpointRegistrySystem registry;
 
+    /** Keeps requests under which endpoints ended away from further ones. */
+    private final QuarantineSystem quarantine;
+
     /** The batch jobs. */
     private final BatchSystem batches;
 
@@ -76,13 +80,22 @@
         RouteConfigurationSystem routes = new RouteConfigurationSystem(watches, tokens, dialects.routeConfigurations());
         versions = new VersionSystems(
                 membership, registry, routes, tokens, dialects.namedVersions(), settings.orderSafetyTime());
+        quarantine = new QuarantineSystem(membership, tokens, registry, System::currentTimeMillis);
         batches = new BatchSystem(
-                membership, watches, registry, routes, new JsonBatchCodec(), tokens, System::currentTimeMillis);
+                membership,
+                watches,
+                registry,
+                routes,
+                new JsonBatchCodec(),
+                tokens,
+                quarantine,
+                System::currentTimeMillis);
         List<DecisionSystem> others = List.of(
                 routes,
                 registry,
                 versions,
                 new RetirementSystem(tokens, versions::givesOrders),
+                quarantine,
                 batches,
                 view.observer(membership));
         core = new DecisionCore(
@@ -125,7 +138,7 @@
      * @return The longest pause between two ticks.
      */
     Duration pace() {
-        boolean busy = batches.runningJobs() > 0 || versions.givesOrders();
+        boolean busy = batches.runningJobs() > 0 || versions.givesOrders() || quarantine.isBusy();
         return busy ? DecisionLoop.BUSY_INTERVAL : DecisionLoop.IDLE_INTERVAL;
     }
 
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ItemRunner.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ItemRunner.java
@@ -8,7 +8,9 @@
 import io.yuccaswitch.core.batch.BatchItem;
 import io.yuccaswitch.core.batch.BatchJobId;
 import io.yuccaswitch.core.batch.ItemText;
+import io.yuccaswitch.core.quarantine.Loss;
 import io.yuccaswitch.core.value.Bytes;
+import io.yuccaswitch.endpoint.EndpointChecks;
 import io.yuccaswitch.endpoint.EndpointHttp;
 import io.yuccaswitch.endpoint.OneShotBody;
 import io.yuccaswitch.endpoint.Transmission;
@@ -59,6 +61,9 @@
     /** How engines speak. */
     private final EndpointDialect dialect;
 
+    /** Finds out whether engines have ended. */
+    private final EndpointChecks checks;
+
     /** The core. */
     private final DecisionLoop loop;
 
@@ -73,11 +78,13 @@
      *
      * @param http The connections to engines.
      * @param dialect How engines speak.
+     * @param checks Finds out whether engines have ended.
      * @param loop The core.
      */
-    ItemRunner(EndpointHttp http, EndpointDialect dialect, DecisionLoop loop) {
+    ItemRunner(EndpointHttp http, EndpointDialect dialect, EndpointChecks checks, DecisionLoop loop) {
         this.http = http;
         this.dialect = dialect;
+        this.checks = checks;
         this.loop = loop;
         subscriptions.add(loop.effects(BatchEffect.Run.class).subscribe(this::start));
         subscriptions.add(loop.effects(BatchEffect.Cancel.class).subscribe(this::cancel));
@@ -129,7 +136,9 @@
             dialect.resume(request, run.lastEventId());
         }
         Transmission transmission = new Transmission();
-        Call call = http.call(request, transmission, run.timeLeft());
+        EndpointHttp.ConnectionUse connection =
+                run.inDoubt() ? EndpointHttp.ConnectionUse.NEW : EndpointHttp.ConnectionUse.KEPT;
+        Call call = http.call(request, transmission, run.timeLeft(), connection);
         Running attempt = new Running(run, call, transmission);
         running.put(Key.of(run), attempt);
         call.enqueue(attempt);
@@ -143,6 +152,7 @@
     private void cancel(BatchEffect.Cancel cancel) {
         Running attempt = running.remove(new Key(cancel.id(), cancel.item(), cancel.attempt()));
         if (attempt != null) {
+            attempt.brokenOff = true;
             attempt.call.cancel();
         }
     }
@@ -218,6 +228,9 @@
         /** Whether the call was broken off because the engine was silent. */
         private volatile boolean silent;
 
+        /** Whether the call was broken off because the core wanted so. */
+        private volatile boolean brokenOff;
+
         /**
          * Creates an attempt.
          *
@@ -380,7 +393,11 @@
          */
         private void interrupted(String reason) {
             String told = (silent ? "silent for too long" : reason) + " " + transmission.describe();
-            end(run, new AttemptOutcome.Interrupted(told, !transmission.begun()), text());
+            boolean unreachable = !transmission.begun();
+            Loss loss = unreachable
+                    ? Loss.UNUSABLE
+                    : checks.judge(run.endpoint().name(), run.endpoint().address(), transmission, brokenOff || silent);
+            end(run, new AttemptOutcome.Interrupted(told, unreachable, loss), text());
         }
 
         /**
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/PlainRequest.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/PlainRequest.java
@@ -38,6 +38,18 @@
                 outgoing.body());
     }
 
+    /**
+     * Describes the request for operators, without what its caller sends.
+     *
+     * @return The method, host and path.
+     */
+    String describe() {
+        String target = outgoing.target();
+        int query = target.indexOf('?');
+        String path = query < 0 ? target : target.substring(0, query);
+        return outgoing.method() + " " + outgoing.header("Host") + path;
+    }
+
     /**
      * Returns the time that is left.
      *
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/PlainRequestHandler.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/PlainRequestHandler.java
@@ -6,12 +6,14 @@
 import io.yuccaswitch.core.proxy.EndpointSelection;
 import io.yuccaswitch.core.proxy.RequestPlan;
 import io.yuccaswitch.core.proxy.ReturnTime;
-import io.yuccaswitch.core.quarantine.LostAnswer;
+import io.yuccaswitch.core.quarantine.Loss;
 import io.yuccaswitch.core.registry.RegisteredEndpoint;
 import io.yuccaswitch.core.time.MonotonicTime;
+import io.yuccaswitch.endpoint.EndpointHttp;
 import io.yuccaswitch.node.decision.DecisionLoop;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
@@ -32,6 +34,9 @@
     /** The status of a request whose time ran out after it may have run. */
     private static final int GATEWAY_TIMEOUT = 504;
 
+    /** The lowest status of an answer that is no success. */
+    private static final int BAD_REQUEST = 400;
+
     /** The lowest status that means an endpoint failed. */
     private static final int SERVER_ERROR = 500;
 
@@ -64,8 +69,8 @@
     /** Chooses endpoints. It is guarded by itself. */
     private final EndpointSelection selection;
 
-    /** Finds out whether endpoints have ended. */
-    private final EndpointChecks checks;
+    /** Keeps requests under which endpoints ended away from further ones. */
+    private final QuarantineGate gate;
 
     /** The metrics. */
     private final MetricRegistry metrics;
@@ -77,7 +82,7 @@
      * @param attempts Sends requests to endpoints.
      * @param dialect How endpoints speak.
      * @param selection Chooses endpoints.
-     * @param checks Finds out whether endpoints have ended.
+     * @param gate Keeps requests under which endpoints ended away from further ones.
      * @param metrics The metrics.
      */
     PlainRequestHandler(
@@ -85,13 +90,13 @@
             EndpointAttempts attempts,
             EndpointDialect dialect,
             EndpointSelection selection,
-            EndpointChecks checks,
+            QuarantineGate gate,
             MetricRegistry metrics) {
         this.view = view;
         this.attempts = attempts;
         this.dialect = dialect;
         this.selection = selection;
-        this.checks = checks;
+        this.gate = gate;
         this.metrics = metrics;
     }
 
@@ -116,7 +121,7 @@
                 "event=request id=%s content=%s route=%s pool=%s outcome=\"%s\" attempts=\"%s\" configuration=%d"
                         + " micros=%d",
                 request.id(),
-                exchange.lostAnswer ? request.fingerprint() : "-",
+                exchange.passage.describe(),
                 request.route().name(),
                 pool.map(PoolName::value).orElse("none"),
                 outcome,
@@ -135,6 +140,27 @@
         return !HOP_HEADERS.contains(name.toLowerCase(Locale.ROOT));
     }
 
+    /**
+     * Names a loss, for metrics.
+     *
+     * @param loss The loss.
+     * @return The name.
+     */
+    private static String label(Loss loss) {
+        return loss.cause().name().toLowerCase(Locale.ROOT);
+    }
+
+    /**
+     * Returns whether an endpoint ran a request to its end.
+     *
+     * @param result What became of the attempt.
+     * @return {@code true} for a successful answer.
+     */
+    private static boolean isSuccess(AttemptResult result) {
+        return result instanceof AttemptResult.Relayed
+                || (result instanceof AttemptResult.Whole whole && whole.status() < BAD_REQUEST);
+    }
+
     /** One request on its way through one or more attempts. */
     private final class Exchange {
 
@@ -159,8 +185,8 @@
         /** The endpoints and results of the attempts, for logs. */
         private final StringBuilder history = new StringBuilder();
 
-        /** Whether an attempt was sent and got no answer, after which the request's fingerprint is logged. */
-        private boolean lostAnswer;
+        /** Asks whether the request may go to an endpoint. */
+        private final QuarantineGate.Passage passage;
 
         /**
          * Creates an exchange.
@@ -177,6 +203,7 @@
             this.watched = watched;
             this.pool = pool;
             plan = new RequestPlan(request.route());
+            passage = gate.passage(request);
             relay = new EventRelay(dialect, caller, PlainRequestHandler::passesBack);
         }
 
@@ -192,6 +219,10 @@
                 if (left.compareTo(LEAST_TIME) < 0) {
                     return giveUp("time is up", GATEWAY_TIMEOUT);
                 }
+                Optional<Duration> refusal = passage.refusal(working());
+                if (refusal.isPresent()) {
+                    return refuse(refusal.get());
+                }
                 Optional<RegisteredEndpoint> endpoint = choose();
                 if (endpoint.isEmpty()) {
                     return giveUp("no endpoint", BAD_GATEWAY);
@@ -232,15 +263,26 @@
             return whole.status() >= SERVER_ERROR && request.route().mayRepeat();
         }
 
+        /**
+         * Returns the endpoints that may get the request.
+         *
+         * @return The working endpoints of the pool.
+         */
+        private List<RegisteredEndpoint> working() {
+            return pool.map(view::endpoints).orElseGet(List::of);
+        }
+
         /**
          * Chooses the endpoint of the next attempt.
          *
          * @return The endpoint, or empty if there is none.
          */
         private Optional<RegisteredEndpoint> choose() {
-            List<RegisteredEndpoint> working = pool.map(view::endpoints).orElseGet(List::of);
+            Set<EndpointName> avoided = new HashSet<>(plan.tried());
+            avoided.addAll(gate.view().ended());
+            List<RegisteredEndpoint> working = working();
             synchronized (selection) {
-                Optional<RegisteredEndpoint> chosen = selection.choose(working, plan.tried(), DecisionLoop.now());
+                Optional<RegisteredEndpoint> chosen = selection.choose(working, avoided, DecisionLoop.now());
                 chosen.ifPresent(selection::begin);
                 return chosen;
             }
@@ -258,10 +300,14 @@
             plan.begin(name);
             MonotonicTime begun = DecisionLoop.now();
             EndpointAttempts.Times times = new EndpointAttempts.Times(plan.attemptTime(left), left);
-            EndpointAttempts.Opened opened =
-                    attempts.open(request.outgoing(), endpoint, times, relay.lastEventId(), watched::attach);
+            EndpointHttp.ConnectionUse connection = passage.needsNewConnection(endpoint)
+                    ? EndpointHttp.ConnectionUse.NEW
+                    : EndpointHttp.ConnectionUse.KEPT;
+            EndpointAttempts.Opened opened = attempts.open(
+                    request.outgoing(), endpoint, times, connection, relay.lastEventId(), watched::attach);
             AttemptResult result = opened.failure().orElseGet(() -> receive(opened));
             note(endpoint, result);
+            tell(endpoint, result);
             MonotonicTime now = DecisionLoop.now();
             synchronized (selection) {
                 selection.end(endpoint);
@@ -317,7 +363,7 @@
                     opened.response().get().close();
                     return new AttemptResult.Relayed();
                 }
-                AttemptResult result = EndpointAttempts.lost(opened, "the stream broke off");
+                AttemptResult result = attempts.lost(opened, "the stream broke off");
                 opened.discard();
                 return result;
             } catch (EventRelay.CallerGoneException _exception) {
@@ -337,7 +383,6 @@
             if (result instanceof AttemptResult.NotRun notRun) {
                 text = "not run: " + notRun.reason();
             } else if (result instanceof AttemptResult.MayHaveRun mayHaveRun) {
-                takeLoss(endpoint, mayHaveRun.lost());
                 text = "may have run: " + mayHaveRun.reason();
             } else if (result instanceof AttemptResult.Whole whole) {
                 text = "status " + whole.status();
@@ -349,17 +394,20 @@
         }
 
         /**
-         * Takes that an attempt was sent and brought no answer.
+         * Tells what an attempt says of the request and its endpoint beyond the request itself.
          *
          * @param endpoint The endpoint.
-         * @param lost What the loss says of the endpoint.
+         * @param result What became of the attempt.
          */
-        private void takeLoss(RegisteredEndpoint endpoint, LostAnswer lost) {
-            lostAnswer = true;
-            metrics.counter("gateway.lost-answers." + lost.name().toLowerCase(Locale.ROOT))
-                    .inc();
-            if (lost == LostAnswer.CONNECTION_LOST || lost == LostAnswer.STALE_CONNECTION) {
-                checks.check(endpoint);
+        private void tell(RegisteredEndpoint endpoint, AttemptResult result) {
+            if (result instanceof AttemptResult.MayHaveRun mayHaveRun) {
+                passage.lose(endpoint, mayHaveRun.loss());
+                metrics.counter("gateway.lost-answers." + label(mayHaveRun.loss()))
+                        .inc();
+            } else if (result instanceof AttemptResult.NotRun notRun && notRun.unreachable()) {
+                passage.findGone(endpoint);
+            } else if (isSuccess(result)) {
+                passage.serve();
             }
         }
 
@@ -376,6 +424,29 @@
             }
         }
 
+        /**
+         * Answers a request that may go to no endpoint, as endpoints ended under it.
+         *
+         * @param comeBack When it may come back.
+         * @return The outcome, for logs.
+         * @throws IOException If the caller has gone.
+         */
+        private String refuse(Duration comeBack) throws IOException {
+            if (relay.hasBegun()) {
+                caller.abort();
+                return "stream broken off, endpoints ended under it";
+            }
+            if (plan.hasMaybeRun()) {
+                caller.answerText(BAD_GATEWAY, "the request has ended endpoints that ran it", Optional.of(comeBack));
+                return "failed, endpoints ended under it";
+            }
+            caller.answerText(
+                    UNAVAILABLE,
+                    "the request has not run: it has ended endpoints that ran it before",
+                    Optional.of(comeBack));
+            return "not run, endpoints ended under it";
+        }
+
         /**
          * Answers a request for which no attempt is left.
          *
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ScoringRunner.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ScoringRunner.java
@@ -8,6 +8,7 @@
 import io.yuccaswitch.core.batch.BatchJobId;
 import io.yuccaswitch.core.batch.ScoringOutcome;
 import io.yuccaswitch.core.batch.ScoringRequest;
+import io.yuccaswitch.endpoint.EndpointHttp;
 import io.yuccaswitch.node.decision.DecisionLoop;
 import java.util.List;
 import java.util.Map;
@@ -122,8 +123,9 @@
             return new ScoringOutcome.Refused(notRun.reason());
         }
         if (!(result instanceof AttemptResult.Whole whole)) {
-            return new ScoringOutcome.Interrupted(
-                    result instanceof AttemptResult.MayHaveRun mayHaveRun ? mayHaveRun.reason() : "no whole answer");
+            return result instanceof AttemptResult.MayHaveRun lost
+                    ? new ScoringOutcome.Interrupted(lost.reason(), lost.loss())
+                    : new ScoringOutcome.Interrupted("no whole answer");
         }
         Optional<String> signature = dialect.signature(whole.headers());
         if (signature.isEmpty()) {
@@ -214,14 +216,18 @@
          * @return The attempt in progress.
          */
         private EndpointAttempts.Opened open() {
+            EndpointHttp.ConnectionUse connection =
+                    score.inDoubt() ? EndpointHttp.ConnectionUse.NEW : EndpointHttp.ConnectionUse.KEPT;
             EndpointAttempts.Times times = new EndpointAttempts.Times(score.timeLeft(), score.timeLeft());
             try {
-                return attempts.open(request(score), score.endpoint(), times, Optional.empty(), this::attach);
+                return attempts.open(
+                        request(score), score.endpoint(), times, connection, Optional.empty(), this::attach);
             } catch (IllegalArgumentException exception) {
                 LOGGER.warnf(
                         "event=scoring-not-sent id=%s reason=\"%s\"",
                         score.request().id(), exception);
-                return EndpointAttempts.Opened.failed(new AttemptResult.NotRun("it can't be sent"));
+                return EndpointAttempts.Opened.failed(
+                        score.endpoint(), new AttemptResult.NotRun(false, "it can't be sent"));
             }
         }
 
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/peer/PeerMessages.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/peer/PeerMessages.java
@@ -6,6 +6,7 @@
 import io.yuccaswitch.core.lease.LeaseMessage;
 import io.yuccaswitch.core.membership.MembershipMessage;
 import io.yuccaswitch.core.modelversion.OrderMessage;
+import io.yuccaswitch.core.quarantine.QuarantineMessage;
 import io.yuccaswitch.core.request.RequestMessage;
 import io.yuccaswitch.core.sample.SampleMessage;
 import io.yuccaswitch.core.watch.WatchMessage;
@@ -46,6 +47,8 @@
                 .register(PeerMessageRange.BATCH, 128, BatchMessage.EnginesInUse.class);
         builder.register(PeerMessageRange.WATCH, 140, WatchMessage.Follow.class)
                 .register(PeerMessageRange.WATCH, 141, WatchMessage.Changes.class);
+        builder.register(PeerMessageRange.QUARANTINE, 160, QuarantineMessage.Told.class)
+                .register(PeerMessageRange.QUARANTINE, 161, QuarantineMessage.Compare.class);
         return builder.build();
     }
 
--- a/yuccaswitch-protocol/src/main/java/io/yuccaswitch/protocol/PeerMessageRange.java
+++ b/yuccaswitch-protocol/src/main/java/io/yuccaswitch/protocol/PeerMessageRange.java
@@ -17,7 +17,9 @@
     /** Messages about batch jobs. */
     BATCH(120, 139),
     /** Messages by which nodes follow each other's watches of the platform. */
-    WATCH(140, 159);
+    WATCH(140, 159),
+    /** Messages about requests under which endpoints ended. */
+    QUARANTINE(160, 179);
 
     /** The first number of the range. */
     private final int first;
