--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSite.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSite.java
@@ -83,6 +83,11 @@
         site.platform().put(EndpointRegistrySystem.KIND, name, "0");
     }
 
+    /** Registers a start of a scorer. */
+    void registerScorer(String name, long incarnation) {
+        registerEngine(name, 0, incarnation);
+    }
+
     /** Takes the route of scoring requests out of the configuration, or back into it. */
     void routeScoring(boolean present, int version) {
         scoringRoute = present;
