Keep harmful requests of the product's own interface away from further endpoints too

Requests of callers and generations of samples go on to the next endpoint when one ends, and a caller's repeat or a sample's next generation begins anew at any node.

Change: the request path asks the same quarantine at admission, before a retry and before a hedge, and reports lost answers and successes to it; attempts in doubt get a connection of their own. One check serves items, scoring requests and callers. A conflict at the platform is followed by a wait, as calling again at once made a loop where the object never takes the write.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchRunSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchRunSystem.java
@@ -92,7 +92,11 @@
     private void startSomewhere(
             Tick tick, RunningJob job, RunningItem item, List<RegisteredEndpoint> engines, Route route) {
         Supplier<RequestFingerprint> fingerprint = () -> fingerprint(job, item.item());
-        if (state.quarantine().allows(tick, item.item().id(), fingerprint, engines)) {
+        List<EndpointName> names =
+                engines.stream().map(RegisteredEndpoint::name).toList();
+        if (state.quarantine()
+                .refusal(tick, item.item().id(), fingerprint, names)
+                .isEmpty()) {
             choice.choose(tick, job, item, engines, route).ifPresent(engine -> start(tick, job, item, engine, route));
         }
     }
@@ -220,7 +224,7 @@
                     .serve(
                             tick,
                             () -> fingerprint(job.get(), item.get().item()),
-                            item.get().attempt() > 1);
+                            item.get().attempt() == 1);
             complete(tick, job.get(), item.get(), engine);
         } else if (outcome instanceof AttemptOutcome.Impossible) {
             finish(tick, item.get(), BatchResult.givenUp(ended.item()), "the engine can never run it");
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
@@ -12,6 +12,7 @@
 import io.yuccaswitch.core.platform.PlatformEvent;
 import io.yuccaswitch.core.platform.PlatformPurpose;
 import io.yuccaswitch.core.quarantine.Quarantine;
+import io.yuccaswitch.core.quarantine.QuarantineCheck;
 import io.yuccaswitch.core.registry.EndpointRegistrySystem;
 import io.yuccaswitch.core.route.Route;
 import io.yuccaswitch.core.route.RouteConfigurationSystem;
@@ -61,7 +62,7 @@
         EngineRates rates,
         ScoringLoads scoringLoads,
         OtherRunners runners,
-        ItemQuarantine quarantine) {
+        QuarantineCheck quarantine) {
 
     /** The largest size of the outputs that are kept here, in bytes. Others are read from the platform again. */
     private static final long LOG_BYTES = 6L << 20;
@@ -101,7 +102,7 @@
                 new EngineRates(),
                 new ScoringLoads(membership.self()),
                 new OtherRunners(),
-                new ItemQuarantine(quarantine));
+                new QuarantineCheck(quarantine));
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ScoringSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ScoringSystem.java
@@ -130,7 +130,11 @@
             return;
         }
         List<RegisteredEndpoint> working = working(tick, route.get());
-        if (state.quarantine().allows(tick, entry.item().item().id(), scoring.request()::fingerprint, working)) {
+        List<EndpointName> names =
+                working.stream().map(RegisteredEndpoint::name).toList();
+        if (state.quarantine()
+                .refusal(tick, scoring.request().id(), scoring.request()::fingerprint, names)
+                .isEmpty()) {
             choose(tick, scoring, working).ifPresent(endpoint -> start(tick, entry, endpoint, allowed));
         }
     }
@@ -155,7 +159,7 @@
                 .multipliedBy(running.size());
         return allowed
                 && tick.now().since(newest.begunAt()).compareTo(patience) >= 0
-                && state.quarantine().allowsHedge(entry.scoring().request()::fingerprint);
+                && state.quarantine().allowsRetry(entry.scoring().request()::fingerprint);
     }
 
     /**
@@ -260,7 +264,7 @@
      */
     private void complete(Tick tick, Outstanding entry, ItemScoring.Attempt attempt, String score) {
         ItemScoring scoring = entry.scoring();
-        state.quarantine().serve(tick, scoring.request()::fingerprint, attempt.number() > 1);
+        state.quarantine().serve(tick, scoring.request()::fingerprint, attempt.number() == 1);
         state.breakOffScoring(tick, entry.job().job().id(), entry.item());
         entry.item().finish(scoring.unscored().withScore(score));
         tick.decide(Decision.of(
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/quarantine/StoreSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/quarantine/StoreSystem.java
@@ -134,7 +134,7 @@
                         backOff.succeeded(later.now(), WRITE_INTERVAL);
                         explain(later, wanted.size());
                     } else if (event instanceof PlatformEvent.Conflict conflict) {
-                        backOff.succeeded(later.now(), Duration.ZERO);
+                        backOff.failed(later);
                         take(conflict.current());
                     } else {
                         backOff.failed(later);
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/Admission.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/Admission.java
@@ -2,8 +2,11 @@
 
 import io.yuccaswitch.core.configuration.PriorityClass;
 import io.yuccaswitch.core.decision.Tick;
+import io.yuccaswitch.core.endpoint.Endpoint;
+import io.yuccaswitch.core.identity.EndpointName;
 import io.yuccaswitch.core.limit.FairQueue;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 
 /** Takes requests into the queue of their pool, or refuses them at once. */
@@ -61,6 +64,11 @@
                     Optional.empty());
             return;
         }
+        Optional<Duration> harmful = harm(tick, queued);
+        if (harmful.isPresent()) {
+            refuse(tick, queued, "quarantined", "Endpoints ended that ran the request before.", harmful);
+            return;
+        }
         if (isFull(pool, queued)) {
             dispatch.drain(tick, pool);
         }
@@ -82,6 +90,20 @@
         enqueue(pool, queued);
     }
 
+    /**
+     * Returns why a request may not go to endpoints, as some ended under it, if it may not.
+     *
+     * @param tick The tick.
+     * @param row The request's row.
+     * @return The time after which it may come back, or empty if it may go on.
+     */
+    private Optional<Duration> harm(Tick tick, RequestRow row) {
+        List<EndpointName> working = tables.endpoints.candidates(row.request().pool()).stream()
+                .map(Endpoint::name)
+                .toList();
+        return tables.quarantine.refusal(tick, row.id().value(), row.request()::content, working);
+    }
+
     /**
      * Puts a request into the queue of its pool without any check, as for one that is tried again.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/AttemptResult.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/AttemptResult.java
@@ -1,5 +1,6 @@
 package io.yuccaswitch.core.request;
 
+import io.yuccaswitch.core.quarantine.Loss;
 import io.yuccaswitch.core.value.Bytes;
 import java.util.Optional;
 
@@ -30,6 +31,18 @@
      *
      * @param code The code of the reason.
      * @param partial What an engine had generated before, or empty if nothing was received or it can't be used.
+     * @param loss What the loss of the answer says of the endpoint.
      */
-    record MaybeRun(String code, Optional<Generation> partial) implements AttemptResult {}
+    record MaybeRun(String code, Optional<Generation> partial, Loss loss) implements AttemptResult {
+
+        /**
+         * Creates the result of an attempt that tells nothing of the endpoint.
+         *
+         * @param code The code of the reason.
+         * @param partial What an engine had generated before, or empty.
+         */
+        public MaybeRun(String code, Optional<Generation> partial) {
+            this(code, partial, Loss.UNUSABLE);
+        }
+    }
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/AttemptSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/AttemptSystem.java
@@ -11,6 +11,9 @@
 /** Takes in what attempts bring: progress, answers and failures, which are tried again where that is safe. */
 final class AttemptSystem implements DecisionSystem {
 
+    /** The lowest status of an answer that is no success. */
+    private static final int BAD_REQUEST = 400;
+
     /** The statuses by which an endpoint says that it could not serve a request. */
     private static final Set<Integer> FAILURE_STATUSES = Set.of(502, 503, 504);
 
@@ -121,6 +124,10 @@
         }
         observer.observe(tick, attempt.get(), event.result());
         Optional<RequestRow> row = tables.requests.find(event.id());
+        if (row.isPresent() && event.result() instanceof AttemptResult.MaybeRun lost) {
+            Request request = row.get().request();
+            tables.quarantine.lose(tick, request::content, request.describe(), event.endpoint(), lost.loss());
+        }
         if (row.isEmpty() || !row.get().history().running().contains(event.attempt())) {
             tick.decide(Decision.of("drop", event.id().value(), event.endpoint().toString(), "late result"));
             return;
@@ -152,6 +159,10 @@
             return;
         }
         RequestRow ended = row.withHistory(row.history().afterEnd(event.attempt(), true, ""));
+        if (whole.status() < BAD_REQUEST) {
+            boolean first = row.history().attempts() == 1;
+            tables.quarantine.serve(tick, row.request()::content, first);
+        }
         boolean failure = FAILURE_STATUSES.contains(whole.status());
         if (failure
                 && ended.request().idempotent()
@@ -243,7 +254,8 @@
         Optional<PoolState> pool = tables.pool(row.request().pool());
         return pool.isPresent()
                 && row.history().attempts() < pool.get().settings.retry().maximumAttempts()
-                && (free || pool.get().budget.allows());
+                && (free || pool.get().budget.allows())
+                && tables.quarantine.allowsRetry(row.request()::content);
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/DeadlineSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/DeadlineSystem.java
@@ -147,6 +147,7 @@
         if (pool.hedging.due(row.request(), running)
                 && row.history().attempts() < pool.settings.retry().maximumAttempts()
                 && pool.budget.allows()
+                && tables.quarantine.allowsRetry(row.request()::content)
                 && dispatch.hedge(tick, pool, row)) {
             pool.budget = pool.budget.withdraw();
         }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/DispatchSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/DispatchSystem.java
@@ -270,7 +270,8 @@
                 endpoint.name(),
                 endpoint.address(),
                 attemptDeadline(row.request()),
-                row.history().partial()));
+                row.history().partial(),
+                tables.quarantine.isInDoubt(row.request()::content)));
         explain(tick, pool, row, number, chosen, candidates);
     }
 
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/Request.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/Request.java
@@ -5,6 +5,7 @@
 import io.yuccaswitch.core.configuration.PriorityClass;
 import io.yuccaswitch.core.identity.CallerName;
 import io.yuccaswitch.core.identity.PoolName;
+import io.yuccaswitch.core.quarantine.RequestFingerprint;
 import io.yuccaswitch.core.time.MonotonicTime;
 import io.yuccaswitch.core.value.Bytes;
 import java.nio.charset.StandardCharsets;
@@ -80,6 +81,25 @@
                 expectedTokens);
     }
 
+    /**
+     * Computes the fingerprint by which this request is recognised when its caller sends it again under another id.
+     *
+     * @return The fingerprint.
+     */
+    RequestFingerprint content() {
+        return RequestFingerprint.of(caller.value(), pool.value(), method, path, body);
+    }
+
+    /**
+     * Describes this request for operators, without what its caller sends.
+     *
+     * @return The caller, method, pool and path.
+     */
+    String describe() {
+        int query = path.indexOf('?');
+        return caller + " " + method + " " + pool + (query < 0 ? path : path.substring(0, query));
+    }
+
     /**
      * Computes the fingerprint of this request, which tells a request that is sent again from another one that bears
      * the same id by mistake.
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/RequestEffect.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/RequestEffect.java
@@ -26,6 +26,7 @@
      * @param address The endpoint's address.
      * @param deadline The time by which the attempt must have ended.
      * @param resumeFrom What an earlier attempt generated, from which the engine goes on, or empty to begin anew.
+     * @param inDoubt Whether an endpoint may have ended under the request, such that it needs a connection of its own.
      */
     record Send(
             Request request,
@@ -33,7 +34,8 @@
             EndpointName endpoint,
             String address,
             MonotonicTime deadline,
-            Optional<Generation> resumeFrom)
+            Optional<Generation> resumeFrom,
+            boolean inDoubt)
             implements RequestEffect {
 
         /** {@inheritDoc} */
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/RequestSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/RequestSystem.java
@@ -10,6 +10,7 @@
 import io.yuccaswitch.core.limit.ConcurrencyLimit;
 import io.yuccaswitch.core.membership.MembershipView;
 import io.yuccaswitch.core.platform.PlatformTokens;
+import io.yuccaswitch.core.quarantine.Quarantine;
 import java.util.List;
 import java.util.function.Function;
 
@@ -43,9 +44,15 @@
      * @param endpoints The endpoints.
      * @param clock The clock that counts the windows of request ids.
      * @param tokens The tokens of calls to the platform, which all systems of the core share.
+     * @param quarantine What is known of requests under which endpoints ended.
      */
-    public RequestSystem(MembershipView membership, EndpointView endpoints, RequestClock clock, PlatformTokens tokens) {
-        this(membership, endpoints, clock, tokens, RequestSystem::additiveIncrease);
+    public RequestSystem(
+            MembershipView membership,
+            EndpointView endpoints,
+            RequestClock clock,
+            PlatformTokens tokens,
+            Quarantine quarantine) {
+        this(membership, endpoints, clock, tokens, quarantine, RequestSystem::additiveIncrease);
     }
 
     /**
@@ -55,6 +62,7 @@
      * @param endpoints The endpoints.
      * @param clock The clock that counts the windows of request ids.
      * @param tokens The tokens of calls to the platform.
+     * @param quarantine What is known of requests under which endpoints ended.
      * @param limits Creates the limit of an endpoint that was not used yet.
      */
     RequestSystem(
@@ -62,8 +70,9 @@
             EndpointView endpoints,
             RequestClock clock,
             PlatformTokens tokens,
+            Quarantine quarantine,
             Function<PoolSettings, ConcurrencyLimit> limits) {
-        tables = new RequestTables(membership, endpoints, clock, limits);
+        tables = new RequestTables(membership, endpoints, clock, quarantine, limits);
         Conclusions conclusions = new Conclusions(tables);
         DispatchSystem dispatch = new DispatchSystem(tables, conclusions);
         Admission admission = new Admission(tables, conclusions, dispatch);
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/RequestTables.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/request/RequestTables.java
@@ -13,6 +13,8 @@
 import io.yuccaswitch.core.identity.TrainerName;
 import io.yuccaswitch.core.limit.ConcurrencyLimit;
 import io.yuccaswitch.core.membership.MembershipView;
+import io.yuccaswitch.core.quarantine.Quarantine;
+import io.yuccaswitch.core.quarantine.QuarantineCheck;
 import io.yuccaswitch.core.routing.EndpointLoad;
 import java.util.HashMap;
 import java.util.Map;
@@ -34,6 +36,9 @@
     /** Creates the limit of an endpoint that was not used yet. */
     final Function<PoolSettings, ConcurrencyLimit> limits;
 
+    /** Keeps requests under which endpoints ended away from further ones. */
+    final QuarantineCheck quarantine;
+
     /** The requests in progress. */
     final EntityTable<RequestId, RequestRow> requests = new EntityTable<>();
 
@@ -70,13 +75,16 @@
      * @param membership The members.
      * @param endpoints The endpoints.
      * @param clock The clock that counts the windows of ids.
+     * @param quarantine What is known of requests under which endpoints ended.
      * @param limits Creates the limit of an endpoint that was not used yet.
      */
     RequestTables(
             MembershipView membership,
             EndpointView endpoints,
             RequestClock clock,
+            Quarantine quarantine,
             Function<PoolSettings, ConcurrencyLimit> limits) {
+        this.quarantine = new QuarantineCheck(quarantine);
         this.limits = limits;
         this.membership = membership;
         this.endpoints = endpoints;
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/request/BenchmarkSite.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/request/BenchmarkSite.java
@@ -22,6 +22,7 @@
 import io.yuccaswitch.core.membership.MemberCondition;
 import io.yuccaswitch.core.membership.MembershipView;
 import io.yuccaswitch.core.platform.PlatformTokens;
+import io.yuccaswitch.core.quarantine.Quarantine;
 import io.yuccaswitch.core.time.MonotonicTime;
 import io.yuccaswitch.core.value.Bytes;
 import java.time.Duration;
@@ -208,7 +209,10 @@
         BenchmarkNode(int index, FleetConfiguration configuration, Function<PoolSettings, ConcurrencyLimit> limits) {
             this.index = index;
             RequestClock clock = new RequestClock(MonotonicTime.ZERO, 0);
-            core = new DecisionCore(List.of(new RequestSystem(this, this, clock, new PlatformTokens(), limits)), index);
+            core = new DecisionCore(
+                    List.of(new RequestSystem(
+                            this, this, clock, new PlatformTokens(), Quarantine.NoOp.INSTANCE, limits)),
+                    index);
             events.add(new ConfigurationEvent.InForce(1, configuration));
         }
 
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/request/TestSite.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/request/TestSite.java
@@ -26,6 +26,9 @@
 import io.yuccaswitch.core.platform.PlatformEvent;
 import io.yuccaswitch.core.platform.PlatformTokens;
 import io.yuccaswitch.core.platform.StoredObject;
+import io.yuccaswitch.core.quarantine.EndpointStandings;
+import io.yuccaswitch.core.quarantine.Quarantine;
+import io.yuccaswitch.core.quarantine.QuarantineSystem;
 import io.yuccaswitch.core.time.MonotonicTime;
 import io.yuccaswitch.core.value.Bytes;
 import java.time.Duration;
@@ -49,10 +52,17 @@
     final Map<ObjectKey, Bytes> platform = new HashMap<>();
     final FleetConfiguration configuration;
     MonotonicTime now = new MonotonicTime(1_000_000_000L);
+    private final boolean quarantines;
     private long incarnations = 1;
 
     TestSite(FleetConfiguration configuration, int size) {
+        this(configuration, size, false);
+    }
+
+    /** Starts nodes that keep requests under which endpoints ended away from further ones, if that is wanted. */
+    TestSite(FleetConfiguration configuration, int size, boolean quarantines) {
         this.configuration = configuration;
+        this.quarantines = quarantines;
         for (int index = 0; index < size; index++) {
             start("n" + index);
         }
@@ -164,8 +174,17 @@
         Node(NodeIdentity identity, String zone) {
             this.identity = identity;
             this.zone = new AvailabilityZone(zone);
-            system = new RequestSystem(this, this, new RequestClock(now, 60_000_000), new PlatformTokens());
-            core = new DecisionCore(List.of(system), identity.incarnation());
+            PlatformTokens tokens = new PlatformTokens();
+            QuarantineSystem quarantine = new QuarantineSystem(
+                    this, tokens, EndpointStandings.Untold.INSTANCE, () -> now.nanoseconds() / 1_000_000);
+            system = new RequestSystem(
+                    this,
+                    this,
+                    new RequestClock(now, 60_000_000),
+                    tokens,
+                    quarantines ? quarantine : Quarantine.NoOp.INSTANCE);
+            core = new DecisionCore(
+                    quarantines ? List.of(quarantine, system) : List.of(system), identity.incarnation());
         }
 
         void tick(Event... events) {
--- a/yuccaswitch-endpoint/src/main/java/io/yuccaswitch/endpoint/Attempt.java
+++ b/yuccaswitch-endpoint/src/main/java/io/yuccaswitch/endpoint/Attempt.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.reactivex.rxjava3.core.FlowableEmitter;
 import io.yuccaswitch.core.endpoint.FailureCodes;
+import io.yuccaswitch.core.quarantine.Loss;
 import io.yuccaswitch.core.request.AttemptResult;
 import io.yuccaswitch.core.request.RequestEffect;
 import io.yuccaswitch.core.request.RequestEvent;
@@ -40,6 +41,9 @@
     /** Reads the monotonic clock. */
     private final Supplier<MonotonicTime> clock;
 
+    /** Finds out whether the endpoint has ended. */
+    private final EndpointChecks checks;
+
     /** Is told the incarnation of an endpoint that says that it is leaving, or an empty text. */
     private final Consumer<String> leaving;
 
@@ -60,6 +64,7 @@
      * @param transmission Watches the call.
      * @param reader Reads the answer.
      * @param clock Reads the monotonic clock.
+     * @param checks Finds out whether the endpoint has ended.
      * @param leaving Is told the incarnation of an endpoint that says that it is leaving, or an empty text.
      * @param emitter Takes the events.
      */
@@ -69,6 +74,7 @@
             Transmission transmission,
             AnswerReader reader,
             Supplier<MonotonicTime> clock,
+            EndpointChecks checks,
             Consumer<String> leaving,
             FlowableEmitter<RequestEvent> emitter) {
         this.send = send;
@@ -76,6 +82,7 @@
         this.transmission = transmission;
         this.reader = reader;
         this.clock = clock;
+        this.checks = checks;
         this.leaving = leaving;
         this.emitter = emitter;
     }
@@ -190,7 +197,20 @@
             return new AttemptResult.NotRun(code, false);
         }
         boolean usable = !(exception instanceof AnswerException) || code.equals(FailureCodes.CONNECTION_LOST);
-        return new AttemptResult.MaybeRun(code, usable ? reader.partial() : Optional.empty());
+        return new AttemptResult.MaybeRun(code, usable ? reader.partial() : Optional.empty(), loss(code));
+    }
+
+    /**
+     * Judges what a failure says of the endpoint.
+     *
+     * @param code The code of the failure, after bytes had left.
+     * @return What it says.
+     */
+    private Loss loss(String code) {
+        boolean brokenOff = code.equals(FailureCodes.CANCELLED) || code.equals(FailureCodes.DEADLINE_EXCEEDED);
+        return brokenOff || code.equals(FailureCodes.CONNECTION_LOST)
+                ? checks.judge(send.endpoint(), send.address(), transmission, brokenOff)
+                : Loss.UNUSABLE;
     }
 
     /**
--- a/yuccaswitch-endpoint/src/main/java/io/yuccaswitch/endpoint/EndpointClient.java
+++ b/yuccaswitch-endpoint/src/main/java/io/yuccaswitch/endpoint/EndpointClient.java
@@ -57,6 +57,9 @@
     /** The metrics. */
     private final MetricRegistry metrics;
 
+    /** Finds out whether endpoints have ended. */
+    private final EndpointChecks checks;
+
     /** The attempts under way. */
     private final Map<Key, Running> running = new ConcurrentHashMap<>();
 
@@ -74,6 +77,7 @@
         this.clock = clock;
         this.sink = sink;
         this.metrics = metrics;
+        checks = new EndpointChecks(metrics);
         metrics.gauge("endpoint.attempts.running", () -> running::size);
     }
 
@@ -121,7 +125,7 @@
         AnswerReader reader = reader(send, generates, wireId, emitter);
         Consumer<String> leaving =
                 incarnation -> sink.accept(new EndpointEvent.Leaving(send.endpoint(), incarnation, "own refusal"));
-        Attempt attempt = new Attempt(send, wireId, transmission, reader, clock, leaving, emitter);
+        Attempt attempt = new Attempt(send, wireId, transmission, reader, clock, checks, leaving, emitter);
         Optional<okhttp3.Request.Builder> request = prepare(send, generates, wireId);
         if (request.isEmpty()) {
             attempt.end(new AttemptResult.NotRun("malformed-request", false));
@@ -132,7 +136,9 @@
             attempt.end(new AttemptResult.NotRun(FailureCodes.DEADLINE_EXCEEDED, false));
             return;
         }
-        Call call = http.call(request.get(), transmission, timeLeft);
+        EndpointHttp.ConnectionUse connection =
+                send.inDoubt() ? EndpointHttp.ConnectionUse.NEW : EndpointHttp.ConnectionUse.KEPT;
+        Call call = http.call(request.get(), transmission, timeLeft, connection);
         Key key = new Key(send.id(), send.attempt());
         emitter.setCancellable(() -> attempt.cancel(call));
         running.put(key, new Running(call, attempt));
--- a/yuccaswitch-endpoint/src/test/java/io/yuccaswitch/endpoint/ClientFixture.java
+++ b/yuccaswitch-endpoint/src/test/java/io/yuccaswitch/endpoint/ClientFixture.java
@@ -69,7 +69,7 @@
     }
 
     RequestEffect.Send send(String address, Request request, Duration timeLeft, Optional<Generation> resumeFrom) {
-        return new RequestEffect.Send(request, ++attempts, ENDPOINT, address, now().plus(timeLeft), resumeFrom);
+        return new RequestEffect.Send(request, ++attempts, ENDPOINT, address, now().plus(timeLeft), resumeFrom, false);
     }
 
     AttemptResult post(String address, String id) {
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/NodeCore.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/NodeCore.java
@@ -13,6 +13,8 @@
 import io.yuccaswitch.core.membership.MembershipOptions;
 import io.yuccaswitch.core.membership.MembershipSystem;
 import io.yuccaswitch.core.platform.PlatformTokens;
+import io.yuccaswitch.core.quarantine.EndpointStandings;
+import io.yuccaswitch.core.quarantine.QuarantineSystem;
 import io.yuccaswitch.core.request.RequestClock;
 import io.yuccaswitch.core.request.RequestSystem;
 import io.yuccaswitch.core.sample.SampleSystem;
@@ -51,6 +53,9 @@
     /** The leases. */
     private final LeaseSystem leases;
 
+    /** Keeps requests under which endpoints ended away from further ones. */
+    private final QuarantineSystem quarantine;
+
     /** The request path. */
     private final RequestSystem requests;
 
@@ -73,7 +78,9 @@
         PlatformTokens tokens = new PlatformTokens();
         membership = new MembershipSystem(self, seeds, configuration, tokens, MembershipOptions.DEFAULT);
         leases = new LeaseSystem(WeightPlans::leases, membership, tokens, membership.platformNews());
-        requests = new RequestSystem(membership, endpoints, clock, tokens);
+        quarantine =
+                new QuarantineSystem(membership, tokens, EndpointStandings.Untold.INSTANCE, System::currentTimeMillis);
+        requests = new RequestSystem(membership, endpoints, clock, tokens, quarantine);
         samples = new SampleSystem(membership, tokens, clock);
         core = new DecisionCore(
                 List.of(
@@ -87,6 +94,7 @@
                         new EngineTrackingSystem(weights, leases),
                         new PlacementSystem(weights, versions),
                         new WeightRolloutSystem(weights, versions, leases),
+                        quarantine,
                         samples.beforeRequests(),
                         requests,
                         samples.afterRequests(),
@@ -157,6 +165,15 @@
         return leases;
     }
 
+    /**
+     * Returns what keeps requests under which endpoints ended away from further ones.
+     *
+     * @return The quarantine.
+     */
+    QuarantineSystem quarantine() {
+        return quarantine;
+    }
+
     /**
      * Returns the request path.
      *
--- a/yuccaswitch-node/src/test/java/io/yuccaswitch/node/entry/EntryServerTest.java
+++ b/yuccaswitch-node/src/test/java/io/yuccaswitch/node/entry/EntryServerTest.java
@@ -22,6 +22,7 @@
 import io.yuccaswitch.core.membership.MemberCondition;
 import io.yuccaswitch.core.membership.MembershipView;
 import io.yuccaswitch.core.platform.PlatformTokens;
+import io.yuccaswitch.core.quarantine.Quarantine;
 import io.yuccaswitch.core.request.AttemptResult;
 import io.yuccaswitch.core.request.Generation;
 import io.yuccaswitch.core.request.RequestClock;
@@ -82,7 +83,9 @@
     private final Site site = new Site();
     private final RequestClock clock = new RequestClock(DecisionLoop.now(), System.currentTimeMillis());
     private final DecisionLoop loop = new DecisionLoop(
-            new DecisionCore(List.of(new RequestSystem(site, site, clock, new PlatformTokens())), 7), () -> {});
+            new DecisionCore(
+                    List.of(new RequestSystem(site, site, clock, new PlatformTokens(), Quarantine.NoOp.INSTANCE)), 7),
+            () -> {});
     private final EntryServer server =
             new EntryServer(loop, site, () -> SELF, clock, () -> Optional.of(configuration), List.of());
 
