Count the time of a suspended machine against its leases, and show operators what is held

Cause: a machine may be suspended for seconds, which its monotonic clock does not count. A holder of the lease of orders that was suspended for 8 s had up to 1.5 s of its permission left when it woke and gave 2 orders beside its successor (VersionSystemsTest, with the platform out of its reach). The product's leases had the same flaw.

Change: the loop compares the time of day with the monotonic clock before each tick; where the time of day gained 0.2 s or more, what this node may do only for so long has gone on to pass. What others hold is not taken to have ended, as the time of day may just have been set.

GET /quarantine at a gateway's metrics address and a node's operator address lists the requests under which endpoints ended; DELETE /quarantine/FINGERPRINT lets one go at all nodes; yuccaswitch quarantine [--release FINGERPRINT] does both. Gauges gateway_quarantine_suspects and _held.

--- a/yuccaswitch-command/src/main/java/io/yuccaswitch/command/CommandLine.java
+++ b/yuccaswitch-command/src/main/java/io/yuccaswitch/command/CommandLine.java
@@ -15,6 +15,7 @@
 import io.yuccaswitch.command.subcommand.ExplainCommand;
 import io.yuccaswitch.command.subcommand.HistoryCommand;
 import io.yuccaswitch.command.subcommand.LogLevelCommand;
+import io.yuccaswitch.command.subcommand.QuarantineCommand;
 import io.yuccaswitch.command.subcommand.ReportCommand;
 import io.yuccaswitch.command.subcommand.StatusCommand;
 import io.yuccaswitch.command.subcommand.VersionCommand;
@@ -116,6 +117,7 @@
                 new ExplainCommand(),
                 new DrainCommand(),
                 new LogLevelCommand(),
+                new QuarantineCommand(),
                 new ReportCommand(),
                 new VersionCommand());
     }
--- a/yuccaswitch-command/src/main/java/io/yuccaswitch/command/operator/OperatorCall.java
+++ b/yuccaswitch-command/src/main/java/io/yuccaswitch/command/operator/OperatorCall.java
@@ -16,6 +16,9 @@
     /** Asks for the status document. */
     public static final OperatorCall STATUS = new OperatorCall("GET", List.of("status"), Optional.empty());
 
+    /** Asks for the requests under which endpoints ended. */
+    public static final OperatorCall QUARANTINE = new OperatorCall("GET", List.of("quarantine"), Optional.empty());
+
     /** Begins a planned stop. */
     public static final OperatorCall DRAIN = new OperatorCall("POST", List.of("drain"), Optional.of(Map.of()));
 
@@ -34,6 +37,16 @@
         return new OperatorCall("GET", List.of("explain", subject), Optional.empty());
     }
 
+    /**
+     * Lets a request go under which endpoints ended.
+     *
+     * @param fingerprint The request's fingerprint.
+     * @return The call.
+     */
+    public static OperatorCall releaseQuarantined(String fingerprint) {
+        return new OperatorCall("DELETE", List.of("quarantine", fingerprint), Optional.empty());
+    }
+
     /**
      * Changes the level of a logger.
      *
--- /dev/null
+++ b/yuccaswitch-command/src/main/java/io/yuccaswitch/command/subcommand/QuarantineCommand.java
@@ -0,0 +1,130 @@
+package io.yuccaswitch.command.subcommand;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import com.fasterxml.jackson.databind.JsonNode;
+import io.yuccaswitch.command.CommandEnvironment;
+import io.yuccaswitch.command.CommandResult;
+import io.yuccaswitch.command.CommonOptions;
+import io.yuccaswitch.command.ConnectionOptions;
+import io.yuccaswitch.command.Connections;
+import io.yuccaswitch.command.Subcommand;
+import io.yuccaswitch.command.operator.NodeReply;
+import io.yuccaswitch.command.operator.OperatorCall;
+import io.yuccaswitch.command.operator.OperatorClient;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/** Shows the requests under which endpoints ended, or lets one of them go. */
+@Parameters(commandDescription = "Show the requests under which endpoints ended, or let one of them go.")
+public final class QuarantineCommand implements Subcommand {
+
+    /** The options that every subcommand has. */
+    @ParametersDelegate
+    private CommonOptions common = new CommonOptions();
+
+    /** The options of the nodes. */
+    @ParametersDelegate
+    private ConnectionOptions connection = new ConnectionOptions();
+
+    /** The request to let go, or empty to show all. */
+    @Parameter(names = "--release", description = "The fingerprint of a request that is to be let go.")
+    private String release = "";
+
+    /** Creates a subcommand. */
+    public QuarantineCommand() {}
+
+    /** {@inheritDoc} */
+    @Override
+    public String name() {
+        return "quarantine";
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public CommonOptions common() {
+        return common;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public CommandResult run(CommandEnvironment environment) {
+        return PlatformCalls.withNodes(connection, environment, this::call);
+    }
+
+    /**
+     * Asks all nodes, as a node that was out of reach may know less than the others.
+     *
+     * @param connections The addresses and tokens.
+     * @return The result.
+     */
+    private CommandResult call(Connections connections) {
+        Optional<String> released = Optional.of(release).filter(text -> !text.isEmpty());
+        OperatorCall call = released.map(OperatorCall::releaseQuarantined).orElse(OperatorCall.QUARANTINE);
+        try (OperatorClient client = new OperatorClient(connections.operatorToken())) {
+            List<NodeReply> replies = client.callAll(connections.operators(), call);
+            return released.isPresent() ? released(replies) : listed(replies);
+        }
+    }
+
+    /**
+     * Describes what the nodes know.
+     *
+     * @param replies The answers of the nodes.
+     * @return The result.
+     */
+    private static CommandResult listed(List<NodeReply> replies) {
+        Set<String> lines = new LinkedHashSet<>();
+        for (NodeReply reply : replies) {
+            reply.body().path("requests").forEach(entry -> lines.add(describe(entry)));
+        }
+        if (lines.isEmpty()) {
+            lines.add("No endpoint ended under a request, as far as the nodes that answered know.");
+        }
+        lines.addAll(NodeResults.failures(replies));
+        return new CommandResult(NodeResults.ofReads(replies), List.copyOf(lines), new QuarantineDocument(replies));
+    }
+
+    /**
+     * Describes that a request was let go.
+     *
+     * @param replies The answers of the nodes.
+     * @return The result. Nodes tell each other, so one that does is enough.
+     */
+    private CommandResult released(List<NodeReply> replies) {
+        List<NodeReply> done = replies.stream().filter(NodeReply::isDone).toList();
+        List<String> lines = new ArrayList<>();
+        if (done.isEmpty()) {
+            lines.addAll(NodeResults.failures(replies));
+        } else {
+            lines.add("Let go: " + release + ". All nodes hear of it at once.");
+        }
+        return new CommandResult(
+                NodeResults.ofChanges(done.isEmpty() ? replies : done), lines, new QuarantineDocument(replies));
+    }
+
+    /**
+     * Describes a request.
+     *
+     * @param entry The request as JSON.
+     * @return The request in a line.
+     */
+    private static String describe(JsonNode entry) {
+        String until = entry.path("heldUntil").asText();
+        return entry.path("fingerprint").asText() + " " + entry.path("request").asText() + ": "
+                + entry.path("endedEndpoints").asInt() + " endpoints ended under it since "
+                + entry.path("since").asText() + ", "
+                + (until.isEmpty() ? "not held" : "held until " + until);
+    }
+
+    /**
+     * The result.
+     *
+     * @param nodes The answers of the nodes.
+     */
+    record QuarantineDocument(List<NodeReply> nodes) {}
+}
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/lease/LeaseRow.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/lease/LeaseRow.java
@@ -144,6 +144,24 @@
         return new LeaseRow(name, observation, call, holding, extended, true, nextCallAt);
     }
 
+    /**
+     * Returns this row after the machine was suspended. What makes this node the holder has gone on to pass meanwhile;
+     * what makes another one the holder is not taken to have ended.
+     *
+     * @param gap For how long the machine was suspended.
+     * @return The changed row.
+     */
+    LeaseRow withSuspension(Duration gap) {
+        return new LeaseRow(
+                name,
+                observation,
+                call.map(made -> made.earlier(gap)),
+                holding.map(held -> held.earlier(gap)),
+                unsettled.stream().map(attempt -> attempt.earlier(gap)).toList(),
+                doubtful,
+                nextCallAt);
+    }
+
     /**
      * Returns this row without the writes that could no longer make this node the holder if they took effect.
      *
@@ -188,7 +206,18 @@
      * @param emittedAt The time from which the validity of the lease counts if the write takes effect.
      * @param written The record that was written.
      */
-    record Attempt(MonotonicTime emittedAt, LeaseRecord written) {}
+    record Attempt(MonotonicTime emittedAt, LeaseRecord written) {
+
+        /**
+         * Returns this write as one that was made earlier.
+         *
+         * @param time How much earlier.
+         * @return The write.
+         */
+        Attempt earlier(Duration time) {
+            return new Attempt(emittedAt.plus(time.negated()), written);
+        }
+    }
 
     /**
      * A call in flight.
@@ -196,7 +225,18 @@
      * @param token The token of the call.
      * @param attempt The write, or empty if the call reads.
      */
-    record Call(long token, Optional<Attempt> attempt) {}
+    record Call(long token, Optional<Attempt> attempt) {
+
+        /**
+         * Returns this call as one that was made earlier.
+         *
+         * @param time How much earlier.
+         * @return The call.
+         */
+        Call earlier(Duration time) {
+            return new Call(token, attempt.map(made -> made.earlier(time)));
+        }
+    }
 
     /**
      * What makes this node the holder.
@@ -217,6 +257,16 @@
             return FencingNumbers.of(base, 0);
         }
 
+        /**
+         * Returns this holding as one that was renewed earlier.
+         *
+         * @param time How much earlier.
+         * @return The holding.
+         */
+        Holding earlier(Duration time) {
+            return new Holding(base, since, renewedAt.plus(time.negated()), validUntil.plus(time.negated()));
+        }
+
         /**
          * Returns the time at which the lease is to be renewed.
          *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/lease/LeaseSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/lease/LeaseSystem.java
@@ -17,6 +17,7 @@
 import io.yuccaswitch.core.platform.PlatformNews;
 import io.yuccaswitch.core.platform.PlatformTokens;
 import io.yuccaswitch.core.platform.StoredObject;
+import io.yuccaswitch.core.suspension.Suspended;
 import io.yuccaswitch.core.time.MonotonicTime;
 import java.util.ArrayList;
 import java.util.List;
@@ -109,6 +110,9 @@
         if (settings.isEmpty()) {
             return;
         }
+        for (Suspended event : tick.events(Suspended.class)) {
+            rows.rows().forEach(row -> rows.put(row.name(), row.withSuspension(event.gap())));
+        }
         succession.observe(tick, settings.get());
         tick.events(PeerEvent.Received.class).forEach(event -> hear(tick, event));
         tick.events(PlatformEvent.class).forEach(event -> answer(tick, event));
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/OrderLease.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/OrderLease.java
@@ -18,6 +18,7 @@
 import io.yuccaswitch.core.platform.PlatformPurpose;
 import io.yuccaswitch.core.platform.PlatformTokens;
 import io.yuccaswitch.core.platform.StoredObject;
+import io.yuccaswitch.core.suspension.Suspended;
 import io.yuccaswitch.core.time.MonotonicTime;
 import java.time.Duration;
 import java.util.Optional;
@@ -90,6 +91,12 @@
     /** Until when this node may give orders. */
     private MonotonicTime permittedUntil = new MonotonicTime(Long.MIN_VALUE);
 
+    /** When the renewal that another node was asked for was sent. */
+    private MonotonicTime relayedAt = new MonotonicTime(Long.MIN_VALUE / 2);
+
+    /** For how long the machine was suspended in all. A permission goes on to pass meanwhile. */
+    private Duration suspended = Duration.ZERO;
+
     /** When this node last gave an order, if it ever did. */
     private Optional<MonotonicTime> orderedAt = Optional.empty();
 
@@ -120,6 +127,7 @@
     @Override
     public void run(Tick tick) {
         now = tick.now();
+        takeSuspensions(tick);
         calls.answer(tick);
         takeGivenBack(tick);
         relay.receive(tick).ifPresent(outcome -> takeRelayed(tick, outcome));
@@ -151,7 +159,7 @@
      * @return The number, or empty if no order may be given.
      */
     OptionalLong permission() {
-        return held && now.isBefore(permittedUntil)
+        return held && awake(now).isBefore(permittedUntil)
                 ? OptionalLong.of(observed.orElseThrow().value().fence())
                 : OptionalLong.empty();
     }
@@ -179,6 +187,37 @@
         return membership.self().identity().name();
     }
 
+    /**
+     * Takes that the machine was suspended. The permission has gone on to pass meanwhile and another node may hold the
+     * lease: without this, a holder that was suspended for 5 s went on to give orders for up to 1.5 s beside its
+     * successor. What others hold is not taken to have ended, as the time of day may just have been set.
+     *
+     * @param tick The tick.
+     */
+    private void takeSuspensions(Tick tick) {
+        for (Suspended event : tick.events(Suspended.class)) {
+            suspended = suspended.plus(event.gap());
+            backOff.succeeded(tick.now(), Duration.ZERO);
+            if (held) {
+                tick.decide(Decision.of(
+                        "order-lease",
+                        holderName().value(),
+                        "in doubt",
+                        "suspended for " + event.gap().toMillis() + " ms"));
+            }
+        }
+    }
+
+    /**
+     * Returns a time with that for which the machine was suspended.
+     *
+     * @param time The monotonic time.
+     * @return The time by which permissions pass.
+     */
+    private MonotonicTime awake(MonotonicTime time) {
+        return time.plus(suspended);
+    }
+
     /**
      * Returns whether this node stands by to take the lease. Each node looks once when it starts, as it may have held
      * the lease in an earlier life.
@@ -257,7 +296,7 @@
      * @param expected The version that the lease must have, or empty if there must be none.
      */
     private void write(Tick tick, LeaseValue value, OptionalLong expected) {
-        MonotonicTime sentAt = tick.now();
+        MonotonicTime sentAt = awake(tick.now());
         calling = true;
         calls.call(
                 tick,
@@ -287,6 +326,7 @@
                 .isPresent();
         if (relays && relay.ask(tick, observed.orElseThrow().version(), renewed)) {
             calling = true;
+            relayedAt = awake(tick.now());
             return;
         }
         relayingSince = Optional.empty();
@@ -311,7 +351,7 @@
         }
         OrderMessage.LeaseAnswered answer = outcome.answer().get();
         if (answer.granted()) {
-            grant(tick, new Observation(outcome.value(), answer.version(), tick.now()), outcome.sentAt());
+            grant(tick, new Observation(outcome.value(), answer.version(), tick.now()), relayedAt);
         } else {
             contest(tick, Optional.of(new StoredObject(KEY, answer.version(), answer.value(), false)));
         }
@@ -336,7 +376,7 @@
      *
      * @param tick The tick.
      * @param granted The lease as it is.
-     * @param sentAt When the renewal was sent.
+     * @param sentAt When the renewal was sent, with the time for which the machine was suspended before.
      */
     private void grant(Tick tick, Observation granted, MonotonicTime sentAt) {
         observed = Optional.of(granted);
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/modelversion/VersionSystemsTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/modelversion/VersionSystemsTest.java
@@ -257,6 +257,42 @@
         assertThat(orders).isNotEmpty().allMatch(order -> order.holder().equals("node-2"));
     }
 
+    @Test
+    void aHolderThatWasSuspendedGivesNoOrderAfterItsPermissionThoughItsClockStoodStill() {
+        TestNode first = start("node-1");
+        run(500);
+        start("node-2");
+        run(100);
+        name("model-a", 2);
+        run(100);
+        long before = ordersOf("node-1");
+        first.suspend();
+        run(8000);
+        site.platform().failWhere((node, _call) -> node.equals("node-1"));
+        first.resume();
+        run(3000);
+        assertThat(ordersOf("node-1")).isEqualTo(before);
+        assertThat(ordersOf("node-2")).isPositive();
+    }
+
+    private long ordersOf(String node) {
+        return orders.stream().filter(order -> order.holder().equals(node)).count();
+    }
+
+    @Test
+    void aHolderThatWasSuspendedForAMomentGoesOnOnceItsLeaseIsRenewed() {
+        TestNode first = start("node-1");
+        run(500);
+        start("node-2");
+        run(100);
+        first.suspend();
+        run(1600);
+        first.resume();
+        name("model-a", 2);
+        run(3000);
+        assertThat(orders).isNotEmpty().allMatch(order -> order.holder().equals("node-1"));
+    }
+
     @Test
     void aLeaseThatIsGivenBackLongAfterTheLastOrderIsTakenAtOnce() {
         site.connect((_from, _to) -> false);
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/site/TestNode.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/site/TestNode.java
@@ -14,7 +14,9 @@
 import io.yuccaswitch.core.membership.MembershipView;
 import io.yuccaswitch.core.platform.PlatformEffect;
 import io.yuccaswitch.core.platform.PlatformTokens;
+import io.yuccaswitch.core.suspension.Suspended;
 import io.yuccaswitch.core.time.MonotonicTime;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
@@ -34,6 +36,8 @@
     private final List<Effect> effects = new ArrayList<>();
     private final List<Decision> decisions = new ArrayList<>();
     private boolean frozen;
+    private Optional<MonotonicTime> suspendedAt = Optional.empty();
+    private Duration lag = Duration.ZERO;
 
     TestNode(TestSite site, String name, BiFunction<TestNode, PlatformTokens, List<DecisionSystem>> systems) {
         this.site = site;
@@ -68,10 +72,24 @@
         return decisions;
     }
 
-    void step(MonotonicTime now) {
-        if (frozen) {
+    /** Suspends the machine: its monotonic clock stands still until it is resumed. */
+    public void suspend() {
+        suspendedAt = Optional.of(site.now());
+    }
+
+    /** Resumes the machine, which finds out by its time of day. */
+    public void resume() {
+        Duration gap = site.now().since(suspendedAt.orElseThrow());
+        lag = lag.plus(gap);
+        suspendedAt = Optional.empty();
+        waiting.add(0, new Suspended(gap));
+    }
+
+    void step(MonotonicTime siteTime) {
+        if (frozen || suspendedAt.isPresent()) {
             return;
         }
+        MonotonicTime now = siteTime.plus(lag.negated());
         for (PlatformEffect call : List.copyOf(calls.keySet())) {
             if (site.platform().isReady(name, call) || isOver(call, now)) {
                 calls.remove(call);
--- /dev/null
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/suspension/SuspensionDetectorTest.java
@@ -0,0 +1,46 @@
+package io.yuccaswitch.core.suspension;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.yuccaswitch.core.time.MonotonicTime;
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+
+final class SuspensionDetectorTest {
+
+    private static final long EPOCH = 1_700_000_000_000L;
+
+    private final SuspensionDetector detector = new SuspensionDetector();
+
+    @Test
+    void clocksThatGoTogetherTellNothing() {
+        for (long millis = 0; millis < 10_000; millis += 100) {
+            assertThat(detector.look(at(millis), EPOCH + millis)).isEmpty();
+        }
+    }
+
+    @Test
+    void timeThatOnlyTheTimeOfDayCountsIsToldOnce() {
+        detector.look(at(0), EPOCH);
+        assertThat(detector.look(at(100), EPOCH + 5100)).contains(new Suspended(Duration.ofSeconds(5)));
+        assertThat(detector.look(at(200), EPOCH + 5200)).isEmpty();
+    }
+
+    @Test
+    void smallCorrectionsAddUpUntilTheyCount() {
+        detector.look(at(0), EPOCH);
+        assertThat(detector.look(at(100), EPOCH + 220)).isEmpty();
+        assertThat(detector.look(at(200), EPOCH + 450)).contains(new Suspended(Duration.ofMillis(250)));
+    }
+
+    @Test
+    void aTimeOfDayThatIsSetBackTellsNothingButIsCountedFrom() {
+        detector.look(at(0), EPOCH);
+        assertThat(detector.look(at(100), EPOCH - 2000)).isEmpty();
+        assertThat(detector.look(at(200), EPOCH - 900)).contains(new Suspended(Duration.ofSeconds(1)));
+    }
+
+    private static MonotonicTime at(long millis) {
+        return new MonotonicTime(Duration.ofMillis(millis).toNanos());
+    }
+}
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/decision/DecisionLoop.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/decision/DecisionLoop.java
@@ -8,6 +8,7 @@
 import io.yuccaswitch.core.decision.Effect;
 import io.yuccaswitch.core.decision.Event;
 import io.yuccaswitch.core.decision.TickResult;
+import io.yuccaswitch.core.suspension.SuspensionDetector;
 import io.yuccaswitch.core.time.MonotonicTime;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -49,6 +50,9 @@
     /** How long the pause between two ticks may be, asked on the loop's thread before each. */
     private final Supplier<Duration> pace;
 
+    /** Finds out that the machine was suspended, confined to the loop's thread. */
+    private final SuspensionDetector suspensions = new SuspensionDetector();
+
     /** The events that wait for the next tick. */
     private final BlockingQueue<Event> waiting = new LinkedBlockingQueue<>();
 
@@ -156,7 +160,12 @@
         try {
             while (running) {
                 List<Event> events = awaitEvents();
-                publish(core.tick(now(), events));
+                MonotonicTime now = now();
+                suspensions.look(now, System.currentTimeMillis()).ifPresent(suspended -> {
+                    LOGGER.warnf("event=suspended millis=%d", suspended.gap().toMillis());
+                    events.add(0, suspended);
+                });
+                publish(core.tick(now, events));
                 inspectAll(events);
             }
         } catch (InterruptedException _exception) {
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
@@ -20,6 +20,7 @@
 import io.yuccaswitch.node.decision.DecisionLog;
 import io.yuccaswitch.node.decision.DecisionLoop;
 import io.yuccaswitch.node.membership.MembershipService;
+import io.yuccaswitch.node.operator.QuarantineRoutes;
 import io.yuccaswitch.node.peer.LearnedAddresses;
 import io.yuccaswitch.node.peer.PeerMessages;
 import io.yuccaswitch.platform.CallRates;
@@ -167,7 +168,11 @@
                 view,
                 new PlainRequestHandler(view, attempts, dialects.endpoints(), selection, gate, metrics),
                 new BatchHandler(replies, dialects.callers(), metrics),
-                new MetricsText(metrics));
+                new MetricsText(metrics),
+                new QuarantineRoutes(loop));
+        metrics.gauge(
+                "gateway.quarantine.suspects", () -> () -> gate.view().entries().size());
+        metrics.gauge("gateway.quarantine.held", () -> () -> gate.view().held().size());
     }
 
     /** Starts the node. */
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayServer.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayServer.java
@@ -12,6 +12,7 @@
 import io.yuccaswitch.core.value.Bytes;
 import io.yuccaswitch.node.HostAndPort;
 import io.yuccaswitch.node.decision.DecisionLoop;
+import io.yuccaswitch.node.operator.QuarantineRoutes;
 import java.io.IOException;
 import java.io.InputStream;
 import java.time.Duration;
@@ -97,6 +98,9 @@
     /** Writes the metrics. */
     private final MetricsText metrics;
 
+    /** Shows requests under which endpoints ended. */
+    private final QuarantineRoutes quarantine;
+
     /** Tells when callers go. */
     private final DisconnectWatch disconnects = new DisconnectWatch();
 
@@ -118,6 +122,7 @@
      * @param plain Serves plain requests.
      * @param batches Serves calls about batch jobs.
      * @param metrics Writes the metrics.
+     * @param quarantine Shows requests under which endpoints ended.
      */
     GatewayServer(
             GatewaySettings settings,
@@ -125,7 +130,8 @@
             GatewayView view,
             PlainRequestHandler plain,
             BatchHandler batches,
-            MetricsText metrics) {
+            MetricsText metrics,
+            QuarantineRoutes quarantine) {
         this.settings = settings;
         callers = dialects.callers();
         endpoints = dialects.endpoints();
@@ -133,6 +139,7 @@
         this.plain = plain;
         this.batches = batches;
         this.metrics = metrics;
+        this.quarantine = quarantine;
         server = Javalin.create(this::configure);
     }
 
@@ -257,11 +264,28 @@
             answerDirectory(context);
         } else if (port == portOf(settings.metricsAddress()) && path.equals(METRICS_PATH)) {
             context.contentType(MetricsText.CONTENT_TYPE).result(metrics.write());
+        } else if (port == portOf(settings.metricsAddress()) && path.startsWith(QuarantineRoutes.PATH)) {
+            handleQuarantine(context, path);
         } else {
             context.status(NOT_FOUND);
         }
     }
 
+    /**
+     * Shows an operator the requests under which endpoints ended, or lets one go.
+     *
+     * @param context The request.
+     * @param path The path.
+     */
+    private void handleQuarantine(Context context, String path) {
+        boolean releases = context.req().getMethod().equals("DELETE");
+        if (releases) {
+            quarantine.release(context, path.substring(path.lastIndexOf('/') + 1));
+        } else {
+            quarantine.list(context);
+        }
+    }
+
     /**
      * Answers which entry addresses to use.
      *
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/QuarantineGate.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/QuarantineGate.java
@@ -60,15 +60,6 @@
         return view;
     }
 
-    /**
-     * Lets a request go, as an operator wants.
-     *
-     * @param fingerprint The request.
-     */
-    void release(RequestFingerprint fingerprint) {
-        events.accept(new QuarantineEvent.Released(fingerprint));
-    }
-
     /**
      * Begins to watch a request.
      *
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/operator/OperatorServer.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/operator/OperatorServer.java
@@ -69,6 +69,9 @@
     /** The sections of the status document. */
     private final List<StatusSection> sections;
 
+    /** Shows requests under which endpoints ended. */
+    private final QuarantineRoutes quarantine;
+
     /** The planned stop. */
     private final GracefulShutdown shutdown;
 
@@ -110,6 +113,7 @@
             MetricRegistry registry,
             Optional<String> token) {
         this.loop = loop;
+        quarantine = new QuarantineRoutes(loop);
         this.decisions = decisions;
         this.sections = List.copyOf(sections);
         this.shutdown = shutdown;
@@ -152,6 +156,10 @@
         config.routes.post("/drain", this::drain);
         config.routes.get("/log-levels", context -> write(context, LogConfiguration.levels()));
         config.routes.put("/log-levels", this::changeLogLevels);
+        config.routes.get(QuarantineRoutes.PATH, quarantine::list);
+        config.routes.delete(
+                QuarantineRoutes.PATH + "/{fingerprint}",
+                context -> quarantine.release(context, context.pathParam("fingerprint")));
     }
 
     /**
