Let the soak's engines crash at one request that comes again and again

A caller of its own sends one request all the time, at which each engine that runs it crashes: its link closes, and it starts again within 0.3 s. The soak counts the crashes beside all other promises; eight are allowed, as two nodes may run the request at once and nodes are killed and cut off meanwhile.

--- a/yuccaswitch-soak/src/test/java/io/yuccaswitch/soak/SoakCallers.java
+++ b/yuccaswitch-soak/src/test/java/io/yuccaswitch/soak/SoakCallers.java
@@ -3,6 +3,7 @@
 import io.yuccaswitch.adapter.standin.CallerStandIn;
 import io.yuccaswitch.adapter.standin.CallerStandIn.Page;
 import io.yuccaswitch.adapter.standin.CallerStandIn.Reply;
+import io.yuccaswitch.adapter.standin.CrashingService;
 import io.yuccaswitch.adapter.standin.SiteDocuments;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -36,6 +37,7 @@
         for (int i = 0; i < TRAINERS; i++) {
             start("trainer-" + i, new Random(seed * 37 + i), this::train);
         }
+        start("harmful", new Random(seed * 41), this::harm);
     }
 
     /** Ends the callers, and lets the trainers finish what they have submitted. */
@@ -79,6 +81,12 @@
         Thread.sleep(20 + random.nextInt(40));
     }
 
+    /** Sends a request again and again that crashes each endpoint that runs it. */
+    private void harm(CallerStandIn caller, String id, Random random) throws InterruptedException {
+        caller.post(entry(random), SiteDocuments.path("safe"), id, CrashingService.HARMFUL);
+        Thread.sleep(100 + random.nextInt(400));
+    }
+
     private void train(CallerStandIn caller, String id, Random random) throws InterruptedException {
         long minimum = Math.max(1, site.version.get() - 1);
         long end = System.nanoTime() + PATIENCE.toNanos();
--- a/yuccaswitch-soak/src/test/java/io/yuccaswitch/soak/SoakFaults.java
+++ b/yuccaswitch-soak/src/test/java/io/yuccaswitch/soak/SoakFaults.java
@@ -53,11 +53,13 @@
             }
             if (now >= beat) {
                 beat = now + 300;
+                site.restartCrashed();
                 site.beat();
             }
             Thread.sleep(20);
         }
         lift(Long.MAX_VALUE);
+        site.restartCrashed();
         site.beat();
     }
 
--- a/yuccaswitch-soak/src/test/java/io/yuccaswitch/soak/SoakRun.java
+++ b/yuccaswitch-soak/src/test/java/io/yuccaswitch/soak/SoakRun.java
@@ -33,6 +33,12 @@
     @Parameter(names = "--gateways", description = "How many gateways run")
     private int gateways = 4;
 
+    /**
+     * How many endpoints may crash at one request: four until it is known for what it does, as two of them run it at
+     * the same moment at times, and as many again while nodes are killed or cut off and can't tell each other.
+     */
+    private static final int MOST_CRASHES = 8;
+
     private SoakRun() {}
 
     public static void main(String[] arguments) throws Exception {
@@ -58,6 +64,7 @@
     static Result run(Path folder, long seed, Duration length, int gateways) throws IOException, InterruptedException {
         SoakHistory history = new SoakHistory();
         List<String> faults;
+        int crashes;
         try (CallerStandIn caller = new CallerStandIn();
                 SoakSite site = new SoakSite(folder, gateways)) {
             site.awaitReady(caller);
@@ -68,6 +75,8 @@
                 awaitRecovery(site, caller, history);
             }
             judgeLeaving(site, caller, history);
+            judgeCrashes(site, history);
+            crashes = site.crashes();
             for (EngineStandIn engine : site.allEngines()) {
                 String start = engine.id() + "@" + engine.born();
                 history.runs.put(start, engine.seen());
@@ -79,16 +88,18 @@
                 faults,
                 history.plain.size(),
                 answered(history),
-                SoakChecks.accepted(history).size());
+                SoakChecks.accepted(history).size(),
+                crashes);
     }
 
     /** Waits until the newest configuration and version are in force everywhere. */
     private static void awaitRecovery(SoakSite site, CallerStandIn caller, SoakHistory history)
-            throws InterruptedException {
+            throws IOException, InterruptedException {
         long end = System.nanoTime() + RECOVERY.toNanos();
         List<String> missing = missing(site, caller);
         while (!missing.isEmpty() && System.nanoTime() < end) {
             Thread.sleep(200);
+            site.restartCrashed();
             site.beat();
             missing = missing(site, caller);
         }
@@ -133,6 +144,12 @@
         }
     }
 
+    private static void judgeCrashes(SoakSite site, SoakHistory history) {
+        if (site.crashes() > MOST_CRASHES) {
+            history.failures.add(site.crashes() + " endpoints crashed at one request");
+        }
+    }
+
     private static int answered(SoakHistory history) {
         return (int) history.plain.stream()
                 .filter(plain ->
@@ -141,12 +158,12 @@
     }
 
     /** What became of a seed. */
-    record Result(List<String> violations, List<String> faults, int requests, int answered, int jobs) {
+    record Result(List<String> violations, List<String> faults, int requests, int answered, int jobs, int crashes) {
 
         @Override
         public String toString() {
             return "faults=" + faults.size() + " requests=" + requests + " answered=" + answered + " jobs=" + jobs
-                    + " violations=" + violations;
+                    + " crashes=" + crashes + " violations=" + violations;
         }
     }
 }
--- a/yuccaswitch-soak/src/test/java/io/yuccaswitch/soak/SoakSite.java
+++ b/yuccaswitch-soak/src/test/java/io/yuccaswitch/soak/SoakSite.java
@@ -1,6 +1,7 @@
 package io.yuccaswitch.soak;
 
 import io.yuccaswitch.adapter.standin.CallerStandIn;
+import io.yuccaswitch.adapter.standin.CrashingService;
 import io.yuccaswitch.adapter.standin.EngineStandIn;
 import io.yuccaswitch.adapter.standin.GatewayProcess;
 import io.yuccaswitch.adapter.standin.SiteDocuments;
@@ -21,6 +22,7 @@
 final class SoakSite implements AutoCloseable {
 
     private static final Duration START_TIME = Duration.ofSeconds(40);
+    private static final Duration RUN_TIME = Duration.ofMillis(30);
 
     final StoreStandIn store = new StoreStandIn();
     final List<GatewayProcess> gateways = new ArrayList<>();
@@ -30,6 +32,8 @@
     final AtomicLong configuration = new AtomicLong(1);
     final AtomicLong version = new AtomicLong(1);
     private final List<EngineStandIn> retired = new ArrayList<>();
+    private final List<EngineStandIn> crashed = new ArrayList<>();
+    private int crashes;
     private int engineNumber;
 
     SoakSite(Path folder, int gatewayCount) throws IOException {
@@ -65,7 +69,7 @@
     /** Adds an endpoint to a service. */
     synchronized String addEngine(String service) {
         String id = "i-" + service + "-" + engineNumber++;
-        EngineStandIn engine = new EngineStandIn(id);
+        EngineStandIn engine = start(id);
         engine.version(version.get());
         Link link = new Link(0, address(engine.address()));
         engines.put(id, engine);
@@ -87,7 +91,7 @@
         EngineStandIn before = engines.get(id);
         before.close();
         retired.add(before);
-        EngineStandIn started = new EngineStandIn(id);
+        EngineStandIn started = start(id);
         started.version(before.version());
         engineLinks.get(id).close();
         engines.put(id, started);
@@ -95,6 +99,36 @@
         store.put("servers", id, entry(id));
     }
 
+    /** Starts an endpoint that crashes at a harmful request. */
+    private EngineStandIn start(String id) {
+        EngineStandIn engine = new EngineStandIn(id);
+        engine.endAt(CrashingService.HARMFUL, RUN_TIME, () -> crash(engine));
+        return engine;
+    }
+
+    private synchronized void crash(EngineStandIn engine) {
+        crashes++;
+        if (engines.get(engine.id()) == engine) {
+            engineLinks.get(engine.id()).close();
+            crashed.add(engine);
+        }
+    }
+
+    /** Starts the endpoints again that have crashed since the last time. */
+    synchronized void restartCrashed() throws IOException {
+        for (EngineStandIn engine : crashed) {
+            if (engines.get(engine.id()) == engine) {
+                restartEngine(engine.id());
+            }
+        }
+        crashed.clear();
+    }
+
+    /** Returns how often an endpoint has crashed. */
+    synchronized int crashes() {
+        return crashes;
+    }
+
     /** Writes an entry that no endpoint wrote, as a new one or in the place of an endpoint's own. */
     synchronized void writeForeignEntry(String id, String entry) {
         store.put("servers", id, entry);
