--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/quarantine/EvidenceSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/quarantine/EvidenceSystem.java
@@ -80,7 +80,7 @@
         if (event instanceof QuarantineEvent.AnswerLost lost) {
             lose(tick, lost);
         } else if (event instanceof QuarantineEvent.EndpointEnded ended) {
-            noteEnded(tick, ended.endpoint());
+            state.noteEnded(ended.endpoint(), tick.now());
         } else if (event instanceof QuarantineEvent.Served served) {
             open.removeIf(attempt -> attempt.event().fingerprint().equals(served.fingerprint()));
             state.clear(tick, served.fingerprint(), "an endpoint answered it");
@@ -99,7 +99,9 @@
      */
     private void lose(Tick tick, QuarantineEvent.AnswerLost lost) {
         if (lost.loss().cause() == Loss.Cause.ENDPOINT_ENDED) {
-            noteEnded(tick, lost.endpoint());
+            if (state.noteEnded(lost.endpoint(), tick.now())) {
+                state.untoldEnds().add(lost.endpoint());
+            }
             strike(tick, lost);
             return;
         }
@@ -112,18 +114,6 @@
         open.addLast(new Open(lost, tick.now()));
     }
 
-    /**
-     * Takes that an endpoint has ended.
-     *
-     * @param tick The tick.
-     * @param endpoint The endpoint.
-     */
-    private void noteEnded(Tick tick, EndpointName endpoint) {
-        if (state.noteEnded(endpoint, tick.now())) {
-            state.untoldEnds().add(endpoint);
-        }
-    }
-
     /**
      * Settles attempts whose endpoints are known to have ended, and drops those that are too old.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/quarantine/QuarantineEvent.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/quarantine/QuarantineEvent.java
@@ -18,7 +18,8 @@
             implements QuarantineEvent {}
 
     /**
-     * Nothing listens at an endpoint's address.
+     * Nothing listens at an endpoint's address, as far as this node can tell: the path there may refuse it instead, so
+     * other nodes are not told.
      *
      * @param endpoint The endpoint.
      */
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/quarantine/QuarantineSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/quarantine/QuarantineSystem.java
@@ -45,12 +45,12 @@
     }
 
     /**
-     * Returns whether something is to be told or stored soon.
+     * Returns whether something is to be told to other nodes soon.
      *
      * @return {@code true} if the system should run more often than an idle one.
      */
     public boolean isBusy() {
-        return state.hasNews() || !state.unstored().isEmpty();
+        return state.hasNews();
     }
 
     @Override
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/AttemptResult.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/AttemptResult.java
@@ -16,8 +16,12 @@
      */
     record Whole(int status, Headers headers, Bytes body) implements AttemptResult {}
 
-    /** The answer was a stream, which was passed on to its end or broken off for good. */
-    record Relayed() implements AttemptResult {}
+    /**
+     * The answer was a stream, which was passed on to its end or broken off for good.
+     *
+     * @param whole Whether it was passed on to its end.
+     */
+    record Relayed(boolean whole) implements AttemptResult {}
 
     /**
      * The request was surely not run.
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/PlainRequestHandler.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/PlainRequestHandler.java
@@ -157,7 +157,7 @@
      * @return {@code true} for a successful answer.
      */
     private static boolean isSuccess(AttemptResult result) {
-        return result instanceof AttemptResult.Relayed
+        return (result instanceof AttemptResult.Relayed relayed && relayed.whole())
                 || (result instanceof AttemptResult.Whole whole && whole.status() < BAD_REQUEST);
     }
 
@@ -361,14 +361,14 @@
             try {
                 if (relay.relay(opened.response().get())) {
                     opened.response().get().close();
-                    return new AttemptResult.Relayed();
+                    return new AttemptResult.Relayed(true);
                 }
                 AttemptResult result = attempts.lost(opened, "the stream broke off");
                 opened.discard();
                 return result;
             } catch (EventRelay.CallerGoneException _exception) {
                 opened.discard();
-                return new AttemptResult.Relayed();
+                return new AttemptResult.Relayed(false);
             }
         }
 
