--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/quarantine/Loss.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/quarantine/Loss.java
@@ -12,16 +12,6 @@
     /** The endpoint lives, and its answer could not be used. */
     public static final Loss UNUSABLE = new Loss(Cause.UNUSABLE, true);
 
-    /**
-     * Returns this loss with another cause.
-     *
-     * @param known The cause.
-     * @return The loss.
-     */
-    public Loss withCause(Cause known) {
-        return new Loss(known, lived);
-    }
-
     /** A cause. */
     public enum Cause {
         /** The connection ended, and nothing listens at the endpoint's address any more. */
