Serve requests under client accounts: keys checked at the node, accounts told to endpoints

Cause: nothing in the gateway knew of keys.

Change: core.account holds the accounts of a configuration, found by the digests of their keys; digests replace keys as soon as a document arrives from the platform, so that no node keeps, logs or hands on a key. A gateway checks each request before anything else is decided, strips what the caller says of accounts, and tells endpoints the account's name. The account is part of a batch job's identifier: another account's job is one that does not exist, for every call, at every node, without a further check in the systems of batch jobs. The product's own interface reads bearer tokens by the same code.

--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/account/Account.java
@@ -0,0 +1,19 @@
+package io.yuccaswitch.core.account;
+
+import java.util.List;
+import java.util.OptionalInt;
+
+/**
+ * A client account, as the configuration names it.
+ *
+ * @param name The name.
+ * @param priority The rank of its requests, where 0 is the highest; it goes before the rank of their route.
+ * @param keys The digests of its API keys.
+ */
+public record Account(AccountName name, OptionalInt priority, List<KeyDigest> keys) {
+
+    /** Copies the keys. */
+    public Account {
+        keys = List.copyOf(keys);
+    }
+}
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/account/package-info.java
@@ -0,0 +1,2 @@
+/** Client accounts: whose API key a request bears, and what that lets it do. */
+package io.yuccaswitch.core.account;
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchJobId.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchJobId.java
@@ -1,16 +1,25 @@
 package io.yuccaswitch.core.batch;
 
+import io.yuccaswitch.core.account.AccountName;
+import io.yuccaswitch.core.account.ClientAccount;
+import java.util.Optional;
 import java.util.regex.Pattern;
 
 /**
- * The identifier of a batch job, which its submitter chose.
+ * The identifier of a batch job: what its submitter chose, and the account that the job belongs to. As the account is
+ * part of the identifier, a job of another account is one that does not exist, for every call and at every node.
  *
- * @param value The text.
+ * @param value The text: what the submitter chose, and, where the site has accounts, a tilde and the account's name,
+ *     which is empty for a job of no account.
  */
 public record BatchJobId(String value) {
 
+    /** What stands between the submitter's identifier and the account. */
+    private static final char ACCOUNT_MARK = '~';
+
     /** What an identifier may consist of, as it becomes part of the names of objects. */
-    private static final Pattern PATTERN = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,99}");
+    private static final Pattern PATTERN =
+            Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,99}(~([A-Za-z0-9][A-Za-z0-9._-]{0,99})?)?");
 
     /** Checks the text. */
     public BatchJobId {
@@ -19,6 +28,52 @@
         }
     }
 
+    /**
+     * Reads what a submitter chose.
+     *
+     * @param text The text, which can't name an account.
+     * @return The identifier of a job at a site without accounts.
+     */
+    public static BatchJobId chosen(String text) {
+        if (text.indexOf(ACCOUNT_MARK) >= 0) {
+            throw new IllegalArgumentException("Not an identifier of a batch job: '" + text + "'");
+        }
+        return new BatchJobId(text);
+    }
+
+    /**
+     * Returns the identifier of the job that an account means by this one.
+     *
+     * @param account Whose the call is.
+     * @return The identifier with the account.
+     */
+    public BatchJobId ownedBy(ClientAccount account) {
+        if (!account.isChecked()) {
+            return this;
+        }
+        return new BatchJobId(
+                value + ACCOUNT_MARK + account.name().map(AccountName::value).orElse(""));
+    }
+
+    /**
+     * Tells whether the job was submitted at a site with accounts.
+     *
+     * @return {@code true} if it was.
+     */
+    public boolean isChecked() {
+        return value.indexOf(ACCOUNT_MARK) >= 0;
+    }
+
+    /**
+     * Returns the account that the job belongs to.
+     *
+     * @return The account, or empty if it belongs to none.
+     */
+    public Optional<AccountName> account() {
+        String name = value.substring(value.indexOf(ACCOUNT_MARK) + 1);
+        return isChecked() && !name.isEmpty() ? Optional.of(new AccountName(name)) : Optional.empty();
+    }
+
     @Override
     public String toString() {
         return value;
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/route/Route.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/route/Route.java
@@ -20,6 +20,7 @@
  * @param streaming Whether answers are streams of events.
  * @param resumable Whether a stream that broke can be resumed at another endpoint.
  * @param batch What holds for batch jobs, if the route takes them.
+ * @param anonymous Whether requests need no API key where the site has accounts.
  */
 public record Route(
         String name,
@@ -33,7 +34,8 @@
         int priority,
         boolean streaming,
         boolean resumable,
-        Optional<BatchTerms> batch) {
+        Optional<BatchTerms> batch,
+        boolean anonymous) {
 
     /** Copies the pools. */
     public Route {
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/route/RouteConfiguration.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/route/RouteConfiguration.java
@@ -1,5 +1,8 @@
 package io.yuccaswitch.core.route;
 
+import io.yuccaswitch.core.account.AccountDirectory;
+import io.yuccaswitch.core.account.ClientAccount;
+import io.yuccaswitch.core.account.Credential;
 import io.yuccaswitch.core.identity.PoolName;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -26,8 +29,11 @@
     /** What callers may send. */
     private final CallerLimits limits;
 
+    /** The client accounts. */
+    private final AccountDirectory accounts;
+
     /**
-     * Creates a configuration.
+     * Creates the configuration of a site without accounts.
      *
      * @param version The version.
      * @param routes The routes.
@@ -36,9 +42,28 @@
      */
     public RouteConfiguration(
             long version, List<Route> routes, Map<PoolName, Set<String>> models, CallerLimits limits) {
+        this(version, routes, models, limits, AccountDirectory.NONE);
+    }
+
+    /**
+     * Creates a configuration.
+     *
+     * @param version The version.
+     * @param routes The routes.
+     * @param models The models that each pool of engines serves.
+     * @param limits What callers may send.
+     * @param accounts The client accounts.
+     */
+    public RouteConfiguration(
+            long version,
+            List<Route> routes,
+            Map<PoolName, Set<String>> models,
+            CallerLimits limits,
+            AccountDirectory accounts) {
         this.version = version;
         this.models = Map.copyOf(models);
         this.limits = limits;
+        this.accounts = accounts;
         routes.forEach(route ->
                 byHost.computeIfAbsent(route.host(), _host -> new ArrayList<>()).add(route));
         byHost.values()
@@ -74,6 +99,31 @@
         return models;
     }
 
+    /**
+     * Finds out whose a request on a route is.
+     *
+     * @param credential What the request presents.
+     * @param route The route.
+     * @return Whose it is, or empty if it is to be turned away.
+     */
+    public Optional<ClientAccount> authenticate(Credential credential, Route route) {
+        return accounts.authenticate(credential, route.anonymous());
+    }
+
+    /**
+     * Finds out whose a call about a batch job is. Such a call names no route: it may come without a key if a route for
+     * batch jobs of its host takes jobs without one, and then it reaches just jobs that belong to no account.
+     *
+     * @param credential What the call presents.
+     * @param host The host, with or without a port.
+     * @return Whose it is, or empty if it is to be turned away.
+     */
+    public Optional<ClientAccount> authenticateBatchCall(Credential credential, String host) {
+        boolean open = byHost.getOrDefault(nameOf(host), List.of()).stream()
+                .anyMatch(route -> route.anonymous() && route.kind() == RequestKind.BATCH);
+        return accounts.authenticate(credential, open);
+    }
+
     /**
      * Finds the route of a request, which is the one with the longest path that begins the request's path.
      *
@@ -82,13 +132,22 @@
      * @return The route, or empty if there is none.
      */
     public Optional<Route> find(String host, String path) {
-        int colon = host.indexOf(':');
-        String name = (colon < 0 ? host : host.substring(0, colon)).toLowerCase(Locale.ROOT);
-        return byHost.getOrDefault(name, List.of()).stream()
+        return byHost.getOrDefault(nameOf(host), List.of()).stream()
                 .filter(route -> path.startsWith(route.pathPrefix()))
                 .findFirst();
     }
 
+    /**
+     * Returns the name of a host.
+     *
+     * @param host The host, with or without a port.
+     * @return The name in lower case.
+     */
+    private static String nameOf(String host) {
+        int colon = host.indexOf(':');
+        return (colon < 0 ? host : host.substring(0, colon)).toLowerCase(Locale.ROOT);
+    }
+
     /**
      * Returns whether any route of a model's pool demands results from one version alone.
      *
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSite.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSite.java
@@ -271,7 +271,8 @@
                 1,
                 false,
                 true,
-                Optional.of(new Route.BatchTerms(Duration.ofSeconds(7), Duration.ofSeconds(40), singleVersion)));
+                Optional.of(new Route.BatchTerms(Duration.ofSeconds(7), Duration.ofSeconds(40), singleVersion)),
+                false);
         Route scoring = new Route(
                 "scoring",
                 "site.example",
@@ -284,7 +285,8 @@
                 2,
                 false,
                 false,
-                Optional.empty());
+                Optional.empty(),
+                false);
         return Optional.of(new RouteConfiguration(
                 Long.parseLong(object.value().toUtf8()),
                 scoringRoute ? List.of(route, scoring) : List.of(route),
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/proxy/RequestPlanTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/proxy/RequestPlanTest.java
@@ -86,6 +86,7 @@
                 0,
                 false,
                 false,
-                Optional.empty()));
+                Optional.empty(),
+                false));
     }
 }
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/route/RouteConfigurationTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/route/RouteConfigurationTest.java
@@ -80,7 +80,8 @@
                 0,
                 false,
                 false,
-                Optional.empty());
+                Optional.empty(),
+                false);
     }
 
     private static Route withPools(List<Route.PoolShare> pools) {
@@ -97,7 +98,8 @@
                 route.priority(),
                 route.streaming(),
                 route.resumable(),
-                route.batch());
+                route.batch(),
+                false);
     }
 
     private static RouteConfiguration configuration(long version, Route... routes) {
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/entry/CallerAuthentication.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/entry/CallerAuthentication.java
@@ -1,12 +1,14 @@
 package io.yuccaswitch.node.entry;
 
 import io.javalin.http.Context;
+import io.yuccaswitch.core.account.Credential;
+import io.yuccaswitch.core.account.KeyDigest;
 import io.yuccaswitch.core.configuration.CallerSettings;
 import io.yuccaswitch.core.configuration.FleetConfiguration;
 import io.yuccaswitch.core.configuration.PriorityClass;
 import io.yuccaswitch.core.identity.CallerName;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
+import io.yuccaswitch.node.BearerCredential;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.Map;
 import java.util.Optional;
@@ -21,9 +23,6 @@
     private static final AuthenticatedCaller ANONYMOUS =
             new AuthenticatedCaller(new CallerName("anonymous"), PriorityClass.NORMAL);
 
-    /** The prefix of the header that bears a token. */
-    private static final String BEARER = "Bearer ";
-
     /** The status of a request without a known token. */
     private static final int UNAUTHORIZED = 401;
 
@@ -41,11 +40,10 @@
         if (configuration.callers().isEmpty()) {
             return ANONYMOUS;
         }
-        Optional<String> token = Optional.ofNullable(context.header("Authorization"))
-                .filter(header -> header.startsWith(BEARER))
-                .map(header -> header.substring(BEARER.length()));
+        Credential credential =
+                BearerCredential.read(Collections.list(context.req().getHeaders(BearerCredential.HEADER)));
         return configuration.callers().entrySet().stream()
-                .filter(entry -> matches(entry.getValue(), token))
+                .filter(entry -> matches(entry.getValue(), credential))
                 .min(Comparator.comparing(Map.Entry::getKey))
                 .map(entry ->
                         new AuthenticatedCaller(entry.getKey(), entry.getValue().priority()))
@@ -54,18 +52,14 @@
     }
 
     /**
-     * Compares a caller's token with the presented one in a time that does not tell how much of it is right.
+     * Compares a caller's token with the presented one, by their digests.
      *
      * @param caller The caller.
-     * @param token The presented token, or empty.
+     * @param credential What the request presents.
      * @return {@code true} if the token is the caller's, or if neither has one.
      */
-    private static boolean matches(CallerSettings caller, Optional<String> token) {
-        if (caller.token().isEmpty() || token.isEmpty()) {
-            return caller.token().isEmpty() && token.isEmpty();
-        }
-        return MessageDigest.isEqual(
-                caller.token().get().getBytes(StandardCharsets.UTF_8),
-                token.get().getBytes(StandardCharsets.UTF_8));
+    private static boolean matches(CallerSettings caller, Credential credential) {
+        Optional<Credential> expected = caller.token().map(token -> new Credential.Key(KeyDigest.of(token)));
+        return expected.orElseGet(Credential.Absent::new).equals(credential);
     }
 }
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/CallerDialect.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/CallerDialect.java
@@ -1,5 +1,6 @@
 package io.yuccaswitch.node.gateway;
 
+import io.yuccaswitch.core.account.ClientAccount;
 import io.yuccaswitch.core.batch.BatchAnswer;
 import io.yuccaswitch.core.batch.BatchJob;
 import io.yuccaswitch.core.batch.BatchJobId;
@@ -85,15 +86,24 @@
      * What a submission says beside its body.
      *
      * @param id The text of the job's identifier.
+     * @param account Whose the job is.
      * @param host The host.
      * @param path The path.
      * @param submittedAt When it arrived, in milliseconds since the epoch.
      */
-    record Envelope(String id, String host, String path, long submittedAt) {}
+    record Envelope(String id, ClientAccount account, String host, String path, long submittedAt) {}
 
     /** A call about a batch job that is accepted. */
     sealed interface BatchCall {
 
+        /**
+         * Returns the call with the job that an account means by it.
+         *
+         * @param account Whose the call is.
+         * @return The call.
+         */
+        BatchCall ownedBy(ClientAccount account);
+
         /**
          * Reads results.
          *
@@ -101,7 +111,13 @@
          * @param position The position of the first result.
          * @param waitTime How long the answer may wait for a result.
          */
-        record ReadResults(BatchJobId id, int position, Duration waitTime) implements BatchCall {}
+        record ReadResults(BatchJobId id, int position, Duration waitTime) implements BatchCall {
+
+            @Override
+            public BatchCall ownedBy(ClientAccount account) {
+                return new ReadResults(id.ownedBy(account), position, waitTime);
+            }
+        }
 
         /**
          * Reads the body of an item.
@@ -109,13 +125,25 @@
          * @param id The job.
          * @param item The item.
          */
-        record ReadBody(BatchJobId id, String item) implements BatchCall {}
+        record ReadBody(BatchJobId id, String item) implements BatchCall {
+
+            @Override
+            public BatchCall ownedBy(ClientAccount account) {
+                return new ReadBody(id.ownedBy(account), item);
+            }
+        }
 
         /**
          * Ends a job.
          *
          * @param id The job.
          */
-        record End(BatchJobId id) implements BatchCall {}
+        record End(BatchJobId id) implements BatchCall {
+
+            @Override
+            public BatchCall ownedBy(ClientAccount account) {
+                return new End(id.ownedBy(account));
+            }
+        }
     }
 }
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointAttempts.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointAttempts.java
@@ -97,6 +97,7 @@
         for (Map.Entry<String, String> header : request.headers()) {
             builder.addHeader(header.getKey(), header.getValue());
         }
+        request.account().ifPresent(account -> dialect.identify(builder, account));
         dialect.address(builder, endpoint.name(), times.whole());
         lastEventId.ifPresent(id -> dialect.resume(builder, id));
         Call call = http.call(builder, transmission, times.whole(), connection);
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointDialect.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointDialect.java
@@ -1,5 +1,6 @@
 package io.yuccaswitch.node.gateway;
 
+import io.yuccaswitch.core.account.AccountName;
 import io.yuccaswitch.core.identity.EndpointName;
 import io.yuccaswitch.core.modelversion.EngineReport;
 import io.yuccaswitch.core.modelversion.OrderEffect;
@@ -30,6 +31,23 @@
      */
     boolean passesOn(String name);
 
+    /**
+     * Returns whether a caller's header presents a key or names an account. At a site with accounts the node removes
+     * it.
+     *
+     * @param name The header's name.
+     * @return {@code true} if it does.
+     */
+    boolean concernsAccount(String name);
+
+    /**
+     * Tells the endpoint whose a request is.
+     *
+     * @param request The request.
+     * @param account The account.
+     */
+    void identify(Request.Builder request, AccountName account);
+
     /**
      * Addresses a request to one start of an endpoint, which others must refuse.
      *
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
@@ -166,6 +166,7 @@
                 settings,
                 dialects,
                 view,
+                new AccountCheck(metrics),
                 new PlainRequestHandler(view, attempts, dialects.endpoints(), selection, gate, metrics),
                 new BatchHandler(replies, dialects.callers(), metrics),
                 new MetricsText(metrics),
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayServer.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayServer.java
@@ -4,6 +4,7 @@
 import io.javalin.config.JavalinConfig;
 import io.javalin.config.RoutesConfig;
 import io.javalin.http.Context;
+import io.yuccaswitch.core.account.ClientAccount;
 import io.yuccaswitch.core.batch.BatchJob;
 import io.yuccaswitch.core.route.RequestKind;
 import io.yuccaswitch.core.route.Route;
@@ -89,6 +90,9 @@
     /** What the core knows. */
     private final GatewayView view;
 
+    /** Finds out whose requests are. */
+    private final AccountCheck accounts;
+
     /** Serves plain requests. */
     private final PlainRequestHandler plain;
 
@@ -119,6 +123,7 @@
      * @param settings The settings.
      * @param dialects How others speak.
      * @param view What the core knows.
+     * @param accounts Finds out whose requests are.
      * @param plain Serves plain requests.
      * @param batches Serves calls about batch jobs.
      * @param metrics Writes the metrics.
@@ -128,6 +133,7 @@
             GatewaySettings settings,
             GatewayDialects dialects,
             GatewayView view,
+            AccountCheck accounts,
             PlainRequestHandler plain,
             BatchHandler batches,
             MetricsText metrics,
@@ -136,6 +142,7 @@
         callers = dialects.callers();
         endpoints = dialects.endpoints();
         this.view = view;
+        this.accounts = accounts;
         this.plain = plain;
         this.batches = batches;
         this.metrics = metrics;
@@ -347,8 +354,10 @@
         Optional<CallerDialect.BatchCall> call =
                 callers.batchCall(context.req().getMethod(), path, context::queryParam, context::header);
         if (call.isPresent()) {
-            batches.serve(context, caller, call.get(), inProgress::decrementAndGet);
-            return true;
+            Optional<ClientAccount> account = accounts.admitBatchCall(context, caller, routes.get());
+            account.ifPresent(
+                    owner -> batches.serve(context, caller, call.get().ownedBy(owner), inProgress::decrementAndGet));
+            return account.isPresent();
         }
         String host = Optional.ofNullable(context.header("Host")).orElse("");
         Optional<Route> route = routes.get().find(host, path);
@@ -359,11 +368,15 @@
             caller.answerText(NOT_FOUND, "no route", Optional.empty());
             return false;
         }
+        Optional<ClientAccount> account = accounts.admit(context, caller, routes.get(), route.get());
+        if (account.isEmpty()) {
+            return false;
+        }
         if (route.get().kind() == RequestKind.BATCH) {
-            submit(context, caller, host, path, body.get());
+            submit(context, caller, account.get(), path, body.get());
             return true;
         }
-        PlainRequest request = plainRequest(context, route.get(), body.get(), arrived);
+        PlainRequest request = plainRequest(context, route.get(), account.get(), body.get(), arrived);
         try (DisconnectWatch.Watched watched = disconnects.watch(connection)) {
             plain.serve(request, caller, watched);
         }
@@ -375,15 +388,16 @@
      *
      * @param context The request.
      * @param caller Writes the answer.
-     * @param host The host.
+     * @param account Whose the job is.
      * @param path The path.
      * @param body The body.
      */
-    private void submit(Context context, CallerResponse caller, String host, String path, Bytes body) {
+    private void submit(Context context, CallerResponse caller, ClientAccount account, String path, Bytes body) {
+        String host = Optional.ofNullable(context.header("Host")).orElse("");
         String id =
                 Optional.ofNullable(context.header(callers.requestIdHeader())).orElse("");
         BatchJob job = callers.readJob(
-                new CallerDialect.Envelope(id, host, path, System.currentTimeMillis()), body.unsafeArray());
+                new CallerDialect.Envelope(id, account, host, path, System.currentTimeMillis()), body.unsafeArray());
         batches.submit(context, caller, job, inProgress::decrementAndGet);
     }
 
@@ -392,11 +406,13 @@
      *
      * @param context The request.
      * @param route The route.
+     * @param account Whose the request is.
      * @param body The body.
      * @param arrived When the request arrived.
      * @return The request.
      */
-    private PlainRequest plainRequest(Context context, Route route, Bytes body, MonotonicTime arrived) {
+    private PlainRequest plainRequest(
+            Context context, Route route, ClientAccount account, Bytes body, MonotonicTime arrived) {
         Duration told = callers.timeLeft(context::header).orElse(DEFAULT_TIME);
         Duration allowed = told.compareTo(route.timeout()) < 0 ? told : route.timeout();
         String query = context.req().getQueryString();
@@ -405,7 +421,8 @@
                 Optional.ofNullable(context.header(callers.requestIdHeader())).orElse(""),
                 context.req().getMethod(),
                 target,
-                headersOf(context),
+                headersOf(context, account),
+                account.name(),
                 body);
         return new PlainRequest(outgoing, route, arrived.plus(allowed));
     }
@@ -414,12 +431,13 @@
      * Returns the headers that are passed on.
      *
      * @param context The request.
+     * @param account Whose the request is.
      * @return The headers, in order.
      */
-    private List<Map.Entry<String, String>> headersOf(Context context) {
+    private List<Map.Entry<String, String>> headersOf(Context context, ClientAccount account) {
         List<Map.Entry<String, String>> headers = new ArrayList<>();
         for (String name : Collections.list(context.req().getHeaderNames())) {
-            if (endpoints.passesOn(name)) {
+            if (endpoints.passesOn(name) && !(account.isChecked() && endpoints.concernsAccount(name))) {
                 Collections.list(context.req().getHeaders(name)).forEach(value -> headers.add(Map.entry(name, value)));
             }
         }
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ItemRunner.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ItemRunner.java
@@ -125,10 +125,11 @@
         }
         Request.Builder request = new Request.Builder().url(url).post(new OneShotBody("", item.body()));
         item.headers().forEach((name, value) -> {
-            if (dialect.passesOn(name)) {
+            if (dialect.passesOn(name) && !(run.id().isChecked() && dialect.concernsAccount(name))) {
                 request.header(name, value);
             }
         });
+        run.id().account().ifPresent(account -> dialect.identify(request, account));
         request.header("Host", run.host());
         request.header(dialect.requestIdHeader(), item.id());
         dialect.address(request, run.endpoint().name(), run.timeLeft());
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/OutgoingRequest.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/OutgoingRequest.java
@@ -1,8 +1,10 @@
 package io.yuccaswitch.node.gateway;
 
+import io.yuccaswitch.core.account.AccountName;
 import io.yuccaswitch.core.value.Bytes;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * A request as endpoints get it, apart from the headers that address one of them.
@@ -11,9 +13,16 @@
  * @param method The method.
  * @param target The path with the query.
  * @param headers The headers, in order.
+ * @param account The account that endpoints are told, if any.
  * @param body The body.
  */
-record OutgoingRequest(String id, String method, String target, List<Map.Entry<String, String>> headers, Bytes body) {
+record OutgoingRequest(
+        String id,
+        String method,
+        String target,
+        List<Map.Entry<String, String>> headers,
+        Optional<AccountName> account,
+        Bytes body) {
 
     /** Copies the headers. */
     OutgoingRequest {
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/PlainRequest.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/PlainRequest.java
@@ -1,5 +1,6 @@
 package io.yuccaswitch.node.gateway;
 
+import io.yuccaswitch.core.account.AccountName;
 import io.yuccaswitch.core.quarantine.RequestFingerprint;
 import io.yuccaswitch.core.route.Route;
 import io.yuccaswitch.core.time.MonotonicTime;
@@ -25,13 +26,14 @@
 
     /**
      * Computes the fingerprint by which the request is recognised when its caller sends it again. Callers are told
-     * apart by their credentials, as the address of a caller may be new with each connection.
+     * apart by their accounts, or by their credentials where there are none, as the address of a caller may be new with
+     * each connection.
      *
      * @return The fingerprint.
      */
     RequestFingerprint fingerprint() {
         return RequestFingerprint.of(
-                outgoing.header("Authorization"),
+                outgoing.account().map(AccountName::value).orElseGet(() -> outgoing.header("Authorization")),
                 outgoing.header("Host"),
                 outgoing.method(),
                 outgoing.target(),
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ScoringRunner.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ScoringRunner.java
@@ -109,7 +109,7 @@
         ScoringRequest request = score.request();
         List<Map.Entry<String, String>> headers =
                 List.of(Map.entry("Host", request.host()), Map.entry(dialect.requestIdHeader(), request.id()));
-        return new OutgoingRequest(request.id(), METHOD, request.path(), headers, request.body());
+        return new OutgoingRequest(request.id(), METHOD, request.path(), headers, Optional.empty(), request.body());
     }
 
     /**
--- /dev/null
+++ b/yuccaswitch-node/src/test/java/io/yuccaswitch/node/BearerCredentialTest.java
@@ -0,0 +1,37 @@
+package io.yuccaswitch.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.yuccaswitch.core.account.Credential;
+import io.yuccaswitch.core.account.KeyDigest;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What a request presents. */
+final class BearerCredentialTest {
+
+    @Test
+    void theSchemeIsReadInAnyCaseAndSpacing() {
+        Credential expected = new Credential.Key(KeyDigest.of("secret"));
+        assertThat(BearerCredential.read(List.of("Bearer secret"))).isEqualTo(expected);
+        assertThat(BearerCredential.read(List.of("bEARER   secret"))).isEqualTo(expected);
+        assertThat(BearerCredential.read(List.of("  Bearer secret  "))).isEqualTo(expected);
+    }
+
+    @Test
+    void whatIsNotOneKeyIsNone() {
+        Credential unreadable = new Credential.Unreadable();
+        assertThat(BearerCredential.read(List.of("Bearer secret", "Bearer other")))
+                .isEqualTo(unreadable);
+        assertThat(BearerCredential.read(List.of("Basic secret"))).isEqualTo(unreadable);
+        assertThat(BearerCredential.read(List.of("Bearer "))).isEqualTo(unreadable);
+        assertThat(BearerCredential.read(List.of(""))).isEqualTo(unreadable);
+        assertThat(BearerCredential.read(List.of())).isEqualTo(new Credential.Absent());
+    }
+
+    @Test
+    void aKeyOfThirtyTwoKilobytesIsAKeyLikeAnother() {
+        String key = "k".repeat(32 * 1024);
+        assertThat(BearerCredential.read(List.of("Bearer " + key))).isEqualTo(new Credential.Key(KeyDigest.of(key)));
+    }
+}
--- a/yuccaswitch-soak/src/test/java/io/yuccaswitch/soak/SoakChecksTest.java
+++ b/yuccaswitch-soak/src/test/java/io/yuccaswitch/soak/SoakChecksTest.java
@@ -138,11 +138,11 @@
     }
 
     private static Seen scoring(String item, long nanoseconds) {
-        return new Seen("s-" + item, "/plain/score/x", "100", null, 1, nanoseconds);
+        return new Seen("s-" + item, "/plain/score/x", "100", null, 1, nanoseconds, List.of(), List.of());
     }
 
     private static Seen run(String id, long version) {
-        return new Seen(id, "/x", "100", null, version, 0);
+        return new Seen(id, "/x", "100", null, version, 0, List.of(), List.of());
     }
 
     private static Ordered order(long millis, String holder, long fence) {
