Give the lease of the orders a home of its own, for all duties that one node has at a time

Cause: a second and third duty (usage by account, the number of endpoints) need what the lease of the orders has: fencing, succession, renewal through others.

Change: core.duty holds the lease, in parts: the lease itself, the permission to act (which goes on to pass while the machine is suspended), what was observed, the relay. VersionSystems takes it. No change of behaviour; the object on the platform keeps its name, so that releases can run side by side.

Run: VersionSystemsTest, with the suspension and succession cases, green before and after.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/OrderLease.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/duty/DutyLease.java
@@ -1,4 +1,4 @@
-package io.yuccaswitch.core.modelversion;
+package io.yuccaswitch.core.duty;
 
 import io.yuccaswitch.core.decision.Decision;
 import io.yuccaswitch.core.decision.DecisionSystem;
@@ -25,18 +25,16 @@
 import java.util.OptionalLong;
 
 /**
- * The lease of the node that gives orders to engines. Engines don't check fencing numbers, so a permission to give
- * orders ends a short time after the sending of the last renewal that the platform granted, and a successor lets the
- * former holder's last permission and a further safety time pass. While the platform is away nobody gives orders.
+ * The lease of the node that has the duties: orders to endpoints, and calls to the cloud. Nobody there needs to check
+ * fencing numbers: a permission to act ends a short time after the sending of the last renewal that the platform
+ * granted, and a successor lets the former holder's last permission and a further safety time pass. While the platform
+ * is away nobody acts.
  */
-final class OrderLease implements DecisionSystem {
+public final class DutyLease implements DecisionSystem {
 
     /** The key of the lease's object. */
     static final ObjectKey KEY = new ObjectKey("order-lease", "engines");
 
-    /** How long orders are permitted after the sending of a renewal: some renewals may fail, few do. */
-    private static final Duration PERMISSION = Duration.ofMillis(1500);
-
     /** The interval of renewals. */
     private static final Duration RENEWAL_INTERVAL = Duration.ofMillis(700);
 
@@ -44,7 +42,7 @@
     private static final Duration FOLLOWER_INTERVAL = Duration.ofSeconds(1);
 
     /** What the successor waits beyond all else, for timers that fire late. */
-    private static final Duration MARGIN = Duration.ofMillis(300);
+    static final Duration MARGIN = Duration.ofMillis(300);
 
     /** The first wait after a failed call. */
     private static final Duration FIRST_BACK_OFF = Duration.ofMillis(150);
@@ -76,30 +74,24 @@
     /** Whether the platform did not answer this node's last call on the lease. */
     private boolean cutOff;
 
-    /** The least time between orders of two holders. */
+    /** The least time between calls of two holders. */
     private final Duration safetyTime;
 
     /** When the next call may be made. */
     private final CallBackOff backOff = new CallBackOff(FIRST_BACK_OFF, LONGEST_BACK_OFF);
 
     /** The lease as it was last seen. */
-    private Optional<Observation> observed = Optional.empty();
+    private Optional<LeaseObservation> observed = Optional.empty();
 
     /** Whether this node holds the lease. */
     private boolean held;
 
-    /** Until when this node may give orders. */
-    private MonotonicTime permittedUntil = new MonotonicTime(Long.MIN_VALUE);
+    /** Until when this node may act. */
+    private final DutyPermission permission = new DutyPermission();
 
     /** When the renewal that another node was asked for was sent. */
     private MonotonicTime relayedAt = new MonotonicTime(Long.MIN_VALUE / 2);
 
-    /** For how long the machine was suspended in all. A permission goes on to pass meanwhile. */
-    private Duration suspended = Duration.ZERO;
-
-    /** When this node last gave an order, if it ever did. */
-    private Optional<MonotonicTime> orderedAt = Optional.empty();
-
     /** Whether a call waits for its answer. */
     private boolean calling;
 
@@ -114,9 +106,9 @@
      *
      * @param membership The nodes of the site.
      * @param tokens Hands out the tokens of calls.
-     * @param safetyTime The least time between orders of two holders.
+     * @param safetyTime The least time between calls of two holders.
      */
-    OrderLease(MembershipView membership, PlatformTokens tokens, Duration safetyTime) {
+    public DutyLease(MembershipView membership, PlatformTokens tokens, Duration safetyTime) {
         this.membership = membership;
         this.safetyTime = safetyTime;
         ranking = new MemberRanking(KEY.name(), membership);
@@ -145,28 +137,28 @@
     }
 
     /**
-     * Returns whether this node holds the lease, such that it should know what orders need.
+     * Returns whether this node holds the lease, such that it should know what its duties need.
      *
-     * @return {@code true} if it does. Orders need a permission beside.
+     * @return {@code true} if it does. Acting needs a permission beside.
      */
-    boolean isHeld() {
+    public boolean isHeld() {
         return held;
     }
 
     /**
-     * Returns the fencing number under which orders may be given now.
+     * Returns the fencing number under which the holder may act now.
      *
-     * @return The number, or empty if no order may be given.
+     * @return The number, or empty if nothing may be sent.
      */
-    OptionalLong permission() {
-        return held && awake(now).isBefore(permittedUntil)
+    public OptionalLong permission() {
+        return held && permission.isValid(now)
                 ? OptionalLong.of(observed.orElseThrow().value().fence())
                 : OptionalLong.empty();
     }
 
-    /** Notes that an order is given, or may be on its way still. */
-    void noteOrder() {
-        orderedAt = Optional.of(now);
+    /** Notes that the holder acts on a duty, or that what it sent may be on its way still. */
+    public void noteAction() {
+        permission.noteAction(now);
     }
 
     /**
@@ -174,33 +166,33 @@
      *
      * @return {@code true} if renewals go through other nodes.
      */
-    boolean isRelaying() {
+    public boolean isRelaying() {
         return held && cutOff;
     }
 
     /**
-     * Returns this node's name, which orders bear.
+     * Returns this node's name, which calls on duties bear.
      *
      * @return The name.
      */
-    NodeName holderName() {
+    public NodeName holderName() {
         return membership.self().identity().name();
     }
 
     /**
      * Takes that the machine was suspended. The permission has gone on to pass meanwhile and another node may hold the
-     * lease: without this, a holder that was suspended for 5 s went on to give orders for up to 1.5 s beside its
-     * successor. What others hold is not taken to have ended, as the time of day may just have been set.
+     * lease: without this, a holder that was suspended for 5 s went on to act for up to 1.5 s beside its successor.
+     * What others hold is not taken to have ended, as the time of day may just have been set.
      *
      * @param tick The tick.
      */
     private void takeSuspensions(Tick tick) {
         for (Suspended event : tick.events(Suspended.class)) {
-            suspended = suspended.plus(event.gap());
+            permission.suspend(event.gap());
             backOff.succeeded(tick.now(), Duration.ZERO);
             if (held) {
                 tick.decide(Decision.of(
-                        "order-lease",
+                        "duty-lease",
                         holderName().value(),
                         "in doubt",
                         "suspended for " + event.gap().toMillis() + " ms"));
@@ -208,16 +200,6 @@
         }
     }
 
-    /**
-     * Returns a time with that for which the machine was suspended.
-     *
-     * @param time The monotonic time.
-     * @return The time by which permissions pass.
-     */
-    private MonotonicTime awake(MonotonicTime time) {
-        return time.plus(suspended);
-    }
-
     /**
      * Returns whether this node stands by to take the lease. Each node looks once when it starts, as it may have held
      * the lease in an earlier life.
@@ -275,7 +257,7 @@
         boolean newer = observed.isEmpty() || observed.get().version() < object.version();
         Optional<LeaseValue> value = LeaseValue.decode(object.value());
         if (newer && value.isPresent()) {
-            observed = Optional.of(new Observation(value.get(), object.version(), tick.now()));
+            observed = Optional.of(new LeaseObservation(value.get(), object.version(), tick.now()));
         }
     }
 
@@ -296,7 +278,7 @@
      * @param expected The version that the lease must have, or empty if there must be none.
      */
     private void write(Tick tick, LeaseValue value, OptionalLong expected) {
-        MonotonicTime sentAt = awake(tick.now());
+        MonotonicTime sentAt = permission.awake(tick.now());
         calling = true;
         calls.call(
                 tick,
@@ -305,7 +287,7 @@
                     calling = false;
                     cutOff &= event instanceof PlatformEvent.Unavailable;
                     if (event instanceof PlatformEvent.Accepted accepted) {
-                        grant(later, new Observation(value, accepted.version(), later.now()), sentAt);
+                        grant(later, new LeaseObservation(value, accepted.version(), later.now()), sentAt);
                     } else if (event instanceof PlatformEvent.Conflict conflict) {
                         contest(later, conflict.current());
                     } else {
@@ -326,7 +308,7 @@
                 .isPresent();
         if (relays && relay.ask(tick, observed.orElseThrow().version(), renewed)) {
             calling = true;
-            relayedAt = awake(tick.now());
+            relayedAt = permission.awake(tick.now());
             return;
         }
         relayingSince = Optional.empty();
@@ -349,9 +331,9 @@
             backOff.failed(tick);
             return;
         }
-        OrderMessage.LeaseAnswered answer = outcome.answer().get();
+        DutyMessage.LeaseAnswered answer = outcome.answer().get();
         if (answer.granted()) {
-            grant(tick, new Observation(outcome.value(), answer.version(), tick.now()), relayedAt);
+            grant(tick, new LeaseObservation(outcome.value(), answer.version(), tick.now()), relayedAt);
         } else {
             contest(tick, Optional.of(new StoredObject(KEY, answer.version(), answer.value(), false)));
         }
@@ -378,17 +360,17 @@
      * @param granted The lease as it is.
      * @param sentAt When the renewal was sent, with the time for which the machine was suspended before.
      */
-    private void grant(Tick tick, Observation granted, MonotonicTime sentAt) {
+    private void grant(Tick tick, LeaseObservation granted, MonotonicTime sentAt) {
         observed = Optional.of(granted);
         if (!held) {
             tick.decide(Decision.of(
-                    "order-lease",
+                    "duty-lease",
                     holderName().value(),
                     "held",
                     "fence " + granted.value().fence() + " version " + granted.version()));
         }
         held = true;
-        permittedUntil = sentAt.plus(PERMISSION);
+        permission.extend(sentAt);
         backOff.succeeded(tick.now(), RENEWAL_INTERVAL);
     }
 
@@ -408,10 +390,10 @@
         boolean own = held
                 && value.get().holder().equals(holderName())
                 && value.get().fence() == observed.orElseThrow().value().fence();
-        observed = Optional.of(new Observation(value.get(), current.get().version(), tick.now()));
+        observed = Optional.of(new LeaseObservation(value.get(), current.get().version(), tick.now()));
         if (held && !own) {
             tick.decide(Decision.of(
-                    "order-lease",
+                    "duty-lease",
                     holderName().value(),
                     "lost",
                     "taken by " + value.get().holder() + " with fence "
@@ -422,15 +404,15 @@
 
     /**
      * Gives the lease back, such that a successor need not wait for permissions, nor for longer than the safety time
-     * after the last order. All nodes are stopped in turn at times, and with the whole safety time at each of them no
+     * after the last call. All nodes are stopped in turn at times, and with the whole safety time at each of them no
      * version was loaded for 8 s.
      *
      * @param tick The tick.
      */
     private void giveBack(Tick tick) {
-        permittedUntil = new MonotonicTime(Long.MIN_VALUE);
+        permission.end();
         OptionalLong expected = version();
-        Duration quiet = orderedAt.map(now::since).orElseGet(() -> safetyTime.plus(MARGIN));
+        Duration quiet = permission.quiet(now).orElseGet(() -> safetyTime.plus(MARGIN));
         LeaseValue value = observed.orElseThrow().value().givenBack(quiet);
         held = false;
         calls.call(
@@ -438,13 +420,13 @@
                 token -> new PlatformEffect.Write(token, PlatformPurpose.LEASE, KEY, expected, value.encode()),
                 (later, event) -> {
                     if (event instanceof PlatformEvent.Accepted accepted) {
-                        tellFollowers(later, new OrderMessage.LeaseGivenBack(accepted.version(), value.encode()));
+                        tellFollowers(later, new DutyMessage.LeaseGivenBack(accepted.version(), value.encode()));
                     }
                     later.decide(Decision.of(
-                            "order-lease",
+                            "duty-lease",
                             holderName().value(),
                             "given back",
-                            event.getClass().getSimpleName() + ", no order for " + quiet.toMillis() + " ms"));
+                            event.getClass().getSimpleName() + ", nothing sent for " + quiet.toMillis() + " ms"));
                 });
     }
 
@@ -454,7 +436,7 @@
      * @param tick The tick.
      * @param message What to tell.
      */
-    private void tellFollowers(Tick tick, OrderMessage.LeaseGivenBack message) {
+    private void tellFollowers(Tick tick, DutyMessage.LeaseGivenBack message) {
         Member self = membership.self();
         ranking.members().stream()
                 .filter(member -> !member.equals(self))
@@ -470,37 +452,10 @@
      */
     private void takeGivenBack(Tick tick) {
         for (PeerEvent.Received received : tick.events(PeerEvent.Received.class)) {
-            if (received.message() instanceof OrderMessage.LeaseGivenBack given) {
+            if (received.message() instanceof DutyMessage.LeaseGivenBack given) {
                 observe(tick, new StoredObject(KEY, given.version(), given.value(), false));
                 backOff.succeeded(tick.now(), Duration.ZERO);
             }
         }
     }
-
-    /**
-     * The lease as it was seen.
-     *
-     * @param value What it said.
-     * @param version The version of its object.
-     * @param at When this version was first seen.
-     */
-    private record Observation(LeaseValue value, long version, MonotonicTime at) {
-
-        /**
-         * Returns whether the lease may be taken.
-         *
-         * @param now The present.
-         * @param self The node that would take it.
-         * @param safetyTime The least time between orders of two holders.
-         * @return {@code true} if its holder is past all permissions, or is this VM's earlier process.
-         */
-        boolean isFree(MonotonicTime now, NodeName self, Duration safetyTime) {
-            if (value.holder().equals(self)) {
-                return true;
-            }
-            Duration lastPermission = value.released() ? Duration.ZERO : PERMISSION;
-            Duration quiet = now.since(at).plusMillis(value.quietMillis());
-            return quiet.compareTo(lastPermission.plus(safetyTime).plus(MARGIN)) >= 0;
-        }
-    }
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/LeaseRelay.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/duty/LeaseRelay.java
@@ -1,4 +1,4 @@
-package io.yuccaswitch.core.modelversion;
+package io.yuccaswitch.core.duty;
 
 import io.yuccaswitch.core.decision.Tick;
 import io.yuccaswitch.core.identity.NodeName;
@@ -55,7 +55,7 @@
         lastTicket++;
         request = Optional.of(new Request(lastTicket, value, tick.now()));
         Bytes encoded = value.encode();
-        tick.emit(new PeerEffect.Send(other.get(), new OrderMessage.RenewLease(lastTicket, expectedVersion, encoded)));
+        tick.emit(new PeerEffect.Send(other.get(), new DutyMessage.RenewLease(lastTicket, expectedVersion, encoded)));
         return true;
     }
 
@@ -71,7 +71,7 @@
         }
         Request asked = request.get();
         for (PeerEvent.Received received : tick.events(PeerEvent.Received.class)) {
-            if (received.message() instanceof OrderMessage.LeaseAnswered answered
+            if (received.message() instanceof DutyMessage.LeaseAnswered answered
                     && answered.ticket() == asked.ticket()) {
                 request = Optional.empty();
                 return Optional.of(new Outcome(asked.value(), asked.sentAt(), Optional.of(answered)));
@@ -100,5 +100,5 @@
      * @param sentAt When the request was sent, before which nothing of it reached the platform.
      * @param answer What the platform answered, or empty if nothing is known.
      */
-    record Outcome(LeaseValue value, MonotonicTime sentAt, Optional<OrderMessage.LeaseAnswered> answer) {}
+    record Outcome(LeaseValue value, MonotonicTime sentAt, Optional<DutyMessage.LeaseAnswered> answer) {}
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/LeaseValue.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/duty/LeaseValue.java
@@ -1,4 +1,4 @@
-package io.yuccaswitch.core.modelversion;
+package io.yuccaswitch.core.duty;
 
 import io.yuccaswitch.core.identity.NodeName;
 import io.yuccaswitch.core.value.Bytes;
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/NamedVersionSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/NamedVersionSystem.java
@@ -3,6 +3,7 @@
 import io.yuccaswitch.core.decision.Decision;
 import io.yuccaswitch.core.decision.DecisionSystem;
 import io.yuccaswitch.core.decision.Tick;
+import io.yuccaswitch.core.duty.DutyLease;
 import io.yuccaswitch.core.membership.MembershipView;
 import io.yuccaswitch.core.membership.RandomPeer;
 import io.yuccaswitch.core.peer.PeerEffect;
@@ -38,7 +39,7 @@
     private final Function<StoredObject, Optional<NamedVersion>> decoder;
 
     /** Whether this node gives orders. */
-    private final OrderLease lease;
+    private final DutyLease lease;
 
     /** The nodes of the site. */
     private final MembershipView membership;
@@ -66,7 +67,7 @@
     NamedVersionSystem(
             PlatformTokens tokens,
             Function<StoredObject, Optional<NamedVersion>> decoder,
-            OrderLease lease,
+            DutyLease lease,
             MembershipView membership) {
         watch = new KindWatch(VersionSystems.KIND, PlatformPurpose.WEIGHT, tokens, GATHERING, WAIT_TIME);
         this.decoder = decoder;
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/VersionOrderSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/VersionOrderSystem.java
@@ -4,6 +4,7 @@
 import io.yuccaswitch.core.decision.DecisionSystem;
 import io.yuccaswitch.core.decision.EntityTable;
 import io.yuccaswitch.core.decision.Tick;
+import io.yuccaswitch.core.duty.DutyLease;
 import io.yuccaswitch.core.identity.EndpointName;
 import io.yuccaswitch.core.identity.PoolName;
 import io.yuccaswitch.core.registry.EndpointRegistrySystem;
@@ -59,7 +60,7 @@
     private static final Duration FAILURE_PAUSE = Duration.ofSeconds(1);
 
     /** The lease. */
-    private final OrderLease lease;
+    private final DutyLease lease;
 
     /** The versions that trainers named. */
     private final NamedVersionSystem versions;
@@ -85,7 +86,7 @@
      * @param routes The configuration of routes.
      */
     VersionOrderSystem(
-            OrderLease lease,
+            DutyLease lease,
             NamedVersionSystem versions,
             EndpointRegistrySystem registry,
             RouteConfigurationSystem routes) {
@@ -314,7 +315,7 @@
                         !configuration.demandsSingleVersion(row.engine().pool()))
                 .isPresent();
         rows.put(row.engine().name(), row.withStage(EngineOrderRow.Stage.ORDERING, tick.now(), ORDER_TIME));
-        lease.noteOrder();
+        lease.noteAction();
         tick.emit(new OrderEffect.LoadVersion(
                 row.engine(), row.model(), row.version(), retains, lease.holderName(), fence.getAsLong(), sequence));
         tick.decide(Decision.of(
@@ -331,7 +332,7 @@
      * @param ordered The answer.
      */
     private void takeAnswer(Tick tick, OrderEvent.Ordered ordered) {
-        lease.noteOrder();
+        lease.noteAction();
         Optional<EngineOrderRow> row =
                 rows.find(ordered.engine()).filter(found -> found.stage() == EngineOrderRow.Stage.ORDERING);
         if (row.isEmpty()) {
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/VersionSystems.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/VersionSystems.java
@@ -2,25 +2,22 @@
 
 import io.yuccaswitch.core.decision.DecisionSystem;
 import io.yuccaswitch.core.decision.Tick;
+import io.yuccaswitch.core.duty.DutyLease;
 import io.yuccaswitch.core.membership.MembershipView;
 import io.yuccaswitch.core.platform.PlatformTokens;
 import io.yuccaswitch.core.platform.StoredObject;
 import io.yuccaswitch.core.registry.EndpointRegistrySystem;
 import io.yuccaswitch.core.route.RouteConfigurationSystem;
-import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
 
-/** Brings engines to the versions that trainers name: the lease, the versions, and the orders. */
+/** Brings engines to the versions that trainers name: the versions, and the orders of the node that has the duty. */
 public final class VersionSystems implements DecisionSystem {
 
     /** The kind of the objects in which trainers name versions. */
     public static final String KIND = "model-version";
 
-    /** The lease. */
-    private final OrderLease lease;
-
     /** The parts, in the order in which they run. */
     private final List<DecisionSystem> parts;
 
@@ -32,7 +29,7 @@
      * @param routes The configuration of routes.
      * @param tokens Hands out the tokens of calls.
      * @param decoder Reads a version, or returns empty where it can't be read.
-     * @param safetyTime The least time between orders of two holders.
+     * @param lease The lease of the node that gives the orders.
      */
     public VersionSystems(
             MembershipView membership,
@@ -40,27 +37,16 @@
             RouteConfigurationSystem routes,
             PlatformTokens tokens,
             Function<StoredObject, Optional<NamedVersion>> decoder,
-            Duration safetyTime) {
-        lease = new OrderLease(membership, tokens, safetyTime);
+            DutyLease lease) {
         NamedVersionSystem versions = new NamedVersionSystem(tokens, decoder, lease, membership);
         parts = List.of(
-                lease,
                 versions,
                 new VersionOrderSystem(lease, versions, registry, routes),
-                new OrderRelaySystem(tokens, decoder));
+                new VersionRelaySystem(tokens, decoder));
     }
 
     @Override
     public void run(Tick tick) {
         parts.forEach(part -> part.run(tick));
     }
-
-    /**
-     * Returns whether this node holds the lease.
-     *
-     * @return {@code true} if it gives the orders.
-     */
-    public boolean givesOrders() {
-        return lease.isHeld();
-    }
 }
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/modelversion/VersionSystemsTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/modelversion/VersionSystemsTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.yuccaswitch.core.duty.DutyLease;
+import io.yuccaswitch.core.duty.LeaseRelaySystem;
 import io.yuccaswitch.core.identity.AvailabilityZone;
 import io.yuccaswitch.core.identity.EndpointName;
 import io.yuccaswitch.core.identity.PoolName;
@@ -471,10 +473,13 @@
             EndpointRegistrySystem registry = new EndpointRegistrySystem(watches, tokens, this::endpoint);
             RouteConfigurationSystem routes =
                     new RouteConfigurationSystem(watches, tokens, VersionSystemsTest::configuration);
+            DutyLease lease = new DutyLease(self, tokens, SAFETY);
             return List.of(
                     routes,
                     registry,
-                    new VersionSystems(self, registry, routes, tokens, VersionSystemsTest::version, SAFETY));
+                    lease,
+                    new LeaseRelaySystem(tokens),
+                    new VersionSystems(self, registry, routes, tokens, VersionSystemsTest::version, lease));
         });
         nodes.add(node);
         return node;
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayCore.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayCore.java
@@ -6,6 +6,8 @@
 import io.yuccaswitch.core.decision.DecisionSystem;
 import io.yuccaswitch.core.decision.Event;
 import io.yuccaswitch.core.decision.PacedSystem;
+import io.yuccaswitch.core.duty.DutyLease;
+import io.yuccaswitch.core.duty.LeaseRelaySystem;
 import io.yuccaswitch.core.membership.Member;
 import io.yuccaswitch.core.membership.MembershipEvent;
 import io.yuccaswitch.core.membership.MembershipMessage;
@@ -58,8 +60,8 @@
     /** The batch jobs. */
     private final BatchSystem batches;
 
-    /** The orders to engines. */
-    private final VersionSystems versions;
+    /** The lease of the node that has the duties. */
+    private final DutyLease lease;
 
     /** The core. */
     private final DecisionCore core;
@@ -78,8 +80,9 @@
         SharedWatches watches = new SharedWatches(membership);
         registry = new EndpointRegistrySystem(watches, tokens, dialects.endpointEntries());
         RouteConfigurationSystem routes = new RouteConfigurationSystem(watches, tokens, dialects.routeConfigurations());
-        versions = new VersionSystems(
-                membership, registry, routes, tokens, dialects.namedVersions(), settings.orderSafetyTime());
+        lease = new DutyLease(membership, tokens, settings.orderSafetyTime());
+        VersionSystems versions =
+                new VersionSystems(membership, registry, routes, tokens, dialects.namedVersions(), lease);
         quarantine = new QuarantineSystem(membership, tokens, registry, System::currentTimeMillis);
         batches = new BatchSystem(
                 membership,
@@ -93,8 +96,10 @@
         List<DecisionSystem> others = List.of(
                 routes,
                 registry,
+                lease,
+                new LeaseRelaySystem(tokens),
                 versions,
-                new RetirementSystem(tokens, versions::givesOrders),
+                new RetirementSystem(tokens, lease::isHeld),
                 quarantine,
                 batches,
                 view.observer(membership));
@@ -138,7 +143,7 @@
      * @return The longest pause between two ticks.
      */
     Duration pace() {
-        boolean busy = batches.runningJobs() > 0 || versions.givesOrders() || quarantine.isBusy();
+        boolean busy = batches.runningJobs() > 0 || lease.isHeld() || quarantine.isBusy();
         return busy ? DecisionLoop.BUSY_INTERVAL : DecisionLoop.IDLE_INTERVAL;
     }
 
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/peer/PeerMessages.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/peer/PeerMessages.java
@@ -2,6 +2,7 @@
 
 import io.yuccaswitch.core.batch.BatchMessage;
 import io.yuccaswitch.core.configuration.ConfigurationMessage;
+import io.yuccaswitch.core.duty.DutyMessage;
 import io.yuccaswitch.core.endpoint.EndpointMessage;
 import io.yuccaswitch.core.lease.LeaseMessage;
 import io.yuccaswitch.core.membership.MembershipMessage;
@@ -102,11 +103,11 @@
                 .register(PeerMessageRange.WEIGHT, 82, WeightMessage.Exchange.class)
                 .register(PeerMessageRange.WEIGHT, 90, LeaseMessage.Acting.class)
                 .register(PeerMessageRange.WEIGHT, 91, LeaseMessage.Recorded.class)
-                .register(PeerMessageRange.WEIGHT, 92, OrderMessage.RenewLease.class)
-                .register(PeerMessageRange.WEIGHT, 93, OrderMessage.LeaseAnswered.class)
+                .register(PeerMessageRange.WEIGHT, 92, DutyMessage.RenewLease.class)
+                .register(PeerMessageRange.WEIGHT, 93, DutyMessage.LeaseAnswered.class)
                 .register(PeerMessageRange.WEIGHT, 94, OrderMessage.ReadVersions.class)
                 .register(PeerMessageRange.WEIGHT, 95, OrderMessage.VersionsRead.class)
-                .register(PeerMessageRange.WEIGHT, 96, OrderMessage.LeaseGivenBack.class);
+                .register(PeerMessageRange.WEIGHT, 96, DutyMessage.LeaseGivenBack.class);
     }
 
     /**
