--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/duty/DutyLease.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/duty/DutyLease.java
@@ -257,10 +257,33 @@
         boolean newer = observed.isEmpty() || observed.get().version() < object.version();
         Optional<LeaseValue> value = LeaseValue.decode(object.value());
         if (newer && value.isPresent()) {
-            observed = Optional.of(new LeaseObservation(value.get(), object.version(), tick.now()));
+            adopt(tick, value.get(), object.version());
         }
     }
 
+    /**
+     * Takes the lease as it is. A holder that learns of another one in any way holds it no more: one that was suspended
+     * and then told that its successor had given the lease back went on under the successor's fencing number.
+     *
+     * @param tick The tick.
+     * @param value What the lease says.
+     * @param version The version of its object.
+     */
+    private void adopt(Tick tick, LeaseValue value, long version) {
+        boolean own = held
+                && value.holder().equals(holderName())
+                && value.fence() == observed.orElseThrow().value().fence();
+        observed = Optional.of(new LeaseObservation(value, version, tick.now()));
+        if (held && !own) {
+            tick.decide(Decision.of(
+                    "duty-lease",
+                    holderName().value(),
+                    "lost",
+                    "taken by " + value.holder() + " with fence " + value.fence()));
+        }
+        held = own;
+    }
+
     /**
      * Returns the version of the lease as it was last seen.
      *
@@ -384,22 +407,7 @@
     private void contest(Tick tick, Optional<StoredObject> current) {
         Optional<LeaseValue> value = current.flatMap(object -> LeaseValue.decode(object.value()));
         backOff.succeeded(tick.now(), Duration.ZERO);
-        if (value.isEmpty()) {
-            return;
-        }
-        boolean own = held
-                && value.get().holder().equals(holderName())
-                && value.get().fence() == observed.orElseThrow().value().fence();
-        observed = Optional.of(new LeaseObservation(value.get(), current.get().version(), tick.now()));
-        if (held && !own) {
-            tick.decide(Decision.of(
-                    "duty-lease",
-                    holderName().value(),
-                    "lost",
-                    "taken by " + value.get().holder() + " with fence "
-                            + value.get().fence()));
-        }
-        held = own;
+        value.ifPresent(found -> adopt(tick, found, current.get().version()));
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/platform/PlatformPurpose.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/platform/PlatformPurpose.java
@@ -19,5 +19,7 @@
     /** Accepted batch jobs and their results. */
     BATCH,
     /** Requests under which endpoints ended. */
-    QUARANTINE
+    QUARANTINE,
+    /** Reports of how much each client account uses. */
+    USAGE
 }
