Order endpoints for the open items of all jobs, and call the cloud for both duties

Cause: on the shifted deployment the cloud can be asked for endpoints; nothing asked.

Change: core.scaling, under the lease of the duties: a place for each open item, as the index of jobs shows them to every node, spread over availability zones, bounded by what the configuration allows. What is lost is ordered again. The gateway counts requests beside the handler (UsageMeter), on a time of day that passes over steps which are taken back; CloudCaller and platform/CloudCalls speak.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchAdmissionSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchAdmissionSystem.java
@@ -121,7 +121,8 @@
                 job.id(),
                 state.membership().self().identity().name(),
                 false,
-                job.items().size());
+                job.items().size(),
+                job.model());
         create(tick, BatchObjects.index(job.id()), state.codec().writeEntry(entry), (later, event) -> {
             if (event instanceof PlatformEvent.Accepted) {
                 accept(later, submission);
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchIndexEntry.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchIndexEntry.java
@@ -9,8 +9,9 @@
  * @param runner The node that runs it.
  * @param ended Whether its submitter ended it.
  * @param items The number of its items.
+ * @param model The model that makes its outputs, or an empty text in an entry of an earlier release.
  */
-public record BatchIndexEntry(BatchJobId id, NodeName runner, boolean ended, int items) {
+public record BatchIndexEntry(BatchJobId id, NodeName runner, boolean ended, int items, String model) {
 
     /**
      * Returns the entry with another runner.
@@ -19,7 +20,7 @@
      * @return The entry.
      */
     BatchIndexEntry withRunner(NodeName node) {
-        return new BatchIndexEntry(id, node, ended, items);
+        return new BatchIndexEntry(id, node, ended, items, model);
     }
 
     /**
@@ -28,6 +29,6 @@
      * @return The entry.
      */
     BatchIndexEntry withEnd() {
-        return new BatchIndexEntry(id, runner, true, items);
+        return new BatchIndexEntry(id, runner, true, items, model);
     }
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchSystem.java
@@ -13,6 +13,7 @@
 import io.yuccaswitch.core.watch.SharedWatches;
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
 import java.util.function.LongSupplier;
 
 /** Accepts, runs, lists, and ends batch jobs. What has to last lies on the platform; a node keeps none of it. */
@@ -75,6 +76,20 @@
         parts.forEach(part -> part.run(tick));
     }
 
+    /**
+     * Returns the number of items of the site's open jobs, which would run now if there were places for all.
+     *
+     * @param models The models of the jobs that count.
+     * @return The number.
+     */
+    public int openItems(Set<String> models) {
+        return state.index().open().stream()
+                .map(BatchIndex.Row::entry)
+                .filter(entry -> models.contains(entry.model()))
+                .mapToInt(BatchIndexEntry::items)
+                .sum();
+    }
+
     /**
      * Returns the number of jobs that this node runs.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/registry/EndpointRegistrySystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/registry/EndpointRegistrySystem.java
@@ -92,6 +92,15 @@
         return listed;
     }
 
+    /**
+     * Returns whether entries may be missing or out of date.
+     *
+     * @return {@code true} if the platform was out of reach a short time ago.
+     */
+    public boolean isInDoubt() {
+        return inDoubt;
+    }
+
     @Override
     public Optional<RegisteredEndpoint> find(EndpointName name) {
         return entries.find(name.value()).map(Row::endpoint).filter(endpoint -> endpoint.name()
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/route/RouteConfiguration.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/route/RouteConfiguration.java
@@ -4,6 +4,7 @@
 import io.yuccaswitch.core.account.ClientAccount;
 import io.yuccaswitch.core.account.Credential;
 import io.yuccaswitch.core.identity.PoolName;
+import io.yuccaswitch.core.scaling.ScalingTerms;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -32,6 +33,9 @@
     /** The client accounts. */
     private final AccountDirectory accounts;
 
+    /** What the cloud offers for the pools whose endpoints it can be asked for. */
+    private final Map<PoolName, ScalingTerms> scaling;
+
     /**
      * Creates the configuration of a site without accounts.
      *
@@ -42,7 +46,7 @@
      */
     public RouteConfiguration(
             long version, List<Route> routes, Map<PoolName, Set<String>> models, CallerLimits limits) {
-        this(version, routes, models, limits, AccountDirectory.NONE);
+        this(version, routes, models, limits, AccountDirectory.NONE, Map.of());
     }
 
     /**
@@ -53,17 +57,20 @@
      * @param models The models that each pool of engines serves.
      * @param limits What callers may send.
      * @param accounts The client accounts.
+     * @param scaling What the cloud offers for the pools whose endpoints it can be asked for.
      */
     public RouteConfiguration(
             long version,
             List<Route> routes,
             Map<PoolName, Set<String>> models,
             CallerLimits limits,
-            AccountDirectory accounts) {
+            AccountDirectory accounts,
+            Map<PoolName, ScalingTerms> scaling) {
         this.version = version;
         this.models = Map.copyOf(models);
         this.limits = limits;
         this.accounts = accounts;
+        this.scaling = Map.copyOf(scaling);
         routes.forEach(route ->
                 byHost.computeIfAbsent(route.host(), _host -> new ArrayList<>()).add(route));
         byHost.values()
@@ -99,6 +106,15 @@
         return models;
     }
 
+    /**
+     * Returns what the cloud offers.
+     *
+     * @return The terms by pool, for those whose endpoints it can be asked for.
+     */
+    public Map<PoolName, ScalingTerms> scaling() {
+        return scaling;
+    }
+
     /**
      * Finds out whose a request on a route is.
      *
--- /dev/null
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/scaling/ScalingPolicyTest.java
@@ -0,0 +1,40 @@
+package io.yuccaswitch.core.scaling;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.yuccaswitch.core.identity.AvailabilityZone;
+import java.time.Duration;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** How many endpoints there should be. */
+final class ScalingPolicyTest {
+
+    private static final AvailabilityZone NEAR = new AvailabilityZone("near");
+    private static final AvailabilityZone FAR = new AvailabilityZone("far");
+    private static final ScalingTerms TERMS =
+            new ScalingTerms(1, 5, Duration.ofSeconds(4), Map.of(NEAR, 1.0, FAR, 0.5));
+
+    @Test
+    void eachOpenRequestHasAPlaceAndZonesShareThem() {
+        assertThat(new ScalingPolicy.PlaceForEach().desired(input(33, 8))).isEqualTo(Map.of(FAR, 3, NEAR, 2));
+    }
+
+    @Test
+    void noZoneHasMoreOrFewerThanItsBounds() {
+        assertThat(new ScalingPolicy.PlaceForEach().desired(input(1000, 8))).isEqualTo(Map.of(FAR, 5, NEAR, 5));
+        assertThat(new ScalingPolicy.PlaceForEach().desired(input(0, 8))).isEqualTo(Map.of(FAR, 1, NEAR, 1));
+    }
+
+    @Test
+    void asManyAsNowReplacesWhatIsLost() {
+        ScalingPolicy policy = new ScalingPolicy.AsManyAsNow();
+        policy.desired(new ScalingInput(TERMS, Map.of(NEAR, 3, FAR, 2), 8, 100));
+        assertThat(policy.desired(new ScalingInput(TERMS, Map.of(NEAR, 1, FAR, 2), 8, 0)))
+                .isEqualTo(Map.of(NEAR, 3, FAR, 2));
+    }
+
+    private static ScalingInput input(int demand, int slots) {
+        return new ScalingInput(TERMS, Map.of(NEAR, 1, FAR, 1), slots, demand);
+    }
+}
--- /dev/null
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/CloudCaller.java
@@ -0,0 +1,113 @@
+package io.yuccaswitch.node.gateway;
+
+import io.reactivex.rxjava3.disposables.CompositeDisposable;
+import io.yuccaswitch.core.duty.DutyOutcome;
+import io.yuccaswitch.core.scaling.ScalingEffect;
+import io.yuccaswitch.core.scaling.ScalingEvent;
+import io.yuccaswitch.core.usage.UsageEffect;
+import io.yuccaswitch.core.usage.UsageEvent;
+import io.yuccaswitch.endpoint.EndpointHttp;
+import io.yuccaswitch.endpoint.Transmission;
+import io.yuccaswitch.node.decision.DecisionLoop;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.function.Consumer;
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.Request;
+import okhttp3.Response;
+import org.jboss.logging.Logger;
+
+/** Calls the cloud, and tells the core what became of it. */
+final class CloudCaller implements AutoCloseable {
+
+    /** How long the cloud may take. It is slow at times, and a call that is given up is sent again. */
+    private static final Duration TIMEOUT = Duration.ofSeconds(3);
+
+    /** The logger. */
+    private static final Logger LOGGER = Logger.getLogger(CloudCaller.class);
+
+    /** The connections. */
+    private final EndpointHttp http;
+
+    /** How the cloud speaks. */
+    private final CloudDialect dialect;
+
+    /** The address of the cloud. */
+    private final String address;
+
+    /** The core. */
+    private final DecisionLoop loop;
+
+    /** The subscriptions. */
+    private final CompositeDisposable subscriptions = new CompositeDisposable();
+
+    /**
+     * Creates a caller that has called nothing.
+     *
+     * @param http The connections.
+     * @param dialect How the cloud speaks.
+     * @param address The address of the cloud.
+     * @param loop The core.
+     */
+    CloudCaller(EndpointHttp http, CloudDialect dialect, String address, DecisionLoop loop) {
+        this.http = http;
+        this.dialect = dialect;
+        this.address = address;
+        this.loop = loop;
+        subscriptions.add(loop.effects(UsageEffect.Report.class).subscribe(this::report));
+        subscriptions.add(loop.effects(ScalingEffect.Order.class).subscribe(this::order));
+    }
+
+    @Override
+    public void close() {
+        subscriptions.dispose();
+    }
+
+    /**
+     * Sends a report of usage.
+     *
+     * @param report The report.
+     */
+    private void report(UsageEffect.Report report) {
+        send(
+                dialect.report(address, report),
+                outcome -> loop.accept(new UsageEvent.Reported(report.window(), outcome)));
+    }
+
+    /**
+     * Sends an order of endpoints.
+     *
+     * @param order The order.
+     */
+    private void order(ScalingEffect.Order order) {
+        send(
+                dialect.order(address, order),
+                outcome -> loop.accept(new ScalingEvent.Ordered(order.pool(), order.zone(), outcome)));
+    }
+
+    /**
+     * Sends a call.
+     *
+     * @param request The call.
+     * @param then Takes what became of it.
+     */
+    private void send(Request.Builder request, Consumer<DutyOutcome> then) {
+        http.call(request, new Transmission(), TIMEOUT).enqueue(new Callback() {
+            @Override
+            public void onFailure(Call call, IOException exception) {
+                LOGGER.infof(
+                        "event=cloud-call-failed path=%s reason=\"%s\"",
+                        call.request().url().encodedPath(), EndpointAttempts.describe(exception));
+                then.accept(DutyOutcome.UNANSWERED);
+            }
+
+            @Override
+            public void onResponse(Call _call, Response response) {
+                try (response) {
+                    then.accept(dialect.outcome(response.code()));
+                }
+            }
+        });
+    }
+}
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
@@ -13,10 +13,12 @@
 import io.yuccaswitch.core.quarantine.QuarantineEffect;
 import io.yuccaswitch.core.registry.RegistryEffect;
 import io.yuccaswitch.core.route.RouteEffect;
+import io.yuccaswitch.core.usage.UsageWindows;
 import io.yuccaswitch.endpoint.EndpointChecks;
 import io.yuccaswitch.endpoint.EndpointClientSettings;
 import io.yuccaswitch.endpoint.EndpointHttp;
 import io.yuccaswitch.node.NodeSettings;
+import io.yuccaswitch.node.SteadyTimeOfDay;
 import io.yuccaswitch.node.decision.DecisionLog;
 import io.yuccaswitch.node.decision.DecisionLoop;
 import io.yuccaswitch.node.membership.MembershipService;
@@ -32,7 +34,9 @@
 import io.yuccaswitch.protocol.PeerTransportSettings;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.jboss.logging.Logger;
 
 /** A node that serves as a gateway: the core, and the shell around it. */
@@ -67,6 +71,9 @@
     /** How long the last messages to other nodes may take. */
     private static final Duration DEPARTURE_TIME = Duration.ofMillis(150);
 
+    /** The window of counts that nobody asks for. */
+    private static final Duration UNREPORTED_WINDOW = Duration.ofMinutes(1);
+
     /** The logger. */
     private static final Logger LOGGER = Logger.getLogger(Gateway.class);
 
@@ -115,6 +122,12 @@
     /** Gives orders. */
     private final OrderCaller orders;
 
+    /** Calls the cloud, where there is one. */
+    private final Optional<CloudCaller> cloud;
+
+    /** Counts the requests that begin to run. */
+    private final UsageMeter usage;
+
     /** The calls about batch jobs that wait. */
     private final PendingReplies replies;
 
@@ -131,7 +144,8 @@
         this.settings = settings;
         MetricRegistry metrics = new MetricRegistry();
         Member self = self(settings);
-        core = new GatewayCore(self, settings, dialects, view);
+        LongSupplier timeOfDay = new SteadyTimeOfDay(System::currentTimeMillis, System::nanoTime);
+        core = new GatewayCore(self, settings, dialects, view, timeOfDay);
         loop = new DecisionLoop(core.core(), () -> Runtime.getRuntime().halt(EXIT_BROKEN_INVARIANT), core::pace);
         NodeSettings.PlatformSettings limits = settings.platform();
         platform = new PlatformClient(
@@ -159,6 +173,12 @@
         EndpointChecks checks = new EndpointChecks(metrics);
         items = new ItemRunner(http, dialects.endpoints(), checks, loop);
         orders = new OrderCaller(http, dialects.endpoints(), loop);
+        cloud = settings.cloud().map(found -> new CloudCaller(http, dialects.cloud(), found.address(), loop));
+        usage = new UsageMeter(
+                new UsageWindows(
+                        settings.cloud().map(CloudSettings::usageWindow).orElse(UNREPORTED_WINDOW)),
+                timeOfDay,
+                settings.cloud().isPresent() ? loop : _event -> {});
         replies = new PendingReplies(loop);
         attempts = new EndpointAttempts(http, dialects.endpoints(), checks);
         scorings = new ScoringRunner(attempts, dialects.endpoints(), loop, metrics);
@@ -167,7 +187,7 @@
                 dialects,
                 view,
                 new AccountCheck(metrics),
-                new PlainRequestHandler(view, attempts, dialects.endpoints(), selection, gate, metrics),
+                new PlainRequestHandler(view, attempts, dialects.endpoints(), selection, gate, usage, metrics),
                 new BatchHandler(replies, dialects.callers(), metrics),
                 new MetricsText(metrics),
                 new QuarantineRoutes(loop));
@@ -222,6 +242,8 @@
         items.close();
         scorings.close();
         orders.close();
+        cloud.ifPresent(CloudCaller::close);
+        usage.close();
         replies.close();
         server.close();
         transport.close();
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayCore.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayCore.java
@@ -8,6 +8,7 @@
 import io.yuccaswitch.core.decision.PacedSystem;
 import io.yuccaswitch.core.duty.DutyLease;
 import io.yuccaswitch.core.duty.LeaseRelaySystem;
+import io.yuccaswitch.core.identity.PoolName;
 import io.yuccaswitch.core.membership.Member;
 import io.yuccaswitch.core.membership.MembershipEvent;
 import io.yuccaswitch.core.membership.MembershipMessage;
@@ -20,10 +21,20 @@
 import io.yuccaswitch.core.registry.EndpointRegistrySystem;
 import io.yuccaswitch.core.retirement.RetirementSystem;
 import io.yuccaswitch.core.route.RouteConfigurationSystem;
+import io.yuccaswitch.core.scaling.ScalingPolicy;
+import io.yuccaswitch.core.scaling.ScalingSystem;
+import io.yuccaswitch.core.usage.UsageCountSystem;
+import io.yuccaswitch.core.usage.UsageCounts;
+import io.yuccaswitch.core.usage.UsageReportSystem;
+import io.yuccaswitch.core.usage.UsageWindows;
 import io.yuccaswitch.core.watch.SharedWatches;
 import io.yuccaswitch.node.decision.DecisionLoop;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import java.util.function.ToIntFunction;
 
 /** The decision core of a gateway. */
 final class GatewayCore {
@@ -73,8 +84,10 @@
      * @param settings The settings.
      * @param dialects How others speak.
      * @param view What the threads that serve callers see.
+     * @param timeOfDay Tells the time of day, in milliseconds since the epoch.
      */
-    GatewayCore(Member self, GatewaySettings settings, GatewayDialects dialects, GatewayView view) {
+    GatewayCore(
+            Member self, GatewaySettings settings, GatewayDialects dialects, GatewayView view, LongSupplier timeOfDay) {
         PlatformTokens tokens = new PlatformTokens();
         membership = new MembershipSystem(self, settings.seeds(), view, tokens, OPTIONS, MEMBERSHIP);
         SharedWatches watches = new SharedWatches(membership);
@@ -93,7 +106,7 @@
                 tokens,
                 quarantine,
                 System::currentTimeMillis);
-        List<DecisionSystem> others = List.of(
+        List<DecisionSystem> others = new ArrayList<>(List.of(
                 routes,
                 registry,
                 lease,
@@ -102,12 +115,39 @@
                 new RetirementSystem(tokens, lease::isHeld),
                 quarantine,
                 batches,
-                view.observer(membership));
+                view.observer(membership)));
+        settings.cloud().ifPresent(cloud -> others.addAll(duties(cloud, routes, tokens, timeOfDay)));
         core = new DecisionCore(
                 List.of(membership, new PacedSystem(others, GatewayCore::concernsMembershipOnly, this::pace)),
                 self.identity().hashCode());
     }
 
+    /**
+     * Creates the systems of what is to be done at the cloud.
+     *
+     * @param cloud How the cloud is called.
+     * @param routes The configuration.
+     * @param tokens Hands out the tokens of calls.
+     * @param timeOfDay Tells the time of day, in milliseconds since the epoch.
+     * @return The systems.
+     */
+    private List<DecisionSystem> duties(
+            CloudSettings cloud, RouteConfigurationSystem routes, PlatformTokens tokens, LongSupplier timeOfDay) {
+        List<DecisionSystem> systems = new ArrayList<>();
+        if (cloud.duties().contains(CloudSettings.Duty.USAGE)) {
+            UsageWindows windows = new UsageWindows(cloud.usageWindow());
+            UsageCounts counts = new UsageCounts();
+            systems.add(new UsageCountSystem(membership, counts, windows, timeOfDay));
+            systems.add(new UsageReportSystem(membership, lease, counts, windows, timeOfDay, tokens));
+        }
+        if (cloud.duties().contains(CloudSettings.Duty.SCALE)) {
+            ToIntFunction<PoolName> demand = pool -> batches.openItems(
+                    routes.inForce().map(found -> found.models().get(pool)).orElseGet(Set::of));
+            systems.add(new ScalingSystem(lease, registry, routes, demand, new ScalingPolicy.PlaceForEach()));
+        }
+        return systems;
+    }
+
     /**
      * Returns the core.
      *
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayDialects.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayDialects.java
@@ -14,6 +14,7 @@
  * @param callers How callers speak.
  * @param endpoints How endpoints speak.
  * @param platform How the platform speaks.
+ * @param cloud How the cloud speaks.
  * @param endpointEntries Reads an endpoint's entry in the registry.
  * @param routeConfigurations Reads a configuration of routes.
  * @param namedVersions Reads a version that a trainer named.
@@ -22,6 +23,7 @@
         CallerDialect callers,
         EndpointDialect endpoints,
         ObjectApiDialect platform,
+        CloudDialect cloud,
         Function<StoredObject, Optional<RegisteredEndpoint>> endpointEntries,
         Function<StoredObject, Optional<RouteConfiguration>> routeConfigurations,
         Function<StoredObject, Optional<NamedVersion>> namedVersions) {}
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewaySettings.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewaySettings.java
@@ -7,6 +7,7 @@
 import io.yuccaswitch.node.logging.LogSettings;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * The settings of a node that serves as a gateway.
@@ -25,6 +26,7 @@
  * @param nodes The number of nodes that share the platform's rates.
  * @param orderSafetyTime The least time between orders of two nodes.
  * @param stopTime The time in which a planned stop must be done.
+ * @param cloud How the cloud is called, where there is one.
  * @param log How the node writes its logs.
  */
 public record GatewaySettings(
@@ -60,6 +62,7 @@
                         minimum = "1s",
                         maximum = "1h")
                 Duration stopTime,
+        @Setting(description = "How the cloud is called, where there is one.") Optional<CloudSettings> cloud,
         @Setting(description = "How the node writes its logs.") LogSettings log) {
 
     /** Copies the seeds. */
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/JsonBatchCodec.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/JsonBatchCodec.java
@@ -82,7 +82,8 @@
 
     @Override
     public Bytes writeEntry(BatchIndexEntry entry) {
-        return write(new EntryDocument(entry.id().value(), entry.runner().value(), entry.ended(), entry.items()));
+        return write(new EntryDocument(
+                entry.id().value(), entry.runner().value(), entry.ended(), entry.items(), entry.model()));
     }
 
     @Override
@@ -92,7 +93,8 @@
                         new BatchJobId(document.id()),
                         new NodeName(document.runner()),
                         document.ended(),
-                        document.items()));
+                        document.items(),
+                        Optional.ofNullable(document.model()).orElse("")));
     }
 
     @Override
@@ -314,8 +316,9 @@
      * @param runner The node that runs it.
      * @param ended Whether it is ended.
      * @param items The number of its items.
+     * @param model The model that makes its outputs, absent in entries of earlier releases.
      */
-    private record EntryDocument(String id, String runner, boolean ended, int items) {}
+    private record EntryDocument(String id, String runner, boolean ended, int items, String model) {}
 
     /**
      * Results.
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/PlainRequestHandler.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/PlainRequestHandler.java
@@ -72,6 +72,9 @@
     /** Keeps requests under which endpoints ended away from further ones. */
     private final QuarantineGate gate;
 
+    /** Counts the requests that begin to run. */
+    private final UsageMeter usage;
+
     /** The metrics. */
     private final MetricRegistry metrics;
 
@@ -83,6 +86,7 @@
      * @param dialect How endpoints speak.
      * @param selection Chooses endpoints.
      * @param gate Keeps requests under which endpoints ended away from further ones.
+     * @param usage Counts the requests that begin to run.
      * @param metrics The metrics.
      */
     PlainRequestHandler(
@@ -91,12 +95,14 @@
             EndpointDialect dialect,
             EndpointSelection selection,
             QuarantineGate gate,
+            UsageMeter usage,
             MetricRegistry metrics) {
         this.view = view;
         this.attempts = attempts;
         this.dialect = dialect;
         this.selection = selection;
         this.gate = gate;
+        this.usage = usage;
         this.metrics = metrics;
     }
 
@@ -164,6 +170,9 @@
     /** One request on its way through one or more attempts. */
     private final class Exchange {
 
+        /** Whether the request was counted for its account, which it is once however often it runs. */
+        private boolean counted;
+
         /** The request. */
         private final PlainRequest request;
 
@@ -299,6 +308,7 @@
             EndpointName name = endpoint.name();
             plan.begin(name);
             MonotonicTime begun = DecisionLoop.now();
+            long sentAt = usage.now();
             EndpointAttempts.Times times = new EndpointAttempts.Times(plan.attemptTime(left), left);
             EndpointHttp.ConnectionUse connection = passage.needsNewConnection(endpoint)
                     ? EndpointHttp.ConnectionUse.NEW
@@ -306,6 +316,7 @@
             EndpointAttempts.Opened opened = attempts.open(
                     request.outgoing(), endpoint, times, connection, relay.lastEventId(), watched::attach);
             AttemptResult result = opened.failure().orElseGet(() -> receive(opened));
+            count(result, sentAt);
             note(endpoint, result);
             tell(endpoint, result);
             MonotonicTime now = DecisionLoop.now();
@@ -372,6 +383,19 @@
             }
         }
 
+        /**
+         * Counts the request for its account, at the first attempt that may have run.
+         *
+         * @param result What became of the attempt.
+         * @param sentAt When it was sent, in milliseconds since the epoch.
+         */
+        private void count(AttemptResult result, long sentAt) {
+            if (!counted && !(result instanceof AttemptResult.NotRun)) {
+                counted = true;
+                usage.count(request.outgoing().account(), sentAt);
+            }
+        }
+
         /**
          * Notes an attempt for logs.
          *
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/peer/PeerMessages.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/peer/PeerMessages.java
@@ -10,6 +10,7 @@
 import io.yuccaswitch.core.quarantine.QuarantineMessage;
 import io.yuccaswitch.core.request.RequestMessage;
 import io.yuccaswitch.core.sample.SampleMessage;
+import io.yuccaswitch.core.usage.UsageMessage;
 import io.yuccaswitch.core.watch.WatchMessage;
 import io.yuccaswitch.core.weight.WeightMessage;
 import io.yuccaswitch.protocol.PeerMessageRange;
@@ -50,6 +51,9 @@
                 .register(PeerMessageRange.WATCH, 141, WatchMessage.Changes.class);
         builder.register(PeerMessageRange.QUARANTINE, 160, QuarantineMessage.Told.class)
                 .register(PeerMessageRange.QUARANTINE, 161, QuarantineMessage.Compare.class);
+        builder.register(PeerMessageRange.USAGE, 180, UsageMessage.Grown.class)
+                .register(PeerMessageRange.USAGE, 181, UsageMessage.Ask.class)
+                .register(PeerMessageRange.USAGE, 182, UsageMessage.Known.class);
         return builder.build();
     }
 
--- a/yuccaswitch-protocol/src/main/java/io/yuccaswitch/protocol/PeerMessageRange.java
+++ b/yuccaswitch-protocol/src/main/java/io/yuccaswitch/protocol/PeerMessageRange.java
@@ -19,7 +19,9 @@
     /** Messages by which nodes follow each other's watches of the platform. */
     WATCH(140, 159),
     /** Messages about requests under which endpoints ended. */
-    QUARANTINE(160, 179);
+    QUARANTINE(160, 179),
+    /** Messages about how much each client account uses. */
+    USAGE(180, 189);
 
     /** The first number of the range. */
     private final int first;
