Close each answer in the test of the entry that failed once, whose cause is now shown

Cause: the test left its answers unread and unclosed. The client library takes the connection of a forgotten answer back once the garbage collector finds the call, and hands it to the next one with the unread body still on it. The server's bytes are in their right order.

Change: the test reads and closes each answer; its assertions are the same.

--- a/yuccaswitch-node/src/test/java/io/yuccaswitch/node/entry/EntryServerTest.java
+++ b/yuccaswitch-node/src/test/java/io/yuccaswitch/node/entry/EntryServerTest.java
@@ -241,32 +241,31 @@
 
     @Test
     void whatMakesNoSenseIsRefusedBeforeTheCore() throws Exception {
-        assertThat(call(new Request.Builder()
-                                .url("http://127.0.0.1:" + server.port() + "/services/ledger-app/post")
-                                .build())
-                        .get()
-                        .code())
+        assertThat(code(new Request.Builder()
+                        .url("http://127.0.0.1:" + server.port() + "/services/ledger-app/post")
+                        .build()))
                 .isEqualTo(401);
-        assertThat(call(request("/services/ledger-app/post")
-                                .post(json("x".repeat(2000)))
-                                .build())
-                        .get()
-                        .code())
+        assertThat(code(request("/services/ledger-app/post")
+                        .post(json("x".repeat(2000)))
+                        .build()))
                 .isEqualTo(413);
-        assertThat(call(request("/services/nowhere/post").build()).get().code()).isEqualTo(404);
-        assertThat(call(request("/services/ledger-app/a")
-                                .header("X-Deadline-Millis", "-1")
-                                .build())
-                        .get()
-                        .code())
-                .isEqualTo(400);
-        assertThat(call(request("/v1/completions").post(json("[]")).build())
-                        .get()
-                        .code())
+        assertThat(code(request("/services/nowhere/post").build())).isEqualTo(404);
+        assertThat(code(request("/services/ledger-app/a")
+                        .header("X-Deadline-Millis", "-1")
+                        .build()))
                 .isEqualTo(400);
+        assertThat(code(request("/v1/completions").post(json("[]")).build())).isEqualTo(400);
         assertThat(sends).isEmpty();
     }
 
+    /** Reads an answer to its end. A connection of which an answer is left unread must not serve another call. */
+    private int code(Request request) throws Exception {
+        try (Response response = call(request).get()) {
+            response.body().bytes();
+            return response.code();
+        }
+    }
+
     @Test
     void aStreamGoesOnAcrossEnginesWithoutARepeatedOrMissingToken() throws Exception {
         CompletableFuture<Response> response = call(request("/v1/completions")
