Run batch jobs at strong nodes where VMs differ, those of one model at the same one

Change: nodes tell what their processors can do (settings, from the platform's); the node that accepts a job names the runner in the index entry and hands the job over: a strong node, the same one for all jobs of a model, different ones for different models. A hand-over that gets lost costs until the index says the same. Where all VMs are alike a job runs where it arrives, as before.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchAdmissionSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchAdmissionSystem.java
@@ -3,6 +3,8 @@
 import io.yuccaswitch.core.decision.Decision;
 import io.yuccaswitch.core.decision.DecisionSystem;
 import io.yuccaswitch.core.decision.Tick;
+import io.yuccaswitch.core.identity.NodeName;
+import io.yuccaswitch.core.peer.PeerEffect;
 import io.yuccaswitch.core.platform.ObjectKey;
 import io.yuccaswitch.core.platform.PlatformEffect;
 import io.yuccaswitch.core.platform.PlatformEvent;
@@ -37,6 +39,9 @@
     /** Finds out when a job is given up. */
     private final GiveUpTimes giveUpTimes;
 
+    /** Decides which node runs a job. */
+    private final RunnerChoice runners;
+
     /** The entries that are to be read back. */
     private final List<ReadBack> readBacks = new ArrayList<>();
 
@@ -45,10 +50,12 @@
      *
      * @param state The tables of the batch system.
      * @param giveUpTimes Finds out when a job is given up.
+     * @param runners Decides which node runs a job.
      */
-    BatchAdmissionSystem(BatchState state, GiveUpTimes giveUpTimes) {
+    BatchAdmissionSystem(BatchState state, GiveUpTimes giveUpTimes, RunnerChoice runners) {
         this.state = state;
         this.giveUpTimes = giveUpTimes;
+        this.runners = runners;
     }
 
     @Override
@@ -118,14 +125,10 @@
     private void createEntry(Tick tick, Submission submission) {
         BatchJob job = submission.job();
         BatchIndexEntry entry = new BatchIndexEntry(
-                job.id(),
-                state.membership().self().identity().name(),
-                false,
-                job.items().size(),
-                job.model());
+                job.id(), runners.choose(job), false, job.items().size(), job.model());
         create(tick, BatchObjects.index(job.id()), state.codec().writeEntry(entry), (later, event) -> {
             if (event instanceof PlatformEvent.Accepted) {
-                accept(later, submission);
+                accept(later, submission, entry.runner());
             } else if (event instanceof PlatformEvent.Conflict) {
                 finish(later, submission, new BatchAnswer.Accepted(), "accepted before");
             } else if (event instanceof PlatformEvent.Unavailable failure && failure.maybeApplied()) {
@@ -147,9 +150,11 @@
         ObjectKey key = BatchObjects.index(submission.job().id());
         state.calls()
                 .call(tick, token -> new PlatformEffect.Read(token, PlatformPurpose.BATCH, key), (later, event) -> {
-                    if (event instanceof PlatformEvent.ObjectRead read
-                            && read.object().isPresent()) {
-                        accept(later, submission);
+                    Optional<BatchIndexEntry> entry = event instanceof PlatformEvent.ObjectRead read
+                            ? read.object().flatMap(object -> state.codec().readEntry(object.value()))
+                            : Optional.empty();
+                    if (entry.isPresent()) {
+                        accept(later, submission, entry.get().runner());
                     } else if (left > 1) {
                         readBacks.add(
                                 new ReadBack(submission, left - 1, later.now().plus(READ_BACK_PAUSE)));
@@ -164,13 +169,21 @@
     }
 
     /**
-     * Runs a job that this node has accepted.
+     * Runs a job that this node has accepted, or hands it over to the node that is to run it.
      *
      * @param tick The tick.
      * @param submission The submission.
+     * @param runner The node that runs the job.
      */
-    private void accept(Tick tick, Submission submission) {
+    private void accept(Tick tick, Submission submission, NodeName runner) {
         BatchJob job = submission.job();
+        if (!runner.equals(state.membership().self().identity().name())) {
+            tick.emit(new PeerEffect.Send(
+                    runner,
+                    new BatchMessage.HandedOver(job.id().value(), state.codec().writeJob(job))));
+            finish(tick, submission, new BatchAnswer.Accepted(), "kept on the platform, handed over to " + runner);
+            return;
+        }
         if (!state.running().contains(job.id()) && !state.finished().contains(job.id())) {
             ResultLog log = state.log(job.id(), job.items().size(), tick.now());
             state.run(tick, job, log, giveUpTimes.of(job, tick.now()), new KeptTexts());
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchMessage.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchMessage.java
@@ -9,6 +9,14 @@
 /** What nodes tell each other about batch jobs. */
 public sealed interface BatchMessage extends PeerMessage {
 
+    /**
+     * Hands a job over that was accepted for the receiver to run.
+     *
+     * @param id The job.
+     * @param job The job as the platform keeps it.
+     */
+    record HandedOver(String id, Bytes job) implements BatchMessage {}
+
     /**
      * Tells the runner of a job that the job is ended.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchSystem.java
@@ -54,7 +54,8 @@
         state = BatchState.empty(membership, registry, routes, codec, new PlatformCalls(tokens), index, quarantine);
         GiveUpTimes giveUpTimes = new GiveUpTimes(routes, timeOfDay);
         parts = List.of(
-                new BatchAdmissionSystem(state, giveUpTimes),
+                new BatchAdmissionSystem(state, giveUpTimes, new RunnerChoice(membership, routes)),
+                new JobHandOverSystem(state, giveUpTimes),
                 new BatchOwnershipSystem(state, giveUpTimes),
                 new BatchEndSystem(state),
                 new LoadSharingSystem(state),
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/MemberObject.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/MemberObject.java
@@ -36,6 +36,9 @@
     /** The key of the address for operators. */
     private static final String OPERATOR_ADDRESS = "operatorAddress";
 
+    /** The key of what the processors can do. */
+    private static final String CAPACITY = "capacity";
+
     /** This class has no instances. */
     private MemberObject() {}
 
@@ -64,6 +67,7 @@
                 PEER_ADDRESS + "=" + member.peerAddress(),
                 ENTRY_ADDRESS + "=" + member.entryAddress(),
                 OPERATOR_ADDRESS + "=" + member.operatorAddress(),
+                CAPACITY + "=" + member.capacity(),
                 ""));
     }
 
@@ -90,7 +94,8 @@
                     lines.getOrDefault(PEER_ADDRESS, ""),
                     lines.getOrDefault(ENTRY_ADDRESS, ""),
                     lines.getOrDefault(OPERATOR_ADDRESS, ""),
-                    MemberCondition.ALIVE));
+                    MemberCondition.ALIVE,
+                    Integer.parseInt(lines.getOrDefault(CAPACITY, "0"))));
         } catch (IllegalArgumentException _exception) {
             return Optional.empty();
         }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/MemberRow.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/MemberRow.java
@@ -87,7 +87,8 @@
                         member.peerAddress(),
                         member.entryAddress(),
                         member.operatorAddress(),
-                        member.condition()),
+                        member.condition(),
+                        member.capacity()),
                 0);
     }
 
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/site/TestSite.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/site/TestSite.java
@@ -30,6 +30,7 @@
     private final Map<String, TestNode> nodes = new LinkedHashMap<>();
     private final Set<String> gone = new TreeSet<>();
     private final Set<String> leaving = new TreeSet<>();
+    private final Map<String, Integer> capacities = new LinkedHashMap<>();
     private Consumer<TestSite> everyStep = _site -> {};
     private boolean connected;
     private BiPredicate<String, String> cut = (_from, _to) -> false;
@@ -59,6 +60,11 @@
         gone.add(name);
     }
 
+    /** Sets what the processors of a node can do, in hundredths of a core. */
+    public void capacity(String name, int hundredths) {
+        capacities.put(name, hundredths);
+    }
+
     /** Lets the others believe that a node is gone though it runs. */
     public void believeGone(String name) {
         gone.add(name);
@@ -101,20 +107,18 @@
     }
 
     Member member(String name) {
-        return TestNode.member(name);
+        return TestNode.member(name).withCapacity(capacities.getOrDefault(name, 0));
     }
 
     Optional<Member> leaving(NodeName name) {
         boolean listed = leaving.contains(name.value()) && nodes.containsKey(name.value());
-        return listed
-                ? Optional.of(TestNode.member(name.value()).withCondition(MemberCondition.LEAVING))
-                : Optional.empty();
+        return listed ? Optional.of(member(name.value()).withCondition(MemberCondition.LEAVING)) : Optional.empty();
     }
 
     Collection<Member> workingAsSeenBy(String name) {
         return nodes.keySet().stream()
                 .filter(other -> other.equals(name) || !(gone.contains(other) || leaving.contains(other)))
-                .map(TestNode::member)
+                .map(this::member)
                 .toList();
     }
 }
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
@@ -323,13 +323,14 @@
      */
     private static Member self(GatewaySettings settings) {
         return new Member(
-                new NodeIdentity(settings.name(), System.currentTimeMillis()),
-                settings.availabilityZone(),
-                settings.region(),
-                settings.peerAddress(),
-                settings.entryAddress(),
-                settings.metricsAddress(),
-                MemberCondition.ALIVE);
+                        new NodeIdentity(settings.name(), System.currentTimeMillis()),
+                        settings.availabilityZone(),
+                        settings.region(),
+                        settings.peerAddress(),
+                        settings.entryAddress(),
+                        settings.metricsAddress(),
+                        MemberCondition.ALIVE)
+                .withCapacity(settings.capacity());
     }
 
     /**
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewaySettings.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewaySettings.java
@@ -26,6 +26,8 @@
  * @param nodes The number of nodes that share the platform's rates.
  * @param orderSafetyTime The least time between orders of two nodes.
  * @param stopTime The time in which a planned stop must be done.
+ * @param processorShare The share of each core that the node may use.
+ * @param cores How many times as fast as one core the node's processor is.
  * @param cloud How the cloud is called, where there is one.
  * @param log How the node writes its logs.
  */
@@ -62,6 +64,18 @@
                         minimum = "1s",
                         maximum = "1h")
                 Duration stopTime,
+        @Setting(
+                        description = "The share of each core that the node may use.",
+                        defaultValue = "1",
+                        minimum = "0.01",
+                        maximum = "1")
+                double processorShare,
+        @Setting(
+                        description = "How many times as fast as one core the node's processor is.",
+                        defaultValue = "1",
+                        minimum = "1",
+                        maximum = "1024")
+                int cores,
         @Setting(description = "How the cloud is called, where there is one.") Optional<CloudSettings> cloud,
         @Setting(description = "How the node writes its logs.") LogSettings log) {
 
@@ -69,4 +83,13 @@
     public GatewaySettings {
         seeds = List.copyOf(seeds);
     }
+
+    /**
+     * Returns what the node's processors can do.
+     *
+     * @return The number of hundredths of a core.
+     */
+    int capacity() {
+        return (int) Math.round(100 * processorShare * cores);
+    }
 }
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/peer/PeerMessages.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/peer/PeerMessages.java
@@ -46,7 +46,8 @@
                 .register(PeerMessageRange.BATCH, 125, BatchMessage.ReadDeclined.class)
                 .register(PeerMessageRange.BATCH, 126, BatchMessage.StoreResults.class)
                 .register(PeerMessageRange.BATCH, 127, BatchMessage.ResultsStored.class)
-                .register(PeerMessageRange.BATCH, 128, BatchMessage.EnginesInUse.class);
+                .register(PeerMessageRange.BATCH, 128, BatchMessage.EnginesInUse.class)
+                .register(PeerMessageRange.BATCH, 129, BatchMessage.HandedOver.class);
         builder.register(PeerMessageRange.WATCH, 140, WatchMessage.Follow.class)
                 .register(PeerMessageRange.WATCH, 141, WatchMessage.Changes.class);
         builder.register(PeerMessageRange.QUARANTINE, 160, QuarantineMessage.Told.class)
