Keep the one policy of scaling that is in force, and pass over unknown fields of kept batch jobs

Documents of batch jobs with fields of a later release are read, so that releases can run side by side from now on.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/scaling/ScalingSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/scaling/ScalingSystem.java
@@ -65,9 +65,6 @@
     /** Returns the number of requests that would run now at a pool if there were places for all. */
     private final ToIntFunction<PoolName> demand;
 
-    /** Decides how many endpoints a pool should have. */
-    private final ScalingPolicy policy;
-
     /** The demand of each pool lately. */
     private final Map<PoolName, RecentPeak> peaks = new HashMap<>();
 
@@ -84,19 +81,16 @@
      * @param registry The endpoints.
      * @param routes The configuration.
      * @param demand Returns the number of requests that would run now at a pool if there were places for all.
-     * @param policy Decides how many endpoints a pool should have.
      */
     public ScalingSystem(
             DutyLease lease,
             EndpointRegistrySystem registry,
             RouteConfigurationSystem routes,
-            ToIntFunction<PoolName> demand,
-            ScalingPolicy policy) {
+            ToIntFunction<PoolName> demand) {
         this.lease = lease;
         this.registry = registry;
         this.routes = routes;
         this.demand = demand;
-        this.policy = policy;
     }
 
     @Override
@@ -136,8 +130,7 @@
         endpoints.forEach(endpoint -> working.merge(endpoint.availabilityZone(), 1, Integer::sum));
         int peak = peaks.computeIfAbsent(pool, _pool -> new RecentPeak(DEMAND_MEMORY))
                 .take(demand.applyAsInt(pool), tick.now());
-        ScalingInput input = new ScalingInput(terms, working, endpoints.get(0).slots(), peak);
-        policy.desired(input)
+        ScalingPolicy.desired(terms, endpoints.get(0).slots(), peak)
                 .forEach((zone, desired) ->
                         compare(tick, new Place(pool, zone), desired, working.getOrDefault(zone, 0), terms));
     }
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayCore.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayCore.java
@@ -21,7 +21,6 @@
 import io.yuccaswitch.core.registry.EndpointRegistrySystem;
 import io.yuccaswitch.core.retirement.RetirementSystem;
 import io.yuccaswitch.core.route.RouteConfigurationSystem;
-import io.yuccaswitch.core.scaling.ScalingPolicy;
 import io.yuccaswitch.core.scaling.ScalingSystem;
 import io.yuccaswitch.core.usage.UsageCountSystem;
 import io.yuccaswitch.core.usage.UsageCounts;
@@ -143,7 +142,7 @@
         if (cloud.duties().contains(CloudSettings.Duty.SCALE)) {
             ToIntFunction<PoolName> demand = pool -> batches.openItems(
                     routes.inForce().map(found -> found.models().get(pool)).orElseGet(Set::of));
-            systems.add(new ScalingSystem(lease, registry, routes, demand, new ScalingPolicy.PlaceForEach()));
+            systems.add(new ScalingSystem(lease, registry, routes, demand));
         }
         return systems;
     }
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/JsonBatchCodec.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/JsonBatchCodec.java
@@ -1,6 +1,7 @@
 package io.yuccaswitch.node.gateway;
 
 import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.yuccaswitch.core.batch.BatchCodec;
 import io.yuccaswitch.core.batch.BatchIndexEntry;
@@ -34,8 +35,11 @@
     /** What begins the data of an event that is kept in base64. */
     private static final String BASE64_MARK = "b";
 
-    /** The codec of documents. */
-    private static final ObjectMapper MAPPER = new ObjectMapper();
+    /**
+     * The codec of documents. Fields that a later release adds are passed over, so that releases can run side by side.
+     */
+    private static final ObjectMapper MAPPER =
+            new ObjectMapper().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
 
     @Override
     public Bytes writeJob(BatchJob job) {
