--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayCore.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayCore.java
@@ -133,13 +133,13 @@
     private List<DecisionSystem> duties(
             CloudSettings cloud, RouteConfigurationSystem routes, PlatformTokens tokens, LongSupplier timeOfDay) {
         List<DecisionSystem> systems = new ArrayList<>();
-        if (cloud.duties().contains(CloudSettings.Duty.USAGE)) {
+        if (cloud.includes(CloudSettings.Duty.USAGE)) {
             UsageWindows windows = new UsageWindows(cloud.usageWindow());
             UsageCounts counts = new UsageCounts();
             systems.add(new UsageCountSystem(membership, counts, windows, timeOfDay));
             systems.add(new UsageReportSystem(membership, lease, counts, windows, timeOfDay, tokens));
         }
-        if (cloud.duties().contains(CloudSettings.Duty.SCALE)) {
+        if (cloud.includes(CloudSettings.Duty.SCALE)) {
             ToIntFunction<PoolName> demand = pool -> batches.openItems(
                     routes.inForce().map(found -> found.models().get(pool)).orElseGet(Set::of));
             systems.add(new ScalingSystem(lease, registry, routes, demand));
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewaySettings.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewaySettings.java
@@ -73,9 +73,9 @@
         @Setting(
                         description = "How many times as fast as one core the node's processor is.",
                         defaultValue = "1",
-                        minimum = "1",
+                        minimum = "0.01",
                         maximum = "1024")
-                int cores,
+                double cores,
         @Setting(description = "How the cloud is called, where there is one.") Optional<CloudSettings> cloud,
         @Setting(description = "How the node writes its logs.") LogSettings log) {
 
