--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchRunSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchRunSystem.java
@@ -75,10 +75,14 @@
             return;
         }
         List<RegisteredEndpoint> engines = choice.engines(tick, job, route.get());
+        long startable = choice.startable(tick, job, engines);
+        if (startable == 0) {
+            return;
+        }
         Set<EndpointName> share = choice.share(job, route.get());
         waiting.stream()
                 .sorted(BEGUN_FIRST)
-                .limit(choice.startable(tick, job, engines))
+                .limit(startable)
                 .forEach(item -> startSomewhere(tick, job, item, engines, share, route.get()));
     }
 
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/usage/UsageCountSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/usage/UsageCountSystem.java
@@ -19,9 +19,6 @@
     /** The number of nodes that keep the counts of another one. Of two, one outlives most losses that come together. */
     private static final int KEEPERS = 2;
 
-    /** The number of windows that are kept: more than a report is ever late for and still of use. */
-    static final int KEPT_WINDOWS = 24;
-
     /** The nodes of the site. */
     private final MembershipView membership;
 
@@ -65,7 +62,7 @@
                         received.sender().name(), new UsageMessage.Known(ask.window(), counts.rows(ask.window()))));
             }
         }
-        counts.forgetBefore(windows.at(timeOfDay.getAsLong()) - KEPT_WINDOWS);
+        counts.forgetBefore(windows.oldestKept(timeOfDay.getAsLong()));
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/usage/UsageWindows.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/usage/UsageWindows.java
@@ -9,6 +9,9 @@
  */
 public record UsageWindows(Duration length) {
 
+    /** The number of windows that are kept: more than a report is ever late for and still of use. */
+    private static final int KEPT = 24;
+
     /** Checks the length. */
     public UsageWindows {
         if (length.toMillis() <= 0) {
@@ -26,6 +29,16 @@
         return Math.floorDiv(epochMillis, length.toMillis());
     }
 
+    /**
+     * Returns the oldest window of which counts are kept.
+     *
+     * @param epochMillis The present in milliseconds since the epoch.
+     * @return The number of the window.
+     */
+    public long oldestKept(long epochMillis) {
+        return at(epochMillis) - KEPT;
+    }
+
     /**
      * Returns when a window ends.
      *
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/UsageMeter.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/UsageMeter.java
@@ -20,9 +20,6 @@
     /** The interval at which the core is told: what a killed node takes out of a report at most. */
     private static final Duration INTERVAL = Duration.ofMillis(700);
 
-    /** The number of windows of which counts are kept. */
-    private static final int KEPT_WINDOWS = 24;
-
     /** The windows. */
     private final UsageWindows windows;
 
@@ -92,6 +89,6 @@
         }
         events.accept(new UsageEvent.Counted(Map.copyOf(grown)));
         grown.clear();
-        counts.headMap(windows.at(now()) - KEPT_WINDOWS).clear();
+        counts.headMap(windows.oldestKept(now())).clear();
     }
 }
