--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/UsageMeter.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/UsageMeter.java
@@ -1,7 +1,7 @@
 package io.yuccaswitch.node.gateway;
 
-import io.reactivex.rxjava3.core.Observable;
 import io.reactivex.rxjava3.disposables.Disposable;
+import io.reactivex.rxjava3.schedulers.Schedulers;
 import io.yuccaswitch.core.account.AccountName;
 import io.yuccaswitch.core.usage.UsageEvent;
 import io.yuccaswitch.core.usage.UsageWindows;
@@ -17,7 +17,7 @@
 /** Counts the requests that begin to run, by account and window, and tells the core in one event what has grown. */
 final class UsageMeter implements AutoCloseable {
 
-    /** The interval at which the core is told: what a killed node takes out of a report at most. */
+    /** How long after something has grown the core is told: what a killed node takes out of a report at most. */
     private static final Duration INTERVAL = Duration.ofMillis(700);
 
     /** The windows. */
@@ -35,8 +35,10 @@
     /** The counts that have grown since the core was told. It is guarded by this object. */
     private final Map<Long, Map<String, Long>> grown = new HashMap<>();
 
-    /** Tells the core at intervals. */
-    private final Disposable telling;
+    /**
+     * Tells the core soon, if something has grown: an idle gateway has no timer for it. It is guarded by this object.
+     */
+    private Disposable telling = Disposable.disposed();
 
     /**
      * Creates a meter that has counted nothing.
@@ -49,12 +51,10 @@
         this.windows = windows;
         this.timeOfDay = timeOfDay;
         this.events = events;
-        telling =
-                Observable.interval(INTERVAL.toMillis(), TimeUnit.MILLISECONDS).subscribe(_tick -> tell());
     }
 
     @Override
-    public void close() {
+    public synchronized void close() {
         telling.dispose();
     }
 
@@ -75,6 +75,10 @@
      */
     synchronized void count(Optional<AccountName> account, long begunAt) {
         account.ifPresent(name -> {
+            if (grown.isEmpty()) {
+                telling =
+                        Schedulers.computation().scheduleDirect(this::tell, INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+            }
             long window = windows.at(begunAt);
             long count =
                     counts.computeIfAbsent(window, _window -> new HashMap<>()).merge(name.value(), 1L, Long::sum);
