Tell how old what a node knows of endpoints is, with each request that leaves

Cause of the need: the lines of the incident told that a node kept an endpoint as lapsed, not whose failure made it doubt, nor how old what it knew was. Now what is known of a kind carries the time at which the platform surely held nothing beyond it, from the sending of the platform's answered call and through the node that hands it on, never from the arrival of a message. Nothing decides by it yet.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/platform/KindFeed.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/platform/KindFeed.java
@@ -24,6 +24,14 @@
      */
     Optional<MonotonicTime> failedAt();
 
+    /**
+     * Returns the latest time at which the platform surely held nothing of the kind beyond what this node knows. The
+     * age of what is known counts from there, whatever way it came.
+     *
+     * @return The time, or empty before anything is known.
+     */
+    Optional<MonotonicTime> confirmedAt();
+
     /**
      * Returns whether the platform was out of reach a short time ago, such that entries may have lapsed meanwhile.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/platform/KindWatch.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/platform/KindWatch.java
@@ -54,6 +54,12 @@
     /** When the latest answer came. */
     private MonotonicTime answeredAt = new MonotonicTime(Long.MIN_VALUE);
 
+    /** How long the platform may hold the latest call, or empty if that lists all objects. */
+    private Optional<Duration> held = Optional.empty();
+
+    /** When the platform surely held nothing beyond what is known. */
+    private Optional<MonotonicTime> confirmedAt = Optional.empty();
+
     /** When a call last failed. */
     private Optional<MonotonicTime> failedAt = Optional.empty();
 
@@ -157,6 +163,21 @@
         return failedAt;
     }
 
+    @Override
+    public Optional<MonotonicTime> confirmedAt() {
+        return confirmedAt;
+    }
+
+    /**
+     * Takes note that the machine was suspended, such that its clock stood still meanwhile.
+     *
+     * @param gap How long it was.
+     */
+    public void suspended(Duration gap) {
+        sentAt = sentAt.plus(gap.negated());
+        confirmedAt = confirmedAt.map(at -> at.plus(gap.negated()));
+    }
+
     /**
      * Builds the next call.
      *
@@ -164,11 +185,27 @@
      * @return A list before the first answer, else a watch.
      */
     private PlatformEffect nextCall(long token) {
+        held = version.isEmpty() ? Optional.empty() : Optional.of(waitTime);
         return version.isEmpty()
                 ? new PlatformEffect.ListKind(token, purpose, kind)
                 : new PlatformEffect.Watch(token, purpose, kind, version.getAsLong(), Optional.of(waitTime));
     }
 
+    /**
+     * Returns since when an answer holds: since its call was sent, as nobody tells how long it was on its way. A call
+     * that the platform held for the whole time without a change holds until that time was over.
+     *
+     * @param listed The answer.
+     * @param now The present.
+     * @return The time.
+     */
+    private MonotonicTime confirmedBy(PlatformEvent.ObjectsListed listed, MonotonicTime now) {
+        return held.filter(_wait -> listed.objects().isEmpty())
+                .map(sentAt::plus)
+                .filter(end -> !now.isBefore(end))
+                .orElse(sentAt);
+    }
+
     /**
      * Takes the answer of a call.
      *
@@ -190,6 +227,7 @@
             backOff.succeeded(tick.now(), Duration.ZERO);
             return;
         }
+        confirmedAt = Optional.of(confirmedBy(listed, tick.now()));
         news = Optional.of(new News(listed.objects(), version.isEmpty()));
         version = OptionalLong.of(listed.version());
         backOff.succeeded(tick.now(), listed.objects().isEmpty() ? Duration.ZERO : gathering);
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/registry/EndpointRegistrySystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/registry/EndpointRegistrySystem.java
@@ -54,6 +54,9 @@
     /** Whether entries may be missing or out of date, as the platform was out of reach a short time ago. */
     private boolean inDoubt;
 
+    /** When what is known of the endpoints was surely complete, as it was last told. */
+    private Optional<MonotonicTime> confirmedAt = Optional.empty();
+
     /** How often the endpoints have changed. */
     private long changes;
 
@@ -81,6 +84,10 @@
         if (changed) {
             tell(tick);
         }
+        if (!feed.confirmedAt().equals(confirmedAt)) {
+            confirmedAt = feed.confirmedAt();
+            confirmedAt.ifPresent(at -> tick.emit(new RegistryEffect.Confirmed(at)));
+        }
     }
 
     /**
@@ -295,7 +302,7 @@
         }
         if (feed.hasFailedWithin(tick.now(), RECENT_FAILURE)) {
             entries.put(name, new Row(row.get().endpoint(), Optional.of(tick.now())));
-            decide(tick, row.get().endpoint().name(), "lapsed", "the platform was out of reach");
+            decide(tick, row.get().endpoint().name(), "lapsed", doubt(tick.now()));
             return false;
         }
         entries.remove(name);
@@ -303,6 +310,21 @@
         return true;
     }
 
+    /**
+     * Describes why a missing entry is taken for lapsed.
+     *
+     * @param now The present.
+     * @return The reason.
+     */
+    private String doubt(MonotonicTime now) {
+        String failed =
+                feed.failedAt().map(at -> now.since(at).toMillis() + " ms ago").orElse("never");
+        String confirmed = feed.confirmedAt()
+                .map(at -> now.since(at).toMillis() + " ms ago")
+                .orElse("never");
+        return "the platform was out of reach " + failed + ", entries were confirmed " + confirmed;
+    }
+
     /**
      * Reports what is now believed of an endpoint.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/registry/RegistryEffect.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/registry/RegistryEffect.java
@@ -1,6 +1,7 @@
 package io.yuccaswitch.core.registry;
 
 import io.yuccaswitch.core.decision.Effect;
+import io.yuccaswitch.core.time.MonotonicTime;
 import java.util.List;
 
 /** What the registry tells the shell. */
@@ -12,4 +13,11 @@
      * @param working The endpoints that are not leaving.
      */
     record Changed(List<RegisteredEndpoint> working) implements RegistryEffect {}
+
+    /**
+     * What is known of the endpoints was surely complete at a later time than was known before.
+     *
+     * @param at The time.
+     */
+    record Confirmed(MonotonicTime at) implements RegistryEffect {}
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/SharedKindWatch.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/SharedKindWatch.java
@@ -7,9 +7,12 @@
 import io.yuccaswitch.core.platform.KindWatch;
 import io.yuccaswitch.core.platform.PlatformPurpose;
 import io.yuccaswitch.core.platform.PlatformTokens;
+import io.yuccaswitch.core.suspension.Suspended;
 import io.yuccaswitch.core.time.MonotonicTime;
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 /**
  * Follows all objects of one kind with few calls to the platform: two nodes of each region watch there, and the others
@@ -48,6 +51,9 @@
     /** Whether what the watching nodes say is not enough, such that the platform has to be asked. */
     private boolean doubtful = true;
 
+    /** When the platform surely held nothing beyond what this node knows. */
+    private Optional<MonotonicTime> confirmedAt = Optional.empty();
+
     /** When a watching node last failed to reach the platform, as far as it said so. */
     private Optional<MonotonicTime> relayedFailure = Optional.empty();
 
@@ -71,11 +77,12 @@
         direct = new KindWatch(kind, purpose, tokens, gathering, WAIT_TIME);
         this.roles = roles;
         this.follower = follower;
-        server = new WatchServer(kind, replica, direct);
+        server = new WatchServer(kind, replica, direct, this::confirmedAt);
     }
 
     @Override
     public Optional<News> run(Tick tick) {
+        tick.events(Suspended.class).forEach(event -> suspended(event.gap()));
         Optional<News> news = direct.isCalling() ? takeDirect(tick) : takeRelayed(tick);
         server.run(tick);
         if (!direct.isCalling() && !follower.isWaiting()) {
@@ -93,6 +100,31 @@
         return own.get().isBefore(relayedFailure.get()) ? relayedFailure : own;
     }
 
+    @Override
+    public Optional<MonotonicTime> confirmedAt() {
+        return confirmedAt;
+    }
+
+    /**
+     * Takes note that the machine was suspended, such that its clock stood still meanwhile.
+     *
+     * @param gap How long it was.
+     */
+    private void suspended(Duration gap) {
+        confirmedAt = confirmedAt.map(at -> at.plus(gap.negated()));
+        direct.suspended(gap);
+        follower.suspended(gap);
+    }
+
+    /**
+     * Takes note that the platform surely held nothing beyond what this node knows.
+     *
+     * @param at When.
+     */
+    private void confirm(Optional<MonotonicTime> at) {
+        confirmedAt = Stream.concat(confirmedAt.stream(), at.stream()).max(Comparator.naturalOrder());
+    }
+
     /**
      * Takes the platform's answer, if it arrived.
      *
@@ -111,6 +143,7 @@
             doubtful = false;
         }
         news.ifPresent(found -> replica.take(found, direct.version().orElseThrow()));
+        confirm(direct.confirmedAt());
         return news;
     }
 
@@ -126,9 +159,11 @@
             return Optional.empty();
         }
         doubtful = !outcome.get().inContact();
-        return outcome.get()
+        Optional<News> news = outcome.get()
                 .changes()
                 .flatMap(changes -> take(tick, outcome.get().version(), changes));
+        confirm(outcome.get().confirmedAt());
+        return news;
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchFollower.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchFollower.java
@@ -166,7 +166,33 @@
         if (!changes.inContact()) {
             contacts.pause(answered.watcher(), tick.now().plus(CONTACTLESS_PAUSE));
         }
-        return new Outcome(answered.version(), Optional.of(changes));
+        return new Outcome(answered.version(), Optional.of(changes), confirmedBy(answered, changes));
+    }
+
+    /**
+     * Returns when the platform surely held nothing beyond what an answer tells. The answer was written no earlier than
+     * the request was sent and then held, however long either was on its way.
+     *
+     * @param answered The request.
+     * @param changes The answer.
+     * @return The time, or empty if the other node knows nothing.
+     */
+    private static Optional<MonotonicTime> confirmedBy(Request answered, WatchMessage.Changes changes) {
+        if (changes.confirmedAgeMillis().isEmpty()) {
+            return Optional.empty();
+        }
+        Duration held = Duration.ofMillis(changes.heldMillis());
+        Duration age = Duration.ofMillis(changes.confirmedAgeMillis().getAsLong());
+        return Optional.of(answered.askedAt().plus(held).plus(age.negated()));
+    }
+
+    /**
+     * Takes note that the machine was suspended, such that its clock stood still meanwhile.
+     *
+     * @param gap How long it was.
+     */
+    void suspended(Duration gap) {
+        request = request.map(waiting -> waiting.askedEarlier(gap));
     }
 
     /**
@@ -184,7 +210,7 @@
                 kind,
                 "not from " + lost.watcher(),
                 "no answer in " + tick.now().since(lost.askedAt()).toMillis() + " ms, version " + lost.version()));
-        return new Outcome(lost.version(), Optional.empty());
+        return new Outcome(lost.version(), Optional.empty(), Optional.empty());
     }
 
     /**
@@ -229,6 +255,16 @@
         boolean isOverdue(MonotonicTime now) {
             return now.since(askedAt).compareTo(hold.plus(DELIVERY_TIME)) > 0;
         }
+
+        /**
+         * Returns this request as sent earlier.
+         *
+         * @param by By how much.
+         * @return The request.
+         */
+        Request askedEarlier(Duration by) {
+            return new Request(watcher, number, version, askedAt.plus(by.negated()), hold, heard);
+        }
     }
 
     /**
@@ -236,8 +272,10 @@
      *
      * @param version The version that the request named.
      * @param changes The answer, or empty if there is none.
+     * @param confirmedAt When the platform surely held nothing beyond what the answer tells, or empty if that is
+     *     unknown.
      */
-    record Outcome(long version, Optional<WatchMessage.Changes> changes) {
+    record Outcome(long version, Optional<WatchMessage.Changes> changes, Optional<MonotonicTime> confirmedAt) {
 
         /**
          * Returns whether the node that was asked is in contact with the platform.
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchMessage.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchMessage.java
@@ -3,6 +3,7 @@
 import io.yuccaswitch.core.peer.PeerMessage;
 import io.yuccaswitch.core.platform.StoredObject;
 import java.util.List;
+import java.util.OptionalLong;
 
 /** A message by which nodes hand on what they learn of the platform's objects. */
 public sealed interface WatchMessage extends PeerMessage {
@@ -31,6 +32,9 @@
      * @param number The number of the request.
      * @param behind The version of the request. Numbers begin anew when a node restarts, so the answer bears both.
      * @param inContact Whether the sender watches the kind at the platform, and the platform answers it.
+     * @param heldMillis How long the request was held, in milliseconds.
+     * @param confirmedAgeMillis How old what the sender knows is, in milliseconds: how long ago the platform surely
+     *     held nothing beyond it. Empty if it knows nothing.
      * @param failureAgeMillis How long ago the sender last failed to reach the platform, in milliseconds, or
      *     {@link #NEVER}.
      * @param version The version up to which the objects are complete.
@@ -43,6 +47,8 @@
             long number,
             long behind,
             boolean inContact,
+            long heldMillis,
+            OptionalLong confirmedAgeMillis,
             long failureAgeMillis,
             long version,
             boolean complete,
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchServer.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchServer.java
@@ -9,6 +9,9 @@
 import io.yuccaswitch.core.time.MonotonicTime;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Supplier;
 
 /** Answers the nodes that follow this one, as soon as there are changes or this node loses the platform. */
 final class WatchServer {
@@ -22,6 +25,9 @@
     /** This node's own watch. */
     private final KindWatch watch;
 
+    /** Tells when the platform surely held nothing beyond what this node knows. */
+    private final Supplier<Optional<MonotonicTime>> confirmedAt;
+
     /** The requests that are held, by the nodes that sent them. */
     private final Map<NodeName, Held> held = new HashMap<>();
 
@@ -31,11 +37,13 @@
      * @param kind The kind.
      * @param replica The objects as this node knows them.
      * @param watch This node's own watch.
+     * @param confirmedAt Tells when the platform surely held nothing beyond what this node knows.
      */
-    WatchServer(String kind, KindReplica replica, KindWatch watch) {
+    WatchServer(String kind, KindReplica replica, KindWatch watch, Supplier<Optional<MonotonicTime>> confirmedAt) {
         this.kind = kind;
         this.replica = replica;
         this.watch = watch;
+        this.confirmedAt = confirmedAt;
     }
 
     /**
@@ -73,7 +81,7 @@
         if (inContact && !held && !newer) {
             return false;
         }
-        tick.emit(new PeerEffect.Send(sender, answer(tick, request.follow(), inContact)));
+        tick.emit(new PeerEffect.Send(sender, answer(tick, request, inContact)));
         return true;
     }
 
@@ -81,25 +89,41 @@
      * Builds the answer to a request.
      *
      * @param tick The tick.
-     * @param follow The request.
+     * @param request The request.
      * @param inContact Whether the platform answers this node.
      * @return The answer.
      */
-    private WatchMessage.Changes answer(Tick tick, WatchMessage.Follow follow, boolean inContact) {
+    private WatchMessage.Changes answer(Tick tick, Held request, boolean inContact) {
+        WatchMessage.Follow follow = request.follow();
         KindFeed.News news = replica.behind(follow.version());
-        long failureAge =
-                watch.failedAt().map(at -> tick.now().since(at).toMillis()).orElse(WatchMessage.NEVER);
+        Optional<MonotonicTime> confirmed = confirmedAt.get();
+        OptionalLong confirmedAge =
+                confirmed.isPresent() ? OptionalLong.of(millisSince(confirmed.get(), tick) + 1) : OptionalLong.empty();
+        long failureAge = watch.failedAt().map(at -> millisSince(at, tick)).orElse(WatchMessage.NEVER);
         return new WatchMessage.Changes(
                 kind,
                 follow.number(),
                 follow.version(),
                 inContact,
+                millisSince(request.at(), tick),
+                confirmedAge,
                 failureAge,
                 replica.version(),
                 news.complete(),
                 news.objects());
     }
 
+    /**
+     * Returns how long ago something was.
+     *
+     * @param at When it was.
+     * @param tick The tick.
+     * @return The time since then, in milliseconds.
+     */
+    private static long millisSince(MonotonicTime at, Tick tick) {
+        return tick.now().since(at).toMillis();
+    }
+
     /**
      * A request that is held.
      *
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/watch/SharedKindWatchTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/watch/SharedKindWatchTest.java
@@ -18,6 +18,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -182,7 +183,8 @@
                 false);
         copy.node.accept(new PeerEvent.Received(
                 new NodeIdentity(new NodeName("node-9"), 1),
-                new WatchMessage.Changes(KIND, number, 1, true, -1, Long.MAX_VALUE, false, List.of(strange))));
+                new WatchMessage.Changes(
+                        KIND, number, 1, true, 0, OptionalLong.of(0), -1, Long.MAX_VALUE, false, List.of(strange))));
         site.run(Duration.ofMillis(20));
         assertThat(copy.content).doesNotContainKey("z");
     }
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointAttempts.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointAttempts.java
@@ -54,6 +54,9 @@
     /** Finds out whether endpoints have ended. */
     private final EndpointChecks checks;
 
+    /** Tells how old what is known of endpoints is at each dispatch. */
+    private final DispatchAges ages;
+
     /** The calls in progress, by the start of the endpoint that they were sent to. */
     private final Map<Call, EndpointName> running = new ConcurrentHashMap<>();
 
@@ -63,11 +66,13 @@
      * @param http The connections to endpoints.
      * @param dialect How endpoints speak.
      * @param checks Finds out whether endpoints have ended.
+     * @param ages Tells how old what is known of endpoints is at each dispatch.
      */
-    EndpointAttempts(EndpointHttp http, EndpointDialect dialect, EndpointChecks checks) {
+    EndpointAttempts(EndpointHttp http, EndpointDialect dialect, EndpointChecks checks, DispatchAges ages) {
         this.http = http;
         this.dialect = dialect;
         this.checks = checks;
+        this.ages = ages;
     }
 
     /**
@@ -88,7 +93,7 @@
             EndpointHttp.ConnectionUse connection,
             Optional<Long> lastEventId,
             Consumer<Call> begun) {
-        Transmission transmission = new Transmission();
+        Transmission transmission = new Transmission(() -> ages.note(endpoint.name(), request.id()));
         HttpUrl url = HttpUrl.parse("http://" + endpoint.address() + request.target());
         if (url == null) {
             return Opened.failed(endpoint, new AttemptResult.NotRun(false, "the path can't be sent"));
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
@@ -171,7 +171,8 @@
                 settings.availabilityZone(), settings.name().value());
         gate = new QuarantineGate(loop);
         EndpointChecks checks = new EndpointChecks(metrics);
-        items = new ItemRunner(http, dialects.endpoints(), checks, loop);
+        DispatchAges ages = new DispatchAges(view, metrics);
+        items = new ItemRunner(http, dialects.endpoints(), checks, ages, loop);
         orders = new OrderCaller(http, dialects.endpoints(), loop);
         cloud = settings.cloud().map(found -> new CloudCaller(http, dialects.cloud(), found.address(), loop));
         usage = new UsageMeter(
@@ -180,7 +181,7 @@
                 timeOfDay,
                 settings.cloud().isPresent() ? loop : _event -> {});
         replies = new PendingReplies(loop);
-        attempts = new EndpointAttempts(http, dialects.endpoints(), checks);
+        attempts = new EndpointAttempts(http, dialects.endpoints(), checks, ages);
         scorings = new ScoringRunner(attempts, dialects.endpoints(), loop, metrics);
         server = new GatewayServer(
                 settings,
@@ -263,6 +264,7 @@
             view.replace(effect.configuration());
             server.apply(effect.configuration());
         });
+        loop.effects(RegistryEffect.Confirmed.class).subscribe(effect -> view.confirm(effect.at()));
         loop.effects(QuarantineEffect.Changed.class).subscribe(effect -> gate.replace(effect.view()));
         loop.effects(RegistryEffect.Changed.class).subscribe(effect -> {
             view.replace(effect.working());
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayView.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayView.java
@@ -11,6 +11,7 @@
 import io.yuccaswitch.core.registry.RegisteredEndpoint;
 import io.yuccaswitch.core.route.RouteConfiguration;
 import io.yuccaswitch.core.time.MonotonicTime;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -27,6 +28,9 @@
     /** The working endpoints, or empty before the registry was read. */
     private volatile Optional<List<RegisteredEndpoint>> endpoints = Optional.empty();
 
+    /** When what is known of the endpoints was surely complete, if it ever was. */
+    private volatile Optional<MonotonicTime> confirmedAt = Optional.empty();
+
     /** The entry addresses of the nodes that take requests. */
     private volatile List<String> addresses = List.of();
 
@@ -73,6 +77,25 @@
         endpoints = Optional.of(working);
     }
 
+    /**
+     * Notes that what is known of the endpoints was surely complete.
+     *
+     * @param at When.
+     */
+    void confirm(MonotonicTime at) {
+        confirmedAt = Optional.of(at);
+    }
+
+    /**
+     * Returns how old what is known of the endpoints is.
+     *
+     * @param now The present.
+     * @return The age, or empty before anything is known.
+     */
+    Optional<Duration> registryAge(MonotonicTime now) {
+        return confirmedAt.map(now::since);
+    }
+
     /** Notes that this node is about to stop. */
     void leave() {
         leaving = true;
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ItemRunner.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ItemRunner.java
@@ -64,6 +64,9 @@
     /** Finds out whether engines have ended. */
     private final EndpointChecks checks;
 
+    /** Tells how old what is known of engines is at each dispatch. */
+    private final DispatchAges ages;
+
     /** The core. */
     private final DecisionLoop loop;
 
@@ -79,12 +82,15 @@
      * @param http The connections to engines.
      * @param dialect How engines speak.
      * @param checks Finds out whether engines have ended.
+     * @param ages Tells how old what is known of engines is at each dispatch.
      * @param loop The core.
      */
-    ItemRunner(EndpointHttp http, EndpointDialect dialect, EndpointChecks checks, DecisionLoop loop) {
+    ItemRunner(
+            EndpointHttp http, EndpointDialect dialect, EndpointChecks checks, DispatchAges ages, DecisionLoop loop) {
         this.http = http;
         this.dialect = dialect;
         this.checks = checks;
+        this.ages = ages;
         this.loop = loop;
         subscriptions.add(loop.effects(BatchEffect.Run.class).subscribe(this::start));
         subscriptions.add(loop.effects(BatchEffect.Cancel.class).subscribe(this::cancel));
@@ -136,7 +142,8 @@
         if (run.lastEventId() > 0) {
             dialect.resume(request, run.lastEventId());
         }
-        Transmission transmission = new Transmission();
+        Transmission transmission =
+                new Transmission(() -> ages.note(run.endpoint().name(), item.id()));
         EndpointHttp.ConnectionUse connection =
                 run.inDoubt() ? EndpointHttp.ConnectionUse.NEW : EndpointHttp.ConnectionUse.KEPT;
         Call call = http.call(request, transmission, run.timeLeft(), connection);
