Take a missing entry for lapsed only where nothing confirmed the registry for longer than news may take

Callers' items reached endpoints up to 2.03 s after the platform had acknowledged that these left. Cause: an entry that went missing within 3 s of any failed call, of this node or of one that it follows, was kept for 1.9 s from the moment at which its removal was heard. The platform turned one watching node away with 429 for nine seconds and served all others; that node told its failures to those that follow it, and these kept each removed entry though they heard of it 0.01 to 0.23 s after its removal. The two delays, each within its own bound, add up to more than 2 s.

Now only the age of what is known decides: entries can have lapsed where nothing confirmed them for more than 2 s, by whatever way, and are kept until 1.9 s after the time at which they were confirmed again, not after each was missed. A node in touch with the platform, by itself or through another one, always has them confirmed, so a removal counts at once there. What nodes told each other of failed calls has no use any more and is gone.

LeavingEndpointTest.anEntryThatIsRemovedIsGoneInTimeThoughThePlatformTurnsAnotherNodeAway: failed before, passes. The test of the relayed failures is replaced by three of the age, which is what now decides; the tests of entries that lapse in an outage are as they were and pass.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/platform/KindFeed.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/platform/KindFeed.java
@@ -2,7 +2,6 @@
 
 import io.yuccaswitch.core.decision.Tick;
 import io.yuccaswitch.core.time.MonotonicTime;
-import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 
@@ -17,13 +16,6 @@
      */
     Optional<News> run(Tick tick);
 
-    /**
-     * Returns when the platform was last known to be out of reach.
-     *
-     * @return The time, or empty if it never was.
-     */
-    Optional<MonotonicTime> failedAt();
-
     /**
      * Returns the latest time at which the platform surely held nothing of the kind beyond what this node knows. The
      * age of what is known counts from there, whatever way it came.
@@ -32,17 +24,6 @@
      */
     Optional<MonotonicTime> confirmedAt();
 
-    /**
-     * Returns whether the platform was out of reach a short time ago, such that entries may have lapsed meanwhile.
-     *
-     * @param now The present.
-     * @param time What counts as short.
-     * @return {@code true} if a call failed within that time.
-     */
-    default boolean hasFailedWithin(MonotonicTime now, Duration time) {
-        return failedAt().filter(at -> now.since(at).compareTo(time) < 0).isPresent();
-    }
-
     /**
      * What an answer brought.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/platform/KindWatch.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/platform/KindWatch.java
@@ -60,9 +60,6 @@
     /** When the platform surely held nothing beyond what is known. */
     private Optional<MonotonicTime> confirmedAt = Optional.empty();
 
-    /** When a call last failed. */
-    private Optional<MonotonicTime> failedAt = Optional.empty();
-
     /** What the answer of this tick brought. */
     private Optional<News> news = Optional.empty();
 
@@ -158,11 +155,6 @@
         return answeredInTime && now.since(begun).compareTo(waitTime.plus(ALLOWED_DELAY)) <= 0;
     }
 
-    @Override
-    public Optional<MonotonicTime> failedAt() {
-        return failedAt;
-    }
-
     @Override
     public Optional<MonotonicTime> confirmedAt() {
         return confirmedAt;
@@ -218,7 +210,6 @@
         answeredInTime = event instanceof PlatformEvent.ObjectsListed
                 && tick.now().since(sentAt).compareTo(waitTime.plus(ALLOWED_DELAY)) <= 0;
         if (!(event instanceof PlatformEvent.ObjectsListed listed)) {
-            failedAt = Optional.of(tick.now());
             backOff.failed(tick);
             return;
         }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/registry/EndpointRegistrySystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/registry/EndpointRegistrySystem.java
@@ -31,13 +31,10 @@
     private static final Duration GATHERING = Duration.ofMillis(250);
 
     /**
-     * For how long an entry that lapsed while the platform was away is kept. A living endpoint is back within about two
+     * For how long after an outage entries that lapsed meanwhile are kept. A living endpoint is back within about two
      * seconds of the platform's return.
      */
-    private static final Duration LAPSE_GRACE = Duration.ofMillis(1900);
-
-    /** How long after a failed call a missing entry is taken for lapsed. */
-    private static final Duration RECENT_FAILURE = Duration.ofSeconds(3);
+    private static final Duration RETURN_TIME = Duration.ofMillis(1900);
 
     /** Brings the registry's entries. */
     private final KindFeed feed;
@@ -51,12 +48,15 @@
     /** Whether the registry was read once. */
     private boolean listed;
 
-    /** Whether entries may be missing or out of date, as the platform was out of reach a short time ago. */
-    private boolean inDoubt;
-
     /** When what is known of the endpoints was surely complete, as it was last told. */
     private Optional<MonotonicTime> confirmedAt = Optional.empty();
 
+    /** The latest outage of the platform, if there was one. */
+    private Optional<Outage> outage = Optional.empty();
+
+    /** Whether entries may be missing or out of date. */
+    private boolean inDoubt = true;
+
     /** How often the endpoints have changed. */
     private long changes;
 
@@ -78,16 +78,60 @@
     @Override
     public void run(Tick tick) {
         Optional<KindFeed.News> news = feed.run(tick);
-        inDoubt = feed.hasFailedWithin(tick.now(), RECENT_FAILURE);
+        confirm(tick);
         boolean changed = news.isPresent() && take(tick, news.get());
-        changed |= entries.removeIf(row -> row.hasLapsed(tick.now(), LAPSE_GRACE));
+        changed |= isOutageOver(tick.now()) && removeLapsed(tick);
         if (changed) {
             tell(tick);
         }
-        if (!feed.confirmedAt().equals(confirmedAt)) {
-            confirmedAt = feed.confirmedAt();
-            confirmedAt.ifPresent(at -> tick.emit(new RegistryEffect.Confirmed(at)));
+    }
+
+    /**
+     * Takes note of how far what is known of the endpoints is confirmed. Entries may have lapsed in an outage only
+     * where nothing confirmed them for longer than news may take, whatever way it came. A failed call is no reason to
+     * think so, as the platform may fail one node and serve the others.
+     *
+     * @param tick The tick.
+     */
+    private void confirm(Tick tick) {
+        Optional<MonotonicTime> before = confirmedAt;
+        confirmedAt = feed.confirmedAt();
+        if (!confirmedAt.equals(before)) {
+            MonotonicTime now = confirmedAt.get();
+            tick.emit(new RegistryEffect.Confirmed(now));
+            before.map(now::since)
+                    .filter(unconfirmed -> unconfirmed.compareTo(RegistryAge.BOUND) > 0)
+                    .ifPresent(unconfirmed -> outage = Optional.of(new Outage(now.plus(RETURN_TIME), unconfirmed)));
         }
+        boolean current = confirmedAt
+                .filter(at -> tick.now().since(at).compareTo(RegistryAge.BOUND) <= 0)
+                .isPresent();
+        inDoubt = !current || !isOutageOver(tick.now());
+    }
+
+    /**
+     * Returns whether missing entries can't have lapsed in an outage.
+     *
+     * @param now The present.
+     * @return {@code false} for a short time after an outage.
+     */
+    private boolean isOutageOver(MonotonicTime now) {
+        return outage.filter(latest -> now.isBefore(latest.keptUntil())).isEmpty();
+    }
+
+    /**
+     * Gives the endpoints up that did not come back after an outage.
+     *
+     * @param tick The tick.
+     * @return Whether there were any.
+     */
+    private boolean removeLapsed(Tick tick) {
+        for (Row row : entries.rows()) {
+            if (row.lapsed()) {
+                decide(tick, row.endpoint().name(), "gone", "its entry did not come back");
+            }
+        }
+        return entries.removeIf(Row::lapsed);
     }
 
     /**
@@ -102,7 +146,7 @@
     /**
      * Returns whether entries may be missing or out of date.
      *
-     * @return {@code true} if the platform was out of reach a short time ago.
+     * @return {@code true} if the platform is out of reach, or was a short time ago.
      */
     public boolean isInDoubt() {
         return inDoubt;
@@ -152,7 +196,7 @@
             return;
         }
         RegisteredEndpoint started = known.get().withIncarnation(incarnation);
-        entries.put(name.value(), new Row(started, Optional.empty()));
+        entries.put(name.value(), new Row(started, false));
         decide(tick, started.name(), "started again", "it said so itself");
         tell(tick);
     }
@@ -191,7 +235,7 @@
                 name.value(),
                 new Row(
                         row.get().endpoint().withVersion(model, version),
-                        row.get().lapsedAt()));
+                        row.get().lapsed()));
         tell(tick);
     }
 
@@ -259,7 +303,7 @@
         }
         entries.removeIf(row -> !row.endpoint().name().value().equals(name)
                 && row.endpoint().address().equals(endpoint.address()));
-        entries.put(name, new Row(endpoint, Optional.empty()));
+        entries.put(name, new Row(endpoint, false));
         boolean news = before.isEmpty()
                 || before.get().leaving() != endpoint.leaving()
                 || !before.get().name().equals(endpoint.name());
@@ -297,12 +341,12 @@
      */
     private boolean remove(Tick tick, String name) {
         Optional<Row> row = entries.find(name);
-        if (row.isEmpty() || row.get().lapsedAt().isPresent()) {
+        if (row.isEmpty() || row.get().lapsed()) {
             return false;
         }
-        if (feed.hasFailedWithin(tick.now(), RECENT_FAILURE)) {
-            entries.put(name, new Row(row.get().endpoint(), Optional.of(tick.now())));
-            decide(tick, row.get().endpoint().name(), "lapsed", doubt(tick.now()));
+        if (!isOutageOver(tick.now())) {
+            entries.put(name, new Row(row.get().endpoint(), true));
+            decide(tick, row.get().endpoint().name(), "lapsed", outage.get().describe(tick.now()));
             return false;
         }
         entries.remove(name);
@@ -310,21 +354,6 @@
         return true;
     }
 
-    /**
-     * Describes why a missing entry is taken for lapsed.
-     *
-     * @param now The present.
-     * @return The reason.
-     */
-    private String doubt(MonotonicTime now) {
-        String failed =
-                feed.failedAt().map(at -> now.since(at).toMillis() + " ms ago").orElse("never");
-        String confirmed = feed.confirmedAt()
-                .map(at -> now.since(at).toMillis() + " ms ago")
-                .orElse("never");
-        return "the platform was out of reach " + failed + ", entries were confirmed " + confirmed;
-    }
-
     /**
      * Reports what is now believed of an endpoint.
      *
@@ -341,19 +370,27 @@
      * An entry.
      *
      * @param endpoint The endpoint.
-     * @param lapsedAt When the entry went missing while the platform may have been away, or empty if it is there.
+     * @param lapsed Whether the entry is missing since an outage.
+     */
+    private record Row(RegisteredEndpoint endpoint, boolean lapsed) {}
+
+    /**
+     * An outage of the platform, as far as this node can tell.
+     *
+     * @param keptUntil Until when endpoints are kept whose entries are missing.
+     * @param lasted For how long nothing confirmed what was known.
      */
-    private record Row(RegisteredEndpoint endpoint, Optional<MonotonicTime> lapsedAt) {
+    private record Outage(MonotonicTime keptUntil, Duration lasted) {
 
         /**
-         * Returns whether the entry has been missing for too long.
+         * Describes the outage, for logs.
          *
          * @param now The present.
-         * @param grace The time after which a missing entry means that the endpoint is gone.
-         * @return {@code true} if it has.
+         * @return The description.
          */
-        boolean hasLapsed(MonotonicTime now, Duration grace) {
-            return lapsedAt.filter(at -> now.since(at).compareTo(grace) >= 0).isPresent();
+        String describe(MonotonicTime now) {
+            return "nothing confirmed the entries for " + lasted.toMillis() + " ms, kept for "
+                    + keptUntil.since(now).toMillis() + " ms";
         }
     }
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/SharedKindWatch.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/SharedKindWatch.java
@@ -54,9 +54,6 @@
     /** When the platform surely held nothing beyond what this node knows. */
     private Optional<MonotonicTime> confirmedAt = Optional.empty();
 
-    /** When a watching node last failed to reach the platform, as far as it said so. */
-    private Optional<MonotonicTime> relayedFailure = Optional.empty();
-
     /**
      * Creates a watch that knows nothing yet.
      *
@@ -91,15 +88,6 @@
         return news;
     }
 
-    @Override
-    public Optional<MonotonicTime> failedAt() {
-        Optional<MonotonicTime> own = direct.failedAt();
-        if (own.isEmpty() || relayedFailure.isEmpty()) {
-            return own.or(() -> relayedFailure);
-        }
-        return own.get().isBefore(relayedFailure.get()) ? relayedFailure : own;
-    }
-
     @Override
     public Optional<MonotonicTime> confirmedAt() {
         return confirmedAt;
@@ -159,9 +147,8 @@
             return Optional.empty();
         }
         doubtful = !outcome.get().inContact();
-        Optional<News> news = outcome.get()
-                .changes()
-                .flatMap(changes -> take(tick, outcome.get().version(), changes));
+        Optional<News> news =
+                outcome.get().changes().flatMap(changes -> take(outcome.get().version(), changes));
         confirm(outcome.get().confirmedAt());
         return news;
     }
@@ -169,17 +156,11 @@
     /**
      * Takes changes from a watching node, unless it knows less than this node.
      *
-     * @param tick The tick.
      * @param asked The version that the request named.
      * @param changes The changes.
      * @return What is new.
      */
-    private Optional<News> take(Tick tick, long asked, WatchMessage.Changes changes) {
-        if (changes.failureAgeMillis() != WatchMessage.NEVER) {
-            MonotonicTime failed = tick.now().plus(Duration.ofMillis(-changes.failureAgeMillis()));
-            relayedFailure =
-                    relayedFailure.filter(before -> !before.isBefore(failed)).or(() -> Optional.of(failed));
-        }
+    private Optional<News> take(long asked, WatchMessage.Changes changes) {
         if (changes.version() <= asked) {
             return Optional.empty();
         }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchMessage.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchMessage.java
@@ -11,9 +11,6 @@
     /** The version of a node that knows no object of a kind. */
     long UNKNOWN_VERSION = -1;
 
-    /** The age of a failure where there was none. */
-    long NEVER = -1;
-
     /**
      * Asks for the changes of a kind behind a version. The receiver answers as soon as it knows any or loses the
      * platform, and after the told time in any case.
@@ -35,8 +32,6 @@
      * @param heldMillis How long the request was held, in milliseconds.
      * @param confirmedAgeMillis How old what the sender knows is, in milliseconds: how long ago the platform surely
      *     held nothing beyond it. Empty if it knows nothing.
-     * @param failureAgeMillis How long ago the sender last failed to reach the platform, in milliseconds, or
-     *     {@link #NEVER}.
      * @param version The version up to which the objects are complete.
      * @param complete {@code true} if these are all objects there are, {@code false} if they are the changes behind the
      *     version of the request.
@@ -49,7 +44,6 @@
             boolean inContact,
             long heldMillis,
             OptionalLong confirmedAgeMillis,
-            long failureAgeMillis,
             long version,
             boolean complete,
             List<StoredObject> objects)
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchServer.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchServer.java
@@ -99,7 +99,6 @@
         Optional<MonotonicTime> confirmed = confirmedAt.get();
         OptionalLong confirmedAge =
                 confirmed.isPresent() ? OptionalLong.of(millisSince(confirmed.get(), tick) + 1) : OptionalLong.empty();
-        long failureAge = watch.failedAt().map(at -> millisSince(at, tick)).orElse(WatchMessage.NEVER);
         return new WatchMessage.Changes(
                 kind,
                 follow.number(),
@@ -107,7 +106,6 @@
                 inContact,
                 millisSince(request.at(), tick),
                 confirmedAge,
-                failureAge,
                 replica.version(),
                 news.complete(),
                 news.objects());
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/watch/SharedKindWatchTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/watch/SharedKindWatchTest.java
@@ -14,6 +14,7 @@
 import io.yuccaswitch.core.platform.StoredObject;
 import io.yuccaswitch.core.site.TestNode;
 import io.yuccaswitch.core.site.TestSite;
+import io.yuccaswitch.core.time.MonotonicTime;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -137,14 +138,42 @@
     }
 
     @Test
-    void anOutageOfThePlatformIsKnownToTheNodesThatFollow() {
+    void anOutageOfThePlatformShowsInTheAgeOfWhatTheNodesKnow() {
         site.platform().failWhere((_node, _call) -> true);
         site.run(Duration.ofSeconds(2));
+        assertThat(copies.values()).allSatisfy(copy -> assertThat(copy.age(site.now()))
+                .isBetween(Duration.ofSeconds(2), BOUND.multipliedBy(2)));
         site.platform().failWhere((_node, _call) -> false);
         site.run(Duration.ofSeconds(1));
         assertThat(copies.values())
-                .allSatisfy(copy -> assertThat(copy.feed.hasFailedWithin(site.now(), Duration.ofSeconds(2)))
-                        .isTrue());
+                .allSatisfy(copy -> assertThat(copy.age(site.now())).isLessThan(Duration.ofSeconds(1)));
+    }
+
+    @Test
+    void theAgeOfWhatANodeKnowsCountsFromThePlatformHoweverLateItsMessagesAre() {
+        Set<String> watchers = watchers();
+        site.delayMessages((from, _to) -> watchers.contains(from) ? Duration.ofMillis(250) : Duration.ZERO);
+        site.platform().delayAnswers(name -> watchers.contains(name) ? Duration.ofMillis(150) : Duration.ZERO);
+        site.run(Duration.ofSeconds(2));
+        site.platform().silenceWhere(_name -> true);
+        MonotonicTime silent = site.now();
+        for (int i = 0; i < 100; i++) {
+            site.run(Duration.ofMillis(10));
+            assertThat(copies.values()).allSatisfy(copy -> assertThat(copy.age(site.now()))
+                    .isGreaterThanOrEqualTo(site.now().since(silent)));
+        }
+    }
+
+    @Test
+    void theTimeForWhichAMachineWasSuspendedAgesWhatItKnows() {
+        Copy copy = inTouch(watchers()).iterator().next();
+        copy.node.suspend();
+        site.run(Duration.ofSeconds(5));
+        site.platform().silenceWhere(_name -> true);
+        site.connect((_from, _to) -> true);
+        copy.node.resume();
+        site.run(Duration.ofMillis(20));
+        assertThat(copy.age(site.now())).isGreaterThan(Duration.ofSeconds(4));
     }
 
     @Test
@@ -184,7 +213,7 @@
         copy.node.accept(new PeerEvent.Received(
                 new NodeIdentity(new NodeName("node-9"), 1),
                 new WatchMessage.Changes(
-                        KIND, number, 1, true, 0, OptionalLong.of(0), -1, Long.MAX_VALUE, false, List.of(strange))));
+                        KIND, number, 1, true, 0, OptionalLong.of(0), Long.MAX_VALUE, false, List.of(strange))));
         site.run(Duration.ofMillis(20));
         assertThat(copy.content).doesNotContainKey("z");
     }
@@ -252,11 +281,12 @@
     }
 
     /** What a node knows of the objects. */
-    private static final class Copy implements DecisionSystem {
+    private final class Copy implements DecisionSystem {
 
         private final TestNode node;
         private final SharedKindWatch feed;
         private final Map<String, String> content = new TreeMap<>();
+        private Duration lag = Duration.ZERO;
 
         Copy(TestNode node, SharedKindWatch feed) {
             this.node = node;
@@ -265,9 +295,15 @@
 
         @Override
         public void run(Tick tick) {
+            lag = site.now().since(tick.now());
             feed.run(tick).ifPresent(this::take);
         }
 
+        /** Returns how old what the node knows is, by a clock that never stood still. */
+        Duration age(MonotonicTime now) {
+            return now.since(feed.confirmedAt().orElseThrow().plus(lag));
+        }
+
         private void take(KindFeed.News news) {
             if (news.complete()) {
                 content.clear();
