Bound the age of what a node knows of endpoints by one call of its own, however the nodes that it follows fail

Endpoints that had said that they leave could be chosen for more than 1.7 s and reached after more than 2 s. Cause: a watching node that loses the platform is believed for as long as that takes to show (up to 1.35 s), and one that then stands still is waited for as long as that takes to show (0.8 s); each is within its bound, nothing bounds the sum. Besides, a watching node that the platform turns away asked nobody else, and the short call in doubt was one that the platform held for 0.7 s.

Now the age owns the bound. What a node knows of endpoints is confirmed by one short call to the platform as soon as it is 1.2 s old, beside whatever else is waited for, so a node that the platform answers knows each change within 1.2 s, one tick and one call. A node in doubt asks the next one at once, and one that the platform turns away asks the other watching node and then two others, whose answers bear their age. Answers that overlap are merged by version.

SharedKindWatchTest: a node turned away with both watching nodes, and a watching one that is turned away, learn within 1.9 s; while all is well no other node calls.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/platform/KindWatch.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/platform/KindWatch.java
@@ -10,7 +10,7 @@
  * Follows all objects of one kind at the platform: lists them once, then waits for changes with one call at a time, and
  * lists anew when the platform no longer knows the changes in between.
  */
-public final class KindWatch implements KindFeed {
+public final class KindWatch {
 
     /** The first wait after a failed call. A node has to be back soon after the platform is. */
     private static final Duration FIRST_BACK_OFF = Duration.ofMillis(150);
@@ -33,7 +33,7 @@
     /** The pause after an answer that gathers further changes into the next one, as each call has a price. */
     private final Duration gathering;
 
-    /** How long the platform waits for changes before it answers that there are none. */
+    /** The longest time for which the platform waits for changes before it answers that there are none. */
     private final Duration waitTime;
 
     /** When the next call may be made. */
@@ -61,7 +61,7 @@
     private Optional<MonotonicTime> confirmedAt = Optional.empty();
 
     /** What the answer of this tick brought. */
-    private Optional<News> news = Optional.empty();
+    private Optional<KindFeed.News> news = Optional.empty();
 
     /**
      * Creates a watch that knows nothing yet.
@@ -82,10 +82,15 @@
         calls = new PlatformCalls(tokens);
     }
 
-    @Override
-    public Optional<News> run(Tick tick) {
-        Optional<News> answer = answer(tick);
-        callIfDue(tick);
+    /**
+     * Takes what arrived with a tick, and makes the next call when that is due.
+     *
+     * @param tick The tick.
+     * @return What is new, if anything arrived.
+     */
+    public Optional<KindFeed.News> run(Tick tick) {
+        Optional<KindFeed.News> answer = answer(tick);
+        callIfDue(tick, waitTime);
         return answer;
     }
 
@@ -95,7 +100,7 @@
      * @param tick The tick.
      * @return What is new, if an answer arrived.
      */
-    public Optional<News> answer(Tick tick) {
+    public Optional<KindFeed.News> answer(Tick tick) {
         news = Optional.empty();
         calls.answer(tick);
         return news;
@@ -105,13 +110,16 @@
      * Makes the next call if it is due and none waits for its answer.
      *
      * @param tick The tick.
+     * @param longest How long the platform may wait for changes, if that is less than usual.
      */
-    public void callIfDue(Tick tick) {
+    public void callIfDue(Tick tick, Duration longest) {
         if (calling || !backOff.allows(tick.now())) {
             return;
         }
         calling = true;
         sentAt = tick.now();
+        Duration wait = longest.compareTo(waitTime) < 0 ? longest : waitTime;
+        held = version.isEmpty() ? Optional.empty() : Optional.of(wait);
         calls.call(tick, this::nextCall, this::receive);
     }
 
@@ -155,7 +163,11 @@
         return answeredInTime && now.since(begun).compareTo(waitTime.plus(ALLOWED_DELAY)) <= 0;
     }
 
-    @Override
+    /**
+     * Returns the latest time at which the platform surely held nothing beyond what this watch has brought.
+     *
+     * @return The time, or empty before the first list.
+     */
     public Optional<MonotonicTime> confirmedAt() {
         return confirmedAt;
     }
@@ -177,10 +189,9 @@
      * @return A list before the first answer, else a watch.
      */
     private PlatformEffect nextCall(long token) {
-        held = version.isEmpty() ? Optional.empty() : Optional.of(waitTime);
-        return version.isEmpty()
+        return held.isEmpty()
                 ? new PlatformEffect.ListKind(token, purpose, kind)
-                : new PlatformEffect.Watch(token, purpose, kind, version.getAsLong(), Optional.of(waitTime));
+                : new PlatformEffect.Watch(token, purpose, kind, version.orElseThrow(), held);
     }
 
     /**
@@ -219,7 +230,7 @@
             return;
         }
         confirmedAt = Optional.of(confirmedBy(listed, tick.now()));
-        news = Optional.of(new News(listed.objects(), version.isEmpty()));
+        news = Optional.of(new KindFeed.News(listed.objects(), held.isEmpty()));
         version = OptionalLong.of(listed.version());
         backOff.succeeded(tick.now(), listed.objects().isEmpty() ? Duration.ZERO : gathering);
     }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/registry/EndpointRegistrySystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/registry/EndpointRegistrySystem.java
@@ -71,7 +71,7 @@
             SharedWatches watches,
             PlatformTokens tokens,
             Function<StoredObject, Optional<RegisteredEndpoint>> decoder) {
-        feed = watches.watch(KIND, PlatformPurpose.DISCOVERY, tokens, GATHERING);
+        feed = watches.watchWithin(KIND, PlatformPurpose.DISCOVERY, tokens, GATHERING, RegistryAge.CONFIRMED);
         this.decoder = decoder;
     }
 
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/registry/RegistryAge.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/registry/RegistryAge.java
@@ -17,6 +17,12 @@
     /** The greatest age at which a request may be sent. */
     public static final Duration LIMIT = BOUND.minus(SENDING_TIME);
 
+    /**
+     * The age at which a node asks the platform itself: above what it reaches through other nodes while all is well,
+     * and low enough for the next look at it and for one call before the limit.
+     */
+    static final Duration CONFIRMED = Duration.ofMillis(1200);
+
     /** This class has no instances. */
     private RegistryAge() {}
 }
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/KindConfirmation.java
@@ -0,0 +1,156 @@
+package io.yuccaswitch.core.watch;
+
+import io.yuccaswitch.core.decision.Tick;
+import io.yuccaswitch.core.platform.CallBackOff;
+import io.yuccaswitch.core.platform.KindFeed;
+import io.yuccaswitch.core.platform.PlatformCalls;
+import io.yuccaswitch.core.platform.PlatformEffect;
+import io.yuccaswitch.core.platform.PlatformEvent;
+import io.yuccaswitch.core.platform.PlatformPurpose;
+import io.yuccaswitch.core.platform.PlatformTokens;
+import io.yuccaswitch.core.time.MonotonicTime;
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * Asks the platform, in one short call beside all others, whether what a node knows of a kind still holds. It bounds
+ * the age of that by itself: however many nodes and paths fail one after the other, a node that reaches the platform
+ * learns what is so in time.
+ */
+final class KindConfirmation {
+
+    /** How long the platform may hold the call, which is to be answered at once. */
+    private static final Duration NO_WAIT = Duration.ofMillis(1);
+
+    /** How late the answer may come before the platform counts as away: a slow one answers within this time. */
+    private static final Duration ALLOWED_DELAY = Duration.ofMillis(400);
+
+    /** The kind. */
+    private final String kind;
+
+    /** The purpose of the calls. */
+    private final PlatformPurpose purpose;
+
+    /** The calls that wait for their answers. */
+    private final PlatformCalls calls;
+
+    /** When the next call may be made. */
+    private final CallBackOff backOff;
+
+    /** Whether a call waits for its answer. */
+    private boolean calling;
+
+    /** When the latest call was sent. */
+    private MonotonicTime sentAt = new MonotonicTime(Long.MIN_VALUE / 2);
+
+    /** Whether the latest call has failed. */
+    private boolean failed;
+
+    /**
+     * Whether the platform no longer knows the changes since what is known, such that all objects have to be listed.
+     */
+    private boolean forgotten;
+
+    /** What the answer of this tick brought. */
+    private Optional<Answer> answer = Optional.empty();
+
+    /**
+     * Creates a confirmation that was not asked for yet.
+     *
+     * @param kind The kind.
+     * @param purpose The purpose of the calls.
+     * @param tokens Hands out the tokens of calls.
+     * @param backOff When a call may be made after one has failed.
+     */
+    KindConfirmation(String kind, PlatformPurpose purpose, PlatformTokens tokens, CallBackOff backOff) {
+        this.kind = kind;
+        this.purpose = purpose;
+        this.backOff = backOff;
+        calls = new PlatformCalls(tokens);
+    }
+
+    /**
+     * Takes the answer of a tick.
+     *
+     * @param tick The tick.
+     * @return The answer, if one arrived that tells what is so.
+     */
+    Optional<Answer> receive(Tick tick) {
+        answer = Optional.empty();
+        calls.answer(tick);
+        return answer;
+    }
+
+    /**
+     * Asks the platform, unless a call waits for its answer or has failed a short time ago.
+     *
+     * @param tick The tick.
+     * @param version The version up to which changes are known.
+     */
+    void ask(Tick tick, long version) {
+        if (calling || !backOff.allows(tick.now())) {
+            return;
+        }
+        calling = true;
+        sentAt = tick.now();
+        boolean lists = forgotten;
+        calls.call(
+                tick,
+                token -> lists
+                        ? new PlatformEffect.ListKind(token, purpose, kind)
+                        : new PlatformEffect.Watch(token, purpose, kind, version, Optional.of(NO_WAIT)),
+                (then, event) -> receive(then, event, version, lists));
+    }
+
+    /**
+     * Returns whether the platform does not answer.
+     *
+     * @param now The present.
+     * @return {@code true} if the latest call has failed, or its answer is overdue.
+     */
+    boolean isPlatformAway(MonotonicTime now) {
+        return failed || (calling && now.since(sentAt).compareTo(ALLOWED_DELAY) > 0);
+    }
+
+    /**
+     * Takes note that the machine was suspended, such that its clock stood still meanwhile.
+     *
+     * @param gap How long it was.
+     */
+    void suspended(Duration gap) {
+        sentAt = sentAt.plus(gap.negated());
+    }
+
+    /**
+     * Takes the answer of a call.
+     *
+     * @param tick The tick.
+     * @param event The answer.
+     * @param version The version up to which changes were known.
+     * @param lists Whether all objects were asked for.
+     */
+    private void receive(Tick tick, PlatformEvent event, long version, boolean lists) {
+        calling = false;
+        failed = !(event instanceof PlatformEvent.ObjectsListed);
+        if (!(event instanceof PlatformEvent.ObjectsListed listed)) {
+            backOff.failed(tick);
+            return;
+        }
+        backOff.succeeded(tick.now(), Duration.ZERO);
+        forgotten = listed.reset();
+        if (!forgotten) {
+            answer = Optional.of(
+                    new Answer(new KindFeed.News(listed.objects(), lists), version, listed.version(), sentAt));
+        }
+    }
+
+    /**
+     * What the platform answered.
+     *
+     * @param news All objects, or those that changed.
+     * @param behind The version behind which they changed.
+     * @param upTo The version up to which changes are known with them.
+     * @param confirmedAt When the call was sent, since when the answer holds.
+     */
+    record Answer(KindFeed.News news, long behind, long upTo, MonotonicTime confirmedAt) {}
+}
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/SharedKindWatch.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/SharedKindWatch.java
@@ -11,6 +11,7 @@
 import io.yuccaswitch.core.time.MonotonicTime;
 import java.time.Duration;
 import java.util.Comparator;
+import java.util.List;
 import java.util.Optional;
 import java.util.stream.Stream;
 
@@ -30,6 +31,12 @@
     /** The longest such wait. The watching nodes try more often, and tell the others when the platform is back. */
     private static final Duration LONGEST_BACK_OFF = Duration.ofMillis(1500);
 
+    /**
+     * How much less than the greatest age what a watching node knows reaches, such that those who follow it get it in
+     * time.
+     */
+    private static final Duration RELAY_TIME = Duration.ofMillis(150);
+
     /** The watch at the platform. */
     private final KindWatch direct;
 
@@ -48,9 +55,18 @@
     /** When a node that follows may call the platform. */
     private final CallBackOff backOff = new CallBackOff(FIRST_BACK_OFF, LONGEST_BACK_OFF);
 
+    /** Asks the platform where the others do not tell what is so. */
+    private final KindConfirmation confirmation;
+
+    /** The age at which what is known is confirmed at the platform, or empty if it may be of any age. */
+    private final Optional<Duration> greatestAge;
+
     /** Whether what the watching nodes say is not enough, such that the platform has to be asked. */
     private boolean doubtful = true;
 
+    /** The version that was known when the platform was last asked for changes. */
+    private long askedBehind = WatchMessage.UNKNOWN_VERSION;
+
     /** When the platform surely held nothing beyond what this node knows. */
     private Optional<MonotonicTime> confirmedAt = Optional.empty();
 
@@ -61,6 +77,7 @@
      * @param purpose The purpose of the calls.
      * @param tokens Hands out the tokens of calls.
      * @param gathering The pause after an answer of the platform that gathers further changes into the next one.
+     * @param greatestAge The age at which what is known is confirmed at the platform, or empty if it may be of any age.
      * @param roles Which nodes watch.
      * @param follower Asks the watching nodes.
      */
@@ -69,9 +86,12 @@
             PlatformPurpose purpose,
             PlatformTokens tokens,
             Duration gathering,
+            Optional<Duration> greatestAge,
             WatchRoles roles,
             WatchFollower follower) {
         direct = new KindWatch(kind, purpose, tokens, gathering, WAIT_TIME);
+        confirmation = new KindConfirmation(kind, purpose, tokens, backOff);
+        this.greatestAge = greatestAge;
         this.roles = roles;
         this.follower = follower;
         server = new WatchServer(kind, replica, direct, this::confirmedAt);
@@ -80,11 +100,14 @@
     @Override
     public Optional<News> run(Tick tick) {
         tick.events(Suspended.class).forEach(event -> suspended(event.gap()));
-        Optional<News> news = direct.isCalling() ? takeDirect(tick) : takeRelayed(tick);
+        Optional<News> news = Stream.of(takeDirect(tick), takeRelayed(tick), takeConfirmation(tick))
+                .flatMap(Optional::stream)
+                .reduce(News::followedBy);
         server.run(tick);
-        if (!direct.isCalling() && !follower.isWaiting()) {
+        if (!follower.isWaiting() && (!direct.isCalling() || !direct.isInContact(tick.now()))) {
             ask(tick);
         }
+        confirmIfNeeded(tick);
         return news;
     }
 
@@ -93,6 +116,11 @@
         return confirmedAt;
     }
 
+    @Override
+    public boolean isPlatformAway(MonotonicTime now) {
+        return confirmation.isPlatformAway(now) || (direct.isCalling() && !direct.isInContact(now));
+    }
+
     /**
      * Takes note that the machine was suspended, such that its clock stood still meanwhile.
      *
@@ -101,6 +129,7 @@
     private void suspended(Duration gap) {
         confirmedAt = confirmedAt.map(at -> at.plus(gap.negated()));
         direct.suspended(gap);
+        confirmation.suspended(gap);
         follower.suspended(gap);
     }
 
@@ -120,19 +149,23 @@
      * @return What is new.
      */
     private Optional<News> takeDirect(Tick tick) {
+        if (!direct.isCalling()) {
+            return Optional.empty();
+        }
         Optional<News> news = direct.answer(tick);
         if (direct.isCalling()) {
             return news;
         }
-        if (!direct.isInContact(tick.now())) {
+        doubtful = !direct.isInContact(tick.now());
+        if (doubtful) {
             backOff.failed(tick);
         } else {
             backOff.succeeded(tick.now(), Duration.ZERO);
-            doubtful = false;
         }
-        news.ifPresent(found -> replica.take(found, direct.version().orElseThrow()));
+        Optional<News> taken =
+                news.flatMap(found -> take(found, askedBehind, direct.version().orElseThrow()));
         confirm(direct.confirmedAt());
-        return news;
+        return taken;
     }
 
     /**
@@ -147,45 +180,118 @@
             return Optional.empty();
         }
         doubtful = !outcome.get().inContact();
-        Optional<News> news =
-                outcome.get().changes().flatMap(changes -> take(outcome.get().version(), changes));
+        Optional<News> news = outcome.get()
+                .changes()
+                .flatMap(changes -> take(
+                        new News(changes.objects(), changes.complete()),
+                        outcome.get().version(),
+                        changes.version()));
         confirm(outcome.get().confirmedAt());
         return news;
     }
 
     /**
-     * Takes changes from a watching node, unless it knows less than this node.
+     * Takes the answer to the call that confirms what is known, if it arrived.
+     *
+     * @param tick The tick.
+     * @return What is new.
+     */
+    private Optional<News> takeConfirmation(Tick tick) {
+        Optional<KindConfirmation.Answer> answer = confirmation.receive(tick);
+        if (answer.isEmpty()) {
+            return Optional.empty();
+        }
+        doubtful = false;
+        Optional<News> news =
+                take(answer.get().news(), answer.get().behind(), answer.get().upTo());
+        confirm(Optional.of(answer.get().confirmedAt()));
+        return news;
+    }
+
+    /**
+     * Takes objects or their changes. Answers come by several ways, so what is older than what is known is left out.
      *
-     * @param asked The version that the request named.
-     * @param changes The changes.
+     * @param news The objects.
+     * @param behind The version behind which they changed, unless they are all objects.
+     * @param upTo The version up to which all changes are known with them.
      * @return What is new.
      */
-    private Optional<News> take(long asked, WatchMessage.Changes changes) {
-        if (changes.version() <= asked) {
+    private Optional<News> take(News news, long behind, long upTo) {
+        long known = replica.version();
+        if (upTo <= known) {
+            direct.goOnBehind(known);
             return Optional.empty();
         }
-        News news = new News(changes.objects(), changes.complete());
-        replica.take(news, changes.version());
-        direct.goOnBehind(changes.version());
-        return Optional.of(news);
+        News fresh = news.complete() || behind >= known ? news : news.behind(known);
+        replica.take(fresh, upTo);
+        direct.goOnBehind(upTo);
+        return Optional.of(fresh);
     }
 
     /**
-     * Asks for what comes next: the platform where this node watches or is in doubt, else a watching node.
+     * Asks for what comes next: the platform where this node watches or knows nothing yet, else a watching node. One
+     * that watches and gets no answer asks another node too, as the platform may fail this one alone.
      *
      * @param tick The tick.
      */
     private void ask(Tick tick) {
         MonotonicTime now = tick.now();
-        if (roles.isWatcher() || (doubtful && backOff.allows(now))) {
-            direct.callIfDue(tick);
+        boolean begins = doubtful && !knowsAnything() && backOff.allows(now);
+        if (roles.isWatcher() || begins) {
+            callDirect(tick);
+        }
+        if (direct.isCalling() && direct.isInContact(now)) {
             return;
         }
-        Optional<NodeName> watcher = follower.choose(roles.watchers(), now);
-        if (watcher.isPresent()) {
-            follower.ask(tick, watcher.get(), replica.version());
+        Optional<NodeName> other = follower.choose(roles.watchers(), now)
+                .or(() -> follower.choose(isPlatformAway(now) ? roles.others() : List.of(), now));
+        if (other.isPresent()) {
+            follower.ask(tick, other.get(), replica.version(), doubtful);
         } else if (backOff.allows(now)) {
-            direct.callIfDue(tick);
+            callDirect(tick);
+        }
+    }
+
+    /**
+     * Calls the platform for changes. A call that follows changes is answered sooner than others, as it tells only when
+     * it is answered that there were no further ones.
+     *
+     * @param tick The tick.
+     */
+    private void callDirect(Tick tick) {
+        if (direct.isCalling()) {
+            return;
         }
+        Optional<Duration> age = confirmedAt.map(tick.now()::since);
+        Duration wait = greatestAge
+                .filter(_bound -> age.isPresent())
+                .map(bound -> bound.minus(RELAY_TIME).minus(age.get()))
+                .orElse(WAIT_TIME);
+        askedBehind = replica.version();
+        direct.callIfDue(tick, wait.isNegative() ? Duration.ZERO : wait);
+    }
+
+    /**
+     * Asks the platform whether what is known still holds, where it has grown old or the watching nodes can't tell.
+     *
+     * @param tick The tick.
+     */
+    private void confirmIfNeeded(Tick tick) {
+        boolean old = confirmedAt.isPresent()
+                && greatestAge
+                        .filter(bound -> tick.now().since(confirmedAt.get()).compareTo(bound) > 0)
+                        .isPresent();
+        if (knowsAnything() && (old || (doubtful && !roles.isWatcher()))) {
+            confirmation.ask(tick, replica.version());
+        }
+    }
+
+    /**
+     * Returns whether this node knows the objects as they were at some time.
+     *
+     * @return {@code true} if it does.
+     */
+    private boolean knowsAnything() {
+        return replica.version() != WatchMessage.UNKNOWN_VERSION;
     }
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/SharedWatches.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/SharedWatches.java
@@ -4,6 +4,7 @@
 import io.yuccaswitch.core.platform.PlatformPurpose;
 import io.yuccaswitch.core.platform.PlatformTokens;
 import java.time.Duration;
+import java.util.Optional;
 
 /** Creates the shared watches of one node, which use one view of the nodes that watch. */
 public final class SharedWatches {
@@ -36,8 +37,43 @@
      * @return The watch.
      */
     public SharedKindWatch watch(String kind, PlatformPurpose purpose, PlatformTokens tokens, Duration gathering) {
+        return watch(kind, purpose, tokens, gathering, Optional.empty());
+    }
+
+    /**
+     * Creates the watch of a kind of which nothing known may grow older than a bound where the platform answers. It is
+     * the first one, as that hears from the watching nodes often enough.
+     *
+     * @param kind The kind of the objects.
+     * @param purpose The purpose of the calls.
+     * @param tokens Hands out the tokens of calls.
+     * @param gathering The pause after an answer of the platform that gathers further changes into the next one.
+     * @param greatestAge The age at which what is known is confirmed at the platform.
+     * @return The watch.
+     */
+    public SharedKindWatch watchWithin(
+            String kind, PlatformPurpose purpose, PlatformTokens tokens, Duration gathering, Duration greatestAge) {
+        return watch(kind, purpose, tokens, gathering, Optional.of(greatestAge));
+    }
+
+    /**
+     * Creates a watch.
+     *
+     * @param kind The kind of the objects.
+     * @param purpose The purpose of the calls.
+     * @param tokens Hands out the tokens of calls.
+     * @param gathering The pause after an answer of the platform that gathers further changes into the next one.
+     * @param greatestAge The age at which what is known is confirmed at the platform, if it may not be of any age.
+     * @return The watch.
+     */
+    private SharedKindWatch watch(
+            String kind,
+            PlatformPurpose purpose,
+            PlatformTokens tokens,
+            Duration gathering,
+            Optional<Duration> greatestAge) {
         WatchFollower follower = new WatchFollower(kind, contacts, !probed);
         probed = true;
-        return new SharedKindWatch(kind, purpose, tokens, gathering, new WatchRoles(membership), follower);
+        return new SharedKindWatch(kind, purpose, tokens, gathering, greatestAge, new WatchRoles(membership), follower);
     }
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchFollower.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchFollower.java
@@ -91,13 +91,16 @@
      * @param tick The tick.
      * @param watcher The node.
      * @param version The version up to which changes are known.
+     * @param atOnce Whether the node shall answer at once, whether or not it knows more.
      */
-    void ask(Tick tick, NodeName watcher, long version) {
+    void ask(Tick tick, NodeName watcher, long version, boolean atOnce) {
         number++;
-        Optional<NodeIdentity> heard = probes ? Optional.empty() : contacts.inTouch(watcher, tick.now());
+        boolean waits = !probes && !atOnce;
+        Optional<NodeIdentity> heard = waits ? contacts.inTouch(watcher, tick.now()) : Optional.empty();
         Duration hold = heard.isPresent() ? LONG_HOLD : SHORT_HOLD;
         request = Optional.of(new Request(watcher, number, version, tick.now(), hold, heard));
-        tick.emit(new PeerEffect.Send(watcher, new WatchMessage.Follow(kind, number, version, hold.toMillis())));
+        long holdMillis = atOnce ? 0 : hold.toMillis();
+        tick.emit(new PeerEffect.Send(watcher, new WatchMessage.Follow(kind, number, version, holdMillis, probes)));
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchMessage.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchMessage.java
@@ -19,8 +19,10 @@
      * @param number The number of the request, which the answer bears.
      * @param version The version up to which the sender knows all changes, or {@link #UNKNOWN_VERSION}.
      * @param holdMillis How long the receiver may hold the request, in milliseconds.
+     * @param wantsConfirmation Whether the receiver answers too once the platform has told it that nothing changed.
      */
-    record Follow(String kind, long number, long version, long holdMillis) implements WatchMessage {}
+    record Follow(String kind, long number, long version, long holdMillis, boolean wantsConfirmation)
+            implements WatchMessage {}
 
     /**
      * Answers a request for changes.
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchRoles.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchRoles.java
@@ -6,6 +6,8 @@
 import io.yuccaswitch.core.membership.RendezvousRanking;
 import java.util.Collection;
 import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Which nodes watch at the platform, for all kinds: the two of each region that rank highest among its working nodes,
@@ -17,12 +19,21 @@
     /** What the nodes are ranked for. */
     static final String KEY = "watch";
 
+    /** The number of nodes that are asked where the watching ones can't tell. */
+    private static final int OTHERS = 2;
+
     /** The members. */
     private final MembershipView membership;
 
     /** The watching nodes, in the order in which this node follows them. */
     private List<NodeName> watchers = List.of();
 
+    /** Whether this node watches. */
+    private boolean watches = true;
+
+    /** The nodes that are asked where the watching ones can't tell. */
+    private List<NodeName> others = List.of();
+
     /** The working nodes that the watching ones were picked from, which are another collection after each change. */
     private Collection<Member> picked = List.of();
 
@@ -36,11 +47,28 @@
     }
 
     /**
-     * Returns the watching nodes.
+     * Returns the watching nodes but this one.
      *
      * @return The nodes, in an order that differs between the nodes that follow, such that these spread.
      */
     List<NodeName> watchers() {
+        pick();
+        return watchers;
+    }
+
+    /**
+     * Returns some nodes of the region that don't watch, each of which may reach the platform where the watching ones
+     * don't.
+     *
+     * @return The nodes, which differ between the nodes that ask.
+     */
+    List<NodeName> others() {
+        pick();
+        return others;
+    }
+
+    /** Picks the nodes anew if the members have changed. */
+    private void pick() {
         Collection<Member> working = membership.working();
         if (working != picked) {
             picked = working;
@@ -48,11 +76,21 @@
             List<Member> region = working.stream()
                     .filter(member -> member.region().equals(self.region()))
                     .toList();
-            watchers = RendezvousRanking.rank(selfName().value(), RendezvousRanking.pair(KEY, region)).stream()
+            List<Member> pair = RendezvousRanking.pair(KEY, region);
+            List<NodeName> ranked = RendezvousRanking.rank(selfName().value(), region).stream()
                     .map(member -> member.identity().name())
                     .toList();
+            Set<NodeName> watching =
+                    pair.stream().map(member -> member.identity().name()).collect(Collectors.toSet());
+            watches = watching.isEmpty() || watching.contains(selfName());
+            watchers = ranked.stream()
+                    .filter(name -> watching.contains(name) && !name.equals(selfName()))
+                    .toList();
+            others = ranked.stream()
+                    .filter(name -> !watching.contains(name) && !name.equals(selfName()))
+                    .limit(OTHERS)
+                    .toList();
         }
-        return watchers;
     }
 
     /**
@@ -61,8 +99,8 @@
      * @return {@code true} if it does.
      */
     boolean isWatcher() {
-        List<NodeName> current = watchers();
-        return current.isEmpty() || current.contains(selfName());
+        pick();
+        return watches;
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchServer.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchServer.java
@@ -78,7 +78,8 @@
         boolean held =
                 tick.now().since(request.at()).toMillis() >= request.follow().holdMillis();
         boolean newer = replica.hasNewsBehind(request.follow().version());
-        if (inContact && !held && !newer) {
+        boolean confirmed = confirmedAt.get().filter(request.at()::isBefore).isPresent();
+        if (inContact && !held && !newer && !(confirmed && request.follow().wantsConfirmation())) {
             return false;
         }
         tick.emit(new PeerEffect.Send(sender, answer(tick, request, inContact)));
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/registry/LeavingEndpointTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/registry/LeavingEndpointTest.java
@@ -91,7 +91,11 @@
             watchers.forEach(name -> troubles.addAll(inSeries(name, begin, random)));
             site.everyStep(_site -> strike(troubles));
             site.run(Duration.ofMillis(1000 + random.nextInt(1500)));
-            put("one", "ledger 10.0.0.1:80 draining");
+            if (seed % 2 == 0) {
+                put("one", "ledger 10.0.0.1:80 draining");
+            } else {
+                site.platform().remove(EndpointRegistrySystem.KIND, "one");
+            }
             assertKnownInTime(watchers, "seed " + seed + " " + troubles);
             site.everyStep(_site -> {});
             strike(List.of());
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/watch/SharedKindWatchTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/watch/SharedKindWatchTest.java
@@ -118,6 +118,41 @@
         assertThat(copies.get(refused).content).containsEntry("a", "second");
     }
 
+    @Test
+    void nodesThatThePlatformTurnsAwayWithBothWatchingNodesLearnFromTheOthers() {
+        Set<String> refused = new TreeSet<>(watchers());
+        refused.add(inTouch(watchers()).iterator().next().node.name());
+        site.platform().failWhere((node, _call) -> refused.contains(node));
+        site.run(Duration.ofSeconds(2));
+        site.platform().put(KIND, "a", "second");
+        site.run(BOUND);
+        assertThat(copies.values()).allSatisfy(copy -> assertThat(copy.content).containsEntry("a", "second"));
+    }
+
+    @Test
+    void aWatchingNodeThatThePlatformTurnsAwayLearnsFromTheOther() {
+        String refused = watchers().iterator().next();
+        site.platform().failWhere((node, _call) -> node.equals(refused));
+        site.run(Duration.ofSeconds(2));
+        site.platform().put(KIND, "a", "second");
+        site.run(BOUND);
+        assertThat(copies.get(refused).content).containsEntry("a", "second");
+    }
+
+    @Test
+    void noNodeAsksThePlatformBesideTheWatchingOnesWhileAllIsWell() {
+        site.run(Duration.ofSeconds(2));
+        Set<String> watchers = watchers();
+        copies.values().forEach(copy -> copy.node.take(PeerEffect.Send.class));
+        Set<String> callers = new TreeSet<>();
+        site.platform().failWhere((node, _call) -> !callers.add(node) && false);
+        for (int i = 0; i < 20; i++) {
+            site.platform().put(KIND, "a", "change " + i);
+            site.run(Duration.ofMillis(130 + 60 * i));
+        }
+        assertThat(callers).isSubsetOf(watchers);
+    }
+
     @Test
     void aNodeThatStartsWhileThePlatformTurnsItAwayLearnsAllFromTheOthers() {
         site.platform().failWhere((node, _call) -> node.equals("late"));
