Let a watching node ask others only where the platform does not answer it

The commit before let a watching node ask the other one in each pause that gathers changes too. SimultaneousJobsTest showed it: two of four jobs began their items one tick later.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/SharedKindWatch.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/SharedKindWatch.java
@@ -104,7 +104,7 @@
                 .flatMap(Optional::stream)
                 .reduce(News::followedBy);
         server.run(tick);
-        if (!follower.isWaiting() && (!direct.isCalling() || !direct.isInContact(tick.now()))) {
+        if (!follower.isWaiting()) {
             ask(tick);
         }
         confirmIfNeeded(tick);
@@ -118,7 +118,7 @@
 
     @Override
     public boolean isPlatformAway(MonotonicTime now) {
-        return confirmation.isPlatformAway(now) || (direct.isCalling() && !direct.isInContact(now));
+        return confirmation.isPlatformAway(now) || isOverdue(now);
     }
 
     /**
@@ -240,7 +240,7 @@
         if (roles.isWatcher() || begins) {
             callDirect(tick);
         }
-        if (direct.isCalling() && direct.isInContact(now)) {
+        if (!needsOthers(now)) {
             return;
         }
         Optional<NodeName> other = follower.choose(roles.watchers(), now)
@@ -252,6 +252,27 @@
         }
     }
 
+    /**
+     * Returns whether other nodes have to tell what is so: always those that watch where this one does not, else where
+     * the platform does not answer.
+     *
+     * @param now The present.
+     * @return {@code true} if they have to.
+     */
+    private boolean needsOthers(MonotonicTime now) {
+        return isOverdue(now) || (roles.isWatcher() ? doubtful : !direct.isCalling());
+    }
+
+    /**
+     * Returns whether the platform should have answered the call that waits there.
+     *
+     * @param now The present.
+     * @return {@code true} if it should have.
+     */
+    private boolean isOverdue(MonotonicTime now) {
+        return direct.isCalling() && !direct.isInContact(now);
+    }
+
     /**
      * Calls the platform for changes. A call that follows changes is answered sooner than others, as it tells only when
      * it is answered that there were no further ones.
