Look at an endpoint again right before a request is written, and hold it against the age of what is known

An endpoint was looked at when work was given to it and not again: a connection that was made, a thread that waited or a machine that stood still came on top of the age of the news, and a node that woke went on by what it had known before. Now the last step before the first byte, on every way by which callers' work reaches endpoints (plain requests, streams and their resumption, items, scoring requests), asks whether the endpoint still works and whether what is known is at most 1.7 s old, which leaves 0.3 s of the 2 s for the sending. While the platform answers nobody, which takes 0.4 s of waiting to find out, callers are served by what was known last: no endpoint can have said there that it leaves.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/AttemptOutcome.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/AttemptOutcome.java
@@ -35,6 +35,13 @@
      */
     record Refused(String reason) implements AttemptOutcome {}
 
+    /**
+     * The item was not sent, as the engine has left or what is known of it has grown too old meanwhile.
+     *
+     * @param reason The reason, for logs.
+     */
+    record Withheld(String reason) implements AttemptOutcome {}
+
     /** The engine failed while it ran the item, which counts as an attempt. */
     record Failed() implements AttemptOutcome {}
 
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchRunSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchRunSystem.java
@@ -53,9 +53,10 @@
         if (state.routes().inForce().isEmpty()) {
             return;
         }
+        boolean mayStart = state.registry().allowsDispatch(tick.now());
         state.running().rows().stream()
                 .sorted(Comparator.comparingLong(job -> job.job().submittedAt()))
-                .forEach(job -> advance(tick, job));
+                .forEach(job -> advance(tick, job, mayStart));
     }
 
     /**
@@ -63,15 +64,16 @@
      *
      * @param tick The tick.
      * @param job The job.
+     * @param mayStart Whether what is known of the engines is recent enough for items to start.
      */
-    private void advance(Tick tick, RunningJob job) {
+    private void advance(Tick tick, RunningJob job, boolean mayStart) {
         Optional<Route> route = state.route(job.job());
         if (route.isEmpty() || job.isOverdue(tick.now())) {
             giveUp(tick, job, route.isEmpty() ? "the route is gone" : "its time is up");
             return;
         }
         List<RunningItem> waiting = job.waiting();
-        if (waiting.isEmpty()) {
+        if (waiting.isEmpty() || !mayStart) {
             return;
         }
         List<RegisteredEndpoint> engines = choice.engines(tick, job, route.get());
@@ -246,6 +248,8 @@
         } else if (outcome instanceof AttemptOutcome.Refused refused) {
             state.loads().refuse(engine, model, tick.now());
             again(tick, item.get(), engine, refused.reason());
+        } else if (outcome instanceof AttemptOutcome.Withheld withheld) {
+            again(tick, item.get(), engine, withheld.reason());
         } else if (outcome instanceof AttemptOutcome.Interrupted interrupted) {
             Duration pause = interrupted.unreachable() ? UNREACHABLE_PAUSE : INTERRUPTION_PAUSE;
             state.loads().pause(engine, model, tick.now(), pause);
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ScoringSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ScoringSystem.java
@@ -74,7 +74,9 @@
         for (RunningJob job : state.running().view()) {
             collect(job, outstanding);
         }
-        if (outstanding.isEmpty() || state.routes().inForce().isEmpty()) {
+        if (outstanding.isEmpty()
+                || state.routes().inForce().isEmpty()
+                || !state.registry().allowsDispatch(tick.now())) {
             return;
         }
         outstanding.sort(Comparator.comparing(Outstanding::left)
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/registry/EndpointRegistrySystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/registry/EndpointRegistrySystem.java
@@ -48,8 +48,8 @@
     /** Whether the registry was read once. */
     private boolean listed;
 
-    /** When what is known of the endpoints was surely complete, as it was last told. */
-    private Optional<MonotonicTime> confirmedAt = Optional.empty();
+    /** How old what is known of the endpoints is. */
+    private RegistryFreshness freshness = RegistryFreshness.UNKNOWN;
 
     /** The latest outage of the platform, if there was one. */
     private Optional<Outage> outage = Optional.empty();
@@ -71,7 +71,7 @@
             SharedWatches watches,
             PlatformTokens tokens,
             Function<StoredObject, Optional<RegisteredEndpoint>> decoder) {
-        feed = watches.watchWithin(KIND, PlatformPurpose.DISCOVERY, tokens, GATHERING, RegistryAge.CONFIRMED);
+        feed = watches.watchWithin(KIND, PlatformPurpose.DISCOVERY, tokens, GATHERING, RegistryFreshness.CONFIRMED);
         this.decoder = decoder;
     }
 
@@ -94,21 +94,31 @@
      * @param tick The tick.
      */
     private void confirm(Tick tick) {
-        Optional<MonotonicTime> before = confirmedAt;
-        confirmedAt = feed.confirmedAt();
-        if (!confirmedAt.equals(before)) {
-            MonotonicTime now = confirmedAt.get();
-            tick.emit(new RegistryEffect.Confirmed(now));
-            before.map(now::since)
-                    .filter(unconfirmed -> unconfirmed.compareTo(RegistryAge.BOUND) > 0)
-                    .ifPresent(unconfirmed -> outage = Optional.of(new Outage(now.plus(RETURN_TIME), unconfirmed)));
+        RegistryFreshness before = freshness;
+        freshness = new RegistryFreshness(feed.confirmedAt(), feed.isPlatformAway(tick.now()));
+        if (!freshness.equals(before)) {
+            tick.emit(new RegistryEffect.Confirmed(freshness));
+            freshness.confirmedAt().ifPresent(now -> noteOutage(before, now));
         }
-        boolean current = confirmedAt
-                .filter(at -> tick.now().since(at).compareTo(RegistryAge.BOUND) <= 0)
+        boolean current = freshness
+                .age(tick.now())
+                .filter(age -> age.compareTo(RegistryFreshness.BOUND) <= 0)
                 .isPresent();
         inDoubt = !current || !isOutageOver(tick.now());
     }
 
+    /**
+     * Takes note of an outage, if one is over.
+     *
+     * @param before How old what is known was before.
+     * @param confirmedAt When it was confirmed now.
+     */
+    private void noteOutage(RegistryFreshness before, MonotonicTime confirmedAt) {
+        before.age(confirmedAt)
+                .filter(unconfirmed -> unconfirmed.compareTo(RegistryFreshness.BOUND) > 0)
+                .ifPresent(unconfirmed -> outage = Optional.of(new Outage(confirmedAt.plus(RETURN_TIME), unconfirmed)));
+    }
+
     /**
      * Returns whether missing entries can't have lapsed in an outage.
      *
@@ -152,6 +162,16 @@
         return inDoubt;
     }
 
+    /**
+     * Returns whether work may be sent to the endpoints that are known to work, as far as their age goes.
+     *
+     * @param now The present.
+     * @return {@code false} if it has to wait until the platform has answered.
+     */
+    public boolean allowsDispatch(MonotonicTime now) {
+        return freshness.allowsDispatch(now);
+    }
+
     @Override
     public Optional<RegisteredEndpoint> find(EndpointName name) {
         return entries.find(name.value()).map(Row::endpoint).filter(endpoint -> endpoint.name()
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/registry/RegistryEffect.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/registry/RegistryEffect.java
@@ -1,7 +1,6 @@
 package io.yuccaswitch.core.registry;
 
 import io.yuccaswitch.core.decision.Effect;
-import io.yuccaswitch.core.time.MonotonicTime;
 import java.util.List;
 
 /** What the registry tells the shell. */
@@ -15,9 +14,9 @@
     record Changed(List<RegisteredEndpoint> working) implements RegistryEffect {}
 
     /**
-     * What is known of the endpoints was surely complete at a later time than was known before.
+     * How old what is known of the endpoints is has changed otherwise than by the passing of time.
      *
-     * @param at The time.
+     * @param freshness How old it is.
      */
-    record Confirmed(MonotonicTime at) implements RegistryEffect {}
+    record Confirmed(RegistryFreshness freshness) implements RegistryEffect {}
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/KindConfirmation.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/KindConfirmation.java
@@ -25,6 +25,12 @@
     /** How late the answer may come before the platform counts as away: a slow one answers within this time. */
     private static final Duration ALLOWED_DELAY = Duration.ofMillis(400);
 
+    /** For how long a failed call tells that the platform is away. The next one is made and judged within that time. */
+    private static final Duration FAILURE_VALIDITY = Duration.ofMillis(2500);
+
+    /** How much of the time between two looks counts as waiting. A node that stood still for longer did not wait. */
+    private static final Duration LONGEST_STEP = Duration.ofMillis(200);
+
     /** The kind. */
     private final String kind;
 
@@ -43,8 +49,14 @@
     /** When the latest call was sent. */
     private MonotonicTime sentAt = new MonotonicTime(Long.MIN_VALUE / 2);
 
-    /** Whether the latest call has failed. */
-    private boolean failed;
+    /** How long the call has been waited for while this node ran. */
+    private Duration waited = Duration.ZERO;
+
+    /** When this node last looked for an answer. */
+    private Optional<MonotonicTime> lookedAt = Optional.empty();
+
+    /** When the latest call failed, if it did. */
+    private Optional<MonotonicTime> failedAt = Optional.empty();
 
     /**
      * Whether the platform no longer knows the changes since what is known, such that all objects have to be listed.
@@ -76,6 +88,9 @@
      * @return The answer, if one arrived that tells what is so.
      */
     Optional<Answer> receive(Tick tick) {
+        Duration step = lookedAt.map(tick.now()::since).orElse(Duration.ZERO);
+        waited = waited.plus(step.compareTo(LONGEST_STEP) < 0 ? step : LONGEST_STEP);
+        lookedAt = Optional.of(tick.now());
         answer = Optional.empty();
         calls.answer(tick);
         return answer;
@@ -93,6 +108,7 @@
         }
         calling = true;
         sentAt = tick.now();
+        waited = Duration.ZERO;
         boolean lists = forgotten;
         calls.call(
                 tick,
@@ -106,10 +122,12 @@
      * Returns whether the platform does not answer.
      *
      * @param now The present.
-     * @return {@code true} if the latest call has failed, or its answer is overdue.
+     * @return {@code true} if the latest call failed a short time ago, or its answer is overdue.
      */
     boolean isPlatformAway(MonotonicTime now) {
-        return failed || (calling && now.since(sentAt).compareTo(ALLOWED_DELAY) > 0);
+        boolean failed = failedAt.filter(at -> now.since(at).compareTo(FAILURE_VALIDITY) < 0)
+                .isPresent();
+        return failed || (calling && waited.compareTo(ALLOWED_DELAY) > 0);
     }
 
     /**
@@ -119,6 +137,7 @@
      */
     void suspended(Duration gap) {
         sentAt = sentAt.plus(gap.negated());
+        failedAt = failedAt.map(at -> at.plus(gap.negated()));
     }
 
     /**
@@ -131,11 +150,12 @@
      */
     private void receive(Tick tick, PlatformEvent event, long version, boolean lists) {
         calling = false;
-        failed = !(event instanceof PlatformEvent.ObjectsListed);
         if (!(event instanceof PlatformEvent.ObjectsListed listed)) {
+            failedAt = Optional.of(tick.now());
             backOff.failed(tick);
             return;
         }
+        failedAt = Optional.empty();
         backOff.succeeded(tick.now(), Duration.ZERO);
         forgotten = listed.reset();
         if (!forgotten) {
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/SharedKindWatch.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/SharedKindWatch.java
@@ -118,7 +118,7 @@
 
     @Override
     public boolean isPlatformAway(MonotonicTime now) {
-        return confirmation.isPlatformAway(now) || isOverdue(now);
+        return confirmation.isPlatformAway(now);
     }
 
     /**
@@ -244,7 +244,7 @@
             return;
         }
         Optional<NodeName> other = follower.choose(roles.watchers(), now)
-                .or(() -> follower.choose(isPlatformAway(now) ? roles.others() : List.of(), now));
+                .or(() -> follower.choose(isOverdue(now) || isPlatformAway(now) ? roles.others() : List.of(), now));
         if (other.isPresent()) {
             follower.ask(tick, other.get(), replica.version(), doubtful);
         } else if (backOff.allows(now)) {
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/registry/LeavingEndpointTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/registry/LeavingEndpointTest.java
@@ -137,7 +137,7 @@
 
     private void assertKnownInTime(Set<String> exempt, String description) {
         MonotonicTime acknowledged = site.now();
-        site.run(RegistryAge.LIMIT);
+        site.run(RegistryFreshness.LIMIT);
         for (int millis = 0; millis < 2500; millis += 10) {
             for (Map.Entry<String, EndpointRegistrySystem> registry : registries.entrySet()) {
                 if (!exempt.contains(registry.getKey())) {
--- a/yuccaswitch-endpoint/src/main/java/io/yuccaswitch/endpoint/Transmission.java
+++ b/yuccaswitch-endpoint/src/main/java/io/yuccaswitch/endpoint/Transmission.java
@@ -39,6 +39,9 @@
     /** Whether a byte of the request may have left. */
     private volatile boolean begun;
 
+    /** Whether the request was held back, as it may not be sent any more. */
+    private volatile boolean withheld;
+
     /** Whether a connection was made for this call. */
     private volatile boolean connected;
 
@@ -71,6 +74,15 @@
         return begun;
     }
 
+    /**
+     * Returns whether the request was held back, as it may not be sent any more.
+     *
+     * @return {@code true} if it was.
+     */
+    public boolean isWithheld() {
+        return withheld;
+    }
+
     /**
      * Returns whether the request went over a connection that was made for it. The endpoint then lived when it was
      * sent, which a connection that was kept from an earlier request does not tell.
@@ -154,6 +166,7 @@
                 throw new IOException("The request was sent before.");
             }
             if (!transmission.maySend.getAsBoolean()) {
+                transmission.withheld = true;
                 throw new NotSentException();
             }
             return chain.proceed(chain.request())
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/AttemptResult.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/AttemptResult.java
@@ -26,10 +26,10 @@
     /**
      * The request was surely not run.
      *
-     * @param unreachable Whether nothing listens at the endpoint's address.
+     * @param cause Why not.
      * @param reason The reason, for logs.
      */
-    record NotRun(boolean unreachable, String reason) implements AttemptResult {}
+    record NotRun(NotRunCause cause, String reason) implements AttemptResult {}
 
     /**
      * The request may have run, and there is no answer that can be passed on.
@@ -38,4 +38,14 @@
      * @param reason The reason, for logs.
      */
     record MayHaveRun(Loss loss, String reason) implements AttemptResult {}
+
+    /** Why a request was not run. */
+    enum NotRunCause {
+        /** The endpoint refused it, or it could not be sent. */
+        REFUSED,
+        /** Nothing listens at the endpoint's address. */
+        UNREACHABLE,
+        /** The endpoint has left, or what is known of it has grown too old, since it was chosen. */
+        WITHHELD
+    }
 }
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointAttempts.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointAttempts.java
@@ -54,8 +54,8 @@
     /** Finds out whether endpoints have ended. */
     private final EndpointChecks checks;
 
-    /** Tells how old what is known of endpoints is at each dispatch. */
-    private final DispatchAges ages;
+    /** Looks at endpoints again before requests are written. */
+    private final DispatchCheck dispatch;
 
     /** The calls in progress, by the start of the endpoint that they were sent to. */
     private final Map<Call, EndpointName> running = new ConcurrentHashMap<>();
@@ -66,13 +66,13 @@
      * @param http The connections to endpoints.
      * @param dialect How endpoints speak.
      * @param checks Finds out whether endpoints have ended.
-     * @param ages Tells how old what is known of endpoints is at each dispatch.
+     * @param dispatch Looks at endpoints again before requests are written.
      */
-    EndpointAttempts(EndpointHttp http, EndpointDialect dialect, EndpointChecks checks, DispatchAges ages) {
+    EndpointAttempts(EndpointHttp http, EndpointDialect dialect, EndpointChecks checks, DispatchCheck dispatch) {
         this.http = http;
         this.dialect = dialect;
         this.checks = checks;
-        this.ages = ages;
+        this.dispatch = dispatch;
     }
 
     /**
@@ -93,10 +93,11 @@
             EndpointHttp.ConnectionUse connection,
             Optional<Long> lastEventId,
             Consumer<Call> begun) {
-        Transmission transmission = new Transmission(() -> ages.note(endpoint.name(), request.id()));
+        Transmission transmission = new Transmission(() -> dispatch.maySend(endpoint.name(), request.id()));
         HttpUrl url = HttpUrl.parse("http://" + endpoint.address() + request.target());
         if (url == null) {
-            return Opened.failed(endpoint, new AttemptResult.NotRun(false, "the path can't be sent"));
+            return Opened.failed(
+                    endpoint, new AttemptResult.NotRun(AttemptResult.NotRunCause.REFUSED, "the path can't be sent"));
         }
         Request.Builder builder = new Request.Builder().url(url).method(request.method(), bodyOf(request));
         for (Map.Entry<String, String> header : request.headers()) {
@@ -120,10 +121,26 @@
             return failed.withFailure(
                     transmission.begun()
                             ? lost(failed, describe(exception))
-                            : new AttemptResult.NotRun(exception instanceof ConnectException, describe(exception)));
+                            : new AttemptResult.NotRun(causeOf(transmission, exception), describe(exception)));
         }
     }
 
+    /**
+     * Returns why a request of which nothing was written was not run.
+     *
+     * @param transmission The watcher of the call.
+     * @param exception What ended the call.
+     * @return The cause.
+     */
+    private static AttemptResult.NotRunCause causeOf(Transmission transmission, IOException exception) {
+        if (transmission.isWithheld()) {
+            return AttemptResult.NotRunCause.WITHHELD;
+        }
+        return exception instanceof ConnectException
+                ? AttemptResult.NotRunCause.UNREACHABLE
+                : AttemptResult.NotRunCause.REFUSED;
+    }
+
     /**
      * Breaks off the calls to starts of endpoints that are followed by later ones. Such an endpoint answers no more,
      * and where its connections fell silent the call would wait for its time-out.
@@ -241,7 +258,8 @@
         }
         if (dialect.saysNotRun(response.code(), response.headers()) || dialect.isMisdirected(response.code())) {
             response.close();
-            return opened.withFailure(new AttemptResult.NotRun(false, "refused with status " + response.code()));
+            return opened.withFailure(new AttemptResult.NotRun(
+                    AttemptResult.NotRunCause.REFUSED, "refused with status " + response.code()));
         }
         if (PROMISING.contains(response.code())) {
             response.close();
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
@@ -171,8 +171,8 @@
                 settings.availabilityZone(), settings.name().value());
         gate = new QuarantineGate(loop);
         EndpointChecks checks = new EndpointChecks(metrics);
-        DispatchAges ages = new DispatchAges(view, metrics);
-        items = new ItemRunner(http, dialects.endpoints(), checks, ages, loop);
+        DispatchCheck dispatch = new DispatchCheck(view, metrics);
+        items = new ItemRunner(http, dialects.endpoints(), checks, dispatch, loop);
         orders = new OrderCaller(http, dialects.endpoints(), loop);
         cloud = settings.cloud().map(found -> new CloudCaller(http, dialects.cloud(), found.address(), loop));
         usage = new UsageMeter(
@@ -181,7 +181,7 @@
                 timeOfDay,
                 settings.cloud().isPresent() ? loop : _event -> {});
         replies = new PendingReplies(loop);
-        attempts = new EndpointAttempts(http, dialects.endpoints(), checks, ages);
+        attempts = new EndpointAttempts(http, dialects.endpoints(), checks, dispatch);
         scorings = new ScoringRunner(attempts, dialects.endpoints(), loop, metrics);
         server = new GatewayServer(
                 settings,
@@ -264,7 +264,7 @@
             view.replace(effect.configuration());
             server.apply(effect.configuration());
         });
-        loop.effects(RegistryEffect.Confirmed.class).subscribe(effect -> view.confirm(effect.at()));
+        loop.effects(RegistryEffect.Confirmed.class).subscribe(effect -> view.confirm(effect.freshness()));
         loop.effects(QuarantineEffect.Changed.class).subscribe(effect -> gate.replace(effect.view()));
         loop.effects(RegistryEffect.Changed.class).subscribe(effect -> {
             view.replace(effect.working());
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayView.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayView.java
@@ -4,13 +4,16 @@
 import io.yuccaswitch.core.configuration.FleetConfiguration;
 import io.yuccaswitch.core.decision.DecisionSystem;
 import io.yuccaswitch.core.decision.Tick;
+import io.yuccaswitch.core.identity.EndpointName;
 import io.yuccaswitch.core.identity.PoolName;
 import io.yuccaswitch.core.membership.Member;
 import io.yuccaswitch.core.membership.MemberCondition;
 import io.yuccaswitch.core.membership.MembershipSystem;
 import io.yuccaswitch.core.registry.RegisteredEndpoint;
+import io.yuccaswitch.core.registry.RegistryFreshness;
 import io.yuccaswitch.core.route.RouteConfiguration;
 import io.yuccaswitch.core.time.MonotonicTime;
+import io.yuccaswitch.node.decision.DecisionLoop;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -28,8 +31,8 @@
     /** The working endpoints, or empty before the registry was read. */
     private volatile Optional<List<RegisteredEndpoint>> endpoints = Optional.empty();
 
-    /** When what is known of the endpoints was surely complete, if it ever was. */
-    private volatile Optional<MonotonicTime> confirmedAt = Optional.empty();
+    /** How old what is known of the endpoints is. */
+    private volatile RegistryFreshness freshness = RegistryFreshness.UNKNOWN;
 
     /** The entry addresses of the nodes that take requests. */
     private volatile List<String> addresses = List.of();
@@ -78,22 +81,59 @@
     }
 
     /**
-     * Notes that what is known of the endpoints was surely complete.
+     * Notes how old what is known of the endpoints is, and wakes the requests that wait for it.
      *
-     * @param at When.
+     * @param confirmed How old it is.
      */
-    void confirm(MonotonicTime at) {
-        confirmedAt = Optional.of(at);
+    synchronized void confirm(RegistryFreshness confirmed) {
+        freshness = confirmed;
+        notifyAll();
     }
 
     /**
      * Returns how old what is known of the endpoints is.
      *
-     * @param now The present.
-     * @return The age, or empty before anything is known.
+     * @return How old it is.
      */
-    Optional<Duration> registryAge(MonotonicTime now) {
-        return confirmedAt.map(now::since);
+    RegistryFreshness freshness() {
+        return freshness;
+    }
+
+    /**
+     * Waits until what is known of the endpoints is recent enough for a request to be sent, which it nearly always is.
+     *
+     * @param patience The longest time to wait.
+     * @return Whether it is.
+     */
+    boolean awaitFreshness(Duration patience) {
+        MonotonicTime end = DecisionLoop.now().plus(patience);
+        if (freshness.allowsDispatch(DecisionLoop.now())) {
+            return true;
+        }
+        synchronized (this) {
+            long left = patience.toMillis();
+            while (left > 0 && !freshness.allowsDispatch(DecisionLoop.now())) {
+                try {
+                    wait(left);
+                } catch (InterruptedException _exception) {
+                    Thread.currentThread().interrupt();
+                    return false;
+                }
+                left = end.since(DecisionLoop.now()).toMillis();
+            }
+        }
+        return freshness.allowsDispatch(DecisionLoop.now());
+    }
+
+    /**
+     * Returns whether an endpoint is known to work.
+     *
+     * @param name The name of its start.
+     * @return {@code true} if it is.
+     */
+    boolean isWorking(EndpointName name) {
+        return endpoints.orElseGet(List::of).stream()
+                .anyMatch(endpoint -> endpoint.name().equals(name));
     }
 
     /** Notes that this node is about to stop. */
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ItemRunner.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ItemRunner.java
@@ -64,8 +64,8 @@
     /** Finds out whether engines have ended. */
     private final EndpointChecks checks;
 
-    /** Tells how old what is known of engines is at each dispatch. */
-    private final DispatchAges ages;
+    /** Looks at engines again before items are written. */
+    private final DispatchCheck dispatch;
 
     /** The core. */
     private final DecisionLoop loop;
@@ -82,15 +82,19 @@
      * @param http The connections to engines.
      * @param dialect How engines speak.
      * @param checks Finds out whether engines have ended.
-     * @param ages Tells how old what is known of engines is at each dispatch.
+     * @param dispatch Looks at engines again before items are written.
      * @param loop The core.
      */
     ItemRunner(
-            EndpointHttp http, EndpointDialect dialect, EndpointChecks checks, DispatchAges ages, DecisionLoop loop) {
+            EndpointHttp http,
+            EndpointDialect dialect,
+            EndpointChecks checks,
+            DispatchCheck dispatch,
+            DecisionLoop loop) {
         this.http = http;
         this.dialect = dialect;
         this.checks = checks;
-        this.ages = ages;
+        this.dispatch = dispatch;
         this.loop = loop;
         subscriptions.add(loop.effects(BatchEffect.Run.class).subscribe(this::start));
         subscriptions.add(loop.effects(BatchEffect.Cancel.class).subscribe(this::cancel));
@@ -143,7 +147,7 @@
             dialect.resume(request, run.lastEventId());
         }
         Transmission transmission =
-                new Transmission(() -> ages.note(run.endpoint().name(), item.id()));
+                new Transmission(() -> dispatch.maySend(run.endpoint().name(), item.id()));
         EndpointHttp.ConnectionUse connection =
                 run.inDoubt() ? EndpointHttp.ConnectionUse.NEW : EndpointHttp.ConnectionUse.KEPT;
         Call call = http.call(request, transmission, run.timeLeft(), connection);
@@ -303,6 +307,10 @@
 
         @Override
         public void onFailure(Call _call, IOException exception) {
+            if (transmission.isWithheld()) {
+                end(run, new AttemptOutcome.Withheld("not sent, the engine may have left"), ItemText.EMPTY);
+                return;
+            }
             interrupted(EndpointAttempts.describe(exception));
         }
 
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/PlainRequestHandler.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/PlainRequestHandler.java
@@ -40,6 +40,12 @@
     /** The lowest status that means an endpoint failed. */
     private static final int SERVER_ERROR = 500;
 
+    /**
+     * How long a request waits for the platform to confirm what is known of endpoints. By then it has answered, or is
+     * known not to.
+     */
+    private static final Duration FRESHNESS_PATIENCE = Duration.ofMillis(450);
+
     /** The least time that is worth an attempt. */
     private static final Duration LEAST_TIME = Duration.ofMillis(5);
 
@@ -228,6 +234,9 @@
                 if (left.compareTo(LEAST_TIME) < 0) {
                     return giveUp("time is up", GATEWAY_TIMEOUT);
                 }
+                if (!awaitFreshness(left)) {
+                    return giveUp("what is known of endpoints is too old", BAD_GATEWAY);
+                }
                 Optional<Duration> refusal = passage.refusal(working());
                 if (refusal.isPresent()) {
                     return refuse(refusal.get());
@@ -262,6 +271,17 @@
             }
         }
 
+        /**
+         * Waits until what is known of endpoints is recent enough for an attempt.
+         *
+         * @param left The time that is left.
+         * @return Whether it is.
+         */
+        private boolean awaitFreshness(Duration left) {
+            Duration half = left.dividedBy(2);
+            return view.awaitFreshness(half.compareTo(FRESHNESS_PATIENCE) < 0 ? half : FRESHNESS_PATIENCE);
+        }
+
         /**
          * Returns whether an answer is worth another attempt.
          *
@@ -349,11 +369,22 @@
                 selection.succeed(endpoint, took, now);
             } else if (took.compareTo(times.untilHead()) >= 0) {
                 selection.slow(endpoint, took, now);
-            } else if (!watched.isGone()) {
+            } else if (!watched.isGone() && !isWithheld(result)) {
                 selection.fail(endpoint, now);
             }
         }
 
+        /**
+         * Returns whether a request was not sent for a reason that says nothing of how the endpoint fares.
+         *
+         * @param result What became of the attempt.
+         * @return {@code true} if it was held back.
+         */
+        private boolean isWithheld(AttemptResult result) {
+            return result instanceof AttemptResult.NotRun notRun
+                    && notRun.cause() == AttemptResult.NotRunCause.WITHHELD;
+        }
+
         /**
          * Reads or passes on an answer that has begun.
          *
@@ -428,7 +459,8 @@
                 passage.lose(endpoint, mayHaveRun.loss());
                 metrics.counter("gateway.lost-answers." + label(mayHaveRun.loss()))
                         .inc();
-            } else if (result instanceof AttemptResult.NotRun notRun && notRun.unreachable()) {
+            } else if (result instanceof AttemptResult.NotRun notRun
+                    && notRun.cause() == AttemptResult.NotRunCause.UNREACHABLE) {
                 passage.findGone(endpoint);
             } else if (isSuccess(result)) {
                 passage.serve();
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ScoringRunner.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ScoringRunner.java
@@ -227,7 +227,8 @@
                         "event=scoring-not-sent id=%s reason=\"%s\"",
                         score.request().id(), exception);
                 return EndpointAttempts.Opened.failed(
-                        score.endpoint(), new AttemptResult.NotRun(false, "it can't be sent"));
+                        score.endpoint(),
+                        new AttemptResult.NotRun(AttemptResult.NotRunCause.REFUSED, "it can't be sent"));
             }
         }
 
--- /dev/null
+++ b/yuccaswitch-node/src/test/java/io/yuccaswitch/node/gateway/DispatchCheckTest.java
@@ -0,0 +1,145 @@
+package io.yuccaswitch.node.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import io.javalin.Javalin;
+import io.yuccaswitch.core.identity.AvailabilityZone;
+import io.yuccaswitch.core.identity.EndpointName;
+import io.yuccaswitch.core.identity.PoolName;
+import io.yuccaswitch.core.registry.RegisteredEndpoint;
+import io.yuccaswitch.core.registry.RegistryFreshness;
+import io.yuccaswitch.core.value.Bytes;
+import io.yuccaswitch.endpoint.EndpointChecks;
+import io.yuccaswitch.endpoint.EndpointClientSettings;
+import io.yuccaswitch.endpoint.EndpointHttp;
+import io.yuccaswitch.node.decision.DecisionLoop;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import okhttp3.Call;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * An endpoint was looked at when a request was given to it, and never again: while a connection was made, or the
+ * machine stood still, the endpoint could say that it leaves, and the request was written all the same.
+ */
+final class DispatchCheckTest {
+
+    private static final PoolName POOL = new PoolName("ledger");
+    private static final EndpointClientSettings SETTINGS = new EndpointClientSettings(
+            Duration.ofSeconds(3), Duration.ofSeconds(3), Duration.ofSeconds(5), 4, 1L << 20, 1L << 20);
+
+    private final AtomicInteger arrived = new AtomicInteger();
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final GatewayView view = new GatewayView();
+    private final EndpointHttp http = new EndpointHttp(SETTINGS);
+    private final EndpointAttempts attempts = new EndpointAttempts(
+            http, new TestEndpointDialect(), new EndpointChecks(metrics), new DispatchCheck(view, metrics));
+    private Javalin server;
+    private RegisteredEndpoint endpoint;
+
+    @BeforeEach
+    void startEndpoint() {
+        server = Javalin.create(config -> config.routes.post("/x", context -> {
+                    arrived.incrementAndGet();
+                    context.header("Request-Id", "request-1").result("done");
+                }))
+                .start("127.0.0.1", 0);
+        endpoint = endpoint(1);
+        view.replace(List.of(endpoint));
+        confirm(Duration.ZERO, false);
+    }
+
+    @AfterEach
+    void stopEndpoint() {
+        http.close();
+        server.stop();
+    }
+
+    @Test
+    void aRequestIsSentToAnEndpointThatIsKnownToWork() {
+        assertThat(attempt(_call -> {})).isInstanceOf(AttemptResult.Whole.class);
+        assertThat(metrics.histogram("gateway.registry-age-millis").getCount()).isOne();
+    }
+
+    @Test
+    void aRequestIsNotSentToAnEndpointThatLeavesAfterItWasChosen() {
+        AttemptResult result = attempt(_call -> view.replace(List.of()));
+        assertWithheld(result);
+    }
+
+    @Test
+    void aRequestIsNotSentToAnEndpointThatStartsAgainAfterItWasChosen() {
+        AttemptResult result = attempt(_call -> view.replace(List.of(endpoint(2))));
+        assertWithheld(result);
+    }
+
+    @Test
+    void aRequestIsNotSentOnceWhatIsKnownHasGrownTooOld() {
+        AttemptResult result = attempt(_call -> confirm(RegistryFreshness.LIMIT.plus(Duration.ofMillis(1)), false));
+        assertWithheld(result);
+    }
+
+    @Test
+    void aRequestIsSentByWhatWasKnownLastWhileThePlatformIsAway() {
+        AttemptResult result = attempt(_call -> confirm(Duration.ofSeconds(30), true));
+        assertThat(result).isInstanceOf(AttemptResult.Whole.class);
+    }
+
+    @Test
+    void aRequestThatWaitsForThePlatformGoesOnOnceItHasAnswered() {
+        confirm(Duration.ofSeconds(30), false);
+        CompletableFuture<Boolean> waiting =
+                CompletableFuture.supplyAsync(() -> view.awaitFreshness(Duration.ofSeconds(30)));
+        confirm(Duration.ZERO, false);
+        assertThat(waiting).succeedsWithin(Duration.ofSeconds(20)).isEqualTo(true);
+    }
+
+    @Test
+    void aRequestDoesNotWaitForThePlatformBeyondItsPatience() {
+        confirm(Duration.ofSeconds(30), false);
+        assertThat(view.awaitFreshness(Duration.ofMillis(20))).isFalse();
+    }
+
+    private void assertWithheld(AttemptResult result) {
+        assertThat(result).isInstanceOfSatisfying(AttemptResult.NotRun.class, notRun -> assertThat(notRun.cause())
+                .isEqualTo(AttemptResult.NotRunCause.WITHHELD));
+        assertThat(arrived).hasValue(0);
+        assertThat(metrics.meter("gateway.withheld-requests").getCount()).isOne();
+    }
+
+    /** Makes an attempt, and does something after the endpoint was chosen and before the request is written. */
+    private AttemptResult attempt(java.util.function.Consumer<Call> meanwhile) {
+        OutgoingRequest request = new OutgoingRequest(
+                "request-1",
+                "POST",
+                "/x",
+                List.of(Map.entry("Request-Id", "request-1")),
+                Optional.empty(),
+                Bytes.EMPTY);
+        EndpointAttempts.Times times = new EndpointAttempts.Times(Duration.ofSeconds(10), Duration.ofSeconds(10));
+        EndpointAttempts.Opened opened =
+                attempts.open(request, endpoint, times, EndpointHttp.ConnectionUse.KEPT, Optional.empty(), meanwhile);
+        return opened.failure().orElseGet(() -> attempts.readWhole(opened));
+    }
+
+    private void confirm(Duration age, boolean platformAway) {
+        view.confirm(new RegistryFreshness(Optional.of(DecisionLoop.now().plus(age.negated())), platformAway));
+    }
+
+    private RegisteredEndpoint endpoint(long incarnation) {
+        return new RegisteredEndpoint(
+                new EndpointName(POOL, "one", incarnation),
+                "127.0.0.1:" + server.port(),
+                new AvailabilityZone("zone-a"),
+                4,
+                false,
+                Map.of());
+    }
+}
