--- /dev/null
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/route/ConfigurationInTimeTest.java
@@ -0,0 +1,141 @@
+package io.yuccaswitch.core.route;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.yuccaswitch.core.account.AccountDirectory;
+import io.yuccaswitch.core.decision.DecisionSystem;
+import io.yuccaswitch.core.decision.PacedSystem;
+import io.yuccaswitch.core.membership.RendezvousRanking;
+import io.yuccaswitch.core.platform.PlatformTokens;
+import io.yuccaswitch.core.platform.StoredObject;
+import io.yuccaswitch.core.registry.EndpointRegistrySystem;
+import io.yuccaswitch.core.site.TestNode;
+import io.yuccaswitch.core.site.TestSite;
+import io.yuccaswitch.core.site.Troubles;
+import io.yuccaswitch.core.time.MonotonicTime;
+import io.yuccaswitch.core.watch.SharedWatches;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * News of a configuration went the same way as that of a leaving endpoint: through a watching node that is believed for
+ * as long as a lost platform may take to show, then waited for until it is missed, then through the other one. Each of
+ * these has its own bound, and their sum was more than two seconds, for routes that were dropped and keys that were
+ * taken away as well.
+ */
+final class ConfigurationInTimeTest {
+
+    /** The bound within which a configuration is in force at each node that the platform answers. */
+    private static final Duration BOUND = Duration.ofMillis(1900);
+
+    private static final Duration IDLE_INTERVAL = Duration.ofMillis(100);
+
+    private final TestSite site = new TestSite();
+    private final Map<String, RouteConfigurationSystem> systems = new TreeMap<>();
+    private Set<String> watchers;
+    private long version;
+
+    @BeforeEach
+    void startNodes() {
+        site.connect((_from, _to) -> false);
+        change();
+        TestNode any = site.start("node-0", this::systems);
+        for (int i = 1; i < 9; i++) {
+            site.start("node-" + i, this::systems);
+        }
+        site.run(Duration.ofSeconds(3));
+        watchers = RendezvousRanking.pair("watch", any.working()).stream()
+                .map(member -> member.identity().name().value())
+                .collect(Collectors.toCollection(TreeSet::new));
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 70, 140, 210, 280, 350, 420, 490, 560, 630, 700, 770})
+    void aConfigurationIsInForceInTimeThoughTheWatchingNodesLoseThePlatformAndThenStandStill(int phase) {
+        for (int step = 0; step < 28; step++) {
+            site.run(Duration.ofMillis(5000 + phase + step % 7 * 10));
+            int contact = 450 + step / 7 * 200;
+            Troubles.lostAndStill(watchers, site.now(), Duration.ofMillis(contact))
+                    .strike(site);
+            change();
+            assertInForceInTime("platform lost at phase " + (phase + step % 7 * 10) + ", still after " + contact);
+            Troubles.NONE.strike(site);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {0, 1, 2, 3, 4, 5, 6, 7, 8, 9})
+    void aConfigurationIsInForceInTimeHoweverTheWatchingNodesFailOneAfterTheOther(long group) {
+        for (long seed = group * 20; seed < group * 20 + 20; seed++) {
+            site.run(Duration.ofSeconds(5));
+            Random random = new Random(seed);
+            Troubles troubles =
+                    Troubles.drawn(watchers, site.now().plus(Duration.ofMillis(random.nextInt(1000))), random);
+            troubles.strike(site);
+            site.run(Duration.ofMillis(1000 + random.nextInt(1500)));
+            change();
+            assertInForceInTime("seed " + seed + " " + troubles);
+            Troubles.NONE.strike(site);
+        }
+    }
+
+    @Test
+    void noNodeAsksThePlatformBesideTheWatchingOnesWhileConfigurationsChange() {
+        Set<String> callers = new TreeSet<>();
+        site.platform().failWhere((node, _call) -> !callers.add(node) && false);
+        for (int i = 0; i < 20; i++) {
+            change();
+            site.run(Duration.ofMillis(80 + 90 * i));
+        }
+        assertThat(callers).isSubsetOf(watchers);
+    }
+
+    private void assertInForceInTime(String description) {
+        MonotonicTime acknowledged = site.now();
+        site.run(BOUND);
+        systems.forEach((name, system) -> {
+            if (!watchers.contains(name)) {
+                assertThat(system.inForce().orElseThrow().version())
+                        .as(
+                                "at %s %s after the acknowledgement, %s",
+                                name, site.now().since(acknowledged), description)
+                        .isEqualTo(version);
+            }
+        });
+    }
+
+    private void change() {
+        version++;
+        site.platform().put(RouteConfigurationSystem.KIND, "main", Long.toString(version));
+    }
+
+    private List<DecisionSystem> systems(TestNode node, PlatformTokens tokens) {
+        SharedWatches watches = new SharedWatches(node);
+        EndpointRegistrySystem registry = new EndpointRegistrySystem(watches, tokens, _object -> Optional.empty());
+        RouteConfigurationSystem routes =
+                new RouteConfigurationSystem(watches, tokens, ConfigurationInTimeTest::decode);
+        systems.put(node.name(), routes);
+        return List.of(new PacedSystem(List.of(routes, registry), _event -> false, () -> IDLE_INTERVAL));
+    }
+
+    private static Optional<RouteConfiguration> decode(StoredObject object) {
+        return Optional.of(new RouteConfiguration(
+                Long.parseLong(object.value().toUtf8()),
+                List.of(),
+                Map.of(),
+                new RouteConfiguration.CallerLimits(16384, 1 << 20, Duration.ofSeconds(15)),
+                AccountDirectory.of(List.of()),
+                Map.of()));
+    }
+}
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/site/TestSite.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/site/TestSite.java
@@ -49,6 +49,11 @@
         return now;
     }
 
+    /** Returns the nodes that run. */
+    Collection<TestNode> nodes() {
+        return nodes.values();
+    }
+
     /** Starts a node, or starts it anew under the same name. */
     public TestNode start(String name, BiFunction<TestNode, PlatformTokens, List<DecisionSystem>> systems) {
         TestNode node = new TestNode(this, name, systems);
