Bound the age of configurations as that of endpoints, and tell the age of all kinds with one kind's answers

Routes that were dropped and keys that were taken away could be served for more than two seconds after the platform had acknowledged it, at nodes that it answered. Cause: the same sum without an owner as with leaving endpoints, longer by one step, as requests for configurations are held for 5 s and rely on another kind to notice that a node is lost: belief in a watching node that has lost the platform, then its silence, then that of the other one. Besides, an answer that was lost with its connection was waited for until the 5 s were over.

Now the answers for the registry, which come at least twice a second, tell how old what the watching node knows of each kind is and at which version it changed last. A node that has that version knows the age of its configuration from it, and asks the platform itself at 1.6 s; one that has not and gets no answer within 0.3 s asks anew.

SharedKindWatchTest has a test of the lost answer.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/route/RouteConfigurationSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/route/RouteConfigurationSystem.java
@@ -21,6 +21,12 @@
     /** Gathers quick successions of versions. Far below the time in which a version has to be in force. */
     private static final Duration GATHERING = Duration.ofMillis(100);
 
+    /**
+     * The age at which a node asks the platform itself: above what it reaches through other nodes while all is well,
+     * and low enough for one call before a configuration has to be in force.
+     */
+    private static final Duration CONFIRMED = Duration.ofMillis(1600);
+
     /** Brings the configuration's object. */
     private final KindFeed feed;
 
@@ -41,7 +47,7 @@
             SharedWatches watches,
             PlatformTokens tokens,
             Function<StoredObject, Optional<RouteConfiguration>> decoder) {
-        feed = watches.watch(KIND, PlatformPurpose.CONFIGURATION, tokens, GATHERING);
+        feed = watches.watchWithin(KIND, PlatformPurpose.CONFIGURATION, tokens, GATHERING, CONFIRMED);
         this.decoder = decoder;
     }
 
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/KindReplica.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/KindReplica.java
@@ -37,6 +37,15 @@
         return version;
     }
 
+    /**
+     * Returns the version of the latest change, or that of the latest list of all objects.
+     *
+     * @return The version, or {@link WatchMessage#UNKNOWN_VERSION}.
+     */
+    long changedAt() {
+        return changedAt;
+    }
+
     /**
      * Returns whether there is something new for a node that knows all changes up to a version.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/SharedKindWatch.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/SharedKindWatch.java
@@ -31,11 +31,8 @@
     /** The longest such wait. The watching nodes try more often, and tell the others when the platform is back. */
     private static final Duration LONGEST_BACK_OFF = Duration.ofMillis(1500);
 
-    /**
-     * How much less than the greatest age what a watching node knows reaches, such that those who follow it get it in
-     * time.
-     */
-    private static final Duration RELAY_TIME = Duration.ofMillis(150);
+    /** The kind. */
+    private final String kind;
 
     /** The watch at the platform. */
     private final KindWatch direct;
@@ -61,9 +58,15 @@
     /** The age at which what is known is confirmed at the platform, or empty if it may be of any age. */
     private final Optional<Duration> greatestAge;
 
+    /** What the watching nodes tell of all kinds. */
+    private final KindAges ages;
+
     /** Whether what the watching nodes say is not enough, such that the platform has to be asked. */
     private boolean doubtful = true;
 
+    /** Since when a watching node is known to know more than this one. */
+    private Optional<MonotonicTime> behindSince = Optional.empty();
+
     /** The version that was known when the platform was last asked for changes. */
     private long askedBehind = WatchMessage.UNKNOWN_VERSION;
 
@@ -80,6 +83,7 @@
      * @param greatestAge The age at which what is known is confirmed at the platform, or empty if it may be of any age.
      * @param roles Which nodes watch.
      * @param follower Asks the watching nodes.
+     * @param ages What the watching nodes tell of all kinds.
      */
     SharedKindWatch(
             String kind,
@@ -88,13 +92,16 @@
             Duration gathering,
             Optional<Duration> greatestAge,
             WatchRoles roles,
-            WatchFollower follower) {
+            WatchFollower follower,
+            KindAges ages) {
+        this.kind = kind;
+        this.ages = ages;
         direct = new KindWatch(kind, purpose, tokens, gathering, WAIT_TIME);
         confirmation = new KindConfirmation(kind, purpose, tokens, backOff);
         this.greatestAge = greatestAge;
         this.roles = roles;
         this.follower = follower;
-        server = new WatchServer(kind, replica, direct, this::confirmedAt);
+        server = new WatchServer(kind, replica, direct, this::confirmedAt, ages);
     }
 
     @Override
@@ -103,6 +110,7 @@
         Optional<News> news = Stream.of(takeDirect(tick), takeRelayed(tick), takeConfirmation(tick))
                 .flatMap(Optional::stream)
                 .reduce(News::followedBy);
+        takeAge(tick);
         server.run(tick);
         if (!follower.isWaiting()) {
             ask(tick);
@@ -121,6 +129,24 @@
         return confirmation.isPlatformAway(now);
     }
 
+    /**
+     * Returns the kind.
+     *
+     * @return The kind.
+     */
+    String kind() {
+        return kind;
+    }
+
+    /**
+     * Returns the version of the latest change that is known.
+     *
+     * @return The version, or {@link WatchMessage#UNKNOWN_VERSION}.
+     */
+    long changedAt() {
+        return replica.changedAt();
+    }
+
     /**
      * Takes note that the machine was suspended, such that its clock stood still meanwhile.
      *
@@ -130,6 +156,7 @@
         confirmedAt = confirmedAt.map(at -> at.plus(gap.negated()));
         direct.suspended(gap);
         confirmation.suspended(gap);
+        ages.suspended();
         follower.suspended(gap);
     }
 
@@ -208,6 +235,30 @@
         return news;
     }
 
+    /**
+     * Takes what a watching node told of the age of what it knows. Where it knows more than this node for longer than a
+     * message takes, its answer is lost, and it is asked anew.
+     *
+     * @param tick The tick.
+     */
+    private void takeAge(Tick tick) {
+        Optional<KindAges.Told> told = ages.told(kind);
+        if (told.isEmpty()) {
+            return;
+        }
+        if (replica.version() >= told.get().changedAt()) {
+            behindSince = Optional.empty();
+            confirm(Optional.of(told.get().confirmedAt()));
+            return;
+        }
+        MonotonicTime since = behindSince.orElse(tick.now());
+        behindSince = Optional.of(since);
+        if (tick.now().since(since).compareTo(WatchFollower.DELIVERY_TIME) > 0) {
+            behindSince = Optional.empty();
+            follower.forget();
+        }
+    }
+
     /**
      * Takes objects or their changes. Answers come by several ways, so what is older than what is known is left out.
      *
@@ -286,7 +337,7 @@
         Optional<Duration> age = confirmedAt.map(tick.now()::since);
         Duration wait = greatestAge
                 .filter(_bound -> age.isPresent())
-                .map(bound -> bound.minus(RELAY_TIME).minus(age.get()))
+                .map(bound -> bound.minus(follower.relayTime()).minus(age.get()))
                 .orElse(WAIT_TIME);
         askedBehind = replica.version();
         direct.callIfDue(tick, wait.isNegative() ? Duration.ZERO : wait);
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/SharedWatches.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/SharedWatches.java
@@ -15,6 +15,9 @@
     /** What is known of the nodes that watch. */
     private final WatcherContacts contacts = new WatcherContacts();
 
+    /** How old what is known of the kinds is. */
+    private final KindAges ages = new KindAges();
+
     /** Whether the kind that notices a lost node was created. */
     private boolean probed;
 
@@ -41,8 +44,7 @@
     }
 
     /**
-     * Creates the watch of a kind of which nothing known may grow older than a bound where the platform answers. It is
-     * the first one, as that hears from the watching nodes often enough.
+     * Creates the watch of a kind of which nothing known may grow older than a bound where the platform answers.
      *
      * @param kind The kind of the objects.
      * @param purpose The purpose of the calls.
@@ -72,8 +74,11 @@
             PlatformTokens tokens,
             Duration gathering,
             Optional<Duration> greatestAge) {
-        WatchFollower follower = new WatchFollower(kind, contacts, !probed);
+        WatchFollower follower = new WatchFollower(kind, contacts, ages, !probed);
         probed = true;
-        return new SharedKindWatch(kind, purpose, tokens, gathering, greatestAge, new WatchRoles(membership), follower);
+        SharedKindWatch watch = new SharedKindWatch(
+                kind, purpose, tokens, gathering, greatestAge, new WatchRoles(membership), follower, ages);
+        ages.add(watch);
+        return watch;
     }
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchFollower.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchFollower.java
@@ -24,7 +24,7 @@
     private static final Duration LONG_HOLD = Duration.ofSeconds(5);
 
     /** How long an answer may take beyond the time for which the request is held. */
-    private static final Duration DELIVERY_TIME = Duration.ofMillis(300);
+    static final Duration DELIVERY_TIME = Duration.ofMillis(300);
 
     /** After which silence a node is missed. */
     static final Duration TIMEOUT = SHORT_HOLD.plus(DELIVERY_TIME);
@@ -41,6 +41,9 @@
     /** What is known of the nodes that watch. */
     private final WatcherContacts contacts;
 
+    /** What these tell of all kinds. */
+    private final KindAges ages;
+
     /** Whether this kind notices lost nodes for the others. */
     private final boolean probes;
 
@@ -55,11 +58,13 @@
      *
      * @param kind The kind.
      * @param contacts What is known of the nodes that watch.
+     * @param ages What these tell of all kinds.
      * @param probes Whether this kind notices lost nodes for the others.
      */
-    WatchFollower(String kind, WatcherContacts contacts, boolean probes) {
+    WatchFollower(String kind, WatcherContacts contacts, KindAges ages, boolean probes) {
         this.kind = kind;
         this.contacts = contacts;
+        this.ages = ages;
         this.probes = probes;
     }
 
@@ -169,24 +174,39 @@
         if (!changes.inContact()) {
             contacts.pause(answered.watcher(), tick.now().plus(CONTACTLESS_PAUSE));
         }
-        return new Outcome(answered.version(), Optional.of(changes), confirmedBy(answered, changes));
+        MonotonicTime writtenAt = answered.askedAt().plus(Duration.ofMillis(changes.heldMillis()));
+        ages.take(changes.kinds(), writtenAt, tick.now());
+        return new Outcome(answered.version(), Optional.of(changes), confirmedBy(writtenAt, changes));
     }
 
     /**
      * Returns when the platform surely held nothing beyond what an answer tells. The answer was written no earlier than
      * the request was sent and then held, however long either was on its way.
      *
-     * @param answered The request.
+     * @param writtenAt The earliest time at which the answer can have been written.
      * @param changes The answer.
      * @return The time, or empty if the other node knows nothing.
      */
-    private static Optional<MonotonicTime> confirmedBy(Request answered, WatchMessage.Changes changes) {
+    private static Optional<MonotonicTime> confirmedBy(MonotonicTime writtenAt, WatchMessage.Changes changes) {
         if (changes.confirmedAgeMillis().isEmpty()) {
             return Optional.empty();
         }
-        Duration held = Duration.ofMillis(changes.heldMillis());
         Duration age = Duration.ofMillis(changes.confirmedAgeMillis().getAsLong());
-        return Optional.of(answered.askedAt().plus(held).plus(age.negated()));
+        return Optional.of(writtenAt.plus(age.negated()));
+    }
+
+    /**
+     * Returns how much older than at a watching node what is known gets here until that is asked again.
+     *
+     * @return The time.
+     */
+    Duration relayTime() {
+        return probes ? DELIVERY_TIME.dividedBy(2) : SHORT_HOLD.plus(DELIVERY_TIME.dividedBy(2));
+    }
+
+    /** Gives up waiting for an answer, which was surely lost. */
+    void forget() {
+        request = Optional.empty();
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchMessage.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchMessage.java
@@ -38,6 +38,7 @@
      * @param complete {@code true} if these are all objects there are, {@code false} if they are the changes behind the
      *     version of the request.
      * @param objects The objects, in the order of their versions.
+     * @param kinds How old what the sender knows of each kind is, where the request wants confirmation.
      */
     record Changes(
             String kind,
@@ -48,6 +49,16 @@
             OptionalLong confirmedAgeMillis,
             long version,
             boolean complete,
-            List<StoredObject> objects)
+            List<StoredObject> objects,
+            List<KindAge> kinds)
             implements WatchMessage {}
+
+    /**
+     * How old what a node knows of a kind is.
+     *
+     * @param kind The kind.
+     * @param changedAt The version of the latest change that it knows.
+     * @param confirmedAgeMillis How long ago the platform surely held nothing beyond that, in milliseconds.
+     */
+    record KindAge(String kind, long changedAt, long confirmedAgeMillis) {}
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchServer.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchServer.java
@@ -8,6 +8,7 @@
 import io.yuccaswitch.core.platform.KindWatch;
 import io.yuccaswitch.core.time.MonotonicTime;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -28,6 +29,9 @@
     /** Tells when the platform surely held nothing beyond what this node knows. */
     private final Supplier<Optional<MonotonicTime>> confirmedAt;
 
+    /** How old what this node knows of all kinds is. */
+    private final KindAges ages;
+
     /** The requests that are held, by the nodes that sent them. */
     private final Map<NodeName, Held> held = new HashMap<>();
 
@@ -38,12 +42,19 @@
      * @param replica The objects as this node knows them.
      * @param watch This node's own watch.
      * @param confirmedAt Tells when the platform surely held nothing beyond what this node knows.
+     * @param ages How old what this node knows of all kinds is.
      */
-    WatchServer(String kind, KindReplica replica, KindWatch watch, Supplier<Optional<MonotonicTime>> confirmedAt) {
+    WatchServer(
+            String kind,
+            KindReplica replica,
+            KindWatch watch,
+            Supplier<Optional<MonotonicTime>> confirmedAt,
+            KindAges ages) {
         this.kind = kind;
         this.replica = replica;
         this.watch = watch;
         this.confirmedAt = confirmedAt;
+        this.ages = ages;
     }
 
     /**
@@ -99,28 +110,29 @@
         KindFeed.News news = replica.behind(follow.version());
         Optional<MonotonicTime> confirmed = confirmedAt.get();
         OptionalLong confirmedAge =
-                confirmed.isPresent() ? OptionalLong.of(millisSince(confirmed.get(), tick) + 1) : OptionalLong.empty();
+                confirmed.isPresent() ? OptionalLong.of(ageMillis(confirmed.get(), tick)) : OptionalLong.empty();
         return new WatchMessage.Changes(
                 kind,
                 follow.number(),
                 follow.version(),
                 inContact,
-                millisSince(request.at(), tick),
+                tick.now().since(request.at()).toMillis(),
                 confirmedAge,
                 replica.version(),
                 news.complete(),
-                news.objects());
+                news.objects(),
+                follow.wantsConfirmation() ? ages.own(tick) : List.of());
     }
 
     /**
-     * Returns how long ago something was.
+     * Returns the age of something that was so at a time, rounded up.
      *
-     * @param at When it was.
+     * @param at The time.
      * @param tick The tick.
-     * @return The time since then, in milliseconds.
+     * @return The age, in milliseconds.
      */
-    private static long millisSince(MonotonicTime at, Tick tick) {
-        return tick.now().since(at).toMillis();
+    static long ageMillis(MonotonicTime at, Tick tick) {
+        return tick.now().since(at).toMillis() + 1;
     }
 
     /**
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/watch/SharedKindWatchTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/watch/SharedKindWatchTest.java
@@ -248,7 +248,16 @@
         copy.node.accept(new PeerEvent.Received(
                 new NodeIdentity(new NodeName("node-9"), 1),
                 new WatchMessage.Changes(
-                        KIND, number, 1, true, 0, OptionalLong.of(0), Long.MAX_VALUE, false, List.of(strange))));
+                        KIND,
+                        number,
+                        1,
+                        true,
+                        0,
+                        OptionalLong.of(0),
+                        Long.MAX_VALUE,
+                        false,
+                        List.of(strange),
+                        List.of())));
         site.run(Duration.ofMillis(20));
         assertThat(copy.content).doesNotContainKey("z");
     }
@@ -276,6 +285,22 @@
                 .allSatisfy(other -> assertThat(other.content).containsEntry("a", "second"));
     }
 
+    @Test
+    void aChangeOfAnotherKindIsKnownInTimeThoughTheAnswerThatToldItIsLost() {
+        for (int change = 0; change < 10; change++) {
+            String value = "change " + change;
+            site.run(Duration.ofMillis(2000 + 70 * change));
+            Set<String> watchers = watchers();
+            site.connect((from, _to) -> watchers.contains(from));
+            site.platform().put(OTHER_KIND, "a", value);
+            site.run(Duration.ofMillis(30));
+            site.connect((_from, _to) -> false);
+            site.run(BOUND);
+            assertThat(others.values())
+                    .allSatisfy(other -> assertThat(other.content).containsEntry("a", value));
+        }
+    }
+
     @Test
     void aFurtherKindCostsATenthOfTheMessagesOfTheFirst() {
         site.run(Duration.ofSeconds(2));
