--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/SharedKindWatch.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/SharedKindWatch.java
@@ -108,7 +108,7 @@
     public Optional<News> run(Tick tick) {
         tick.events(Suspended.class).forEach(event -> suspended(event.gap()));
         Optional<News> news = Stream.of(takeDirect(tick), takeRelayed(tick), takeConfirmation(tick))
-                .flatMap(Optional::stream)
+                .<News>mapMulti(Optional::ifPresent)
                 .reduce(News::followedBy);
         takeAge(tick);
         server.run(tick);
@@ -251,7 +251,7 @@
             confirm(Optional.of(told.get().confirmedAt()));
             return;
         }
-        MonotonicTime since = behindSince.orElse(tick.now());
+        MonotonicTime since = behindSince.orElseGet(tick::now);
         behindSince = Optional.of(since);
         if (tick.now().since(since).compareTo(WatchFollower.DELIVERY_TIME) > 0) {
             behindSince = Optional.empty();
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/route/ConfigurationInTimeTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/route/ConfigurationInTimeTest.java
@@ -93,7 +93,10 @@
     @Test
     void noNodeAsksThePlatformBesideTheWatchingOnesWhileConfigurationsChange() {
         Set<String> callers = new TreeSet<>();
-        site.platform().failWhere((node, _call) -> !callers.add(node) && false);
+        site.platform().failWhere((node, _call) -> {
+            callers.add(node);
+            return false;
+        });
         for (int i = 0; i < 20; i++) {
             change();
             site.run(Duration.ofMillis(80 + 90 * i));
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/watch/SharedKindWatchTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/watch/SharedKindWatchTest.java
@@ -145,7 +145,10 @@
         Set<String> watchers = watchers();
         copies.values().forEach(copy -> copy.node.take(PeerEffect.Send.class));
         Set<String> callers = new TreeSet<>();
-        site.platform().failWhere((node, _call) -> !callers.add(node) && false);
+        site.platform().failWhere((node, _call) -> {
+            callers.add(node);
+            return false;
+        });
         for (int i = 0; i < 20; i++) {
             site.platform().put(KIND, "a", "change " + i);
             site.run(Duration.ofMillis(130 + 60 * i));
--- a/yuccaswitch-node/src/test/java/io/yuccaswitch/node/gateway/DispatchCheckTest.java
+++ b/yuccaswitch-node/src/test/java/io/yuccaswitch/node/gateway/DispatchCheckTest.java
@@ -18,8 +18,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import okhttp3.Call;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -95,10 +98,14 @@
     @Test
     void aRequestThatWaitsForThePlatformGoesOnOnceItHasAnswered() {
         confirm(Duration.ofSeconds(30), false);
-        CompletableFuture<Boolean> waiting =
-                CompletableFuture.supplyAsync(() -> view.awaitFreshness(Duration.ofSeconds(30)));
-        confirm(Duration.ZERO, false);
-        assertThat(waiting).succeedsWithin(Duration.ofSeconds(20)).isEqualTo(true);
+        ExecutorService threads = Executors.newSingleThreadExecutor();
+        try {
+            Future<Boolean> waiting = threads.submit(() -> view.awaitFreshness(Duration.ofSeconds(30)));
+            confirm(Duration.ZERO, false);
+            assertThat(waiting).succeedsWithin(Duration.ofSeconds(20)).isEqualTo(true);
+        } finally {
+            threads.shutdownNow();
+        }
     }
 
     @Test
@@ -115,7 +122,7 @@
     }
 
     /** Makes an attempt, and does something after the endpoint was chosen and before the request is written. */
-    private AttemptResult attempt(java.util.function.Consumer<Call> meanwhile) {
+    private AttemptResult attempt(Consumer<Call> meanwhile) {
         OutgoingRequest request = new OutgoingRequest(
                 "request-1",
                 "POST",
--- a/yuccaswitch-node/src/test/java/io/yuccaswitch/node/gateway/TestEndpointDialect.java
+++ b/yuccaswitch-node/src/test/java/io/yuccaswitch/node/gateway/TestEndpointDialect.java
@@ -23,56 +23,56 @@
     }
 
     @Override
-    public boolean passesOn(String name) {
+    public boolean passesOn(String _name) {
         return true;
     }
 
     @Override
-    public boolean concernsAccount(String name) {
+    public boolean concernsAccount(String _name) {
         return false;
     }
 
     @Override
-    public void identify(Request.Builder request, AccountName account) {}
+    public void identify(Request.Builder _request, AccountName _account) {}
 
     @Override
-    public void address(Request.Builder request, EndpointName endpoint, Duration timeLeft) {}
+    public void address(Request.Builder _request, EndpointName _endpoint, Duration _timeLeft) {}
 
     @Override
-    public void resume(Request.Builder request, long lastEventId) {}
+    public void resume(Request.Builder _request, long _lastEventId) {}
 
     @Override
-    public boolean saysNotRun(int status, Headers headers) {
+    public boolean saysNotRun(int status, Headers _headers) {
         return status == UNAVAILABLE;
     }
 
     @Override
-    public boolean isMisdirected(int status) {
+    public boolean isMisdirected(int _status) {
         return false;
     }
 
     @Override
-    public Optional<String> signature(Headers headers) {
+    public Optional<String> signature(Headers _headers) {
         return Optional.of("signed");
     }
 
     @Override
-    public OptionalInt load(Headers headers) {
+    public OptionalInt load(Headers _headers) {
         return OptionalInt.empty();
     }
 
     @Override
-    public OptionalLong version(Headers headers) {
+    public OptionalLong version(Headers _headers) {
         return OptionalLong.empty();
     }
 
     @Override
-    public OptionalLong versionLine(String line) {
+    public OptionalLong versionLine(String _line) {
         return OptionalLong.empty();
     }
 
     @Override
-    public boolean isImpossible(int status) {
+    public boolean isImpossible(int _status) {
         return false;
     }
 
@@ -82,7 +82,7 @@
     }
 
     @Override
-    public EngineReport readReport(byte[] body) {
+    public EngineReport readReport(byte[] _body) {
         throw new UnsupportedOperationException("No reports are read here");
     }
 
@@ -92,7 +92,7 @@
     }
 
     @Override
-    public Optional<OrderOutcome> orderOutcome(int status) {
+    public Optional<OrderOutcome> orderOutcome(int _status) {
         return Optional.empty();
     }
 }
