--- a/yuccaswitch-node/src/test/java/io/yuccaswitch/node/watch/SharedWatchBenchmark.java
+++ b/yuccaswitch-node/src/test/java/io/yuccaswitch/node/watch/SharedWatchBenchmark.java
@@ -27,6 +27,7 @@
     private static final String KIND = "endpoint";
     private static final int OBJECTS = 35;
     private static final Duration WINDOW = Duration.ofSeconds(20);
+    private static final Duration GREATEST_AGE = Duration.ofMillis(1200);
 
     /** As large as an entry of the registry. */
     private static final String VALUE = "x".repeat(220);
@@ -35,7 +36,7 @@
             new PeerMessageCodec(PeerMessages.registry(), PeerTransportSettings.MAXIMUM_FRAME_LENGTH);
 
     @ParameterizedTest
-    @CsvSource({"8,0", "8,10", "55,0", "55,10", "70,0", "70,10", "70,50"})
+    @CsvSource({"8,0", "8,10", "55,0", "55,10", "70,0", "70,10", "70,50", "72,0", "72,10"})
     void measure(int count, int changesPerSecond) {
         TestSite site = new TestSite();
         site.connect((_from, _to) -> false);
@@ -45,8 +46,8 @@
         List<TestNode> nodes = new ArrayList<>();
         for (int i = 0; i < count; i++) {
             nodes.add(site.start("node-" + i, (node, tokens) -> {
-                SharedKindWatch watch =
-                        new SharedWatches(node).watch(KIND, PlatformPurpose.DISCOVERY, tokens, Duration.ofMillis(250));
+                SharedKindWatch watch = new SharedWatches(node)
+                        .watchWithin(KIND, PlatformPurpose.DISCOVERY, tokens, Duration.ofMillis(250), GREATEST_AGE);
                 return List.of((DecisionSystem) watch::run);
             }));
         }
