Date the end of an endpoint under a request by when its answer was lost

An operator let a request go and saw it shown again a moment later, for ten minutes: an attempt from before, whose endpoint was found to have ended only up to six seconds afterwards, was dated by the finding and so counted as if made since. Now it is dated by the loss of its answer, and whatever cleared the request after that covers it. The same holds for an answer of an endpoint that another node got.

QuarantineSystemTest.anAttemptFromBeforeDoesNotBringBackARequestThatAnOperatorLetGo failed before and passes.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/quarantine/EvidenceSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/quarantine/EvidenceSystem.java
@@ -102,7 +102,7 @@
             if (state.noteEnded(lost.endpoint(), tick.now())) {
                 state.untoldEnds().add(lost.endpoint());
             }
-            strike(tick, lost);
+            strike(tick, lost, state.epochMillis());
             return;
         }
         if (lost.loss().cause() == Loss.Cause.UNUSABLE) {
@@ -111,7 +111,7 @@
         if (open.size() >= MAXIMUM_OPEN) {
             open.removeFirst();
         }
-        open.addLast(new Open(lost, tick.now()));
+        open.addLast(new Open(lost, tick.now(), state.epochMillis()));
     }
 
     /**
@@ -125,7 +125,7 @@
             EndpointName endpoint = attempt.event().endpoint();
             if (state.isEnded(endpoint) || standings.of(endpoint) == EndpointStandings.Standing.GONE) {
                 settled.add(attempt);
-                strike(tick, attempt.event());
+                strike(tick, attempt.event(), attempt.lostAt());
             } else if (tick.now().since(attempt.since()).compareTo(OPEN_TIME) > 0) {
                 settled.add(attempt);
             }
@@ -138,13 +138,14 @@
      *
      * @param tick The tick.
      * @param lost The attempt without an answer.
+     * @param lostAt When its answer was lost, in milliseconds since the epoch. What has cleared the request since then
+     *     counts for this end too, however late it became known.
      */
-    private void strike(Tick tick, QuarantineEvent.AnswerLost lost) {
+    private void strike(Tick tick, QuarantineEvent.AnswerLost lost, long lostAt) {
         if (standings.of(lost.endpoint()) == EndpointStandings.Standing.LEAVING) {
             return;
         }
-        Strike strike =
-                new Strike(lost.endpoint(), state.epochMillis(), lost.loss().lived());
+        Strike strike = new Strike(lost.endpoint(), lostAt, lost.loss().lived());
         Suspect known = state.suspects()
                 .find(lost.fingerprint())
                 .orElseGet(() -> new Suspect(lost.fingerprint(), lost.description()));
@@ -218,6 +219,7 @@
      *
      * @param event The attempt.
      * @param since When its answer was lost.
+     * @param lostAt When its answer was lost, in milliseconds since the epoch.
      */
-    private record Open(QuarantineEvent.AnswerLost event, MonotonicTime since) {}
+    private record Open(QuarantineEvent.AnswerLost event, MonotonicTime since, long lostAt) {}
 }
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/quarantine/QuarantineSystemTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/quarantine/QuarantineSystemTest.java
@@ -247,6 +247,24 @@
         assertThat(verdicts(INNOCENT)).allMatch(Verdict.Serve.class::isInstance);
     }
 
+    /**
+     * An operator let a request go, and it was shown again a moment later, for ten minutes: an attempt from before,
+     * whose endpoint was found to have ended only then, counted as if it had been made since.
+     */
+    @Test
+    void anAttemptFromBeforeDoesNotBringBackARequestThatAnOperatorLetGo() {
+        lose("a", INNOCENT, "e4", BROKEN_OFF);
+        List.of("e1", "e2", "e3").forEach(name -> end("b", INNOCENT, name));
+        run(1000);
+        node("c").accept(new QuarantineEvent.Released(INNOCENT));
+        run(1000);
+        node("a").accept(new QuarantineEvent.EndpointEnded(endpoint("e4")));
+        run(3000);
+        assertThat(verdicts(INNOCENT)).allMatch(Verdict.Serve.class::isInstance);
+        assertThat(systems.values())
+                .allSatisfy(system -> assertThat(system.view().entries()).isEmpty());
+    }
+
     @Test
     void requestsWithFewEndedEndpointsMakeRoomForThoseWithMany() {
         List.of("e1", "e2", "e3").forEach(name -> end("a", HARMFUL, name));
