--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/PlainRequestHandler.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/PlainRequestHandler.java
@@ -5,7 +5,6 @@
 import io.yuccaswitch.core.identity.PoolName;
 import io.yuccaswitch.core.proxy.EndpointSelection;
 import io.yuccaswitch.core.proxy.RequestPlan;
-import io.yuccaswitch.core.proxy.ReturnTime;
 import io.yuccaswitch.core.quarantine.Loss;
 import io.yuccaswitch.core.registry.RegisteredEndpoint;
 import io.yuccaswitch.core.time.MonotonicTime;
@@ -25,15 +24,6 @@
 /** Serves plain requests: sends each to endpoints as its plan allows, and passes the answer on whole or not at all. */
 final class PlainRequestHandler {
 
-    /** The status that tells that nothing ran, and when to come back. */
-    private static final int UNAVAILABLE = 503;
-
-    /** The status of an answer that was not usable, after the request may have run. */
-    private static final int BAD_GATEWAY = 502;
-
-    /** The status of a request whose time ran out after it may have run. */
-    private static final int GATEWAY_TIMEOUT = 504;
-
     /** The lowest status of an answer that is no success. */
     private static final int BAD_REQUEST = 400;
 
@@ -75,6 +65,9 @@
     /** Chooses endpoints. It is guarded by itself. */
     private final EndpointSelection selection;
 
+    /** Answers requests that no endpoint has answered. */
+    private final UnservedRequests unserved;
+
     /** Keeps requests under which endpoints ended away from further ones. */
     private final QuarantineGate gate;
 
@@ -107,6 +100,7 @@
         this.attempts = attempts;
         this.dialect = dialect;
         this.selection = selection;
+        unserved = new UnservedRequests(view, selection);
         this.gate = gate;
         this.usage = usage;
         this.metrics = metrics;
@@ -232,18 +226,18 @@
             while (true) {
                 Duration left = request.left(DecisionLoop.now());
                 if (left.compareTo(LEAST_TIME) < 0) {
-                    return giveUp("time is up", GATEWAY_TIMEOUT);
+                    return giveUp("time is up", UnservedRequests.GATEWAY_TIMEOUT);
                 }
                 if (!awaitFreshness(left)) {
-                    return giveUp("what is known of endpoints is too old", BAD_GATEWAY);
+                    return giveUp("what is known of endpoints is too old", UnservedRequests.BAD_GATEWAY);
                 }
                 Optional<Duration> refusal = passage.refusal(working());
                 if (refusal.isPresent()) {
-                    return refuse(refusal.get());
+                    return unserved.refuse(caller, progress(), refusal.get());
                 }
                 Optional<RegisteredEndpoint> endpoint = choose();
                 if (endpoint.isEmpty()) {
-                    return giveUp("no endpoint", BAD_GATEWAY);
+                    return giveUp("no endpoint", UnservedRequests.BAD_GATEWAY);
                 }
                 AttemptResult result = attempt(endpoint.get(), left);
                 if (watched.isGone()) {
@@ -266,7 +260,9 @@
                         return "answered";
                     }
                     boolean late = request.left(DecisionLoop.now()).compareTo(LEAST_TIME) < 0;
-                    return late ? giveUp("time is up", GATEWAY_TIMEOUT) : giveUp("attempts used up", BAD_GATEWAY);
+                    return late
+                            ? giveUp("time is up", UnservedRequests.GATEWAY_TIMEOUT)
+                            : giveUp("attempts used up", UnservedRequests.BAD_GATEWAY);
                 }
             }
         }
@@ -468,39 +464,15 @@
         }
 
         /**
-         * Returns when the caller should come back.
+         * Returns how far the request has come.
          *
-         * @return The time, spread such that callers do not return together.
+         * @return The progress.
          */
-        private Duration returnTime() {
-            List<RegisteredEndpoint> working = pool.map(view::endpoints).orElseGet(List::of);
-            synchronized (selection) {
-                Duration untilFree = selection.untilFree(working, DecisionLoop.now());
-                return ReturnTime.of(untilFree, ThreadLocalRandom.current().nextDouble());
-            }
-        }
-
-        /**
-         * Answers a request that may go to no endpoint, as endpoints ended under it.
-         *
-         * @param comeBack When it may come back.
-         * @return The outcome, for logs.
-         * @throws IOException If the caller has gone.
-         */
-        private String refuse(Duration comeBack) throws IOException {
+        private UnservedRequests.Progress progress() {
             if (relay.hasBegun()) {
-                caller.abort();
-                return "stream broken off, endpoints ended under it";
+                return UnservedRequests.Progress.STREAM_BEGUN;
             }
-            if (plan.hasMaybeRun()) {
-                caller.answerText(BAD_GATEWAY, "the request has ended endpoints that ran it", Optional.of(comeBack));
-                return "failed, endpoints ended under it";
-            }
-            caller.answerText(
-                    UNAVAILABLE,
-                    "the request has not run: it has ended endpoints that ran it before",
-                    Optional.of(comeBack));
-            return "not run, endpoints ended under it";
+            return plan.hasMaybeRun() ? UnservedRequests.Progress.MAY_HAVE_RUN : UnservedRequests.Progress.NOT_RUN;
         }
 
         /**
@@ -512,16 +484,7 @@
          * @throws IOException If the caller has gone.
          */
         private String giveUp(String reason, int status) throws IOException {
-            if (relay.hasBegun()) {
-                caller.abort();
-                return "stream broken off, " + reason;
-            }
-            if (plan.hasMaybeRun()) {
-                caller.answerText(status, "the request may have run: " + reason, Optional.empty());
-                return "failed, " + reason;
-            }
-            caller.answerText(UNAVAILABLE, "the request has not run: " + reason, Optional.of(returnTime()));
-            return "not run, " + reason;
+            return unserved.giveUp(caller, progress(), pool, reason, status);
         }
     }
 }
