--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunnerChoice.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunnerChoice.java
@@ -14,9 +14,9 @@
 /**
  * Decides which node runs a batch job: where all VMs are alike, the one that it was submitted to, which is any, as
  * callers choose by lot. Where they differ, one of the strong ones, and the same one for all jobs of a model. The
- * events of a job's items come at once over as many connections as it has items: the middle item of 80 took 1.6 to 1.9
- * s at a VM with a third of a core and 0.8 s at one with a core and a half. As the next job of the model comes to the
- * same node, connections are open and code is compiled. Models have different nodes as far as there are enough.
+ * events of a job's items come at once over as many connections as it has items, which a weak VM takes twice as long to
+ * read. As the next job of the model comes to the same node, connections are open and code is compiled. Models have
+ * different nodes as far as there are enough.
  */
 final class RunnerChoice {
 
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/decision/PacedSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/decision/PacedSystem.java
@@ -9,8 +9,6 @@
 /**
  * Runs systems in ticks whose events may concern them, and otherwise only as often as their timers need. Most ticks of
  * an idle node bring a message of the membership and nothing else, and running all systems is what such a tick costs.
- * With idle ticks each 100 ms this took an idle node among 20 from 2.4 to 1.4 s of processor time a minute
- * ({@code bin/gateway-cost}).
  */
 public final class PacedSystem implements DecisionSystem {
 
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/MemberRanking.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/membership/MemberRanking.java
@@ -5,9 +5,7 @@
 
 /**
  * The ranking of the working members for one key, kept until the members change. A role that is asked for in each tick
- * thus costs nothing that grows with the nodes of the site while nobody comes or goes. Together with the shared pair of
- * watching nodes this took an idle node among 20 from 3.5 to 2.4 s of processor time a minute
- * ({@code bin/gateway-cost}).
+ * thus costs nothing that grows with the nodes of the site while nobody comes or goes.
  */
 public final class MemberRanking {
 
