--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/Node.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/Node.java
@@ -20,6 +20,7 @@
 import io.yuccaswitch.node.configuration.EnvelopeDecoder;
 import io.yuccaswitch.node.decision.DecisionLog;
 import io.yuccaswitch.node.decision.DecisionLoop;
+import io.yuccaswitch.node.decision.TickMetrics;
 import io.yuccaswitch.node.endpoint.EndpointShell;
 import io.yuccaswitch.node.entry.EntryServer;
 import io.yuccaswitch.node.membership.MembershipService;
@@ -116,7 +117,11 @@
         Member self = self(settings, clock.originEpochMillis());
         observer = new NodeObserver(self.identity(), this::serve, this::sharePlatform);
         core = new NodeCore(self, settings.seeds(), clock, self.identity().hashCode(), observer);
-        loop = new DecisionLoop(core.core(), () -> Runtime.getRuntime().halt(EXIT_BROKEN_INVARIANT));
+        loop = new DecisionLoop(
+                core.core(),
+                () -> Runtime.getRuntime().halt(EXIT_BROKEN_INVARIANT),
+                () -> DecisionLoop.BUSY_INTERVAL,
+                new TickMetrics(metrics));
         platform = new PlatformClient(
                 PlatformClientSettings.of("http://" + settings.platform().address())
                         .withToken(settings.platform().token())
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/decision/DecisionLoop.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/decision/DecisionLoop.java
@@ -54,7 +54,10 @@
     private final SuspensionDetector suspensions = new SuspensionDetector();
 
     /** The events that wait for the next tick. */
-    private final BlockingQueue<Event> waiting = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Queued> waiting = new LinkedBlockingQueue<>();
+
+    /** Takes note of ticks. */
+    private final TickObserver observer;
 
     /** The effects that the core emitted. */
     private final Subject<Effect> effects = PublishSubject.create();
@@ -75,7 +78,7 @@
      * @param onBrokenInvariant What to do when a tick fails, which means that an invariant is broken.
      */
     public DecisionLoop(DecisionCore core, Runnable onBrokenInvariant) {
-        this(core, onBrokenInvariant, () -> BUSY_INTERVAL);
+        this(core, onBrokenInvariant, () -> BUSY_INTERVAL, TickObserver.NoOp.INSTANCE);
     }
 
     /**
@@ -84,11 +87,13 @@
      * @param core The decision core to run.
      * @param onBrokenInvariant What to do when a tick fails, which means that an invariant is broken.
      * @param pace How long the pause between two ticks may be, asked on the loop's thread before each.
+     * @param observer Takes note of ticks.
      */
-    public DecisionLoop(DecisionCore core, Runnable onBrokenInvariant, Supplier<Duration> pace) {
+    public DecisionLoop(DecisionCore core, Runnable onBrokenInvariant, Supplier<Duration> pace, TickObserver observer) {
         this.core = core;
         this.onBrokenInvariant = onBrokenInvariant;
         this.pace = pace;
+        this.observer = observer;
         thread = new Thread(this::run, "decision-loop");
     }
 
@@ -100,7 +105,7 @@
     /** {@inheritDoc} */
     @Override
     public void accept(Event event) {
-        waiting.add(event);
+        waiting.add(new Queued(event, System.nanoTime()));
     }
 
     /**
@@ -112,7 +117,7 @@
      */
     public <T> CompletableFuture<T> inspect(Supplier<T> reader) {
         CompletableFuture<T> result = new CompletableFuture<>();
-        waiting.add(new Inspection(() -> complete(result, reader)));
+        accept(new Inspection(() -> complete(result, reader)));
         if (!running) {
             result.completeExceptionally(new IllegalStateException("The decision loop is closed"));
         }
@@ -159,14 +164,14 @@
     private void run() {
         try {
             while (running) {
-                List<Event> events = awaitEvents();
-                MonotonicTime now = now();
-                suspensions.look(now, System.currentTimeMillis()).ifPresent(suspended -> {
-                    LOGGER.warnf("event=suspended millis=%d", suspended.gap().toMillis());
-                    events.add(0, suspended);
-                });
-                publish(core.tick(now, events));
-                inspectAll(events);
+                List<Queued> queued = awaitEvents();
+                MonotonicTime begun = now();
+                tick(begun, queued);
+                if (!queued.isEmpty()) {
+                    Duration waited =
+                            Duration.ofNanos(begun.nanoseconds() - queued.get(0).since());
+                    observer.ticked(waited, now().since(begun), queued.size());
+                }
             }
         } catch (InterruptedException _exception) {
             Thread.currentThread().interrupt();
@@ -176,6 +181,23 @@
         }
     }
 
+    /**
+     * Makes a tick.
+     *
+     * @param now The present.
+     * @param queued The events of the tick.
+     */
+    private void tick(MonotonicTime now, List<Queued> queued) {
+        List<Event> events = new ArrayList<>(queued.size());
+        suspensions.look(now, System.currentTimeMillis()).ifPresent(suspended -> {
+            LOGGER.warnf("event=suspended millis=%d", suspended.gap().toMillis());
+            events.add(suspended);
+        });
+        queued.forEach(waited -> events.add(waited.event()));
+        publish(core.tick(now, events));
+        inspectAll(events);
+    }
+
     /**
      * Calls the readers among the events of a tick.
      *
@@ -207,12 +229,12 @@
     /**
      * Waits for events, at most for the longest pause between two ticks.
      *
-     * @return The events of the next tick, which may be none.
+     * @return The events of the next tick, the oldest first, which may be none.
      * @throws InterruptedException If the loop is closed.
      */
-    private List<Event> awaitEvents() throws InterruptedException {
-        List<Event> events = new ArrayList<>();
-        Event first = waiting.poll(pace.get().toNanos(), TimeUnit.NANOSECONDS);
+    private List<Queued> awaitEvents() throws InterruptedException {
+        List<Queued> events = new ArrayList<>();
+        Queued first = waiting.poll(pace.get().toNanos(), TimeUnit.NANOSECONDS);
         if (first != null) {
             events.add(first);
             waiting.drainTo(events, EVENTS_PER_TICK - 1);
@@ -230,6 +252,14 @@
         result.effects().forEach(effects::onNext);
     }
 
+    /**
+     * An event that waits for a tick.
+     *
+     * @param event The event.
+     * @param since Since when it waits, by the monotonic clock in nanoseconds.
+     */
+    private record Queued(Event event, long since) {}
+
     /**
      * Asks the loop to call a reader of the tables. No system of the core looks at this event.
      *
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/BatchHandler.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/BatchHandler.java
@@ -77,9 +77,13 @@
      * @param context The request.
      * @param caller Writes the answer.
      * @param job The job.
+     * @param arrived When the node began to read the submission.
      * @param done What follows the answer.
      */
-    void submit(Context context, CallerResponse caller, BatchJob job, Runnable done) {
+    void submit(Context context, CallerResponse caller, BatchJob job, MonotonicTime arrived, Runnable done) {
+        LOGGER.infof(
+                "event=batch-submitted job=%s items=%d readMicros=%d",
+                job.id(), job.items().size(), DecisionLoop.now().since(arrived).toNanos() / 1000);
         Asked asked = new Asked("submit", job.id().value(), done);
         ask(context, caller, asked, ticket -> new BatchEvent.Submitted(ticket, job));
     }
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
@@ -21,6 +21,7 @@
 import io.yuccaswitch.node.SteadyTimeOfDay;
 import io.yuccaswitch.node.decision.DecisionLog;
 import io.yuccaswitch.node.decision.DecisionLoop;
+import io.yuccaswitch.node.decision.TickMetrics;
 import io.yuccaswitch.node.membership.MembershipService;
 import io.yuccaswitch.node.operator.QuarantineRoutes;
 import io.yuccaswitch.node.peer.LearnedAddresses;
@@ -146,7 +147,11 @@
         Member self = self(settings);
         LongSupplier timeOfDay = new SteadyTimeOfDay(System::currentTimeMillis, System::nanoTime);
         core = new GatewayCore(self, settings, dialects, view, timeOfDay);
-        loop = new DecisionLoop(core.core(), () -> Runtime.getRuntime().halt(EXIT_BROKEN_INVARIANT), core::pace);
+        loop = new DecisionLoop(
+                core.core(),
+                () -> Runtime.getRuntime().halt(EXIT_BROKEN_INVARIANT),
+                core::pace,
+                new TickMetrics(metrics));
         NodeSettings.PlatformSettings limits = settings.platform();
         platform = new PlatformClient(
                 PlatformClientSettings.of("http://" + limits.address())
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayServer.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayServer.java
@@ -373,7 +373,7 @@
             return false;
         }
         if (route.get().kind() == RequestKind.BATCH) {
-            submit(context, caller, account.get(), path, body.get());
+            submit(context, caller, account.get(), path, body.get(), arrived);
             return true;
         }
         PlainRequest request = plainRequest(context, route.get(), account.get(), body.get(), arrived);
@@ -391,14 +391,21 @@
      * @param account Whose the job is.
      * @param path The path.
      * @param body The body.
+     * @param arrived When the submission arrived.
      */
-    private void submit(Context context, CallerResponse caller, ClientAccount account, String path, Bytes body) {
+    private void submit(
+            Context context,
+            CallerResponse caller,
+            ClientAccount account,
+            String path,
+            Bytes body,
+            MonotonicTime arrived) {
         String host = Optional.ofNullable(context.header("Host")).orElse("");
         String id =
                 Optional.ofNullable(context.header(callers.requestIdHeader())).orElse("");
         BatchJob job = callers.readJob(
                 new CallerDialect.Envelope(id, account, host, path, System.currentTimeMillis()), body.unsafeArray());
-        batches.submit(context, caller, job, inProgress::decrementAndGet);
+        batches.submit(context, caller, job, arrived, inProgress::decrementAndGet);
     }
 
     /**
