Answer calls about batch jobs by one deadline

What callers saw: a submission got no answer in 4 s when the platform fell silent after it had taken the job.

Cause: each call to the platform had its own timeout and attempts, and a lost answer began up to ten reads in a row; nothing bounded the sum but a guard of 8 s in the handler, which also left the call in its table. Calls for results and bodies and ends of jobs had the same shape.

Each call about a batch job now has one deadline, set when it arrives: 2 s or what its caller or route allows, for results 1 s beyond the time for which it may wait. At the deadline the answer is true: "not run" only where the entry that accepts the job was never sent, otherwise that it is not known; an entry that was created after all reaches its runner with the index. The handler's guard follows the deadline, and a call that it answers leaves the table.

Found beside it: a repeated submission of a job that an earlier one may have been accepted for was called "not run" when the entry could not be written. It is answered as not known now (aSubmissionOfAJobThatMayBeAcceptedAlreadyIsNotRefusedAsNotRun).

The class is a missing deadline: parts with bounds of their own, and no owner of the sum.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchAdmissionSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchAdmissionSystem.java
@@ -6,9 +6,7 @@
 import io.yuccaswitch.core.identity.NodeName;
 import io.yuccaswitch.core.peer.PeerEffect;
 import io.yuccaswitch.core.platform.ObjectKey;
-import io.yuccaswitch.core.platform.PlatformEffect;
 import io.yuccaswitch.core.platform.PlatformEvent;
-import io.yuccaswitch.core.platform.PlatformPurpose;
 import io.yuccaswitch.core.platform.StoredObject;
 import io.yuccaswitch.core.time.MonotonicTime;
 import io.yuccaswitch.core.value.Bytes;
@@ -17,6 +15,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.BiConsumer;
 
 /**
  * Accepts batch jobs: writes the job, then its entry in the index, each by a conditional creation. The creation of the
@@ -27,12 +26,12 @@
     /** When a submitter whose job was not accepted should come back: about as long as a short outage. */
     private static final Duration RETRY_AFTER = Duration.ofMillis(400);
 
-    /** How often an entry is read back whose creation was not answered. */
-    private static final int READ_BACKS = 10;
-
-    /** The pause before each of these reads, such that they outlast a short outage. */
+    /** The pause between two reads of an entry whose creation was not answered. */
     private static final Duration READ_BACK_PAUSE = Duration.ofMillis(150);
 
+    /** The time that must be left for a further call: several times what the platform takes for one. */
+    private static final Duration SHORTEST_CALL = Duration.ofMillis(50);
+
     /** The tables of the batch system. */
     private final BatchState state;
 
@@ -61,12 +60,12 @@
     @Override
     public void run(Tick tick) {
         for (BatchEvent.Submitted submitted : tick.events(BatchEvent.Submitted.class)) {
-            submit(tick, new Submission(submitted.ticket(), submitted.job()));
+            submit(tick, new Submission(submitted.ticket(), submitted.job(), submitted.deadline()));
         }
         for (ReadBack due : List.copyOf(readBacks)) {
             if (!tick.now().isBefore(due.at())) {
                 readBacks.remove(due);
-                readBack(tick, due.submission(), due.left());
+                readBack(tick, due.submission());
             }
         }
     }
@@ -89,13 +88,13 @@
             reply(tick, submission, new BatchAnswer.Unsure("already being admitted"), "an earlier call is in progress");
             return;
         }
-        create(tick, BatchObjects.job(id), state.codec().writeJob(submission.job()), (later, event) -> {
+        create(tick, submission, BatchObjects.job(id), state.codec().writeJob(submission.job()), (later, event) -> {
             if (event instanceof PlatformEvent.Accepted) {
                 createEntry(later, submission);
             } else if (event instanceof PlatformEvent.Conflict conflict) {
                 compare(later, submission, conflict.current());
             } else {
-                finish(later, submission, notAccepted("the job was not kept"), describe(event));
+                finish(later, submission, notAccepted(submission, "the job was not kept"), describe(event));
             }
         });
     }
@@ -113,7 +112,7 @@
             finish(tick, submission, new BatchAnswer.Mismatch(), "the identifier is taken by other work");
             return;
         }
-        createEntry(tick, submission);
+        createEntry(tick, submission.asWrittenBefore());
     }
 
     /**
@@ -123,49 +122,72 @@
      * @param submission The submission.
      */
     private void createEntry(Tick tick, Submission submission) {
+        if (!leavesTimeForCall(submission, tick.now())) {
+            finish(tick, submission, notAccepted(submission, "the entry was not written"), "no time is left");
+            return;
+        }
         BatchJob job = submission.job();
         BatchIndexEntry entry = new BatchIndexEntry(
                 job.id(), runners.choose(job), false, job.items().size(), job.model());
-        create(tick, BatchObjects.index(job.id()), state.codec().writeEntry(entry), (later, event) -> {
+        create(tick, submission, BatchObjects.index(job.id()), state.codec().writeEntry(entry), (later, event) -> {
             if (event instanceof PlatformEvent.Accepted) {
                 accept(later, submission, entry.runner());
             } else if (event instanceof PlatformEvent.Conflict) {
                 finish(later, submission, new BatchAnswer.Accepted(), "accepted before");
             } else if (event instanceof PlatformEvent.Unavailable failure && failure.maybeApplied()) {
-                readBacks.add(new ReadBack(submission, READ_BACKS, later.now()));
+                readBackAt(later, submission, later.now());
             } else {
-                finish(later, submission, notAccepted("the entry was not kept"), describe(event));
+                finish(later, submission, notAccepted(submission, "the entry was not kept"), describe(event));
             }
         });
     }
 
+    /**
+     * Plans to read an entry back, unless its submission has to be answered before. An entry that was created after all
+     * then reaches its runner with the index.
+     *
+     * @param tick The tick.
+     * @param submission The submission.
+     * @param at When it is read.
+     */
+    private void readBackAt(Tick tick, Submission submission, MonotonicTime at) {
+        if (leavesTimeForCall(submission, at)) {
+            readBacks.add(new ReadBack(submission, at));
+        } else {
+            BatchAnswer answer = new BatchAnswer.Unsure("the platform did not answer");
+            finish(tick, submission, answer, "the entry may have been created");
+        }
+    }
+
     /**
      * Finds out whether an entry was created though its creation was not answered.
      *
      * @param tick The tick.
      * @param submission The submission.
-     * @param left How often it is read.
      */
-    private void readBack(Tick tick, Submission submission, int left) {
+    private void readBack(Tick tick, Submission submission) {
         ObjectKey key = BatchObjects.index(submission.job().id());
-        state.calls()
-                .call(tick, token -> new PlatformEffect.Read(token, PlatformPurpose.BATCH, key), (later, event) -> {
-                    Optional<BatchIndexEntry> entry = event instanceof PlatformEvent.ObjectRead read
-                            ? read.object().flatMap(object -> state.codec().readEntry(object.value()))
-                            : Optional.empty();
-                    if (entry.isPresent()) {
-                        accept(later, submission, entry.get().runner());
-                    } else if (left > 1) {
-                        readBacks.add(
-                                new ReadBack(submission, left - 1, later.now().plus(READ_BACK_PAUSE)));
-                    } else {
-                        finish(
-                                later,
-                                submission,
-                                new BatchAnswer.Unsure("the platform did not answer"),
-                                describe(event));
-                    }
-                });
+        state.read(tick, submission.deadline(), key, (later, event) -> {
+            Optional<BatchIndexEntry> entry = event instanceof PlatformEvent.ObjectRead read
+                    ? read.object().flatMap(object -> state.codec().readEntry(object.value()))
+                    : Optional.empty();
+            if (entry.isPresent()) {
+                accept(later, submission, entry.get().runner());
+            } else {
+                readBackAt(later, submission, later.now().plus(READ_BACK_PAUSE));
+            }
+        });
+    }
+
+    /**
+     * Returns whether a call that is made at a time may be over before the submission has to be answered.
+     *
+     * @param submission The submission.
+     * @param at When the call is made.
+     * @return {@code true} if it may.
+     */
+    private static boolean leavesTimeForCall(Submission submission, MonotonicTime at) {
+        return at.plus(SHORTEST_CALL).isBefore(submission.deadline());
     }
 
     /**
@@ -225,23 +247,28 @@
      * Creates an object.
      *
      * @param tick The tick.
+     * @param submission The submission that it is created for.
      * @param key The key.
      * @param value The value.
      * @param then What follows the answer.
      */
     private void create(
-            Tick tick, ObjectKey key, Bytes value, java.util.function.BiConsumer<Tick, PlatformEvent> then) {
-        state.write(tick, key, OptionalLong.empty(), value, then);
+            Tick tick, Submission submission, ObjectKey key, Bytes value, BiConsumer<Tick, PlatformEvent> then) {
+        state.write(tick, submission.deadline(), key, OptionalLong.empty(), value, then);
     }
 
     /**
-     * Creates the answer that nothing of a job runs.
+     * Creates the answer that nothing of a job runs, or that this is not known where an earlier submission of the job
+     * may have been accepted.
      *
+     * @param submission The submission.
      * @param reason The reason, for logs.
      * @return The answer.
      */
-    private static BatchAnswer notAccepted(String reason) {
-        return new BatchAnswer.NotAccepted(reason, RETRY_AFTER);
+    private BatchAnswer notAccepted(Submission submission, String reason) {
+        boolean maybeAccepted = submission.writtenBefore()
+                || state.index().find(submission.job().id()).isPresent();
+        return maybeAccepted ? new BatchAnswer.Unsure(reason) : new BatchAnswer.NotAccepted(reason, RETRY_AFTER);
     }
 
     /**
@@ -260,16 +287,38 @@
      * An entry that is to be read back.
      *
      * @param submission The submission that it belongs to.
-     * @param left How often it may be read.
      * @param at When it is read.
      */
-    private record ReadBack(Submission submission, int left, MonotonicTime at) {}
+    private record ReadBack(Submission submission, MonotonicTime at) {}
 
     /**
      * A submission.
      *
      * @param ticket The ticket of its call.
      * @param job The job.
+     * @param deadline By when it has to be answered.
+     * @param writtenBefore Whether an earlier submission had written the job.
      */
-    private record Submission(long ticket, BatchJob job) {}
+    private record Submission(long ticket, BatchJob job, MonotonicTime deadline, boolean writtenBefore) {
+
+        /**
+         * Creates a submission of a job of which no earlier one is known.
+         *
+         * @param ticket The ticket of its call.
+         * @param job The job.
+         * @param deadline By when it has to be answered.
+         */
+        private Submission(long ticket, BatchJob job, MonotonicTime deadline) {
+            this(ticket, job, deadline, false);
+        }
+
+        /**
+         * Returns the submission after an earlier one turned out to have written the job.
+         *
+         * @return The submission.
+         */
+        private Submission asWrittenBefore() {
+            return new Submission(ticket, job, deadline, true);
+        }
+    }
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchEndSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchEndSystem.java
@@ -5,9 +5,7 @@
 import io.yuccaswitch.core.decision.Tick;
 import io.yuccaswitch.core.peer.PeerEffect;
 import io.yuccaswitch.core.peer.PeerEvent;
-import io.yuccaswitch.core.platform.PlatformEffect;
 import io.yuccaswitch.core.platform.PlatformEvent;
-import io.yuccaswitch.core.platform.PlatformPurpose;
 import io.yuccaswitch.core.platform.StoredObject;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -55,12 +53,11 @@
             end(tick, request, known.get(), ATTEMPTS);
             return;
         }
-        state.calls()
-                .call(
-                        tick,
-                        token ->
-                                new PlatformEffect.Read(token, PlatformPurpose.BATCH, BatchObjects.index(request.id())),
-                        (later, event) -> mark(later, request, event, ATTEMPTS));
+        state.read(
+                tick,
+                request.deadline(),
+                BatchObjects.index(request.id()),
+                (later, event) -> mark(later, request, event, ATTEMPTS));
     }
 
     /**
@@ -103,6 +100,7 @@
         }
         state.write(
                 tick,
+                request.deadline(),
                 BatchObjects.index(request.id()),
                 OptionalLong.of(row.version()),
                 state.codec().writeEntry(entry.withEnd()),
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchEvent.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchEvent.java
@@ -14,8 +14,9 @@
      *
      * @param ticket Identifies the call, which the answer bears.
      * @param job The job.
+     * @param deadline By when the call has to be answered.
      */
-    record Submitted(long ticket, BatchJob job) implements BatchEvent {}
+    record Submitted(long ticket, BatchJob job, MonotonicTime deadline) implements BatchEvent {}
 
     /**
      * Results are asked for.
@@ -24,8 +25,10 @@
      * @param id The job.
      * @param position The position from which results are asked for.
      * @param until Until when the answer may wait for a result.
+     * @param deadline By when the call has to be answered.
      */
-    record ResultsRequested(long ticket, BatchJobId id, int position, MonotonicTime until) implements BatchEvent {}
+    record ResultsRequested(long ticket, BatchJobId id, int position, MonotonicTime until, MonotonicTime deadline)
+            implements BatchEvent {}
 
     /**
      * The body of an item is asked for.
@@ -33,16 +36,18 @@
      * @param ticket Identifies the call.
      * @param id The job.
      * @param item The item.
+     * @param deadline By when the call has to be answered.
      */
-    record BodyRequested(long ticket, BatchJobId id, String item) implements BatchEvent {}
+    record BodyRequested(long ticket, BatchJobId id, String item, MonotonicTime deadline) implements BatchEvent {}
 
     /**
      * A job is to be ended.
      *
      * @param ticket Identifies the call.
      * @param id The job.
+     * @param deadline By when the call has to be answered.
      */
-    record EndRequested(long ticket, BatchJobId id) implements BatchEvent {}
+    record EndRequested(long ticket, BatchJobId id, MonotonicTime deadline) implements BatchEvent {}
 
     /**
      * An engine has begun to answer an attempt, such that it takes items of the model.
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchReadSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchReadSystem.java
@@ -147,6 +147,8 @@
         if (log.isPresent()
                 && (log.get().size() > request.position() || log.get().isComplete())) {
             reply(tick, request, log.get().page(request.position()));
+        } else if (!tick.now().isBefore(request.deadline())) {
+            reply(tick, request, new BatchAnswer.Unsure("no answer by the deadline"));
         } else if (isToBePlaced(tick, request)) {
             place(tick, request);
         } else if (!tick.now().isBefore(request.until())) {
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
@@ -118,6 +118,42 @@
         calls.call(tick, token -> new PlatformEffect.Write(token, PlatformPurpose.BATCH, key, expected, value), then);
     }
 
+    /**
+     * Creates an object on the platform, or replaces one as it was last seen, for a caller who waits.
+     *
+     * @param tick The tick.
+     * @param deadline By when the write has to be over.
+     * @param key The key of the object.
+     * @param expected The version that the object must have, or empty if there must be none.
+     * @param value The value.
+     * @param then What follows the answer, or the deadline.
+     */
+    void write(
+            Tick tick,
+            MonotonicTime deadline,
+            ObjectKey key,
+            OptionalLong expected,
+            Bytes value,
+            BiConsumer<Tick, PlatformEvent> then) {
+        calls.call(
+                tick,
+                deadline,
+                token -> new PlatformEffect.Write(token, PlatformPurpose.BATCH, key, expected, value),
+                then);
+    }
+
+    /**
+     * Reads an object on the platform, for a caller who waits.
+     *
+     * @param tick The tick.
+     * @param deadline By when the read has to be over.
+     * @param key The key of the object.
+     * @param then What follows the answer, or the deadline.
+     */
+    void read(Tick tick, MonotonicTime deadline, ObjectKey key, BiConsumer<Tick, PlatformEvent> then) {
+        calls.call(tick, deadline, token -> new PlatformEffect.Read(token, PlatformPurpose.BATCH, key), then);
+    }
+
     /**
      * Returns the log of a job, which is created where none is known.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BodyReadSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BodyReadSystem.java
@@ -3,9 +3,7 @@
 import io.yuccaswitch.core.decision.DecisionSystem;
 import io.yuccaswitch.core.decision.EntityTable;
 import io.yuccaswitch.core.decision.Tick;
-import io.yuccaswitch.core.platform.PlatformEffect;
 import io.yuccaswitch.core.platform.PlatformEvent;
-import io.yuccaswitch.core.platform.PlatformPurpose;
 import io.yuccaswitch.core.time.MonotonicTime;
 import io.yuccaswitch.core.value.Bytes;
 import java.time.Duration;
@@ -78,12 +76,24 @@
         BatchMessage question =
                 new BatchMessage.ReadBody(request.ticket(), request.id().value(), request.item());
         if (runners.ask(tick, request.id(), request.ticket(), question)) {
-            bodyCalls.put(request.ticket(), new BodyCall(request, tick.now().plus(RUNNER_TIME)));
+            bodyCalls.put(request.ticket(), new BodyCall(request, runnerUntil(tick, request)));
             return;
         }
         readStoredBody(tick, request);
     }
 
+    /**
+     * Returns until when a runner may answer.
+     *
+     * @param tick The tick.
+     * @param request The call.
+     * @return The time.
+     */
+    private static MonotonicTime runnerUntil(Tick tick, BatchEvent.BodyRequested request) {
+        MonotonicTime until = tick.now().plus(RUNNER_TIME);
+        return until.isBefore(request.deadline()) ? until : request.deadline();
+    }
+
     /**
      * Answers a call for a body with what the platform keeps.
      *
@@ -93,11 +103,11 @@
     private void readStoredBody(Tick tick, BatchEvent.BodyRequested request) {
         runners.forget(request.ticket());
         bodyCalls.remove(request.ticket());
-        state.calls()
-                .call(
-                        tick,
-                        token -> new PlatformEffect.Read(token, PlatformPurpose.BATCH, BatchObjects.job(request.id())),
-                        (later, event) -> replyBody(later, request, bodyOf(request.item(), event)));
+        state.read(
+                tick,
+                request.deadline(),
+                BatchObjects.job(request.id()),
+                (later, event) -> replyBody(later, request, bodyOf(request.item(), event)));
     }
 
     /**
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSite.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSite.java
@@ -35,6 +35,9 @@
     static final String MODEL = "model-a";
     static final int MAXIMUM_SCORING_ATTEMPTS = 4;
 
+    /** How long the calls of callers may take, and calls for results beyond the time for which they wait. */
+    static final Duration CALL_TIME = Duration.ofSeconds(2);
+
     final TestSite site = new TestSite();
     final Map<String, Integer> runs = new HashMap<>();
     final List<BatchEffect.Run> started = new ArrayList<>();
@@ -159,23 +162,29 @@
     }
 
     long submit(TestNode node, BatchJob job) {
-        node.accept(new BatchEvent.Submitted(++tickets, job));
+        node.accept(new BatchEvent.Submitted(++tickets, job, site.now().plus(CALL_TIME)));
         return tickets;
     }
 
     long read(TestNode node, String id, int position, Duration wait) {
         node.accept(new BatchEvent.ResultsRequested(
-                ++tickets, new BatchJobId(id), position, site.now().plus(wait)));
+                ++tickets,
+                new BatchJobId(id),
+                position,
+                site.now().plus(wait),
+                site.now().plus(wait).plus(CALL_TIME)));
         return tickets;
     }
 
     long end(TestNode node, String id) {
-        node.accept(new BatchEvent.EndRequested(++tickets, new BatchJobId(id)));
+        node.accept(new BatchEvent.EndRequested(
+                ++tickets, new BatchJobId(id), site.now().plus(CALL_TIME)));
         return tickets;
     }
 
     long body(TestNode node, String id, String item) {
-        node.accept(new BatchEvent.BodyRequested(++tickets, new BatchJobId(id), item));
+        node.accept(new BatchEvent.BodyRequested(
+                ++tickets, new BatchJobId(id), item, site.now().plus(CALL_TIME)));
         return tickets;
     }
 
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSystemTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSystemTest.java
@@ -11,9 +11,11 @@
 import io.yuccaswitch.core.site.TestNode;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 
@@ -85,6 +87,68 @@
         assertThat(site.answer(ticket)).contains(new BatchAnswer.Accepted());
     }
 
+    /** Guards against submissions that are still open when their caller gives up: no step may outlast the deadline. */
+    @Test
+    void aSubmissionIsAnsweredTrulyByItsDeadlineWheneverThePlatformFallsSilent() {
+        Set<Class<?>> seen = new HashSet<>();
+        for (int moment = 0; moment <= 80; moment += 10) {
+            BatchSite fresh = new BatchSite();
+            TestNode node = fresh.node("node-1");
+            fresh.run(100);
+            long ticket = fresh.submit(node, BatchSite.job("job", 4));
+            fresh.run(moment);
+            fresh.site.platform().silenceWhere(_node -> true);
+            fresh.run((int) BatchSite.CALL_TIME.toMillis());
+            BatchAnswer answer = fresh.answer(ticket).orElseThrow();
+            seen.add(answer.getClass());
+            fresh.site.platform().silenceWhere(_node -> false);
+            fresh.run(5000);
+            if (answer instanceof BatchAnswer.NotAccepted) {
+                assertThat(fresh.runs).as("not run, silent after %d ms", moment).isEmpty();
+            } else if (answer instanceof BatchAnswer.Accepted) {
+                assertThat(fresh.listed("job"))
+                        .as("accepted, silent after %d ms", moment)
+                        .hasSize(4);
+            }
+        }
+        assertThat(seen)
+                .containsExactlyInAnyOrder(
+                        BatchAnswer.NotAccepted.class, BatchAnswer.Unsure.class, BatchAnswer.Accepted.class);
+    }
+
+    @Test
+    void callsAboutAJobAreAnsweredByTheirDeadlinesWhileThePlatformIsSilent() {
+        TestNode first = site.node("node-1");
+        TestNode second = site.node("node-2");
+        site.run(100);
+        site.engines(_run -> Optional.empty());
+        site.submit(first, BatchSite.job("job", 4));
+        site.run(600);
+        site.site.platform().silenceWhere(_node -> true);
+        List<Long> tickets = List.of(
+                site.read(second, "job", 0, Duration.ofMillis(300)),
+                site.read(second, "unknown", 0, Duration.ofMillis(300)),
+                site.body(second, "unknown", "unknown-0"),
+                site.end(second, "job"));
+        site.run(2320);
+        assertThat(tickets).allMatch(ticket -> site.answer(ticket)
+                .filter(answer -> answer instanceof BatchAnswer.Unsure)
+                .isPresent());
+    }
+
+    @Test
+    void aSubmissionOfAJobThatMayBeAcceptedAlreadyIsNotRefusedAsNotRun() {
+        TestNode first = site.node("node-1");
+        TestNode second = site.node("node-2");
+        site.run(100);
+        site.submit(first, BatchSite.job("job", 4));
+        site.site.platform().failWhere((node, call) -> node.equals("node-2") && writesTo(call, BatchObjects.INDEX));
+        long again = site.submit(second, BatchSite.job("job", 4));
+        site.run(1000);
+        assertThat(site.listed("job")).hasSize(4);
+        assertThat(site.answer(again).orElseThrow()).isInstanceOf(BatchAnswer.Unsure.class);
+    }
+
     @Test
     void aSecondSubmissionAtAnotherNodeIsAcceptedAndRunsNothingAgain() {
         TestNode first = site.node("node-1");
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/SimultaneousJobsTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/SimultaneousJobsTest.java
@@ -68,7 +68,8 @@
         site.everyStep(_site -> nodes.forEach(node -> node.take(BatchEffect.Run.class)
                 .forEach(run -> begun.merge(run.endpoint().name(), 1, Integer::sum))));
         for (int i = 0; i < MODELS.size(); i++) {
-            nodes.get(i).accept(new BatchEvent.Submitted(1, job(MODELS.get(i), items, groupSizes.get(i))));
+            BatchJob job = job(MODELS.get(i), items, groupSizes.get(i));
+            nodes.get(i).accept(new BatchEvent.Submitted(1, job, site.now().plus(BatchSite.CALL_TIME)));
         }
         site.run(Duration.ofMillis(40));
     }
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/BatchHandler.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/BatchHandler.java
@@ -34,8 +34,17 @@
     /** The status of a submission that may have taken effect. */
     private static final int GATEWAY_TIMEOUT = 504;
 
-    /** How long the core may take: longer than all its calls to the platform for one call together. */
-    private static final Duration CORE_TIMEOUT = Duration.ofSeconds(8);
+    /**
+     * The longest time for a call that does not wait for results. Callers repeat what is not answered at another node,
+     * so they have to be told soon.
+     */
+    private static final Duration CALL_TIME = Duration.ofSeconds(2);
+
+    /** How long a call for results may take beyond the time for which it waits for them. */
+    private static final Duration READ_TIME = Duration.ofSeconds(1);
+
+    /** How late the core may be in answering at the deadline: its longest pause between two ticks, and some. */
+    private static final Duration CORE_DELAY = Duration.ofMillis(150);
 
     /** When a caller should come back whose call could not be answered for sure. */
     private static final Duration RETRY_AFTER = Duration.ofMillis(300);
@@ -77,15 +86,18 @@
      * @param context The request.
      * @param caller Writes the answer.
      * @param job The job.
-     * @param arrived When the node began to read the submission.
+     * @param times When the submission arrived, and how long it may take.
      * @param done What follows the answer.
      */
-    void submit(Context context, CallerResponse caller, BatchJob job, MonotonicTime arrived, Runnable done) {
+    void submit(Context context, CallerResponse caller, BatchJob job, CallTimes times, Runnable done) {
         LOGGER.infof(
                 "event=batch-submitted job=%s items=%d readMicros=%d",
-                job.id(), job.items().size(), DecisionLoop.now().since(arrived).toNanos() / 1000);
-        Asked asked = new Asked("submit", job.id().value(), done);
-        ask(context, caller, asked, ticket -> new BatchEvent.Submitted(ticket, job));
+                job.id(),
+                job.items().size(),
+                DecisionLoop.now().since(times.arrived()).toNanos() / 1000);
+        MonotonicTime deadline = times.deadline(CALL_TIME);
+        Asked asked = new Asked("submit", job.id().value(), deadline, done);
+        ask(context, caller, asked, ticket -> new BatchEvent.Submitted(ticket, job, deadline));
     }
 
     /**
@@ -94,23 +106,31 @@
      * @param context The request.
      * @param caller Writes the answer.
      * @param call The call.
+     * @param times When the call arrived, and how long it may take.
      * @param done What follows the answer.
      */
-    void serve(Context context, CallerResponse caller, CallerDialect.BatchCall call, Runnable done) {
+    void serve(Context context, CallerResponse caller, CallerDialect.BatchCall call, CallTimes times, Runnable done) {
         if (call instanceof CallerDialect.BatchCall.ReadResults read) {
-            Asked asked = new Asked("read", read.id().value(), done);
-            MonotonicTime until = DecisionLoop.now().plus(read.waitTime());
+            MonotonicTime until = times.arrived().plus(read.waitTime());
+            MonotonicTime deadline = times.deadline(read.waitTime().plus(READ_TIME));
+            Asked asked = new Asked("read", read.id().value(), deadline, done);
             ask(
                     context,
                     caller,
                     asked,
-                    ticket -> new BatchEvent.ResultsRequested(ticket, read.id(), read.position(), until));
+                    ticket -> new BatchEvent.ResultsRequested(ticket, read.id(), read.position(), until, deadline));
         } else if (call instanceof CallerDialect.BatchCall.ReadBody body) {
-            Asked asked = new Asked("body", body.id().value(), done);
-            ask(context, caller, asked, ticket -> new BatchEvent.BodyRequested(ticket, body.id(), body.item()));
+            MonotonicTime deadline = times.deadline(CALL_TIME);
+            Asked asked = new Asked("body", body.id().value(), deadline, done);
+            ask(
+                    context,
+                    caller,
+                    asked,
+                    ticket -> new BatchEvent.BodyRequested(ticket, body.id(), body.item(), deadline));
         } else if (call instanceof CallerDialect.BatchCall.End end) {
-            Asked asked = new Asked("end", end.id().value(), done);
-            ask(context, caller, asked, ticket -> new BatchEvent.EndRequested(ticket, end.id()));
+            MonotonicTime deadline = times.deadline(CALL_TIME);
+            Asked asked = new Asked("end", end.id().value(), deadline, done);
+            ask(context, caller, asked, ticket -> new BatchEvent.EndRequested(ticket, end.id(), deadline));
         }
     }
 
@@ -124,11 +144,8 @@
      */
     private void ask(Context context, CallerResponse caller, Asked asked, LongFunction<Event> call) {
         long begun = System.nanoTime();
-        CompletableFuture<Void> done = replies.ask(call)
-                .completeOnTimeout(
-                        new BatchAnswer.Unsure("the core did not answer"),
-                        CORE_TIMEOUT.toMillis(),
-                        TimeUnit.MILLISECONDS)
+        Duration limit = asked.deadline().since(DecisionLoop.now()).plus(CORE_DELAY);
+        CompletableFuture<Void> done = replies.ask(call, limit)
                 .thenAccept(answer -> {
                     long micros = (System.nanoTime() - begun) / 1000;
                     metrics.timer("gateway.batch." + asked.kind()).update(micros, TimeUnit.MICROSECONDS);
@@ -191,7 +208,27 @@
      *
      * @param kind The kind of call, for logs and metrics.
      * @param id The job's identifier.
+     * @param deadline By when the call has to be answered.
      * @param done What follows the answer.
      */
-    private record Asked(String kind, String id, Runnable done) {}
+    private record Asked(String kind, String id, MonotonicTime deadline, Runnable done) {}
+
+    /**
+     * When a call arrived, and how long it may take.
+     *
+     * @param arrived When the node began to read the call.
+     * @param allowed How long its caller waits, as far as that is known.
+     */
+    record CallTimes(MonotonicTime arrived, Duration allowed) {
+
+        /**
+         * Returns by when the call has to be answered.
+         *
+         * @param longest The longest time that the node takes for such a call.
+         * @return The deadline.
+         */
+        private MonotonicTime deadline(Duration longest) {
+            return arrived.plus(allowed.compareTo(longest) < 0 ? allowed : longest);
+        }
+    }
 }
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayServer.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayServer.java
@@ -354,9 +354,10 @@
         Optional<CallerDialect.BatchCall> call =
                 callers.batchCall(context.req().getMethod(), path, context::queryParam, context::header);
         if (call.isPresent()) {
+            BatchHandler.CallTimes times = new BatchHandler.CallTimes(arrived, timeTold(context));
             Optional<ClientAccount> account = accounts.admitBatchCall(context, caller, routes.get());
-            account.ifPresent(
-                    owner -> batches.serve(context, caller, call.get().ownedBy(owner), inProgress::decrementAndGet));
+            account.ifPresent(owner ->
+                    batches.serve(context, caller, call.get().ownedBy(owner), times, inProgress::decrementAndGet));
             return account.isPresent();
         }
         String host = Optional.ofNullable(context.header("Host")).orElse("");
@@ -373,7 +374,8 @@
             return false;
         }
         if (route.get().kind() == RequestKind.BATCH) {
-            submit(context, caller, account.get(), path, body.get(), arrived);
+            BatchHandler.CallTimes times = new BatchHandler.CallTimes(arrived, timeAllowed(context, route.get()));
+            submit(context, caller, account.get(), path, body.get(), times);
             return true;
         }
         PlainRequest request = plainRequest(context, route.get(), account.get(), body.get(), arrived);
@@ -391,7 +393,7 @@
      * @param account Whose the job is.
      * @param path The path.
      * @param body The body.
-     * @param arrived When the submission arrived.
+     * @param times When the submission arrived, and how long it may take.
      */
     private void submit(
             Context context,
@@ -399,13 +401,13 @@
             ClientAccount account,
             String path,
             Bytes body,
-            MonotonicTime arrived) {
+            BatchHandler.CallTimes times) {
         String host = Optional.ofNullable(context.header("Host")).orElse("");
         String id =
                 Optional.ofNullable(context.header(callers.requestIdHeader())).orElse("");
         BatchJob job = callers.readJob(
                 new CallerDialect.Envelope(id, account, host, path, System.currentTimeMillis()), body.unsafeArray());
-        batches.submit(context, caller, job, arrived, inProgress::decrementAndGet);
+        batches.submit(context, caller, job, times, inProgress::decrementAndGet);
     }
 
     /**
@@ -420,8 +422,6 @@
      */
     private PlainRequest plainRequest(
             Context context, Route route, ClientAccount account, Bytes body, MonotonicTime arrived) {
-        Duration told = callers.timeLeft(context::header).orElse(DEFAULT_TIME);
-        Duration allowed = told.compareTo(route.timeout()) < 0 ? told : route.timeout();
         String query = context.req().getQueryString();
         String target = context.req().getRequestURI() + (query == null ? "" : "?" + query);
         OutgoingRequest outgoing = new OutgoingRequest(
@@ -431,7 +431,29 @@
                 headersOf(context, account),
                 account.name(),
                 body);
-        return new PlainRequest(outgoing, route, arrived.plus(allowed));
+        return new PlainRequest(outgoing, route, arrived.plus(timeAllowed(context, route)));
+    }
+
+    /**
+     * Returns how long a request may take.
+     *
+     * @param context The request.
+     * @param route The route.
+     * @return The time, from the request's arrival on.
+     */
+    private Duration timeAllowed(Context context, Route route) {
+        Duration told = timeTold(context);
+        return told.compareTo(route.timeout()) < 0 ? told : route.timeout();
+    }
+
+    /**
+     * Returns how long a caller waits.
+     *
+     * @param context The request.
+     * @return The time, from the request's arrival on.
+     */
+    private Duration timeTold(Context context) {
+        return callers.timeLeft(context::header).orElse(DEFAULT_TIME);
     }
 
     /**
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/PendingReplies.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/PendingReplies.java
@@ -7,10 +7,13 @@
 import io.yuccaswitch.core.batch.BatchEffect;
 import io.yuccaswitch.core.decision.Event;
 import io.yuccaswitch.node.decision.DecisionLoop;
+import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
 import java.util.function.LongFunction;
 
 /** Calls about batch jobs that wait for the core's answer. */
@@ -45,14 +48,18 @@
      * Asks the core.
      *
      * @param call Builds the call from its ticket.
-     * @return The answer.
+     * @param limit How long the core may take.
+     * @return The answer, on a thread that may wait for the caller.
      */
-    CompletableFuture<BatchAnswer> ask(LongFunction<Event> call) {
+    CompletableFuture<BatchAnswer> ask(LongFunction<Event> call, Duration limit) {
         long ticket = tickets.incrementAndGet();
         CompletableFuture<BatchAnswer> answer = new CompletableFuture<>();
         waiting.put(ticket, answer);
         loop.accept(call.apply(ticket));
-        return answer;
+        BatchAnswer tooLate = new BatchAnswer.Unsure("the core did not answer");
+        return answer.completeOnTimeout(tooLate, limit.toMillis(), TimeUnit.MILLISECONDS)
+                .whenComplete((_answer, _failure) -> waiting.remove(ticket))
+                .thenApplyAsync(Function.identity(), ANSWERING::scheduleDirect);
     }
 
     /**
@@ -77,7 +84,7 @@
     private void complete(BatchEffect.Reply reply) {
         CompletableFuture<BatchAnswer> answer = waiting.remove(reply.ticket());
         if (answer != null) {
-            ANSWERING.scheduleDirect(() -> answer.complete(reply.answer()));
+            answer.complete(reply.answer());
         }
     }
 }
