Start the processes of tests and of the rehearsal at loopback addresses of their own

Cause: a gateway's ports were chosen by binding and closing sockets at 127.0.0.1, some seconds before the process bound them. An outgoing connection or another run took one meanwhile, the gateway ended with "Address already in use", and the test waited for its readiness until its time was up.

The new test takes the ports at 127.0.0.1 and starts the gateway: on the code before it failed with the same timeout after 30 s; it passes now.

Ports are now chosen at an IP that follows from the identifier of the process that chooses, and never twice. Neither outgoing connections nor other processes use ports there. The benchmark of the gateway's cost did so already, with fixed IPs; the rehearsal of the build had the same fault. All three use one class now.

--- a/yuccaswitch-soak/src/test/java/io/yuccaswitch/soak/GatewayCommand.java
+++ b/yuccaswitch-soak/src/test/java/io/yuccaswitch/soak/GatewayCommand.java
@@ -1,11 +1,9 @@
 package io.yuccaswitch.soak;
 
+import io.yuccaswitch.adapter.LoopbackAddresses;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -24,7 +22,7 @@
 
     GatewayCommand(Path checkout, Path folder, int number, String store, List<String> seeds) throws IOException {
         this.checkout = checkout;
-        addresses = freeAddresses("127.1.0." + number);
+        addresses = LoopbackAddresses.next(ADDRESSES);
         String name = "node-" + number;
         settings = folder.resolve(name + ".json");
         Files.writeString(
@@ -67,18 +65,4 @@
             process.destroyForcibly();
         }
     }
-
-    /** Returns free addresses at an IP of the gateway's own, where no outgoing connection can take their ports. */
-    private static List<String> freeAddresses(String ip) throws IOException {
-        List<ServerSocket> reserved = new ArrayList<>();
-        for (int i = 0; i < ADDRESSES; i++) {
-            reserved.add(new ServerSocket(0, 1, InetAddress.getByName(ip)));
-        }
-        List<String> free = new ArrayList<>();
-        for (ServerSocket socket : reserved) {
-            free.add(ip + ":" + socket.getLocalPort());
-            socket.close();
-        }
-        return free;
-    }
 }
