Answer an end that may have taken effect with 504

Ends of jobs whose write got no answer were answered with 503, which promises that the call has not run and never will, though the job may be ended. They are answered with 504 now, which promises nothing; 503 stays for ends that surely had no effect.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchAnswer.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchAnswer.java
@@ -11,7 +11,7 @@
     record Accepted() implements BatchAnswer {}
 
     /**
-     * Nothing of the job runs because of this call.
+     * The call surely had no effect: nothing of the job runs because of it, or it did not end the job.
      *
      * @param reason The reason, for logs.
      * @param retryAfter When to come back.
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSystemTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSystemTest.java
@@ -136,6 +136,25 @@
                 .isPresent());
     }
 
+    /** Guards against ends that are refused as not run, though the write whose answer was lost has ended the job. */
+    @Test
+    void anEndIsRefusedOnlyIfItSurelyDidNotTakeEffect() {
+        TestNode node = site.node("node-1");
+        site.run(100);
+        site.engines(_run -> Optional.empty());
+        site.submit(node, BatchSite.job("job", 4));
+        site.run(600);
+        site.site.platform().failWhere((_node, call) -> writesTo(call, BatchObjects.INDEX));
+        long refused = site.end(node, "job");
+        site.run(100);
+        assertThat(site.answer(refused).orElseThrow()).isInstanceOf(BatchAnswer.NotAccepted.class);
+        site.site.platform().failWhere(BatchSystemTest::never);
+        site.site.platform().loseAnswersWhere((_node, call) -> writesTo(call, BatchObjects.INDEX));
+        long unsure = site.end(node, "job");
+        site.run(100);
+        assertThat(site.answer(unsure).orElseThrow()).isInstanceOf(BatchAnswer.Unsure.class);
+    }
+
     @Test
     void aSubmissionOfAJobThatMayBeAcceptedAlreadyIsNotRefusedAsNotRun() {
         TestNode first = site.node("node-1");
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/BatchHandler.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/BatchHandler.java
@@ -31,7 +31,7 @@
     /** The status of a call of which the node can't be sure; it promises that nothing ran. */
     private static final int UNAVAILABLE = 503;
 
-    /** The status of a submission that may have taken effect. */
+    /** The status of a submission or an end that may have taken effect. */
     private static final int GATEWAY_TIMEOUT = 504;
 
     /**
@@ -172,7 +172,8 @@
             } else if (answer instanceof BatchAnswer.NotAccepted refused) {
                 caller.answerText(UNAVAILABLE, refused.reason(), Optional.of(refused.retryAfter()));
             } else if (answer instanceof BatchAnswer.Unsure unsure) {
-                int status = kind.equals("submit") ? GATEWAY_TIMEOUT : UNAVAILABLE;
+                boolean changes = kind.equals("submit") || kind.equals("end");
+                int status = changes ? GATEWAY_TIMEOUT : UNAVAILABLE;
                 caller.answerText(status, unsure.reason(), Optional.of(RETRY_AFTER));
             } else if (answer instanceof BatchAnswer.Mismatch) {
                 caller.answerText(CONFLICT, "the identifier belongs to a job with other items", Optional.empty());
