--- a/yuccaswitch-soak/src/test/java/io/yuccaswitch/soak/SoakFaults.java
+++ b/yuccaswitch-soak/src/test/java/io/yuccaswitch/soak/SoakFaults.java
@@ -1,5 +1,6 @@
 package io.yuccaswitch.soak;
 
+import io.javalin.http.Context;
 import io.yuccaswitch.adapter.standin.EngineStandIn;
 import io.yuccaswitch.adapter.standin.GatewayProcess;
 import io.yuccaswitch.adapter.standin.SiteDocuments;
@@ -14,6 +15,7 @@
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.function.Predicate;
 
 /** Faults from outside the programs, drawn with a seed, in series and overlapping, each of which passes. */
 final class SoakFaults {
@@ -104,6 +106,13 @@
                 site.store.loseAnswersWhere(_context -> Math.floorMod(System.nanoTime() / 1000, share) == 0);
                 due.add(new Due(until, () -> site.store.loseAnswersWhere(_context -> false)));
             }
+            case STORE_SILENT -> {
+                List<Predicate<Context>> silences =
+                        List.of(_call -> true, call -> call.method().name().equals("GET"), call -> call.path()
+                                .endsWith("/batch-index"));
+                site.store.silentWhere(silences.get(random.nextInt(silences.size())));
+                due.add(new Due(until, () -> site.store.silentWhere(_call -> false)));
+            }
             case STORE_FORGETS -> site.store.compact();
             case STORE_LINK -> fault(site.storeLinks.get(node), until);
             case ENGINE_LINK -> fault(site.engineLinks.get(engine()), until);
@@ -171,7 +180,8 @@
         ENGINE_RESTARTED,
         FOREIGN_ENTRY,
         CONFIGURATION,
-        VERSION
+        VERSION,
+        STORE_SILENT
     }
 
     /** Something that is due at a time. */
