Give refusals of batch calls one Retry-After, and use the field's words where files were touched

Submissions and ends each had a constant of 400 ms for the same case, the platform's silence. It stands with the answer now.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchAdmissionSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchAdmissionSystem.java
@@ -23,9 +23,6 @@
  */
 final class BatchAdmissionSystem implements DecisionSystem {
 
-    /** When a submitter whose job was not accepted should come back: about as long as a short outage. */
-    private static final Duration RETRY_AFTER = Duration.ofMillis(400);
-
     /** The pause between two reads of an entry whose creation was not answered. */
     private static final Duration READ_BACK_PAUSE = Duration.ofMillis(150);
 
@@ -268,7 +265,7 @@
     private BatchAnswer notAccepted(Submission submission, String reason) {
         boolean maybeAccepted = submission.writtenBefore()
                 || state.index().find(submission.job().id()).isPresent();
-        return maybeAccepted ? new BatchAnswer.Unsure(reason) : new BatchAnswer.NotAccepted(reason, RETRY_AFTER);
+        return maybeAccepted ? new BatchAnswer.Unsure(reason) : new BatchAnswer.NotAccepted(reason);
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchAnswer.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchAnswer.java
@@ -14,9 +14,22 @@
      * The call surely had no effect: nothing of the job runs because of it, or it did not end the job.
      *
      * @param reason The reason, for logs.
-     * @param retryAfter When to come back.
+     * @param retryAfter When the caller should retry.
      */
-    record NotAccepted(String reason, Duration retryAfter) implements BatchAnswer {}
+    record NotAccepted(String reason, Duration retryAfter) implements BatchAnswer {
+
+        /** When callers should retry after the platform gave no usable answer: about as long as a short outage. */
+        private static final Duration OUTAGE_RETRY_AFTER = Duration.ofMillis(400);
+
+        /**
+         * Creates an answer to a call that the platform's state or silence prevented.
+         *
+         * @param reason The reason, for logs.
+         */
+        NotAccepted(String reason) {
+            this(reason, OUTAGE_RETRY_AFTER);
+        }
+    }
 
     /**
      * Whether the call took effect is not known; the caller has to ask again.
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchEndSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchEndSystem.java
@@ -7,7 +7,6 @@
 import io.yuccaswitch.core.peer.PeerEvent;
 import io.yuccaswitch.core.platform.PlatformEvent;
 import io.yuccaswitch.core.platform.StoredObject;
-import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -17,9 +16,6 @@
     /** How often the end of a job is tried again after another change of its entry came first. */
     private static final int ATTEMPTS = 4;
 
-    /** When a caller whose call did not end its job should repeat it: about as long as a short outage. */
-    private static final Duration RETRY_AFTER = Duration.ofMillis(400);
-
     /** The tables of the batch system. */
     private final BatchState state;
 
@@ -74,8 +70,10 @@
      */
     private void mark(Tick tick, BatchEvent.EndRequested request, PlatformEvent event, int left) {
         if (event instanceof PlatformEvent.Unavailable failure) {
-            boolean maybeEnded = failure.maybeApplied();
-            reply(tick, request, maybeEnded ? new BatchAnswer.Unsure(failure.reason()) : notEnded(failure.reason()));
+            BatchAnswer answer = failure.maybeApplied()
+                    ? new BatchAnswer.Unsure(failure.reason())
+                    : new BatchAnswer.NotAccepted(failure.reason());
+            reply(tick, request, answer);
             return;
         }
         Optional<StoredObject> object = event instanceof PlatformEvent.ObjectRead read
@@ -100,7 +98,7 @@
     private void end(Tick tick, BatchEvent.EndRequested request, BatchIndex.Row row, int left) {
         BatchIndexEntry entry = row.entry();
         if (entry.ended() || left == 0) {
-            reply(tick, request, entry.ended() ? new BatchAnswer.Ended() : notEnded("contended"));
+            reply(tick, request, entry.ended() ? new BatchAnswer.Ended() : new BatchAnswer.NotAccepted("contended"));
             return;
         }
         state.write(
@@ -146,16 +144,6 @@
         state.finished().add(id);
     }
 
-    /**
-     * Creates the answer that a call did not end its job.
-     *
-     * @param reason The reason, for logs.
-     * @return The answer.
-     */
-    private static BatchAnswer notEnded(String reason) {
-        return new BatchAnswer.NotAccepted(reason, RETRY_AFTER);
-    }
-
     /**
      * Answers a call.
      *
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/BatchHandler.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/BatchHandler.java
@@ -46,7 +46,7 @@
     /** How late the core may be in answering at the deadline: its longest pause between two ticks, and some. */
     private static final Duration CORE_DELAY = Duration.ofMillis(150);
 
-    /** When a caller should come back whose call could not be answered for sure. */
+    /** When a caller should retry whose call may have taken effect. */
     private static final Duration RETRY_AFTER = Duration.ofMillis(300);
 
     /** The type of JSON bodies. */
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayServer.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayServer.java
@@ -51,7 +51,7 @@
     /** How long an answer of the directory may be used: a VM that stops serves at least three times as long. */
     private static final Duration ADDRESS_VALIDITY = Duration.ofSeconds(1);
 
-    /** When to come back to a node that has no configuration yet. */
+    /** When to retry at a node that has no configuration yet. */
     private static final Duration NOT_READY_RETRY_AFTER = Duration.ofMillis(300);
 
     /** The time that a caller waits if it does not tell. */
