Let a failing platform not delay the call that finds out whether it answers

Cause: requests may be sent by old knowledge only while the platform is known to answer nobody, which a failed confirming call tells for 2.5 s. That call shared one back-off with the calls for changes, which a watching node repeats all the time: where they failed quickly (429, 503, an open circuit), each pushed the confirming call further away, and it was never made. The comment that the next one is made and judged within that time held only while nothing else failed.

Evidence: PlatformOutageTest, nine nodes, an outage of 20 s.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/SharedKindWatch.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/SharedKindWatch.java
@@ -97,7 +97,8 @@
         this.kind = kind;
         this.ages = ages;
         direct = new KindWatch(kind, purpose, tokens, gathering, WAIT_TIME);
-        confirmation = new KindConfirmation(kind, purpose, tokens, backOff);
+        // Failures of calls for changes must not delay the call that finds out whether the platform answers at all.
+        confirmation = new KindConfirmation(kind, purpose, tokens, new CallBackOff(FIRST_BACK_OFF, LONGEST_BACK_OFF));
         this.greatestAge = greatestAge;
         this.roles = roles;
         this.follower = follower;
--- /dev/null
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/registry/PlatformOutageTest.java
@@ -0,0 +1,65 @@
+package io.yuccaswitch.core.registry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.yuccaswitch.core.decision.DecisionSystem;
+import io.yuccaswitch.core.decision.PacedSystem;
+import io.yuccaswitch.core.platform.PlatformTokens;
+import io.yuccaswitch.core.site.TestNode;
+import io.yuccaswitch.core.site.TestSite;
+import io.yuccaswitch.core.watch.SharedWatches;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * While the platform answered nobody, nodes stopped sending requests again and again for up to half a second: a failed
+ * call told for 2.5 s that the platform is away, and the next one could come later than that, as calls for changes and
+ * calls that confirm shared one back-off.
+ */
+final class PlatformOutageTest {
+
+    private static final Duration IDLE_INTERVAL = Duration.ofMillis(100);
+
+    private final TestSite site = new TestSite();
+    private final Map<String, EndpointRegistrySystem> registries = new TreeMap<>();
+
+    @BeforeEach
+    void startNodes() {
+        site.connect((_from, _to) -> false);
+        for (int i = 0; i < 9; i++) {
+            site.start("node-" + i, this::systems);
+        }
+        site.platform().put(EndpointRegistrySystem.KIND, "one", "ledger 10.0.0.1:80 ready");
+        site.run(Duration.ofSeconds(3));
+    }
+
+    /** Guards against requests that are held although nothing can be learnt by waiting. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 100, 300, 600, 900, 1200})
+    void endpointsStayInUseThroughoutAnOutageHoweverLateCallsFail(int failureMillis) {
+        site.platform().cutWhere(_node -> true);
+        site.platform().delayAnswers(_node -> Duration.ofMillis(failureMillis));
+        Map<String, Integer> heldMillis = new TreeMap<>();
+        for (int millis = 0; millis < 20_000; millis += 10) {
+            site.run(Duration.ofMillis(10));
+            registries.forEach((node, registry) -> {
+                if (!registry.allowsDispatch(site.now())) {
+                    heldMillis.merge(node, 10, Integer::sum);
+                }
+            });
+        }
+        assertThat(heldMillis).as("time for which nodes held requests").isEmpty();
+    }
+
+    private List<DecisionSystem> systems(TestNode node, PlatformTokens tokens) {
+        EndpointRegistrySystem registry =
+                new EndpointRegistrySystem(new SharedWatches(node), tokens, EndpointRegistrySystemTest::decode);
+        registries.put(node.name(), registry);
+        return List.of(new PacedSystem(List.of(registry), _event -> false, () -> IDLE_INTERVAL));
+    }
+}
