Keep the calls that confirm rare while the platform is unavailable

The wait after a failed confirming call is now derived from the time for which the failure is valid, 1.9 s at most, instead of 1.5 s; and where what is known may be of any age, the call waits for the back-off of the calls for changes too.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/KindConfirmation.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/KindConfirmation.java
@@ -25,9 +25,16 @@
     /** How late the answer may come before the platform counts as away: a slow one answers within this time. */
     private static final Duration ALLOWED_DELAY = Duration.ofMillis(400);
 
-    /** For how long a failed call tells that the platform is away. The next one is made and judged within that time. */
+    /** For how long a failed call tells that the platform is unavailable: until the next one is made and judged. */
     private static final Duration FAILURE_VALIDITY = Duration.ofMillis(2500);
 
+    /** The time between two ticks of an idle node, by which a call may be made and judged later. */
+    private static final Duration TICK_TIME = Duration.ofMillis(100);
+
+    /** The longest wait before the next call after a failure, such that it is judged while the failure is valid. */
+    private static final Duration BACK_OFF =
+            FAILURE_VALIDITY.minus(ALLOWED_DELAY).minus(TICK_TIME.multipliedBy(2));
+
     /** How much of the time between two looks counts as waiting. A node that stood still for longer did not wait. */
     private static final Duration LONGEST_STEP = Duration.ofMillis(200);
 
@@ -40,8 +47,8 @@
     /** The calls that wait for their answers. */
     private final PlatformCalls calls;
 
-    /** When the next call may be made. */
-    private final CallBackOff backOff;
+    /** When the next call may be made. Calls for changes have another, as their failures must not delay this one. */
+    private final CallBackOff backOff = new CallBackOff(BACK_OFF, BACK_OFF);
 
     /** Whether a call waits for its answer. */
     private boolean calling;
@@ -72,12 +79,10 @@
      * @param kind The kind.
      * @param purpose The purpose of the calls.
      * @param tokens Hands out the tokens of calls.
-     * @param backOff When a call may be made after one has failed.
      */
-    KindConfirmation(String kind, PlatformPurpose purpose, PlatformTokens tokens, CallBackOff backOff) {
+    KindConfirmation(String kind, PlatformPurpose purpose, PlatformTokens tokens) {
         this.kind = kind;
         this.purpose = purpose;
-        this.backOff = backOff;
         calls = new PlatformCalls(tokens);
     }
 
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/SharedKindWatch.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/SharedKindWatch.java
@@ -97,8 +97,7 @@
         this.kind = kind;
         this.ages = ages;
         direct = new KindWatch(kind, purpose, tokens, gathering, WAIT_TIME);
-        // Failures of calls for changes must not delay the call that finds out whether the platform answers at all.
-        confirmation = new KindConfirmation(kind, purpose, tokens, new CallBackOff(FIRST_BACK_OFF, LONGEST_BACK_OFF));
+        confirmation = new KindConfirmation(kind, purpose, tokens);
         this.greatestAge = greatestAge;
         this.roles = roles;
         this.follower = follower;
@@ -354,7 +353,8 @@
                 && greatestAge
                         .filter(bound -> tick.now().since(confirmedAt.get()).compareTo(bound) > 0)
                         .isPresent();
-        if (knowsAnything() && (old || (doubtful && !roles.isWatcher()))) {
+        boolean doubted = doubtful && !roles.isWatcher() && backOff.allows(tick.now());
+        if (knowsAnything() && (old || doubted)) {
             confirmation.ask(tick, replica.version());
         }
     }
