Choose the port of a node that a test starts later where no outgoing connection takes it

PeerTransportTest bound and closed a socket at 127.0.0.1 and started a node there later, the fault that kept gateways from becoming ready in other tests. It uses an IP that outgoing connections don't have. Its 16 tests pass; it was not seen to fail before.

--- a/yuccaswitch-protocol/src/test/java/io/yuccaswitch/protocol/PeerTransportTest.java
+++ b/yuccaswitch-protocol/src/test/java/io/yuccaswitch/protocol/PeerTransportTest.java
@@ -283,8 +283,9 @@
         return all.toByteArray();
     }
 
+    /** Returns an address at an IP that outgoing connections don't have, so none takes its port before a node does. */
     private static InetSocketAddress free() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.2"))) {
             return (InetSocketAddress) socket.getLocalSocketAddress();
         }
     }
