--- a/review/standin/Engine.java
+++ b/review/standin/Engine.java
@@ -19,6 +19,9 @@
     /** A run of a request. */
     record Run(int number, String engine, String request, long startedAt, long after) {}
 
+    /** The requests that are at an engine now, with the numbers of their runs. */
+    static final Map<Integer, String> RUNNING = new java.util.concurrent.ConcurrentHashMap<>();
+
     private static final AtomicInteger RUNS = new AtomicInteger();
     static final List<Run> ALL_RUNS = Collections.synchronizedList(new ArrayList<>());
     static volatile int events = 20;
@@ -104,13 +107,19 @@
             long after = last.isEmpty() ? 0 : Long.parseLong(last);
             Run run = new Run(RUNS.incrementAndGet(), id, requestId, System.nanoTime(), after);
             ALL_RUNS.add(run);
+            RUNNING.put(run.number(), requestId);
             if (recorded) {
                 Record.write("engine " + id + " runs " + requestId + " path " + request.path() + " as run " + run.number()
                     + " after event " + after + " body " + request.body().length + " bytes");
             }
             if (request.path().startsWith("/rollouts/")) {
-                return stream(run, output);
+                try {
+                    return stream(run, output);
+                } finally {
+                    RUNNING.remove(run.number());
+                }
             }
+            RUNNING.remove(run.number());
             Thread.sleep(workMillis);
             Http.respond(
                     output,
--- a/review/standin/Gateways.java
+++ b/review/standin/Gateways.java
@@ -108,6 +108,12 @@
         Record.write("start " + gateway.name + " pid " + gateway.process.pid() + " entry " + gateway.entry);
     }
 
+    /** Kills all gateways, and waits until they have ended. */
+    void killAll() {
+        close();
+        Record.write("all gateways were killed");
+    }
+
     void startAll() throws IOException {
         for (Gateway gateway : all) {
             start(gateway);
--- a/review/standin/Store.java
+++ b/review/standin/Store.java
@@ -26,6 +26,8 @@
     private final List<Event> events = new ArrayList<>();
     private final Http.Server server;
     private long revision = 100;
+    /** Watches that begin before this revision are answered with 410. */
+    private long oldestRevision;
 
     Store() throws IOException {
         server = new Http.Server(0, this::handle);
@@ -49,6 +51,13 @@
         write(kind, name, "spec", spec);
     }
 
+    /** Stores an object that was written so long ago that the history no longer has it. */
+    synchronized void putOld(String kind, String name, JsonNode spec) {
+        write(kind, name, "spec", spec);
+        events.clear();
+        oldestRevision = revision;
+    }
+
     synchronized void remove(String kind, String name) {
         ObjectNode removed = objects.remove(kind + "/" + name);
         if (removed != null) {
@@ -147,6 +156,9 @@
         ObjectNode answer = MAPPER.createObjectNode();
         ArrayNode found = answer.putArray("events");
         synchronized (this) {
+            if (after < oldestRevision) {
+                return answer(output, 410, MAPPER.createObjectNode());
+            }
             while (true) {
                 for (Event event : events) {
                     if (event.revision() > after && event.kind().equals(kind)) {
