Show that a job started while it is being loaded lists items twice

What callers saw: 13 items of one batch job at two positions of its results.

The test restarts the runner of a job of eight items, four of them listed, and starts the job once more at each moment in steps of 10 ms while the node reads the index, the job, its results and its texts: by a hand-over, by a submission to another node whose entry is read back, and by one to the runner itself. Items run for two seconds.

--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSite.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSite.java
@@ -14,6 +14,7 @@
 import io.yuccaswitch.core.route.RouteConfigurationSystem;
 import io.yuccaswitch.core.site.TestNode;
 import io.yuccaswitch.core.site.TestSite;
+import io.yuccaswitch.core.time.MonotonicTime;
 import io.yuccaswitch.core.value.Bytes;
 import io.yuccaswitch.core.watch.SharedWatches;
 import java.time.Duration;
@@ -51,6 +52,8 @@
             run -> Optional.of(completed(run, 1));
     private Function<BatchEffect.Score, Optional<ScoringOutcome>> scorers = score ->
             Optional.of(new ScoringOutcome.Scored("score-" + score.request().id()));
+    private Function<BatchEffect.Run, Duration> runTimes = _run -> Duration.ZERO;
+    private final List<RunEnd> runEnds = new ArrayList<>();
     private boolean singleVersion;
     private List<Route.PoolShare> pools = List.of(new Route.PoolShare(POOL, 1));
     private boolean scoringRoute = true;
@@ -108,6 +111,11 @@
         engines = behaviour;
     }
 
+    /** Sets how long an attempt takes until its end is reported, also if it has been cancelled meanwhile. */
+    void runTimes(Function<BatchEffect.Run, Duration> times) {
+        runTimes = times;
+    }
+
     TestNode node(String name) {
         nodes.removeIf(node -> node.name().equals(name));
         TestNode started = site.start(name, (node, tokens) -> {
@@ -198,6 +206,11 @@
         return tickets;
     }
 
+    /** Encodes a job as it is stored on the platform. */
+    Bytes encode(BatchJob job) {
+        return codec.writeJob(job);
+    }
+
     Optional<BatchAnswer> answer(long ticket) {
         return Optional.ofNullable(answers.get(ticket));
     }
@@ -257,11 +270,25 @@
             for (BatchEffect.Run run : node.take(BatchEffect.Run.class)) {
                 started.add(run);
                 runs.merge(run.item().id(), 1, Integer::sum);
-                engines.apply(run).ifPresent(node::accept);
+                engines.apply(run)
+                        .ifPresent(ended ->
+                                runEnds.add(new RunEnd(node, ended, site.now().plus(runTimes.apply(run)))));
             }
         }
+        runEnds.removeIf(this::reportIfDue);
     }
 
+    private boolean reportIfDue(RunEnd end) {
+        boolean due = !site.now().isBefore(end.at());
+        if (due) {
+            end.node().accept(end.event());
+        }
+        return due;
+    }
+
+    /** The end of an attempt, which a node that was killed meanwhile does not receive. */
+    private record RunEnd(TestNode node, BatchEvent.AttemptEnded event, MonotonicTime at) {}
+
     private static Optional<RegisteredEndpoint> endpoint(StoredObject object) {
         String name = object.key().name();
         boolean scores = name.startsWith("scorer");
