Start a job once, and list no item whose result is listed

What callers saw: 13 items of one batch job at two positions of its results.

Cause: three systems started jobs, each with a check of its own: the index (after loading results and texts), a hand-over, and a submission whose entry was read back. The last two did not look at a load in progress, and took the log, which was still empty, for the listed results. The results that the load then appended moved the next number forward, but their items kept running and were listed again under that number, which was free: the conditional creation protects numbers, not items.

Change: JobLoader is the only way to start a job. A job whose entry was surely created by the message or submission that starts it begins at once; any other job is loaded first, and a second start during a load is ignored. A hand-over tells which it is; nodes of an earlier release don't, and their jobs are loaded. Every path that adds results to a log goes through BatchState, which removes their items from the running job. Before an object is created, results whose items the log already contains are dropped: as a created object follows all objects of its creator's log, no item can stand in two of them, whatever leads there.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchAdmissionSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchAdmissionSystem.java
@@ -32,8 +32,8 @@
     /** The tables of the batch system. */
     private final BatchState state;
 
-    /** Computes the deadlines of jobs. */
-    private final JobTimeouts jobTimeouts;
+    /** Starts jobs. */
+    private final JobLoader loader;
 
     /** Chooses the node that runs a job. */
     private final RunnerChoice runnerChoice;
@@ -45,12 +45,12 @@
      * Creates a system without submissions.
      *
      * @param state The tables of the batch system.
-     * @param jobTimeouts Computes the deadlines of jobs.
+     * @param loader Starts jobs.
      * @param runnerChoice Chooses the node that runs a job.
      */
-    BatchAdmissionSystem(BatchState state, JobTimeouts jobTimeouts, RunnerChoice runnerChoice) {
+    BatchAdmissionSystem(BatchState state, JobLoader loader, RunnerChoice runnerChoice) {
         this.state = state;
-        this.jobTimeouts = jobTimeouts;
+        this.loader = loader;
         this.runnerChoice = runnerChoice;
     }
 
@@ -136,7 +136,7 @@
                 job.id(), runnerChoice.choose(job), false, job.items().size(), job.model());
         create(tick, submission, BatchObjects.index(job.id()), state.codec().writeEntry(entry), (later, event) -> {
             if (event instanceof PlatformEvent.Accepted) {
-                accept(later, submission, entry.runner());
+                accept(later, submission, entry.runner(), true);
             } else if (event instanceof PlatformEvent.Conflict) {
                 finish(later, submission, new BatchAnswer.Accepted(), "accepted before");
             } else if (event instanceof PlatformEvent.Unavailable failure && failure.maybeApplied()) {
@@ -177,7 +177,7 @@
                     ? read.object().flatMap(object -> state.codec().readEntry(object.value()))
                     : Optional.empty();
             if (entry.isPresent()) {
-                accept(later, submission, entry.get().runner());
+                accept(later, submission, entry.get().runner(), false);
             } else {
                 readBackAt(later, submission, later.now().plus(READ_BACK_DELAY));
             }
@@ -201,19 +201,22 @@
      * @param tick The tick.
      * @param submission The submission.
      * @param runner The node that runs the job.
+     * @param created Whether this submission surely created the entry. Otherwise an earlier one may have, and the job
+     *     may have listed results.
      */
-    private void accept(Tick tick, Submission submission, NodeName runner) {
+    private void accept(Tick tick, Submission submission, NodeName runner, boolean created) {
         BatchJob job = submission.job();
         if (!runner.equals(state.membership().self().identity().name())) {
             tick.emit(new PeerEffect.Send(
                     runner,
-                    new BatchMessage.HandedOver(job.id().value(), state.codec().writeJob(job))));
+                    new BatchMessage.HandedOver(job.id().value(), state.codec().writeJob(job), created)));
             finish(tick, submission, new BatchAnswer.Accepted(), "stored on the platform, handed over to " + runner);
             return;
         }
-        if (!state.running().contains(job.id()) && !state.finished().contains(job.id())) {
-            ResultLog log = state.log(job.id(), job.items().size(), tick.now());
-            state.run(tick, job, log, jobTimeouts.deadline(job, tick.now()), new StoredTexts());
+        if (created) {
+            loader.startCreated(tick, job);
+        } else {
+            loader.load(tick, job, "accepted by this node, whose creation of the entry was not answered");
         }
         finish(tick, submission, new BatchAnswer.Accepted(), "stored on the platform");
     }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchCommitSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchCommitSystem.java
@@ -88,7 +88,8 @@
     }
 
     /**
-     * Writes results to the platform.
+     * Writes results to the platform, unless the log already contains a result of one of their items. The conditional
+     * creation only protects the number of an object, not its items.
      *
      * @param tick The tick.
      * @param job The job.
@@ -97,6 +98,13 @@
     private void commit(Tick tick, RunningJob job, List<BatchResult> results) {
         BatchJobId id = job.job().id();
         ResultLog log = state.log(id, job.job().items().size(), tick.now());
+        List<BatchResult> listed =
+                results.stream().filter(result -> log.contains(result.item())).toList();
+        if (!listed.isEmpty()) {
+            tick.decide(Decision.of("batch-results", id.value(), "dropped", listed.size() + " are already listed"));
+            state.removeListed(tick, id, listed);
+            return;
+        }
         int number = log.objects();
         job.beginCommit();
         state.write(
@@ -222,16 +230,13 @@
      */
     private void append(Tick tick, Commit commit, List<BatchResult> results, String choice) {
         BatchJobId id = commit.job().job().id();
-        if (commit.log().objects() == commit.number()) {
-            commit.log().append(results);
-        }
+        state.append(tick, id, commit.log(), commit.number(), results);
         tick.decide(Decision.of(
                 "batch-results",
                 id.value(),
                 choice,
                 "object " + commit.number() + " with " + results.size() + " results, "
                         + commit.log().size() + " in total"));
-        state.removeListed(tick, id, results);
         commit.job().endCommit(tick.now());
     }
 
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchMessage.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchMessage.java
@@ -14,8 +14,10 @@
      *
      * @param id The job.
      * @param job The job, encoded as it is stored on the platform.
+     * @param created Whether the sender has just created the job's entry, so that the job has no listed results unless
+     *     the message was delayed. Nodes of an earlier release don't state it.
      */
-    record HandedOver(String id, Bytes job) implements BatchMessage {}
+    record HandedOver(String id, Bytes job, boolean created) implements BatchMessage {}
 
     /**
      * Notifies the runner of a job that the job has been ended.
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchOwnershipSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchOwnershipSystem.java
@@ -8,17 +8,12 @@
 import io.yuccaswitch.core.membership.MemberCondition;
 import io.yuccaswitch.core.membership.MembershipEvent;
 import io.yuccaswitch.core.membership.RendezvousRanking;
-import io.yuccaswitch.core.platform.PlatformEffect;
 import io.yuccaswitch.core.platform.PlatformEvent;
-import io.yuccaswitch.core.platform.PlatformPurpose;
-import io.yuccaswitch.core.platform.StoredObject;
 import io.yuccaswitch.core.time.MonotonicTime;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 
@@ -35,23 +30,17 @@
      */
     private static final Duration ORPHAN_TIMEOUT = Duration.ofMillis(700);
 
-    /** The delay after a failed claim or load. By its end the index shows the changes of other nodes. */
-    private static final Duration FAILURE_DELAY = Duration.ofMillis(600);
-
     /** The tables of the batch system. */
     private final BatchState state;
 
-    /** Computes the deadlines of jobs. */
-    private final JobTimeouts jobTimeouts;
+    /** Starts jobs. */
+    private final JobLoader loader;
 
     /** The time since which the runner of a job has been missing. */
     private final Map<BatchJobId, MonotonicTime> orphanedSince = new HashMap<>();
 
-    /** The time until which a job that could not be claimed or loaded is skipped. */
-    private final Map<BatchJobId, MonotonicTime> excludedUntil = new HashMap<>();
-
-    /** The jobs that are being claimed or loaded. */
-    private final Set<BatchJobId> claimingOrLoading = new HashSet<>();
+    /** The jobs that are being claimed. */
+    private final Set<BatchJobId> claiming = new HashSet<>();
 
     /** Whether this node has received the table of members, or found that it is alone. */
     private boolean joined;
@@ -63,11 +52,11 @@
      * Creates a system without jobs.
      *
      * @param state The tables of the batch system.
-     * @param jobTimeouts Computes the deadlines of jobs.
+     * @param loader Starts jobs.
      */
-    BatchOwnershipSystem(BatchState state, JobTimeouts jobTimeouts) {
+    BatchOwnershipSystem(BatchState state, JobLoader loader) {
         this.state = state;
-        this.jobTimeouts = jobTimeouts;
+        this.loader = loader;
     }
 
     @Override
@@ -102,46 +91,17 @@
             }
             return;
         }
-        boolean inProgress = claimingOrLoading.contains(id) || state.admitting().containsKey(id);
-        if (inProgress || leaving || state.finished().contains(id) || isExcluded(tick, id)) {
+        boolean inProgress = claiming.contains(id) || state.admitting().containsKey(id) || loader.isStarted(id);
+        if (inProgress || leaving || loader.isExcluded(tick, id)) {
             return;
         }
         if (own) {
-            load(tick, entry, "accepted by an earlier incarnation of this node");
+            loader.load(tick, id, "accepted by an earlier incarnation of this node");
         } else if (isOrphaned(tick, entry) && isPreferredRunner(id)) {
             claim(tick, row);
         }
     }
 
-    /**
-     * Returns whether a job is currently skipped.
-     *
-     * @param tick The tick.
-     * @param id The job.
-     * @return {@code true} if a claim or load failed recently.
-     */
-    private boolean isExcluded(Tick tick, BatchJobId id) {
-        MonotonicTime until = excludedUntil.get(id);
-        if (until == null) {
-            return false;
-        }
-        if (tick.now().isBefore(until)) {
-            return true;
-        }
-        excludedUntil.remove(id);
-        return false;
-    }
-
-    /**
-     * Skips a job for a while after a failure.
-     *
-     * @param tick The tick.
-     * @param id The job.
-     */
-    private void exclude(Tick tick, BatchJobId id) {
-        excludedUntil.put(id, tick.now().plus(FAILURE_DELAY));
-    }
-
     /**
      * Returns whether a job's runner has been missing for long enough.
      *
@@ -193,7 +153,7 @@
      */
     private void claim(Tick tick, BatchIndex.Row row) {
         BatchIndexEntry entry = row.entry();
-        claimingOrLoading.add(entry.id());
+        claiming.add(entry.id());
         BatchIndexEntry own =
                 entry.withRunner(state.membership().self().identity().name());
         state.write(
@@ -202,129 +162,18 @@
                 OptionalLong.of(row.version()),
                 state.codec().writeEntry(own),
                 (later, event) -> {
-                    claimingOrLoading.remove(entry.id());
+                    claiming.remove(entry.id());
                     boolean granted = event instanceof PlatformEvent.Accepted;
                     later.decide(Decision.of(
                             "batch-claim",
                             entry.id().value(),
                             granted ? "granted" : "not granted",
                             "runner " + entry.runner() + " is gone, entry version " + row.version()));
-                    if (!granted) {
-                        exclude(later, entry.id());
-                    } else if (!state.running().contains(entry.id())) {
-                        load(later, own, "taken over from " + entry.runner());
+                    if (granted) {
+                        loader.load(later, entry.id(), "taken over from " + entry.runner());
+                    } else {
+                        loader.exclude(later, entry.id());
                     }
                 });
     }
-
-    /**
-     * Reads a job and its listed results from the platform, and runs the job.
-     *
-     * @param tick The tick.
-     * @param entry The job's entry.
-     * @param reason Why this node runs it.
-     */
-    private void load(Tick tick, BatchIndexEntry entry, String reason) {
-        BatchJobId id = entry.id();
-        claimingOrLoading.add(id);
-        state.calls()
-                .call(
-                        tick,
-                        token -> new PlatformEffect.Read(token, PlatformPurpose.BATCH, BatchObjects.job(id)),
-                        (later, event) -> {
-                            Optional<BatchJob> job = event instanceof PlatformEvent.ObjectRead found
-                                    ? found.object()
-                                            .flatMap(object -> state.codec().readJob(object.value()))
-                                    : Optional.empty();
-                            if (job.isEmpty()) {
-                                claimingOrLoading.remove(id);
-                                exclude(later, id);
-                                later.decide(Decision.of("batch-job", id.value(), "not loaded", reason));
-                                return;
-                            }
-                            loadResults(later, job.get(), reason);
-                        });
-    }
-
-    /**
-     * Reads a job's listed results from the platform, and runs the remaining items.
-     *
-     * @param tick The tick.
-     * @param job The job.
-     * @param reason Why this node runs it.
-     */
-    private void loadResults(Tick tick, BatchJob job, String reason) {
-        String kind = BatchObjects.results(job.id());
-        state.calls()
-                .call(
-                        tick,
-                        token -> new PlatformEffect.ListKind(token, PlatformPurpose.BATCH, kind),
-                        (later, event) -> {
-                            if (!(event instanceof PlatformEvent.ObjectsListed listed)) {
-                                claimingOrLoading.remove(job.id());
-                                exclude(later, job.id());
-                                later.decide(Decision.of("batch-job", job.id().value(), "not loaded", reason));
-                                return;
-                            }
-                            ResultLog log = state.log(job.id(), job.items().size(), later.now());
-                            log.apply(listed.objects(), listed.version(), state.codec());
-                            if (log.isComplete()) {
-                                claimingOrLoading.remove(job.id());
-                                state.finished().add(job.id());
-                                return;
-                            }
-                            loadTexts(later, job, Optional.empty(), new StoredTexts(), 0);
-                        });
-    }
-
-    /**
-     * Reads the texts that an earlier runner stored on the platform, page by page, and runs the job.
-     *
-     * @param tick The tick.
-     * @param job The job.
-     * @param after The name after which the next page starts, or empty for the first page.
-     * @param texts The texts read so far.
-     * @param objectsRead The number of objects read so far.
-     */
-    private void loadTexts(Tick tick, BatchJob job, Optional<String> after, StoredTexts texts, int objectsRead) {
-        String kind = BatchObjects.texts(job.id());
-        state.calls()
-                .call(
-                        tick,
-                        token -> new PlatformEffect.ListKind(token, PlatformPurpose.BATCH, kind, after, false),
-                        (later, event) -> {
-                            List<StoredObject> objects =
-                                    event instanceof PlatformEvent.ObjectsListed listed ? listed.objects() : List.of();
-                            objects.forEach(object -> state.codec()
-                                    .readTexts(object.value())
-                                    .ifPresent(parts -> parts.forEach(texts::add)));
-                            int read = objectsRead + objects.size();
-                            boolean more = event instanceof PlatformEvent.ObjectsListed listed && listed.more();
-                            if (more && !objects.isEmpty()) {
-                                String last =
-                                        objects.get(objects.size() - 1).key().name();
-                                loadTexts(later, job, Optional.of(last), texts, read);
-                            } else {
-                                begin(later, job, texts, read);
-                            }
-                        });
-    }
-
-    /**
-     * Runs a job after its listed results have been read.
-     *
-     * @param tick The tick.
-     * @param job The job.
-     * @param texts The texts that an earlier runner stored.
-     * @param textObjects The number of objects with texts that an earlier runner stored.
-     */
-    private void begin(Tick tick, BatchJob job, StoredTexts texts, int textObjects) {
-        claimingOrLoading.remove(job.id());
-        if (state.running().contains(job.id()) || state.finished().contains(job.id())) {
-            return;
-        }
-        ResultLog log = state.log(job.id(), job.items().size(), tick.now());
-        state.run(tick, job, log, jobTimeouts.deadline(job, tick.now()), texts);
-        state.running().find(job.id()).ifPresent(started -> started.skipTextObjects(textObjects));
-    }
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchReadSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchReadSystem.java
@@ -286,7 +286,7 @@
             return;
         }
         reading.remove(id);
-        state.removeListed(tick, id, log.apply(listed.objects(), listed.version(), state.codec()));
+        state.apply(tick, id, log, listed);
         for (BatchEvent.ResultsRequested request : waiting.rows()) {
             if (!request.id().equals(id)
                     || (runnerQueries.isWaiting(request.ticket()) && log.size() <= request.position())) {
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
@@ -189,6 +189,35 @@
         return log;
     }
 
+    /**
+     * Appends the results of a listed object to a log, unless a reader has already added them. Their items no longer
+     * need to run at this node.
+     *
+     * @param tick The tick.
+     * @param id The job.
+     * @param log The log.
+     * @param number The number of the object.
+     * @param results The results.
+     */
+    void append(Tick tick, BatchJobId id, ResultLog log, int number, List<BatchResult> results) {
+        if (log.objects() == number) {
+            log.append(results);
+        }
+        removeListed(tick, id, results);
+    }
+
+    /**
+     * Appends listed or changed objects to a log. The items of the appended results no longer need to run at this node.
+     *
+     * @param tick The tick.
+     * @param id The job.
+     * @param log The log.
+     * @param listed The objects.
+     */
+    void apply(Tick tick, BatchJobId id, ResultLog log, PlatformEvent.ObjectsListed listed) {
+        removeListed(tick, id, log.apply(listed.objects(), listed.version(), codec));
+    }
+
     /** Evicts the least recently used logs while the outputs exceed the memory limit. */
     void evictLogs() {
         long bytes = logs.view().stream().mapToLong(ResultLog::bytes).sum();
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchSystem.java
@@ -61,10 +61,11 @@
         state = BatchState.empty(
                 membership, registry, routes, codec, new PlatformCalls(tokens), index, quarantine, options);
         JobTimeouts jobTimeouts = new JobTimeouts(routes, timeOfDay);
+        JobLoader loader = new JobLoader(state, jobTimeouts);
         subsystems = List.of(
-                new BatchAdmissionSystem(state, jobTimeouts, new RunnerChoice(membership, routes)),
-                new JobHandOverSystem(state, jobTimeouts),
-                new BatchOwnershipSystem(state, jobTimeouts),
+                new BatchAdmissionSystem(state, loader, new RunnerChoice(membership, routes)),
+                new JobHandOverSystem(state, loader),
+                new BatchOwnershipSystem(state, loader),
                 new BatchEndSystem(state),
                 new LoadSharingSystem(state),
                 new LoadNoticeSystem(state),
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/JobHandOverSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/JobHandOverSystem.java
@@ -16,8 +16,8 @@
     /** The tables of the batch system. */
     private final BatchState state;
 
-    /** Computes the deadlines of jobs. */
-    private final JobTimeouts jobTimeouts;
+    /** Starts jobs. */
+    private final JobLoader loader;
 
     /** Whether this node is about to stop. */
     private boolean leaving;
@@ -26,11 +26,11 @@
      * Creates a system.
      *
      * @param state The tables of the batch system.
-     * @param jobTimeouts Computes the deadlines of jobs.
+     * @param loader Starts jobs.
      */
-    JobHandOverSystem(BatchState state, JobTimeouts jobTimeouts) {
+    JobHandOverSystem(BatchState state, JobLoader loader) {
         this.state = state;
-        this.jobTimeouts = jobTimeouts;
+        this.loader = loader;
     }
 
     @Override
@@ -40,31 +40,34 @@
             if (received.message() instanceof BatchMessage.HandedOver handed) {
                 state.codec()
                         .readJob(handed.job())
-                        .ifPresent(job -> accept(tick, job, received.sender().name()));
+                        .ifPresent(job -> accept(
+                                tick, job, handed.created(), received.sender().name()));
             }
         }
     }
 
     /**
-     * Runs a job unless this node is leaving, has already handled it, or is not its runner.
+     * Runs a job unless this node is leaving, has already started it, or is not its runner.
      *
      * @param tick The tick.
      * @param job The job.
+     * @param created Whether the sender has just created the job's entry.
      * @param sender The node that accepted it.
      */
-    private void accept(Tick tick, BatchJob job, NodeName sender) {
-        boolean alreadyHandled =
-                state.running().contains(job.id()) || state.finished().contains(job.id());
+    private void accept(Tick tick, BatchJob job, boolean created, NodeName sender) {
         Optional<BatchIndex.Row> row = state.index().find(job.id());
         boolean assignedElsewhere = row.filter(found -> !found.entry()
                         .runner()
                         .equals(state.membership().self().identity().name()))
                 .isPresent();
-        if (leaving || alreadyHandled || assignedElsewhere) {
+        if (leaving || assignedElsewhere || loader.isStarted(job.id())) {
             tick.decide(Decision.of("batch-job", job.id().value(), "not taken", "handed over by " + sender));
             return;
         }
-        ResultLog log = state.log(job.id(), job.items().size(), tick.now());
-        state.run(tick, job, log, jobTimeouts.deadline(job, tick.now()), new StoredTexts());
+        if (created) {
+            loader.startCreated(tick, job);
+        } else {
+            loader.load(tick, job, "handed over by " + sender);
+        }
     }
 }
--- /dev/null
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/JobLoader.java
@@ -0,0 +1,234 @@
+package io.yuccaswitch.core.batch;
+
+import io.yuccaswitch.core.decision.Decision;
+import io.yuccaswitch.core.decision.Tick;
+import io.yuccaswitch.core.platform.PlatformEffect;
+import io.yuccaswitch.core.platform.PlatformEvent;
+import io.yuccaswitch.core.platform.PlatformPurpose;
+import io.yuccaswitch.core.platform.StoredObject;
+import io.yuccaswitch.core.time.MonotonicTime;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Starts jobs at this node, each at most once. A job whose entry this node or the sender of a message has just created
+ * starts without results. Every other job may have listed results, so they are read before it starts.
+ */
+final class JobLoader {
+
+    /** The delay after a failed claim or load. By its end the index shows the changes of other nodes. */
+    private static final Duration FAILURE_DELAY = Duration.ofMillis(600);
+
+    /** The tables of the batch system. */
+    private final BatchState state;
+
+    /** Computes the deadlines of jobs. */
+    private final JobTimeouts jobTimeouts;
+
+    /** The jobs that are being loaded. */
+    private final Set<BatchJobId> loading = new HashSet<>();
+
+    /** The time until which a job that could not be claimed or loaded is skipped. */
+    private final Map<BatchJobId, MonotonicTime> excludedUntil = new HashMap<>();
+
+    /**
+     * Creates a loader without jobs.
+     *
+     * @param state The tables of the batch system.
+     * @param jobTimeouts Computes the deadlines of jobs.
+     */
+    JobLoader(BatchState state, JobTimeouts jobTimeouts) {
+        this.state = state;
+        this.jobTimeouts = jobTimeouts;
+    }
+
+    /**
+     * Returns whether a job can't be started now.
+     *
+     * @param id The job.
+     * @return {@code true} if the job runs at this node, was finished or ended, or is being loaded.
+     */
+    boolean isStarted(BatchJobId id) {
+        return state.running().contains(id) || state.finished().contains(id) || loading.contains(id);
+    }
+
+    /**
+     * Returns whether a job is currently skipped.
+     *
+     * @param tick The tick.
+     * @param id The job.
+     * @return {@code true} if a claim or load failed recently.
+     */
+    boolean isExcluded(Tick tick, BatchJobId id) {
+        MonotonicTime until = excludedUntil.get(id);
+        if (until == null) {
+            return false;
+        }
+        if (tick.now().isBefore(until)) {
+            return true;
+        }
+        excludedUntil.remove(id);
+        return false;
+    }
+
+    /**
+     * Skips a job for a while after a failure.
+     *
+     * @param tick The tick.
+     * @param id The job.
+     */
+    void exclude(Tick tick, BatchJobId id) {
+        excludedUntil.put(id, tick.now().plus(FAILURE_DELAY));
+    }
+
+    /**
+     * Starts a job whose entry has just been created, unless it is already started.
+     *
+     * @param tick The tick.
+     * @param job The job.
+     */
+    void startCreated(Tick tick, BatchJob job) {
+        if (!isStarted(job.id())) {
+            start(tick, job, new StoredTexts(), 0);
+        }
+    }
+
+    /**
+     * Reads a job, its listed results and its stored texts from the platform, and runs the remaining items, unless the
+     * job is already started.
+     *
+     * @param tick The tick.
+     * @param id The job.
+     * @param reason Why this node runs it.
+     */
+    void load(Tick tick, BatchJobId id, String reason) {
+        if (isStarted(id)) {
+            return;
+        }
+        loading.add(id);
+        state.calls()
+                .call(
+                        tick,
+                        token -> new PlatformEffect.Read(token, PlatformPurpose.BATCH, BatchObjects.job(id)),
+                        (later, event) -> {
+                            Optional<BatchJob> job = event instanceof PlatformEvent.ObjectRead found
+                                    ? found.object()
+                                            .flatMap(object -> state.codec().readJob(object.value()))
+                                    : Optional.empty();
+                            job.ifPresentOrElse(
+                                    read -> loadResults(later, read, reason), () -> fail(later, id, reason));
+                        });
+    }
+
+    /**
+     * Reads the listed results and the stored texts of a job from the platform, and runs the remaining items, unless
+     * the job is already started.
+     *
+     * @param tick The tick.
+     * @param job The job.
+     * @param reason Why this node runs it.
+     */
+    void load(Tick tick, BatchJob job, String reason) {
+        if (!isStarted(job.id())) {
+            loading.add(job.id());
+            loadResults(tick, job, reason);
+        }
+    }
+
+    /**
+     * Reads a job's listed results from the platform.
+     *
+     * @param tick The tick.
+     * @param job The job.
+     * @param reason Why this node runs it.
+     */
+    private void loadResults(Tick tick, BatchJob job, String reason) {
+        BatchJobId id = job.id();
+        state.calls()
+                .call(
+                        tick,
+                        token -> new PlatformEffect.ListKind(token, PlatformPurpose.BATCH, BatchObjects.results(id)),
+                        (later, event) -> {
+                            if (!(event instanceof PlatformEvent.ObjectsListed listed)) {
+                                fail(later, id, reason);
+                                return;
+                            }
+                            ResultLog log = state.log(id, job.items().size(), later.now());
+                            state.apply(later, id, log, listed);
+                            if (log.isComplete()) {
+                                loading.remove(id);
+                                state.finished().add(id);
+                                return;
+                            }
+                            loadTexts(later, job, Optional.empty(), new StoredTexts(), 0);
+                        });
+    }
+
+    /**
+     * Reads the texts that an earlier runner stored on the platform, page by page, and runs the job.
+     *
+     * @param tick The tick.
+     * @param job The job.
+     * @param after The name after which the next page starts, or empty for the first page.
+     * @param texts The texts read so far.
+     * @param objectsRead The number of objects read so far.
+     */
+    private void loadTexts(Tick tick, BatchJob job, Optional<String> after, StoredTexts texts, int objectsRead) {
+        String kind = BatchObjects.texts(job.id());
+        state.calls()
+                .call(
+                        tick,
+                        token -> new PlatformEffect.ListKind(token, PlatformPurpose.BATCH, kind, after, false),
+                        (later, event) -> {
+                            List<StoredObject> objects =
+                                    event instanceof PlatformEvent.ObjectsListed listed ? listed.objects() : List.of();
+                            objects.forEach(object -> state.codec()
+                                    .readTexts(object.value())
+                                    .ifPresent(parts -> parts.forEach(texts::add)));
+                            int read = objectsRead + objects.size();
+                            boolean more = event instanceof PlatformEvent.ObjectsListed listed && listed.more();
+                            if (more && !objects.isEmpty()) {
+                                String last =
+                                        objects.get(objects.size() - 1).key().name();
+                                loadTexts(later, job, Optional.of(last), texts, read);
+                            } else {
+                                loading.remove(job.id());
+                                if (!isStarted(job.id())) {
+                                    start(later, job, texts, read);
+                                }
+                            }
+                        });
+    }
+
+    /**
+     * Runs a job.
+     *
+     * @param tick The tick.
+     * @param job The job.
+     * @param texts The texts that an earlier runner stored.
+     * @param textObjects The number of objects with texts that an earlier runner stored.
+     */
+    private void start(Tick tick, BatchJob job, StoredTexts texts, int textObjects) {
+        ResultLog log = state.log(job.id(), job.items().size(), tick.now());
+        state.run(tick, job, log, jobTimeouts.deadline(job, tick.now()), texts);
+        state.running().find(job.id()).ifPresent(started -> started.skipTextObjects(textObjects));
+    }
+
+    /**
+     * Ends a load whose job or results could not be read.
+     *
+     * @param tick The tick.
+     * @param id The job.
+     * @param reason Why this node was to run it.
+     */
+    private void fail(Tick tick, BatchJobId id, String reason) {
+        loading.remove(id);
+        exclude(tick, id);
+        tick.decide(Decision.of("batch-job", id.value(), "not loaded", reason));
+    }
+}
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/ResultsListedTwiceTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/ResultsListedTwiceTest.java
@@ -35,7 +35,7 @@
         assertNoItemIsListedTwice(
                 answerMillis,
                 (site, restarted, other) -> restarted.accept(new PeerEvent.Received(
-                        other.self().identity(), new BatchMessage.HandedOver(JOB, site.encode(job())))));
+                        other.self().identity(), new BatchMessage.HandedOver(JOB, site.encode(job()), true))));
     }
 
     @ParameterizedTest
