Tell the attempts of two runs of a job at one node from each other

What callers would see: a completed text whose first events are missing, or an output with the score of another one.

Cause: a job that is stopped at a node and later started there again counts the attempts of its items from 1 again. The end of an attempt of the earlier run, which may arrive after the later run has begun, was taken for that of the attempt with the same number.

Change: the attempt numbers of each further run of a job at a node start at the next multiple of 10,000, for items and for scoring requests.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchRunSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchRunSystem.java
@@ -255,7 +255,7 @@
                     .recordSuccess(
                             tick,
                             () -> fingerprint(job.get(), item.get().item()),
-                            item.get().attempt() == 1);
+                            item.get().startedAttempts() == 1);
             complete(tick, job.get(), item.get(), engine);
         } else if (outcome instanceof AttemptOutcome.Impossible) {
             finish(
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
@@ -39,6 +39,7 @@
  * @param index The jobs of the site.
  * @param admitting The jobs whose admission is in progress at this node, with the ticket of the call.
  * @param running The jobs that this node runs.
+ * @param runs The number of times that this node has started each job.
  * @param finished The jobs that this node completed, or that were ended.
  * @param logs This node's copies of the listed results.
  * @param loads The number of items that run at each engine.
@@ -60,6 +61,7 @@
         BatchIndex index,
         Map<BatchJobId, Long> admitting,
         EntityTable<BatchJobId, RunningJob> running,
+        Map<BatchJobId, Integer> runs,
         Set<BatchJobId> finished,
         EntityTable<BatchJobId, ResultLog> logs,
         EngineLoads loads,
@@ -75,6 +77,12 @@
     /** The maximum size of the outputs in the cached logs, in bytes. Evicted logs are read from the platform again. */
     private static final long MAXIMUM_LOG_BYTES = 6L << 20;
 
+    /**
+     * The difference between the attempt numbers of two runs of a job at this node, so that the end of an attempt of an
+     * earlier run is never taken for the end of one of a later run.
+     */
+    private static final int MAXIMUM_ATTEMPTS_PER_RUN = 10_000;
+
     /**
      * Creates empty tables.
      *
@@ -108,6 +116,7 @@
                 index,
                 new HashMap<>(),
                 new EntityTable<>(),
+                new HashMap<>(),
                 new HashSet<>(),
                 new EntityTable<>(),
                 new EngineLoads(),
@@ -247,7 +256,8 @@
      * @param texts The texts that an earlier runner stored.
      */
     void run(Tick tick, BatchJob job, ResultLog log, MonotonicTime deadline, StoredTexts texts) {
-        RunningJob started = new RunningJob(job, log, tick.now(), deadline);
+        int attemptBase = runs.merge(job.id(), 1, Integer::sum) * MAXIMUM_ATTEMPTS_PER_RUN - MAXIMUM_ATTEMPTS_PER_RUN;
+        RunningJob started = new RunningJob(job, log, tick.now(), deadline, attemptBase);
         long resumed = texts.all().entrySet().stream()
                 .filter(text -> started.resume(text.getKey(), text.getValue()))
                 .count();
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/EngineChoice.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/EngineChoice.java
@@ -158,7 +158,7 @@
             Set<EndpointName> slow,
             Map<EndpointName, Double> delays) {
         RunningItem item = placement.item();
-        boolean wasMoved = state.options().sharedSpeeds() && item.attempt() > 0;
+        boolean wasMoved = state.options().sharedSpeeds() && item.startedAttempts() > 0;
         Optional<EndpointName> last = placement.job().lastEngine(item.item().group());
         if (last.isEmpty() || !item.text().isEmpty() || wasMoved) {
             return Optional.empty();
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/EngineSpeedRule.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/EngineSpeedRule.java
@@ -106,7 +106,8 @@
         List<BatchItem> items = placement.job().job().items();
         double mean =
                 items.stream().mapToLong(BatchItem::expectedTokens).average().orElse(0);
-        return placement.item().attempt() == 0 && placement.item().item().expectedTokens() <= mean;
+        return placement.item().startedAttempts() == 0
+                && placement.item().item().expectedTokens() <= mean;
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ItemScoring.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ItemScoring.java
@@ -23,7 +23,10 @@
     /** The attempts in progress, by number, in the order in which they started. */
     private final Map<Integer, Attempt> running = new LinkedHashMap<>();
 
-    /** The number of started attempts. */
+    /** The number that precedes the first attempt. */
+    private final int attemptBase;
+
+    /** The number of the last attempt. */
     private int attempts;
 
     /** The number of attempts that may have run. */
@@ -47,8 +50,11 @@
      * @param request The scoring request.
      * @param unscored The result, which lacks its score.
      * @param now The current time.
+     * @param attemptBase The number that precedes the first attempt.
      */
-    ItemScoring(ScoringRequest request, BatchResult unscored, MonotonicTime now) {
+    ItemScoring(ScoringRequest request, BatchResult unscored, MonotonicTime now, int attemptBase) {
+        this.attemptBase = attemptBase;
+        attempts = attemptBase;
         this.request = request;
         this.unscored = unscored;
         since = now;
@@ -95,6 +101,16 @@
         return attempts;
     }
 
+    /**
+     * Returns whether an attempt is the first one.
+     *
+     * @param attempt The attempt.
+     * @return {@code true} if it is.
+     */
+    boolean isFirst(Attempt attempt) {
+        return attempt.number() == attemptBase + 1;
+    }
+
     /**
      * Ends an attempt.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningItem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningItem.java
@@ -12,7 +12,10 @@
     /** The item. */
     private final BatchItem item;
 
-    /** The number of started attempts. */
+    /** The number that precedes the first attempt. */
+    private final int attemptBase;
+
+    /** The number of the last attempt. */
     private int attempts;
 
     /** The number of attempts at which an engine failed. */
@@ -52,9 +55,13 @@
      * Creates a waiting item.
      *
      * @param item The item.
+     * @param attemptBase The number that precedes the first attempt, such that the numbers of attempts differ from
+     *     those of earlier runs of the job at this node, which may still end.
      */
-    RunningItem(BatchItem item) {
+    RunningItem(BatchItem item, int attemptBase) {
         this.item = item;
+        this.attemptBase = attemptBase;
+        attempts = attemptBase;
     }
 
     /**
@@ -120,6 +127,15 @@
         return attempts;
     }
 
+    /**
+     * Returns the number of started attempts.
+     *
+     * @return The number.
+     */
+    int startedAttempts() {
+        return attempts - attemptBase;
+    }
+
     /** Records that the attempt in progress is being cancelled so that the item resumes at another engine. */
     void move() {
         moving = true;
@@ -273,7 +289,7 @@
      * @param now The current time.
      */
     void beginScoring(ScoringRequest request, BatchResult unscored, MonotonicTime now) {
-        scoring = Optional.of(new ItemScoring(request, unscored, now));
+        scoring = Optional.of(new ItemScoring(request, unscored, now, attemptBase));
         text = ItemText.EMPTY;
     }
 
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningJob.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningJob.java
@@ -56,8 +56,9 @@
      * @param log The results that are already listed.
      * @param now The current time.
      * @param deadline The deadline of the job.
+     * @param attemptBase The number that precedes the first attempt of each item.
      */
-    RunningJob(BatchJob job, ResultLog log, MonotonicTime now, MonotonicTime deadline) {
+    RunningJob(BatchJob job, ResultLog log, MonotonicTime now, MonotonicTime deadline, int attemptBase) {
         startedAt = now;
         this.job = job;
         this.deadline = deadline;
@@ -66,7 +67,7 @@
         ordered.sort(Comparator.comparingLong(BatchItem::expectedTokens).reversed());
         for (BatchItem item : ordered) {
             if (!log.contains(item.id())) {
-                items.put(item.id(), new RunningItem(item));
+                items.put(item.id(), new RunningItem(item, attemptBase));
             }
         }
     }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ScoringSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ScoringSystem.java
@@ -269,7 +269,7 @@
      */
     private void complete(Tick tick, Outstanding entry, ItemScoring.Attempt attempt, String score) {
         ItemScoring scoring = entry.scoring();
-        state.quarantine().recordSuccess(tick, scoring.request()::fingerprint, attempt.number() == 1);
+        state.quarantine().recordSuccess(tick, scoring.request()::fingerprint, scoring.isFirst(attempt));
         state.cancelScoring(tick, entry.job().job().id(), entry.item());
         entry.item().finish(scoring.unscored().withScore(score));
         tick.decide(Decision.of(
