Log from which results a job starts, and what is read and listed

JobTrace now writes one line per start, stop, load, object, read that appends, and eviction of a log. A start says why, from which results, and whether a load is in progress; a write that was begun by an earlier run or with an evicted log says so.

No behaviour changes; ResultLog knows its job, so that an eviction names it.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchAdmissionSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchAdmissionSystem.java
@@ -136,7 +136,7 @@
                 job.id(), runnerChoice.choose(job), false, job.items().size(), job.model());
         create(tick, submission, BatchObjects.index(job.id()), state.codec().writeEntry(entry), (later, event) -> {
             if (event instanceof PlatformEvent.Accepted) {
-                accept(later, submission, entry.runner());
+                accept(later, submission, entry.runner(), JobStart.Cause.SUBMITTED);
             } else if (event instanceof PlatformEvent.Conflict) {
                 finish(later, submission, new BatchAnswer.Accepted(), "accepted before");
             } else if (event instanceof PlatformEvent.Unavailable failure && failure.maybeApplied()) {
@@ -177,7 +177,7 @@
                     ? read.object().flatMap(object -> state.codec().readEntry(object.value()))
                     : Optional.empty();
             if (entry.isPresent()) {
-                accept(later, submission, entry.get().runner());
+                accept(later, submission, entry.get().runner(), JobStart.Cause.READ_BACK);
             } else {
                 readBackAt(later, submission, later.now().plus(READ_BACK_DELAY));
             }
@@ -201,8 +201,9 @@
      * @param tick The tick.
      * @param submission The submission.
      * @param runner The node that runs the job.
+     * @param cause Why this node starts the job if it is the runner.
      */
-    private void accept(Tick tick, Submission submission, NodeName runner) {
+    private void accept(Tick tick, Submission submission, NodeName runner, JobStart.Cause cause) {
         BatchJob job = submission.job();
         if (!runner.equals(state.membership().self().identity().name())) {
             tick.emit(new PeerEffect.Send(
@@ -213,7 +214,7 @@
         }
         if (!state.running().contains(job.id()) && !state.finished().contains(job.id())) {
             ResultLog log = state.log(job.id(), job.items().size(), tick.now());
-            state.run(tick, job, log, jobTimeouts.deadline(job, tick.now()), new StoredTexts());
+            state.run(tick, job, log, jobTimeouts.deadline(job, tick.now()), new StoredTexts(), JobStart.of(cause));
         }
         finish(tick, submission, new BatchAnswer.Accepted(), "stored on the platform");
     }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchCommitSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchCommitSystem.java
@@ -1,6 +1,5 @@
 package io.yuccaswitch.core.batch;
 
-import io.yuccaswitch.core.decision.Decision;
 import io.yuccaswitch.core.decision.DecisionSystem;
 import io.yuccaswitch.core.decision.EntityTable;
 import io.yuccaswitch.core.decision.Tick;
@@ -207,9 +206,9 @@
      * @param commit The write.
      * @param reason The reason, for logs.
      */
-    private static void fail(Tick tick, Commit commit, String reason) {
+    private void fail(Tick tick, Commit commit, String reason) {
         commit.job().endCommit(tick.now().plus(FAILURE_DELAY));
-        tick.decide(Decision.of("batch-results", commit.job().job().id().value(), "not listed", reason));
+        state.trace().notListed(tick, traced(commit), reason);
     }
 
     /**
@@ -222,19 +221,28 @@
      */
     private void append(Tick tick, Commit commit, List<BatchResult> results, String choice) {
         BatchJobId id = commit.job().job().id();
-        if (commit.log().objects() == commit.number()) {
+        boolean next = commit.log().objects() == commit.number();
+        if (next) {
             commit.log().append(results);
         }
-        tick.decide(Decision.of(
-                "batch-results",
-                id.value(),
-                choice,
-                "object " + commit.number() + " with " + results.size() + " results, "
-                        + commit.log().size() + " in total"));
+        state.trace().listed(tick, traced(commit), results, choice, next);
         state.removeListed(tick, id, results);
         commit.job().endCommit(tick.now());
     }
 
+    /**
+     * Describes a write for the trace. It is not current if the job was stopped or its log was evicted in the meantime.
+     *
+     * @param commit The write.
+     * @return The description.
+     */
+    private JobTrace.ObjectWrite traced(Commit commit) {
+        BatchJobId id = commit.job().job().id();
+        boolean current = state.running().find(id).filter(commit.job()::equals).isPresent()
+                && state.logs().find(id).filter(commit.log()::equals).isPresent();
+        return new JobTrace.ObjectWrite(commit.log(), commit.number(), current);
+    }
+
     /**
      * Returns as many results as fit in one object.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchOwnershipSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchOwnershipSystem.java
@@ -107,7 +107,7 @@
             return;
         }
         if (own) {
-            load(tick, entry, "accepted by an earlier incarnation of this node");
+            load(tick, entry, JobStart.of(JobStart.Cause.LOADED));
         } else if (isOrphaned(tick, entry) && isPreferredRunner(id)) {
             claim(tick, row);
         }
@@ -212,7 +212,7 @@
                     if (!granted) {
                         exclude(later, entry.id());
                     } else if (!state.running().contains(entry.id())) {
-                        load(later, own, "taken over from " + entry.runner());
+                        load(later, own, JobStart.from(JobStart.Cause.TAKEN_OVER, entry.runner()));
                     }
                 });
     }
@@ -222,11 +222,12 @@
      *
      * @param tick The tick.
      * @param entry The job's entry.
-     * @param reason Why this node runs it.
+     * @param start Why this node runs it.
      */
-    private void load(Tick tick, BatchIndexEntry entry, String reason) {
+    private void load(Tick tick, BatchIndexEntry entry, JobStart start) {
         BatchJobId id = entry.id();
         claimingOrLoading.add(id);
+        state.trace().loadBegun(tick, id, start, state.logs().find(id));
         state.calls()
                 .call(
                         tick,
@@ -239,10 +240,15 @@
                             if (job.isEmpty()) {
                                 claimingOrLoading.remove(id);
                                 exclude(later, id);
-                                later.decide(Decision.of("batch-job", id.value(), "not loaded", reason));
+                                state.trace()
+                                        .loadEnded(
+                                                later,
+                                                id,
+                                                JobTrace.LoadOutcome.JOB_UNREAD,
+                                                state.logs().find(id));
                                 return;
                             }
-                            loadResults(later, job.get(), reason);
+                            loadResults(later, job.get(), start);
                         });
     }
 
@@ -251,9 +257,9 @@
      *
      * @param tick The tick.
      * @param job The job.
-     * @param reason Why this node runs it.
+     * @param start Why this node runs it.
      */
-    private void loadResults(Tick tick, BatchJob job, String reason) {
+    private void loadResults(Tick tick, BatchJob job, JobStart start) {
         String kind = BatchObjects.results(job.id());
         state.calls()
                 .call(
@@ -263,17 +269,26 @@
                             if (!(event instanceof PlatformEvent.ObjectsListed listed)) {
                                 claimingOrLoading.remove(job.id());
                                 exclude(later, job.id());
-                                later.decide(Decision.of("batch-job", job.id().value(), "not loaded", reason));
+                                state.trace()
+                                        .loadEnded(
+                                                later,
+                                                job.id(),
+                                                JobTrace.LoadOutcome.RESULTS_UNREAD,
+                                                state.logs().find(job.id()));
                                 return;
                             }
                             ResultLog log = state.log(job.id(), job.items().size(), later.now());
+                            JobTrace.Extent before = JobTrace.Extent.of(log);
                             log.apply(listed.objects(), listed.version(), state.codec());
+                            state.trace().loadRead(later, log, before, listed.objects());
                             if (log.isComplete()) {
+                                state.trace()
+                                        .loadEnded(later, job.id(), JobTrace.LoadOutcome.COMPLETE, Optional.of(log));
                                 claimingOrLoading.remove(job.id());
                                 state.finished().add(job.id());
                                 return;
                             }
-                            loadTexts(later, job, Optional.empty(), new StoredTexts(), 0);
+                            loadTexts(later, job, start, Optional.empty(), new StoredTexts(), 0);
                         });
     }
 
@@ -282,11 +297,13 @@
      *
      * @param tick The tick.
      * @param job The job.
+     * @param start Why this node runs it.
      * @param after The name after which the next page starts, or empty for the first page.
      * @param texts The texts read so far.
      * @param objectsRead The number of objects read so far.
      */
-    private void loadTexts(Tick tick, BatchJob job, Optional<String> after, StoredTexts texts, int objectsRead) {
+    private void loadTexts(
+            Tick tick, BatchJob job, JobStart start, Optional<String> after, StoredTexts texts, int objectsRead) {
         String kind = BatchObjects.texts(job.id());
         state.calls()
                 .call(
@@ -303,9 +320,9 @@
                             if (more && !objects.isEmpty()) {
                                 String last =
                                         objects.get(objects.size() - 1).key().name();
-                                loadTexts(later, job, Optional.of(last), texts, read);
+                                loadTexts(later, job, start, Optional.of(last), texts, read);
                             } else {
-                                begin(later, job, texts, read);
+                                begin(later, job, start, texts, read);
                             }
                         });
     }
@@ -315,16 +332,29 @@
      *
      * @param tick The tick.
      * @param job The job.
+     * @param start Why this node runs it.
      * @param texts The texts that an earlier runner stored.
      * @param textObjects The number of objects with texts that an earlier runner stored.
      */
-    private void begin(Tick tick, BatchJob job, StoredTexts texts, int textObjects) {
+    private void begin(Tick tick, BatchJob job, JobStart start, StoredTexts texts, int textObjects) {
         claimingOrLoading.remove(job.id());
         if (state.running().contains(job.id()) || state.finished().contains(job.id())) {
+            state.trace()
+                    .loadEnded(
+                            tick,
+                            job.id(),
+                            JobTrace.LoadOutcome.SUPERSEDED,
+                            state.logs().find(job.id()));
             return;
         }
+        state.trace()
+                .loadEnded(
+                        tick,
+                        job.id(),
+                        JobTrace.LoadOutcome.STARTS,
+                        state.logs().find(job.id()));
         ResultLog log = state.log(job.id(), job.items().size(), tick.now());
-        state.run(tick, job, log, jobTimeouts.deadline(job, tick.now()), texts);
+        state.run(tick, job, log, jobTimeouts.deadline(job, tick.now()), texts, start);
         state.running().find(job.id()).ifPresent(started -> started.skipTextObjects(textObjects));
     }
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchReadSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchReadSystem.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -63,7 +64,7 @@
         }
         runnerQueries.receive(tick).forEach(answer -> handleRunnerAnswer(tick, answer));
         waiting.rows().forEach(request -> answerIfReady(tick, request));
-        state.evictLogs();
+        state.evictLogs(tick);
     }
 
     /**
@@ -236,7 +237,7 @@
                         tick,
                         token -> new PlatformEffect.ListKind(
                                 token, PlatformPurpose.BATCH, BatchObjects.results(id), after, false),
-                        (later, event) -> receive(later, id, log, event));
+                        (later, event) -> receive(later, id, log, event, JobTrace.ReadWay.LIST));
     }
 
     /**
@@ -264,7 +265,7 @@
                                 BatchObjects.results(id),
                                 version.orElse(0),
                                 Optional.of(wait)),
-                        (later, event) -> receive(later, id, log, event));
+                        (later, event) -> receive(later, id, log, event, JobTrace.ReadWay.WATCH));
     }
 
     /**
@@ -274,8 +275,9 @@
      * @param id The job.
      * @param log The job's log.
      * @param event The platform's answer.
+     * @param way How the objects were read.
      */
-    private void receive(Tick tick, BatchJobId id, ResultLog log, PlatformEvent event) {
+    private void receive(Tick tick, BatchJobId id, ResultLog log, PlatformEvent event, JobTrace.ReadWay way) {
         if (!(event instanceof PlatformEvent.ObjectsListed listed)) {
             failAll(tick, id, "the platform did not answer");
             return;
@@ -286,7 +288,10 @@
             return;
         }
         reading.remove(id);
-        state.removeListed(tick, id, log.apply(listed.objects(), listed.version(), state.codec()));
+        JobTrace.Extent before = JobTrace.Extent.of(log);
+        List<BatchResult> appended = log.apply(listed.objects(), listed.version(), state.codec());
+        state.trace().read(tick, log, before, listed.objects(), way);
+        state.removeListed(tick, id, appended);
         for (BatchEvent.ResultsRequested request : waiting.rows()) {
             if (!request.id().equals(id)
                     || (runnerQueries.isWaiting(request.ticket()) && log.size() <= request.position())) {
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
@@ -50,6 +50,7 @@
  * @param notices The engines that are about to load versions.
  * @param quarantine Withholds items that caused engines to end from further engines.
  * @param options The optional decisions that the settings of the node ask for.
+ * @param trace Records from which results jobs start, and which results are read and listed.
  */
 record BatchState(
         MembershipView membership,
@@ -70,7 +71,8 @@
         RemoteRunnerLoads remoteLoads,
         LoadNotices notices,
         QuarantineCheck quarantine,
-        SchedulingOptions options) {
+        SchedulingOptions options,
+        JobTrace trace) {
 
     /** The maximum size of the outputs in the cached logs, in bytes. Evicted logs are read from the platform again. */
     private static final long MAXIMUM_LOG_BYTES = 6L << 20;
@@ -118,7 +120,8 @@
                 remoteLoads,
                 new LoadNotices(),
                 new QuarantineCheck(quarantine),
-                options);
+                options,
+                new JobTrace(membership));
     }
 
     /**
@@ -184,13 +187,17 @@
         if (existing.isPresent()) {
             return existing.get();
         }
-        ResultLog log = new ResultLog(total, now);
+        ResultLog log = new ResultLog(id, total, now);
         logs.put(id, log);
         return log;
     }
 
-    /** Evicts the least recently used logs while the outputs exceed the memory limit. */
-    void evictLogs() {
+    /**
+     * Evicts the least recently used logs while the outputs exceed the memory limit.
+     *
+     * @param tick The tick.
+     */
+    void evictLogs(Tick tick) {
         long bytes = logs.view().stream().mapToLong(ResultLog::bytes).sum();
         if (bytes <= MAXIMUM_LOG_BYTES) {
             return;
@@ -204,6 +211,7 @@
             }
             if (logs.removeIf(candidate -> candidate == log && !isRunning(candidate))) {
                 bytes -= log.bytes();
+                trace.evicted(tick, log);
             }
         }
     }
@@ -216,19 +224,15 @@
      * @param log The results that are already listed.
      * @param deadline The deadline of the job.
      * @param texts The texts that an earlier runner stored.
+     * @param start Why this node runs it.
      */
-    void run(Tick tick, BatchJob job, ResultLog log, MonotonicTime deadline, StoredTexts texts) {
+    void run(Tick tick, BatchJob job, ResultLog log, MonotonicTime deadline, StoredTexts texts, JobStart start) {
         RunningJob started = new RunningJob(job, log, tick.now(), deadline);
         long resumed = texts.all().entrySet().stream()
                 .filter(text -> started.resume(text.getKey(), text.getValue()))
                 .count();
         running.put(job.id(), started);
-        tick.decide(Decision.of(
-                "batch-job",
-                job.id().value(),
-                "run here",
-                "model " + job.model() + " minimum version " + job.minimumVersion() + " items "
-                        + job.items().size() + " listed " + log.size() + " with events " + resumed));
+        trace.started(tick, started, log, start, texts.all().size(), resumed);
     }
 
     /**
@@ -247,7 +251,7 @@
         for (RunningItem item : job.get().items()) {
             cancelled += cancel(tick, id, item) ? 1 : 0;
         }
-        tick.decide(Decision.of("batch-job", id.value(), "stop here", reason + ", items cancelled " + cancelled));
+        trace.stopped(tick, job.get(), logs.find(id), reason, cancelled);
     }
 
     /**
@@ -360,11 +364,11 @@
             job.get().find(result.item()).ifPresent(item -> cancel(tick, id, item));
         }
         job.get().removeListed(listed);
-        boolean complete = logs.find(id).filter(ResultLog::isComplete).isPresent();
-        if (complete) {
+        Optional<ResultLog> complete = logs.find(id).filter(ResultLog::isComplete);
+        if (complete.isPresent()) {
             running.remove(id);
             finished.add(id);
-            tick.decide(Decision.of("batch-job", id.value(), "finished", "all results are listed"));
+            trace.finished(tick, complete.get());
         }
     }
 
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/JobHandOverSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/JobHandOverSystem.java
@@ -65,6 +65,12 @@
             return;
         }
         ResultLog log = state.log(job.id(), job.items().size(), tick.now());
-        state.run(tick, job, log, jobTimeouts.deadline(job, tick.now()), new StoredTexts());
+        state.run(
+                tick,
+                job,
+                log,
+                jobTimeouts.deadline(job, tick.now()),
+                new StoredTexts(),
+                JobStart.from(JobStart.Cause.HANDED_OVER, sender));
     }
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ResultLog.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ResultLog.java
@@ -22,6 +22,9 @@
      */
     private static final long MAXIMUM_PAGE_BYTES = 600_000;
 
+    /** The job. */
+    private final BatchJobId id;
+
     /** The number of items of the job. */
     private final int total;
 
@@ -49,10 +52,12 @@
     /**
      * Creates an empty log.
      *
+     * @param id The job.
      * @param total The number of items of the job.
      * @param now The current time.
      */
-    ResultLog(int total, MonotonicTime now) {
+    ResultLog(BatchJobId id, int total, MonotonicTime now) {
+        this.id = id;
         this.total = total;
         lastUsedAt = now;
     }
@@ -97,6 +102,15 @@
         return List.copyOf(results.subList(before, results.size()));
     }
 
+    /**
+     * Returns the job.
+     *
+     * @return The job's identifier.
+     */
+    BatchJobId id() {
+        return id;
+    }
+
     /**
      * Returns one page of results.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ResultRelaySystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ResultRelaySystem.java
@@ -1,6 +1,5 @@
 package io.yuccaswitch.core.batch;
 
-import io.yuccaswitch.core.decision.Decision;
 import io.yuccaswitch.core.decision.DecisionSystem;
 import io.yuccaswitch.core.decision.Tick;
 import io.yuccaswitch.core.identity.NodeName;
@@ -8,6 +7,7 @@
 import io.yuccaswitch.core.peer.PeerEvent;
 import io.yuccaswitch.core.platform.PlatformEvent;
 import io.yuccaswitch.core.value.Bytes;
+import java.util.List;
 import java.util.OptionalLong;
 
 /**
@@ -54,12 +54,18 @@
                 (later, event) -> {
                     BatchMessage.ResultsStored answer = answer(store, event);
                     later.emit(new PeerEffect.Send(sender, answer));
-                    later.decide(Decision.of(
-                            "batch-relay",
-                            store.id(),
-                            answer.listed() ? "listed" : "not listed",
-                            "object " + store.number() + " for " + sender + ", the platform answered "
-                                    + event.getClass().getSimpleName()));
+                    state.trace()
+                            .relayed(
+                                    later,
+                                    new BatchJobId(store.id()),
+                                    answer.listed() ? "listed" : "not listed",
+                                    "object " + store.number() + " for " + sender + ", the platform answered "
+                                            + event.getClass().getSimpleName(),
+                                    answer.listed()
+                                            ? state.codec()
+                                                    .readResults(answer.value())
+                                                    .orElseGet(List::of)
+                                            : List.of());
                 });
     }
 
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningJob.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningJob.java
@@ -271,6 +271,15 @@
         return !committing && !now.isBefore(commitAt.plus(delay));
     }
 
+    /**
+     * Returns whether a write of results to the platform is in progress.
+     *
+     * @return {@code true} if the platform has not answered yet.
+     */
+    boolean isCommitting() {
+        return committing;
+    }
+
     /** Records that a write of results has started. */
     void beginCommit() {
         committing = true;
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSite.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSite.java
@@ -218,6 +218,15 @@
                 .toList();
     }
 
+    /** Lists results on the platform as a node outside the site would. */
+    void list(String id, int number, List<BatchResult> results) {
+        site.platform()
+                .put(
+                        BatchObjects.results(new BatchJobId(id)),
+                        BatchObjects.name(number),
+                        codec.writeResults(results).toUtf8());
+    }
+
     List<BatchResult> results(String id) {
         return site.platform().all(BatchObjects.results(new BatchJobId(id))).stream()
                 .flatMap(object -> codec.readResults(object.value()).orElseThrow().stream())
