Merge the logs of batch jobs with the single way to start them

The lines of a load and of a start are written by JobLoader now; a load is superseded only by the end of its job, as no other start goes ahead during it. Results that are not listed again have a line of their own (dropped).

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchAdmissionSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchAdmissionSystem.java
@@ -136,7 +136,7 @@
                 job.id(), runnerChoice.choose(job), false, job.items().size(), job.model());
         create(tick, submission, BatchObjects.index(job.id()), state.codec().writeEntry(entry), (later, event) -> {
             if (event instanceof PlatformEvent.Accepted) {
-                accept(later, submission, entry.runner(), true);
+                accept(later, submission, entry.runner(), JobStart.Cause.SUBMITTED);
             } else if (event instanceof PlatformEvent.Conflict) {
                 finish(later, submission, new BatchAnswer.Accepted(), "accepted before");
             } else if (event instanceof PlatformEvent.Unavailable failure && failure.maybeApplied()) {
@@ -177,7 +177,7 @@
                     ? read.object().flatMap(object -> state.codec().readEntry(object.value()))
                     : Optional.empty();
             if (entry.isPresent()) {
-                accept(later, submission, entry.get().runner(), false);
+                accept(later, submission, entry.get().runner(), JobStart.Cause.READ_BACK);
             } else {
                 readBackAt(later, submission, later.now().plus(READ_BACK_DELAY));
             }
@@ -201,11 +201,12 @@
      * @param tick The tick.
      * @param submission The submission.
      * @param runner The node that runs the job.
-     * @param created Whether this submission surely created the entry. Otherwise an earlier one may have, and the job
-     *     may have listed results.
+     * @param cause Why this node starts the job if it is the runner. If its entry was read back, an earlier submission
+     *     may have created it, and the job may have listed results.
      */
-    private void accept(Tick tick, Submission submission, NodeName runner, boolean created) {
+    private void accept(Tick tick, Submission submission, NodeName runner, JobStart.Cause cause) {
         BatchJob job = submission.job();
+        boolean created = cause == JobStart.Cause.SUBMITTED;
         if (!runner.equals(state.membership().self().identity().name())) {
             tick.emit(new PeerEffect.Send(
                     runner,
@@ -214,9 +215,9 @@
             return;
         }
         if (created) {
-            loader.startCreated(tick, job);
+            loader.startCreated(tick, job, JobStart.of(cause));
         } else {
-            loader.load(tick, job, "accepted by this node, whose creation of the entry was not answered");
+            loader.load(tick, job, JobStart.of(cause));
         }
         finish(tick, submission, new BatchAnswer.Accepted(), "stored on the platform");
     }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchCommitSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchCommitSystem.java
@@ -1,6 +1,5 @@
 package io.yuccaswitch.core.batch;
 
-import io.yuccaswitch.core.decision.Decision;
 import io.yuccaswitch.core.decision.DecisionSystem;
 import io.yuccaswitch.core.decision.EntityTable;
 import io.yuccaswitch.core.decision.Tick;
@@ -101,7 +100,7 @@
         List<BatchResult> listed =
                 results.stream().filter(result -> log.contains(result.item())).toList();
         if (!listed.isEmpty()) {
-            tick.decide(Decision.of("batch-results", id.value(), "dropped", listed.size() + " are already listed"));
+            state.trace().dropped(tick, log, listed);
             state.removeListed(tick, id, listed);
             return;
         }
@@ -215,9 +214,9 @@
      * @param commit The write.
      * @param reason The reason, for logs.
      */
-    private static void fail(Tick tick, Commit commit, String reason) {
+    private void fail(Tick tick, Commit commit, String reason) {
         commit.job().endCommit(tick.now().plus(FAILURE_DELAY));
-        tick.decide(Decision.of("batch-results", commit.job().job().id().value(), "not listed", reason));
+        state.trace().notListed(tick, traced(commit), reason);
     }
 
     /**
@@ -230,16 +229,25 @@
      */
     private void append(Tick tick, Commit commit, List<BatchResult> results, String choice) {
         BatchJobId id = commit.job().job().id();
-        state.append(tick, id, commit.log(), commit.number(), results);
-        tick.decide(Decision.of(
-                "batch-results",
-                id.value(),
-                choice,
-                "object " + commit.number() + " with " + results.size() + " results, "
-                        + commit.log().size() + " in total"));
+        JobTrace.ObjectWrite write = traced(commit);
+        boolean next = state.append(tick, id, commit.log(), commit.number(), results);
+        state.trace().listed(tick, write, results, choice, next);
         commit.job().endCommit(tick.now());
     }
 
+    /**
+     * Describes a write for the trace. It is not current if the job was stopped or its log was evicted in the meantime.
+     *
+     * @param commit The write.
+     * @return The description.
+     */
+    private JobTrace.ObjectWrite traced(Commit commit) {
+        BatchJobId id = commit.job().job().id();
+        boolean current = state.running().find(id).filter(commit.job()::equals).isPresent()
+                && state.logs().find(id).filter(commit.log()::equals).isPresent();
+        return new JobTrace.ObjectWrite(commit.log(), commit.number(), current);
+    }
+
     /**
      * Returns as many results as fit in one object.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchOwnershipSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchOwnershipSystem.java
@@ -96,7 +96,7 @@
             return;
         }
         if (own) {
-            loader.load(tick, id, "accepted by an earlier incarnation of this node");
+            loader.load(tick, id, JobStart.of(JobStart.Cause.LOADED));
         } else if (isOrphaned(tick, entry) && isPreferredRunner(id)) {
             claim(tick, row);
         }
@@ -170,7 +170,8 @@
                             granted ? "granted" : "not granted",
                             "runner " + entry.runner() + " is gone, entry version " + row.version()));
                     if (granted) {
-                        loader.load(later, entry.id(), "taken over from " + entry.runner());
+                        JobStart start = JobStart.from(JobStart.Cause.TAKEN_OVER, entry.runner());
+                        loader.load(later, entry.id(), start);
                     } else {
                         loader.exclude(later, entry.id());
                     }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchReadSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchReadSystem.java
@@ -63,7 +63,7 @@
         }
         runnerQueries.receive(tick).forEach(answer -> handleRunnerAnswer(tick, answer));
         waiting.rows().forEach(request -> answerIfReady(tick, request));
-        state.evictLogs();
+        state.evictLogs(tick);
     }
 
     /**
@@ -236,7 +236,7 @@
                         tick,
                         token -> new PlatformEffect.ListKind(
                                 token, PlatformPurpose.BATCH, BatchObjects.results(id), after, false),
-                        (later, event) -> receive(later, id, log, event));
+                        (later, event) -> receive(later, id, log, event, JobTrace.ReadWay.LIST));
     }
 
     /**
@@ -264,7 +264,7 @@
                                 BatchObjects.results(id),
                                 version.orElse(0),
                                 Optional.of(wait)),
-                        (later, event) -> receive(later, id, log, event));
+                        (later, event) -> receive(later, id, log, event, JobTrace.ReadWay.WATCH));
     }
 
     /**
@@ -274,8 +274,9 @@
      * @param id The job.
      * @param log The job's log.
      * @param event The platform's answer.
+     * @param way How the objects were read.
      */
-    private void receive(Tick tick, BatchJobId id, ResultLog log, PlatformEvent event) {
+    private void receive(Tick tick, BatchJobId id, ResultLog log, PlatformEvent event, JobTrace.ReadWay way) {
         if (!(event instanceof PlatformEvent.ObjectsListed listed)) {
             failAll(tick, id, "the platform did not answer");
             return;
@@ -286,7 +287,7 @@
             return;
         }
         reading.remove(id);
-        state.apply(tick, id, log, listed);
+        state.apply(tick, id, log, listed, way);
         for (BatchEvent.ResultsRequested request : waiting.rows()) {
             if (!request.id().equals(id)
                     || (runnerQueries.isWaiting(request.ticket()) && log.size() <= request.position())) {
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
@@ -51,6 +51,7 @@
  * @param notices The engines that are about to load versions.
  * @param quarantine Withholds items that caused engines to end from further engines.
  * @param options The optional decisions that the settings of the node ask for.
+ * @param trace Records from which results jobs start, and which results are read and listed.
  */
 record BatchState(
         MembershipView membership,
@@ -72,7 +73,8 @@
         RemoteRunnerLoads remoteLoads,
         LoadNotices notices,
         QuarantineCheck quarantine,
-        SchedulingOptions options) {
+        SchedulingOptions options,
+        JobTrace trace) {
 
     /** The maximum size of the outputs in the cached logs, in bytes. Evicted logs are read from the platform again. */
     private static final long MAXIMUM_LOG_BYTES = 6L << 20;
@@ -127,7 +129,8 @@
                 remoteLoads,
                 new LoadNotices(),
                 new QuarantineCheck(quarantine),
-                options);
+                options,
+                new JobTrace(membership));
     }
 
     /**
@@ -193,7 +196,7 @@
         if (existing.isPresent()) {
             return existing.get();
         }
-        ResultLog log = new ResultLog(total, now);
+        ResultLog log = new ResultLog(id, total, now);
         logs.put(id, log);
         return log;
     }
@@ -207,12 +210,15 @@
      * @param log The log.
      * @param number The number of the object.
      * @param results The results.
+     * @return Whether the results were appended.
      */
-    void append(Tick tick, BatchJobId id, ResultLog log, int number, List<BatchResult> results) {
-        if (log.objects() == number) {
+    boolean append(Tick tick, BatchJobId id, ResultLog log, int number, List<BatchResult> results) {
+        boolean next = log.objects() == number;
+        if (next) {
             log.append(results);
         }
         removeListed(tick, id, results);
+        return next;
     }
 
     /**
@@ -222,13 +228,21 @@
      * @param id The job.
      * @param log The log.
      * @param listed The objects.
+     * @param way How they were read.
      */
-    void apply(Tick tick, BatchJobId id, ResultLog log, PlatformEvent.ObjectsListed listed) {
-        removeListed(tick, id, log.apply(listed.objects(), listed.version(), codec));
+    void apply(Tick tick, BatchJobId id, ResultLog log, PlatformEvent.ObjectsListed listed, JobTrace.ReadWay way) {
+        JobTrace.Extent before = JobTrace.Extent.of(log);
+        List<BatchResult> appended = log.apply(listed.objects(), listed.version(), codec);
+        trace.read(tick, log, before, listed.objects(), way);
+        removeListed(tick, id, appended);
     }
 
-    /** Evicts the least recently used logs while the outputs exceed the memory limit. */
-    void evictLogs() {
+    /**
+     * Evicts the least recently used logs while the outputs exceed the memory limit.
+     *
+     * @param tick The tick.
+     */
+    void evictLogs(Tick tick) {
         long bytes = logs.view().stream().mapToLong(ResultLog::bytes).sum();
         if (bytes <= MAXIMUM_LOG_BYTES) {
             return;
@@ -242,6 +256,7 @@
             }
             if (logs.removeIf(candidate -> candidate == log && !isRunning(candidate))) {
                 bytes -= log.bytes();
+                trace.evicted(tick, log);
             }
         }
     }
@@ -254,20 +269,16 @@
      * @param log The results that are already listed.
      * @param deadline The deadline of the job.
      * @param texts The texts that an earlier runner stored.
+     * @param start Why this node runs it.
      */
-    void run(Tick tick, BatchJob job, ResultLog log, MonotonicTime deadline, StoredTexts texts) {
+    void run(Tick tick, BatchJob job, ResultLog log, MonotonicTime deadline, StoredTexts texts, JobStart start) {
         int attemptBase = runs.merge(job.id(), 1, Integer::sum) * MAXIMUM_ATTEMPTS_PER_RUN - MAXIMUM_ATTEMPTS_PER_RUN;
         RunningJob started = new RunningJob(job, log, tick.now(), deadline, attemptBase);
         long resumed = texts.all().entrySet().stream()
                 .filter(text -> started.resume(text.getKey(), text.getValue()))
                 .count();
         running.put(job.id(), started);
-        tick.decide(Decision.of(
-                "batch-job",
-                job.id().value(),
-                "run here",
-                "model " + job.model() + " minimum version " + job.minimumVersion() + " items "
-                        + job.items().size() + " listed " + log.size() + " with events " + resumed));
+        trace.started(tick, started, log, start, texts.all().size(), resumed);
     }
 
     /**
@@ -286,7 +297,7 @@
         for (RunningItem item : job.get().items()) {
             cancelled += cancel(tick, id, item) ? 1 : 0;
         }
-        tick.decide(Decision.of("batch-job", id.value(), "stop here", reason + ", items cancelled " + cancelled));
+        trace.stopped(tick, job.get(), logs.find(id), reason, cancelled);
     }
 
     /**
@@ -399,11 +410,11 @@
             job.get().find(result.item()).ifPresent(item -> cancel(tick, id, item));
         }
         job.get().removeListed(listed);
-        boolean complete = logs.find(id).filter(ResultLog::isComplete).isPresent();
-        if (complete) {
+        Optional<ResultLog> complete = logs.find(id).filter(ResultLog::isComplete);
+        if (complete.isPresent()) {
             running.remove(id);
             finished.add(id);
-            tick.decide(Decision.of("batch-job", id.value(), "finished", "all results are listed"));
+            trace.finished(tick, complete.get());
         }
     }
 
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/JobHandOverSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/JobHandOverSystem.java
@@ -64,10 +64,11 @@
             tick.decide(Decision.of("batch-job", job.id().value(), "not taken", "handed over by " + sender));
             return;
         }
+        JobStart start = JobStart.from(JobStart.Cause.HANDED_OVER, sender);
         if (created) {
-            loader.startCreated(tick, job);
+            loader.startCreated(tick, job, start);
         } else {
-            loader.load(tick, job, "handed over by " + sender);
+            loader.load(tick, job, start);
         }
     }
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/JobLoader.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/JobLoader.java
@@ -1,6 +1,5 @@
 package io.yuccaswitch.core.batch;
 
-import io.yuccaswitch.core.decision.Decision;
 import io.yuccaswitch.core.decision.Tick;
 import io.yuccaswitch.core.platform.PlatformEffect;
 import io.yuccaswitch.core.platform.PlatformEvent;
@@ -91,10 +90,11 @@
      *
      * @param tick The tick.
      * @param job The job.
+     * @param cause Why this node runs it.
      */
-    void startCreated(Tick tick, BatchJob job) {
+    void startCreated(Tick tick, BatchJob job, JobStart cause) {
         if (!isStarted(job.id())) {
-            start(tick, job, new StoredTexts(), 0);
+            start(tick, job, cause, new StoredTexts(), 0);
         }
     }
 
@@ -104,13 +104,13 @@
      *
      * @param tick The tick.
      * @param id The job.
-     * @param reason Why this node runs it.
+     * @param cause Why this node runs it.
      */
-    void load(Tick tick, BatchJobId id, String reason) {
+    void load(Tick tick, BatchJobId id, JobStart cause) {
         if (isStarted(id)) {
             return;
         }
-        loading.add(id);
+        begin(tick, id, cause);
         state.calls()
                 .call(
                         tick,
@@ -121,7 +121,8 @@
                                             .flatMap(object -> state.codec().readJob(object.value()))
                                     : Optional.empty();
                             job.ifPresentOrElse(
-                                    read -> loadResults(later, read, reason), () -> fail(later, id, reason));
+                                    read -> loadResults(later, read, cause),
+                                    () -> fail(later, id, JobTrace.LoadOutcome.JOB_UNREAD));
                         });
     }
 
@@ -131,12 +132,12 @@
      *
      * @param tick The tick.
      * @param job The job.
-     * @param reason Why this node runs it.
+     * @param cause Why this node runs it.
      */
-    void load(Tick tick, BatchJob job, String reason) {
+    void load(Tick tick, BatchJob job, JobStart cause) {
         if (!isStarted(job.id())) {
-            loading.add(job.id());
-            loadResults(tick, job, reason);
+            begin(tick, job.id(), cause);
+            loadResults(tick, job, cause);
         }
     }
 
@@ -145,9 +146,9 @@
      *
      * @param tick The tick.
      * @param job The job.
-     * @param reason Why this node runs it.
+     * @param cause Why this node runs it.
      */
-    private void loadResults(Tick tick, BatchJob job, String reason) {
+    private void loadResults(Tick tick, BatchJob job, JobStart cause) {
         BatchJobId id = job.id();
         state.calls()
                 .call(
@@ -155,17 +156,17 @@
                         token -> new PlatformEffect.ListKind(token, PlatformPurpose.BATCH, BatchObjects.results(id)),
                         (later, event) -> {
                             if (!(event instanceof PlatformEvent.ObjectsListed listed)) {
-                                fail(later, id, reason);
+                                fail(later, id, JobTrace.LoadOutcome.RESULTS_UNREAD);
                                 return;
                             }
                             ResultLog log = state.log(id, job.items().size(), later.now());
-                            state.apply(later, id, log, listed);
+                            state.apply(later, id, log, listed, JobTrace.ReadWay.LOAD);
                             if (log.isComplete()) {
-                                loading.remove(id);
+                                end(later, id, JobTrace.LoadOutcome.COMPLETE);
                                 state.finished().add(id);
                                 return;
                             }
-                            loadTexts(later, job, Optional.empty(), new StoredTexts(), 0);
+                            loadTexts(later, job, cause, Optional.empty(), new StoredTexts(), 0);
                         });
     }
 
@@ -174,11 +175,13 @@
      *
      * @param tick The tick.
      * @param job The job.
+     * @param cause Why this node runs it.
      * @param after The name after which the next page starts, or empty for the first page.
      * @param texts The texts read so far.
      * @param objectsRead The number of objects read so far.
      */
-    private void loadTexts(Tick tick, BatchJob job, Optional<String> after, StoredTexts texts, int objectsRead) {
+    private void loadTexts(
+            Tick tick, BatchJob job, JobStart cause, Optional<String> after, StoredTexts texts, int objectsRead) {
         String kind = BatchObjects.texts(job.id());
         state.calls()
                 .call(
@@ -195,40 +198,78 @@
                             if (more && !objects.isEmpty()) {
                                 String last =
                                         objects.get(objects.size() - 1).key().name();
-                                loadTexts(later, job, Optional.of(last), texts, read);
+                                loadTexts(later, job, cause, Optional.of(last), texts, read);
                             } else {
-                                loading.remove(job.id());
-                                if (!isStarted(job.id())) {
-                                    start(later, job, texts, read);
-                                }
+                                finish(later, job, cause, texts, read);
                             }
                         });
     }
 
+    /**
+     * Runs a job that has been read, unless it was ended meanwhile.
+     *
+     * @param tick The tick.
+     * @param job The job.
+     * @param cause Why this node runs it.
+     * @param texts The texts that an earlier runner stored.
+     * @param textObjects The number of objects with texts that an earlier runner stored.
+     */
+    private void finish(Tick tick, BatchJob job, JobStart cause, StoredTexts texts, int textObjects) {
+        boolean ended = state.finished().contains(job.id());
+        end(tick, job.id(), ended ? JobTrace.LoadOutcome.SUPERSEDED : JobTrace.LoadOutcome.STARTS);
+        if (!ended) {
+            start(tick, job, cause, texts, textObjects);
+        }
+    }
+
     /**
      * Runs a job.
      *
      * @param tick The tick.
      * @param job The job.
+     * @param cause Why this node runs it.
      * @param texts The texts that an earlier runner stored.
      * @param textObjects The number of objects with texts that an earlier runner stored.
      */
-    private void start(Tick tick, BatchJob job, StoredTexts texts, int textObjects) {
+    private void start(Tick tick, BatchJob job, JobStart cause, StoredTexts texts, int textObjects) {
         ResultLog log = state.log(job.id(), job.items().size(), tick.now());
-        state.run(tick, job, log, jobTimeouts.deadline(job, tick.now()), texts);
+        state.run(tick, job, log, jobTimeouts.deadline(job, tick.now()), texts, cause);
         state.running().find(job.id()).ifPresent(started -> started.skipTextObjects(textObjects));
     }
 
+    /**
+     * Begins a load.
+     *
+     * @param tick The tick.
+     * @param id The job.
+     * @param cause Why this node runs it.
+     */
+    private void begin(Tick tick, BatchJobId id, JobStart cause) {
+        loading.add(id);
+        state.trace().loadBegun(tick, id, cause, state.logs().find(id));
+    }
+
     /**
      * Ends a load whose job or results could not be read.
      *
      * @param tick The tick.
      * @param id The job.
-     * @param reason Why this node was to run it.
+     * @param outcome What could not be read.
      */
-    private void fail(Tick tick, BatchJobId id, String reason) {
-        loading.remove(id);
+    private void fail(Tick tick, BatchJobId id, JobTrace.LoadOutcome outcome) {
+        end(tick, id, outcome);
         exclude(tick, id);
-        tick.decide(Decision.of("batch-job", id.value(), "not loaded", reason));
+    }
+
+    /**
+     * Ends a load.
+     *
+     * @param tick The tick.
+     * @param id The job.
+     * @param outcome The outcome, for logs.
+     */
+    private void end(Tick tick, BatchJobId id, JobTrace.LoadOutcome outcome) {
+        loading.remove(id);
+        state.trace().loadEnded(tick, id, outcome, state.logs().find(id));
     }
 }
