Warn of items that are listed twice, and count starts, loads and objects

A log now notices that an appended object holds an item that it already holds, whichever way the object came (created here, conflict, relay, list, watch, load). The gateway writes event=batch-items-repeated at WARN with the job, the object, the items and both positions, and counts gateway.batch.repeated-items. The check is one look-up in a set that each append made before; the earlier position is searched for only on a hit.

The core observes with effects (JobObservation), which JobMetrics counts: starts by cause, objects listed, conflicting and relayed, loads in progress.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchCommitSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchCommitSystem.java
@@ -116,7 +116,7 @@
      */
     private void receive(Tick tick, Commit commit, List<BatchResult> results, PlatformEvent event) {
         if (event instanceof PlatformEvent.Accepted) {
-            append(tick, commit, results, "listed");
+            append(tick, commit, results, JobObservation.Origin.LISTED, "listed");
             return;
         }
         Optional<List<BatchResult>> stored = Optional.empty();
@@ -125,7 +125,7 @@
                     .readResults(value));
         }
         if (stored.isPresent()) {
-            append(tick, commit, stored.get(), "listed before");
+            append(tick, commit, stored.get(), JobObservation.Origin.CONFLICTING, "listed before");
             return;
         }
         if (!relay(tick, commit, results)) {
@@ -193,7 +193,12 @@
         Optional<List<BatchResult>> results =
                 stored.listed() ? state.codec().readResults(stored.value()) : Optional.empty();
         if (results.isPresent()) {
-            append(tick, request.commit(), results.get(), "listed by " + request.other());
+            append(
+                    tick,
+                    request.commit(),
+                    results.get(),
+                    JobObservation.Origin.RELAYED,
+                    "listed by " + request.other());
         } else {
             fail(tick, request.commit(), "the platform did not answer " + request.other() + " either");
         }
@@ -217,15 +222,17 @@
      * @param tick The tick.
      * @param commit The write.
      * @param results The results.
+     * @param origin Who created the object.
      * @param choice The outcome, for logs.
      */
-    private void append(Tick tick, Commit commit, List<BatchResult> results, String choice) {
+    private void append(
+            Tick tick, Commit commit, List<BatchResult> results, JobObservation.Origin origin, String choice) {
         BatchJobId id = commit.job().job().id();
         boolean next = commit.log().objects() == commit.number();
         if (next) {
             commit.log().append(results);
         }
-        state.trace().listed(tick, traced(commit), results, choice, next);
+        state.trace().listed(tick, traced(commit), results, origin, choice, next);
         state.removeListed(tick, id, results);
         commit.job().endCommit(tick.now());
     }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/CompactList.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/CompactList.java
@@ -9,7 +9,7 @@
  * Describes identifiers for a log line of bounded length. Identifiers that differ in the number at their end are joined
  * in the notation of a shell's brace expansion, such as <code>job-{0..3,7}</code>.
  */
-final class CompactList {
+public final class CompactList {
 
     /** The maximum number of ranges in a description. */
     private static final int MAXIMUM_RANGES = 40;
@@ -29,7 +29,7 @@
      * @param ids The identifiers.
      * @return The sorted identifiers, separated by spaces, and the number of those that were left out, if any.
      */
-    static String of(List<String> ids) {
+    public static String of(List<String> ids) {
         List<Range> kept = new ArrayList<>();
         int characters = 0;
         int described = 0;
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/JobTrace.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/JobTrace.java
@@ -52,6 +52,7 @@
     void started(Tick tick, RunningJob job, ResultLog log, JobStart start, int texts, long resumed) {
         BatchJob submitted = job.job();
         String load = loads.contains(submitted.id()) ? "a load is in progress" : "no load is in progress";
+        tick.emit(new JobObservation.Started(submitted.id(), start.cause()));
         write(
                 tick,
                 JOB,
@@ -118,6 +119,9 @@
      * @param log The job's log, if there is one.
      */
     void loadBegun(Tick tick, BatchJobId id, JobStart start, Optional<ResultLog> log) {
+        if (!loads.contains(id)) {
+            tick.emit(new JobObservation.LoadBegun(id));
+        }
         loads.put(id, new Load(start.toString(), 0, 0));
         write(tick, LOAD, id, "begun", start + ", " + describe(log));
     }
@@ -146,7 +150,12 @@
      * @param log The job's log, if there is one.
      */
     void loadEnded(Tick tick, BatchJobId id, LoadOutcome outcome, Optional<ResultLog> log) {
-        Load load = loads.remove(id).orElseGet(() -> new Load("unknown", 0, 0));
+        Optional<Load> ended = loads.remove(id);
+        if (ended.isEmpty()) {
+            return;
+        }
+        Load load = ended.get();
+        tick.emit(new JobObservation.LoadEnded(id));
         write(
                 tick,
                 LOAD,
@@ -169,6 +178,7 @@
         long skipped = listed.stream()
                 .filter(object -> BatchObjects.number(object.key().name()).orElse(log.objects()) >= log.objects())
                 .count();
+        reportRepeated(tick, log);
         int appended = log.objects() - before.objects();
         if (appended == 0 && skipped == 0) {
             return;
@@ -192,11 +202,20 @@
      * @param tick The tick.
      * @param write The write.
      * @param results The results of the object.
-     * @param choice By whom the object was created.
+     * @param origin Who created the object.
+     * @param choice The outcome.
      * @param appended Whether they were appended to the log of the write.
      */
-    void listed(Tick tick, ObjectWrite write, List<BatchResult> results, String choice, boolean appended) {
+    void listed(
+            Tick tick,
+            ObjectWrite write,
+            List<BatchResult> results,
+            JobObservation.Origin origin,
+            String choice,
+            boolean appended) {
         ResultLog log = write.log();
+        tick.emit(new JobObservation.ObjectListed(log.id(), origin));
+        reportRepeated(tick, log);
         String place = appended ? positions(log.size() - results.size(), log.size()) : " already in the log";
         write(
                 tick,
@@ -237,6 +256,18 @@
         write(tick, "batch-relay", id, choice, reason + describeItems(ids(results)));
     }
 
+    /**
+     * Reports the items that were appended to a log although it already contained them.
+     *
+     * @param tick The tick.
+     * @param log The log.
+     */
+    private void reportRepeated(Tick tick, ResultLog log) {
+        log.takeRepeated()
+                .forEach((object, items) -> tick.emit(
+                        new JobObservation.ItemsRepeated(membership.self().identity(), log.id(), object, items)));
+    }
+
     /**
      * Writes a line that ends with the node.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ResultLog.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ResultLog.java
@@ -5,10 +5,12 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.TreeMap;
 
 /**
  * A copy of the results of a job that are listed on the platform, in the order of their positions. The log is
@@ -37,6 +39,9 @@
     /** The items that were abandoned. */
     private final Set<String> abandoned = new HashSet<>();
 
+    /** The items that were appended although the log already contained them, by the number of the later object. */
+    private final Map<Integer, List<RepeatedItem>> repeated = new TreeMap<>();
+
     /** The number of objects read so far. */
     private int objects;
 
@@ -70,8 +75,11 @@
     void append(List<BatchResult> appended) {
         objects++;
         for (BatchResult result : appended) {
+            if (!items.add(result.item())) {
+                repeated.computeIfAbsent(objects - 1, _object -> new ArrayList<>())
+                        .add(new RepeatedItem(result.item(), results.size(), position(result.item())));
+            }
             results.add(result);
-            items.add(result.item());
             if (!result.completed()) {
                 abandoned.add(result.item());
             }
@@ -102,6 +110,31 @@
         return List.copyOf(results.subList(before, results.size()));
     }
 
+    /**
+     * Returns the first position of an item.
+     *
+     * @param item The item, whose result the log contains.
+     * @return The position.
+     */
+    private int position(String item) {
+        int position = 0;
+        while (!results.get(position).item().equals(item)) {
+            position++;
+        }
+        return position;
+    }
+
+    /**
+     * Removes and returns the items that were appended although the log already contained them.
+     *
+     * @return The items by the number of the later object, in the order of the numbers.
+     */
+    Map<Integer, List<RepeatedItem>> takeRepeated() {
+        Map<Integer, List<RepeatedItem>> taken = new TreeMap<>(repeated);
+        repeated.clear();
+        return taken;
+    }
+
     /**
      * Returns the job.
      *
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/JobTraceTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/JobTraceTest.java
@@ -211,6 +211,11 @@
         assertThat(tick.result().decisions())
                 .extracting(Decision::choice)
                 .containsExactly("begun", "run here", "superseded");
+        assertThat(tick.result().effects())
+                .containsExactly(
+                        new JobObservation.LoadBegun(ID),
+                        new JobObservation.Started(ID, JobStart.Cause.HANDED_OVER),
+                        new JobObservation.LoadEnded(ID));
         assertThat(tick.result().decisions().get(1).reason())
                 .startsWith("handed over by node-2, ")
                 .contains(", a load is in progress, ");
@@ -239,6 +244,49 @@
                                 + " gap or unreadable, node node-1@1"));
     }
 
+    @Test
+    void itemsThatAreListedAgainAreReportedByEachNodeThatAppendsThem() {
+        TestNode reader = start("node-2");
+        site.engines(_run -> Optional.empty());
+        site.submit(node, BatchSite.job("job", 4));
+        site.run(1000);
+        site.site.connect((_from, _to) -> true);
+        site.list("job", 0, List.of(BatchResult.abandoned("job-0"), BatchResult.abandoned("job-1")));
+        site.list("job", 1, List.of(BatchResult.abandoned("job-2"), BatchResult.abandoned("job-1")));
+        site.read(reader, "job", 0, Duration.ZERO);
+        site.read(node, "job", 0, Duration.ZERO);
+        site.run(500);
+        List<RepeatedItem> expected = List.of(new RepeatedItem("job-1", 3, 1));
+        assertThat(reader.take(JobObservation.ItemsRepeated.class))
+                .containsExactly(new JobObservation.ItemsRepeated(reader.self().identity(), ID, 1, expected));
+        assertThat(node.take(JobObservation.ItemsRepeated.class))
+                .containsExactly(new JobObservation.ItemsRepeated(node.self().identity(), ID, 1, expected));
+    }
+
+    @Test
+    void itemsThatAnotherNodeListedAgainAreReportedAtTheConflict() {
+        site.engines(_run -> Optional.empty());
+        site.submit(node, BatchSite.job("job", 2));
+        site.run(600);
+        site.list("job", 0, List.of(BatchResult.abandoned("job-1"), BatchResult.abandoned("job-1")));
+        node.accept(BatchSite.completed(site.started.get(0), 1));
+        site.run(1000);
+        assertThat(node.take(JobObservation.ItemsRepeated.class))
+                .singleElement()
+                .extracting(JobObservation.ItemsRepeated::items)
+                .isEqualTo(List.of(new RepeatedItem("job-1", 1, 0)));
+    }
+
+    @Test
+    void aJobWhoseItemsAreListedOnceIsObservedWithoutRepeatedItems() {
+        site.submit(node, BatchSite.job("job", 4));
+        site.run(2000);
+        assertThat(node.take(JobObservation.class))
+                .containsExactly(
+                        new JobObservation.Started(ID, JobStart.Cause.SUBMITTED),
+                        new JobObservation.ObjectListed(ID, JobObservation.Origin.LISTED));
+    }
+
     private TestNode start(String name) {
         TestNode started = site.node(name);
         site.run(300);
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
@@ -4,6 +4,7 @@
 import io.reactivex.rxjava3.exceptions.UndeliverableException;
 import io.reactivex.rxjava3.plugins.RxJavaPlugins;
 import io.yuccaswitch.core.batch.BatchEvent;
+import io.yuccaswitch.core.batch.JobObservation;
 import io.yuccaswitch.core.identity.NodeIdentity;
 import io.yuccaswitch.core.membership.Member;
 import io.yuccaswitch.core.membership.MemberCondition;
@@ -137,6 +138,9 @@
     /** The calls about batch jobs that wait for an answer. */
     private final PendingReplies replies;
 
+    /** Counts what the core observes about batch jobs. */
+    private final JobMetrics jobs;
+
     /** Serves callers. */
     private final GatewayServer server;
 
@@ -192,6 +196,7 @@
                 timeOfDay,
                 settings.cloud().isPresent() ? loop : _event -> {});
         replies = new PendingReplies(loop);
+        jobs = new JobMetrics(metrics);
         attempts = new EndpointAttempts(http, dialects.endpoints(), checks, dispatch);
         scoring = new ScoringRunner(attempts, dialects.endpoints(), loop, metrics);
         server = new GatewayServer(
@@ -292,6 +297,7 @@
         loop.decisions().subscribe(DecisionLog::write);
         loop.effects(PlatformEffect.class)
                 .subscribe(effect -> platform.execute(effect).subscribe(loop::accept));
+        loop.effects(JobObservation.class).subscribe(jobs::count);
         loop.effects(RouteEffect.Activated.class).subscribe(effect -> {
             view.replace(effect.configuration());
             server.apply(effect.configuration());
