Place items again however many engines crash under them

What callers saw: during a burst of crashes several engines ended while they ran the same sound item of a batch job or of a step. Afterwards all was calm and the engines had room, but the item was not placed again, and its step waited for it in vain.

Cause: items, and the requests that score their outputs, passed the same quarantine as plain requests. From the third or fourth engine that ended under an item on it was held for 30 s, 10 min and longer. The evidence was shared between nodes and kept on the platform, so the node that took the job over held it as well.

Change: accepted work is owed, so no verdict applies to items and scoring requests and no evidence is recorded for them. So an item's crashes don't hold a plain request of the same content, don't take up the table of suspects, and aren't another explanation for a plain request at the same endpoint. The end of the endpoint itself is still announced, as requests of other nodes that were broken off there need it. Instead, LossBackoff bounds the rate of each item at its runner: the first repeat is immediate, further ones follow 250 ms to 2 s after the last loss, and 3 s while at most one endpoint is left; scoring requests are not hedged from the second loss on. This works as the delay is always below the 5 s after which a step lacks an item, needs no state of other nodes, and ends with the job. Items that wait this long no longer count among the candidates for free slots, so those behind them start.

Samples of the trainer interface don't have the fault: each generation and scoring has another body, so no evidence carries over.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchItem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchItem.java
@@ -1,6 +1,5 @@
 package io.yuccaswitch.core.batch;
 
-import io.yuccaswitch.core.quarantine.RequestFingerprint;
 import io.yuccaswitch.core.value.Bytes;
 import java.util.Map;
 import java.util.Optional;
@@ -27,9 +26,6 @@
         long promptTokens,
         Optional<ScoringRequest> scoring) {
 
-    /** The method of the requests. */
-    private static final String METHOD = "POST";
-
     /** Copies the headers. */
     public BatchItem {
         headers = Map.copyOf(headers);
@@ -56,25 +52,4 @@
             Optional<ScoringRequest> scoring) {
         this(id, path, headers, body, group, expectedTokens, 0, scoring);
     }
-
-    /**
-     * Computes the fingerprint that identifies the item at all nodes and in later jobs. Items of a group may have the
-     * same body, so the fingerprint includes the identifier.
-     *
-     * @param host The host of the job's route.
-     * @return The fingerprint.
-     */
-    RequestFingerprint fingerprint(String host) {
-        return RequestFingerprint.of(id, host, METHOD, path, body);
-    }
-
-    /**
-     * Describes the item for operators, without the headers and the body.
-     *
-     * @param host The host of the job's route.
-     * @return The method, host, path and identifier.
-     */
-    String describe(String host) {
-        return METHOD + " " + host + path + " item " + id;
-    }
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchRunSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchRunSystem.java
@@ -4,7 +4,6 @@
 import io.yuccaswitch.core.decision.DecisionSystem;
 import io.yuccaswitch.core.decision.Tick;
 import io.yuccaswitch.core.identity.EndpointName;
-import io.yuccaswitch.core.quarantine.RequestFingerprint;
 import io.yuccaswitch.core.registry.RegisteredEndpoint;
 import io.yuccaswitch.core.route.Route;
 import java.time.Duration;
@@ -12,7 +11,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Supplier;
 
 /** Runs the items of jobs at engines, and handles the outcomes of the attempts. */
 final class BatchRunSystem implements DecisionSystem {
@@ -86,7 +84,11 @@
         // An item that waits for memory leaves its slot to shorter ones behind it.
         long candidates = state.options().engineMemory() ? 2 * startable + PASSING_ITEMS : startable;
         long started = 0;
-        for (RunningItem item : share.items().stream().limit(candidates).toList()) {
+        List<RunningItem> due = share.items().stream()
+                .filter(item -> item.losses().mayStart(tick.now(), () -> isLast(engines)))
+                .limit(candidates)
+                .toList();
+        for (RunningItem item : due) {
             started += startAtFreeEngine(tick, share, item, engines, preferred, route.get()) ? 1 : 0;
             if (started == startable) {
                 return;
@@ -112,29 +114,20 @@
             List<RegisteredEndpoint> engines,
             Set<EndpointName> preferred,
             Route route) {
-        RunningJob job = share.job();
-        Supplier<RequestFingerprint> fingerprint = () -> fingerprint(job, item.item());
-        List<EndpointName> names =
-                engines.stream().map(RegisteredEndpoint::name).toList();
-        if (state.quarantine()
-                .refusal(tick, item.item().id(), fingerprint, names)
-                .isPresent()) {
-            return false;
-        }
-        Optional<RegisteredEndpoint> engine = choice.choose(tick, job, item, engines, preferred, route);
+        Optional<RegisteredEndpoint> engine = choice.choose(tick, share.job(), item, engines, preferred, route);
         engine.ifPresent(chosen -> start(tick, share, item, chosen, route));
         return engine.isPresent();
     }
 
     /**
-     * Computes the fingerprint of an item.
+     * Returns whether at most one of the engines that may run items is left.
      *
-     * @param job The job.
-     * @param item The item.
-     * @return The fingerprint.
+     * @param engines The engines.
+     * @return {@code true} if one is left or none.
      */
-    private static RequestFingerprint fingerprint(RunningJob job, BatchItem item) {
-        return item.fingerprint(job.job().host());
+    private boolean isLast(List<RegisteredEndpoint> engines) {
+        return state.quarantine()
+                .isLast(engines.stream().map(RegisteredEndpoint::name).toList());
     }
 
     /**
@@ -165,7 +158,7 @@
                 engine,
                 item.text().lastEventId(),
                 job.deadline().since(tick.now()),
-                state.quarantine().isSuspect(() -> fingerprint(job, item.item())),
+                item.losses().hasLosses(),
                 share.priority()));
         String priority =
                 share.priority().isPresent() ? " priority " + share.priority().getAsInt() : "";
@@ -251,11 +244,6 @@
         AttemptOutcome outcome = ended.outcome();
         if (outcome instanceof AttemptOutcome.Completed) {
             state.loads().succeed(engine, model);
-            state.quarantine()
-                    .recordSuccess(
-                            tick,
-                            () -> fingerprint(job.get(), item.get().item()),
-                            item.get().attempt() == 1);
             complete(tick, job.get(), item.get(), engine);
         } else if (outcome instanceof AttemptOutcome.Impossible) {
             finish(
@@ -273,14 +261,8 @@
         } else if (outcome instanceof AttemptOutcome.Interrupted interrupted) {
             Duration exclusion = interrupted.unreachable() ? UNREACHABLE_EXCLUSION : INTERRUPTION_EXCLUSION;
             state.loads().exclude(engine, model, tick.now(), exclusion);
-            BatchItem lost = item.get().item();
-            state.quarantine()
-                    .recordLoss(
-                            tick,
-                            () -> fingerprint(job.get(), lost),
-                            lost.describe(job.get().job().host()),
-                            engine,
-                            interrupted.loss());
+            item.get().losses().record(interrupted.loss(), tick.now());
+            state.quarantine().recordEnd(tick, engine, interrupted.loss());
             retry(tick, item.get(), engine, interrupted.reason());
         }
     }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ItemScoring.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ItemScoring.java
@@ -23,6 +23,9 @@
     /** The attempts in progress, by number, in the order in which they started. */
     private final Map<Integer, Attempt> running = new LinkedHashMap<>();
 
+    /** The losses of attempts under which endpoints may have ended. */
+    private final LossBackoff losses = new LossBackoff();
+
     /** The number of started attempts. */
     private int attempts;
 
@@ -178,6 +181,15 @@
         return failures;
     }
 
+    /**
+     * Returns the losses of attempts under which endpoints may have ended, which delay further attempts.
+     *
+     * @return The losses.
+     */
+    LossBackoff losses() {
+        return losses;
+    }
+
     /**
      * Records whether a route serves the request.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningItem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningItem.java
@@ -18,6 +18,9 @@
     /** The number of attempts at which an engine failed. */
     private int failures;
 
+    /** The losses of attempts under which engines may have ended. */
+    private final LossBackoff losses = new LossBackoff();
+
     /** The engine that runs it, if any. */
     private Optional<EndpointName> endpoint = Optional.empty();
 
@@ -212,6 +215,15 @@
         return failures;
     }
 
+    /**
+     * Returns the losses of attempts under which engines may have ended, which delay further attempts.
+     *
+     * @return The losses.
+     */
+    LossBackoff losses() {
+        return losses;
+    }
+
     /**
      * Returns the events received so far.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ScoringRequest.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ScoringRequest.java
@@ -1,6 +1,5 @@
 package io.yuccaswitch.core.batch;
 
-import io.yuccaswitch.core.quarantine.RequestFingerprint;
 import io.yuccaswitch.core.value.Bytes;
 import java.util.regex.Pattern;
 
@@ -15,9 +14,6 @@
  */
 public record ScoringRequest(String id, String host, String path, Bytes body) {
 
-    /** The method of the requests. */
-    private static final String METHOD = "POST";
-
     /** The identifiers and hosts that can be sent in a header. */
     private static final Pattern HEADER_TEXT = Pattern.compile("[!-~]{1,256}");
 
@@ -34,25 +30,6 @@
         }
     }
 
-    /**
-     * Computes the fingerprint that identifies the request at all nodes. Requests for the items of a group may have the
-     * same body, so the fingerprint includes the identifier.
-     *
-     * @return The fingerprint.
-     */
-    RequestFingerprint fingerprint() {
-        return RequestFingerprint.of(id, host, METHOD, path, body);
-    }
-
-    /**
-     * Describes the request for operators.
-     *
-     * @return The method, host, path and identifier.
-     */
-    String describe() {
-        return METHOD + " " + host + routePath() + " scoring " + id;
-    }
-
     /**
      * Returns the path without its query, which selects the route.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ScoringSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ScoringSystem.java
@@ -135,11 +135,7 @@
             return;
         }
         List<RegisteredEndpoint> working = working(tick, route.get());
-        List<EndpointName> names =
-                working.stream().map(RegisteredEndpoint::name).toList();
-        if (state.quarantine()
-                .refusal(tick, scoring.request().id(), scoring.request()::fingerprint, names)
-                .isEmpty()) {
+        if (scoring.losses().mayStart(tick.now(), () -> isLast(working))) {
             choose(tick, scoring, working).ifPresent(endpoint -> start(tick, entry, endpoint, allowed));
         }
     }
@@ -164,7 +160,7 @@
                 .multipliedBy(running.size());
         return allowed
                 && tick.now().since(newest.startedAt()).compareTo(hedgeDelay) >= 0
-                && state.quarantine().allowsRetry(entry.scoring().request()::fingerprint);
+                && entry.scoring().losses().allowsConcurrentAttempts();
     }
 
     /**
@@ -179,6 +175,17 @@
         return pool.map(name -> state.registry().working(name)).orElseGet(List::of);
     }
 
+    /**
+     * Returns whether at most one of the endpoints that may get a request is left.
+     *
+     * @param working The endpoints.
+     * @return {@code true} if one is left or none.
+     */
+    private boolean isLast(List<RegisteredEndpoint> working) {
+        return state.quarantine()
+                .isLast(working.stream().map(RegisteredEndpoint::name).toList());
+    }
+
     /**
      * Chooses the endpoint of an attempt.
      *
@@ -216,7 +223,7 @@
                 scoring.request(),
                 endpoint,
                 allowed,
-                state.quarantine().isSuspect(scoring.request()::fingerprint)));
+                scoring.losses().hasLosses()));
         tick.decide(Decision.of(
                 "batch-score",
                 item.id(),
@@ -252,9 +259,8 @@
             retry(tick, entry, attempt.get(), refused.reason());
         } else if (ended.outcome() instanceof ScoringOutcome.Interrupted interrupted) {
             scoring.get().countPossibleRun();
-            ScoringRequest request = scoring.get().request();
-            state.quarantine()
-                    .recordLoss(tick, request::fingerprint, request.describe(), endpoint.name(), interrupted.loss());
+            scoring.get().losses().record(interrupted.loss(), tick.now());
+            state.quarantine().recordEnd(tick, endpoint.name(), interrupted.loss());
             retry(tick, entry, attempt.get(), interrupted.reason());
         }
     }
@@ -269,7 +275,6 @@
      */
     private void complete(Tick tick, Outstanding entry, ItemScoring.Attempt attempt, String score) {
         ItemScoring scoring = entry.scoring();
-        state.quarantine().recordSuccess(tick, scoring.request()::fingerprint, attempt.number() == 1);
         state.cancelScoring(tick, entry.job().job().id(), entry.item());
         entry.item().finish(scoring.unscored().withScore(score));
         tick.decide(Decision.of(
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/quarantine/EvidenceSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/quarantine/EvidenceSystem.java
@@ -82,6 +82,8 @@
             recordLoss(tick, lost);
         } else if (event instanceof QuarantineEvent.EndpointEnded ended) {
             state.recordEnded(ended.endpoint(), tick.now());
+        } else if (event instanceof QuarantineEvent.EndpointLost ended) {
+            recordLostEndpoint(tick, ended.endpoint());
         } else if (event instanceof QuarantineEvent.Served served) {
             unanswered.removeIf(attempt -> attempt.event().fingerprint().equals(served.fingerprint()));
             state.clear(tick, served.fingerprint(), "an endpoint answered it");
@@ -100,9 +102,7 @@
      */
     private void recordLoss(Tick tick, QuarantineEvent.AnswerLost lost) {
         if (lost.loss().cause() == Loss.Cause.ENDPOINT_ENDED) {
-            if (state.recordEnded(lost.endpoint(), tick.now())) {
-                state.unannouncedEnds().add(lost.endpoint());
-            }
+            recordLostEndpoint(tick, lost.endpoint());
             recordEvidence(tick, lost, state.epochMillis());
             return;
         }
@@ -115,6 +115,18 @@
         unanswered.addLast(new UnansweredAttempt(lost, tick.now(), state.epochMillis()));
     }
 
+    /**
+     * Records that an endpoint terminated during an attempt of this node, and has it announced to other nodes.
+     *
+     * @param tick The tick.
+     * @param endpoint The endpoint.
+     */
+    private void recordLostEndpoint(Tick tick, EndpointName endpoint) {
+        if (state.recordEnded(endpoint, tick.now())) {
+            state.unannouncedEnds().add(endpoint);
+        }
+    }
+
     /**
      * Records evidence for unanswered attempts whose endpoints have terminated, and drops attempts whose retention has
      * elapsed.
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/quarantine/QuarantineCheck.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/quarantine/QuarantineCheck.java
@@ -102,6 +102,31 @@
         }
     }
 
+    /**
+     * Reports an attempt of accepted work, such as an item of a batch job, that returned no answer. No evidence is
+     * recorded, as accepted work is owed however many endpoints terminate, but other requests at the endpoint need to
+     * know that it terminated.
+     *
+     * @param tick The tick.
+     * @param endpoint The endpoint.
+     * @param loss Why no answer was returned.
+     */
+    public void recordEnd(Tick tick, EndpointName endpoint, Loss loss) {
+        if (loss.cause() == Loss.Cause.ENDPOINT_ENDED) {
+            quarantine.report(tick, new QuarantineEvent.EndpointLost(endpoint));
+        }
+    }
+
+    /**
+     * Returns whether at most one endpoint is left that has not terminated recently.
+     *
+     * @param working The endpoints that the registry lists.
+     * @return {@code true} if one endpoint or none is left.
+     */
+    public boolean isLast(Collection<EndpointName> working) {
+        return LastEndpoint.isLast(working, quarantine.view().ended());
+    }
+
     /**
      * Reports that a request was answered with success.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/quarantine/QuarantineEvent.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/quarantine/QuarantineEvent.java
@@ -25,6 +25,14 @@
      */
     record EndpointEnded(EndpointName endpoint) implements QuarantineEvent {}
 
+    /**
+     * An endpoint terminated while it processed accepted work, which is never suspect. Unlike {@link EndpointEnded},
+     * this is announced to other nodes, as an attempt was lost with it.
+     *
+     * @param endpoint The endpoint.
+     */
+    record EndpointLost(EndpointName endpoint) implements QuarantineEvent {}
+
     /**
      * An endpoint returned a complete, successful answer to a request.
      *
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/sample/GenerationTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/sample/GenerationTest.java
@@ -98,6 +98,24 @@
         assertThat(trainer.receiveAll(submit(3), 100)).isTrue();
     }
 
+    @Test
+    void aSampleThatLostSixEnginesIsGeneratedAgainWithinSecondsByARequestThatNoCrashCountsAgainst() {
+        Map<String, Integer> crashes = new HashMap<>();
+        engine.override = request -> crashes.merge(slot(request), 1, Integer::sum) <= 6
+                ? Optional.of(new Outcome.FailedAfterSend("endpoint-ended", "The engine crashed."))
+                : Optional.empty();
+        Set<GroupKey> groups = submit(2);
+        fleet.run(Duration.ofSeconds(10));
+
+        assertThat(generations()).isNotEmpty().allSatisfy((_slot, count) -> assertThat(count)
+                .isEqualTo(7));
+        assertThat(engine.startedRequests)
+                .as("the quarantine recognises a request by its body")
+                .extracting(Request::body)
+                .doesNotHaveDuplicates();
+        assertThat(trainer.receiveAll(groups, 100)).isTrue();
+    }
+
     @Test
     void aLostScoreOfANonRepeatableScorerCausesANewGeneration() {
         useScorer(false);
