--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ItemScoring.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ItemScoring.java
@@ -23,8 +23,8 @@
     /** The attempts in progress, by number, in the order in which they started. */
     private final Map<Integer, Attempt> running = new LinkedHashMap<>();
 
-    /** The number that precedes the first attempt. */
-    private final int attemptBase;
+    /** The losses of attempts under which endpoints may have ended. */
+    private final LossBackoff losses = new LossBackoff();
 
     /** The number of the last attempt. */
     private int attempts;
@@ -53,7 +53,6 @@
      * @param attemptBase The number that precedes the first attempt.
      */
     ItemScoring(ScoringRequest request, BatchResult unscored, MonotonicTime now, int attemptBase) {
-        this.attemptBase = attemptBase;
         attempts = attemptBase;
         this.request = request;
         this.unscored = unscored;
@@ -101,16 +100,6 @@
         return attempts;
     }
 
-    /**
-     * Returns whether an attempt is the first one.
-     *
-     * @param attempt The attempt.
-     * @return {@code true} if it is.
-     */
-    boolean isFirst(Attempt attempt) {
-        return attempt.number() == attemptBase + 1;
-    }
-
     /**
      * Ends an attempt.
      *
@@ -194,6 +183,15 @@
         return failures;
     }
 
+    /**
+     * Returns the losses of attempts under which endpoints may have ended, which delay further attempts.
+     *
+     * @return The losses.
+     */
+    LossBackoff losses() {
+        return losses;
+    }
+
     /**
      * Records whether a route serves the request.
      *
