Bound the bytes and lines of an event of a stream

An engine that answered an item or a stream with an event that never ends filled the memory of the gateway until the time of the request was up: only each line was bounded, not the event.

An event now has at most 256 KiB and 1,024 lines (a short line takes some fifty bytes besides its own), and the attempt is broken off there: the item is interrupted, and a stream to a caller is aborted or resumed, as after any broken stream.

--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ServerSentEvents.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ServerSentEvents.java
@@ -11,8 +11,11 @@
 /** Reads the events of a stream and returns each one only when it is complete. */
 final class ServerSentEvents {
 
-    /** The maximum length of a line, in bytes. */
-    private static final long MAXIMUM_LINE_BYTES = 1L << 20;
+    /** The maximum length of an event with its line terminators, in bytes. */
+    private static final long MAXIMUM_EVENT_BYTES = 1L << 18;
+
+    /** The maximum number of lines of an event. Each line takes more memory than its bytes. */
+    private static final int MAXIMUM_EVENT_LINES = 1024;
 
     /** The field of an event's identifier. */
     private static final String ID_FIELD = "id:";
@@ -44,10 +47,11 @@
      * Reads the next event.
      *
      * @return The event, or empty if the stream ended between two events.
-     * @throws IOException If the connection failed, or the stream ended within an event.
+     * @throws IOException If the connection failed, the stream ended within an event, or the event is too long.
      */
     Optional<Event> next() throws IOException {
         List<ByteString> lines = new ArrayList<>();
+        long remainingBytes = MAXIMUM_EVENT_BYTES;
         while (true) {
             if (source.exhausted()) {
                 if (lines.isEmpty()) {
@@ -55,9 +59,13 @@
                 }
                 throw new IOException("the stream ended within an event");
             }
-            ByteString line = readLine();
+            ByteString line = readLine(remainingBytes);
             if (line.size() > 0) {
                 lines.add(line);
+                remainingBytes -= line.size() + 1;
+                if (lines.size() > MAXIMUM_EVENT_LINES) {
+                    throw new IOException("the event has too many lines");
+                }
             } else if (!lines.isEmpty()) {
                 return Optional.of(parse(lines));
             }
@@ -67,13 +75,14 @@
     /**
      * Reads a line.
      *
+     * @param maximumBytes The maximum length of the line.
      * @return The line without its terminator.
      * @throws IOException If the connection failed, the stream ended within the line, or the line is too long.
      */
-    private ByteString readLine() throws IOException {
-        long length = source.indexOf(LINE_FEED, 0, MAXIMUM_LINE_BYTES);
+    private ByteString readLine(long maximumBytes) throws IOException {
+        long length = source.indexOf(LINE_FEED, 0, Math.max(1, maximumBytes));
         if (length < 0) {
-            throw new IOException("the stream ended within a line, or the line is too long");
+            throw new IOException("the stream ended within a line, or the event is too long");
         }
         ByteString line = source.readByteString(length);
         source.skip(1);
