Bound the size of reports of engines and of answers to orders

OrderCaller read the body of a report, and of the answer to an order, wholly into memory, with only its timeout of 0.5 s as a bound.

The body is read in parts up to the maximum size of a report, 1 MiB; beyond it the call is cancelled, so that closing it reads no more, and the outcome is that of an unanswered call, as an order may have been carried out.

--- a/yuccaswitch-endpoint/src/main/java/io/yuccaswitch/endpoint/AnswerBody.java
+++ b/yuccaswitch-endpoint/src/main/java/io/yuccaswitch/endpoint/AnswerBody.java
@@ -3,6 +3,7 @@
 import io.yuccaswitch.core.endpoint.FailureCodes;
 import io.yuccaswitch.core.value.Bytes;
 import java.io.IOException;
+import java.util.Optional;
 import okhttp3.Response;
 import okio.Buffer;
 import okio.BufferedSource;
@@ -32,14 +33,26 @@
      */
     static Bytes read(Response response, long maximum) throws IOException {
         requireDelimitedBody(response);
+        return readToEnd(response, maximum).orElseThrow(() -> new AnswerException(FailureCodes.ANSWER_TOO_LARGE));
+    }
+
+    /**
+     * Reads a complete body, which the end of the connection may delimit.
+     *
+     * @param response The answer.
+     * @param maximum The maximum number of bytes that is accepted.
+     * @return The body, or empty if it is too large.
+     * @throws IOException If the body is truncated.
+     */
+    static Optional<Bytes> readToEnd(Response response, long maximum) throws IOException {
         Buffer content = new Buffer();
         BufferedSource source = response.body().source();
         while (source.read(content, READ_CHUNK_BYTES) >= 0) {
             if (content.size() > maximum) {
-                throw new AnswerException(FailureCodes.ANSWER_TOO_LARGE);
+                return Optional.empty();
             }
         }
-        return Bytes.wrap(content.readByteArray());
+        return Optional.of(Bytes.wrap(content.readByteArray()));
     }
 
     /**
--- a/yuccaswitch-endpoint/src/main/java/io/yuccaswitch/endpoint/EndpointHttp.java
+++ b/yuccaswitch-endpoint/src/main/java/io/yuccaswitch/endpoint/EndpointHttp.java
@@ -1,8 +1,12 @@
 package io.yuccaswitch.endpoint;
 
+import io.yuccaswitch.core.endpoint.FailureCodes;
+import io.yuccaswitch.core.value.Bytes;
+import java.io.IOException;
 import java.net.Proxy;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import okhttp3.Call;
 import okhttp3.ConnectionPool;
@@ -11,6 +15,7 @@
 import okhttp3.OkHttpClient;
 import okhttp3.Protocol;
 import okhttp3.Request;
+import okhttp3.Response;
 
 /** The HTTP client that all endpoint clients share. It pools HTTP/1.1 connections and never resends a request. */
 public final class EndpointHttp implements AutoCloseable {
@@ -99,6 +104,24 @@
         return call;
     }
 
+    /**
+     * Reads the complete body of a load report or any other short answer, which the end of the connection may delimit.
+     * The call is cancelled if the body is too large, so that the rest of it is not read.
+     *
+     * @param call The call.
+     * @param response The answer.
+     * @return The body.
+     * @throws IOException If the body is too large or truncated.
+     */
+    public Bytes readReport(Call call, Response response) throws IOException {
+        Optional<Bytes> body = AnswerBody.readToEnd(response, settings.maximumReportBytes());
+        if (body.isEmpty()) {
+            call.cancel();
+            throw new AnswerException(FailureCodes.ANSWER_TOO_LARGE);
+        }
+        return body.get();
+    }
+
     /** {@inheritDoc} */
     @Override
     public void close() {
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/OrderCaller.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/OrderCaller.java
@@ -135,8 +135,7 @@
             @Override
             public void onResponse(Call call, Response response) {
                 try (response) {
-                    onAnswer.accept(Optional.of(new Answer(
-                            response.code(), Bytes.wrap(response.body().bytes()))));
+                    onAnswer.accept(Optional.of(new Answer(response.code(), http.readReport(call, response))));
                 } catch (IOException exception) {
                     onFailure(call, exception);
                 }
