Bound answers of the platform to 8 MiB

An answer of the platform without end was taken up to 64 MiB, the whole heap of a gateway, before the call failed. Lists come in pages of 1 MB, and the largest objects stay under 0.5 MB.

The call is cancelled at the bound, so that closing it reads no more; a write may have been applied, as before.

--- a/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/HttpTransport.java
+++ b/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/HttpTransport.java
@@ -45,8 +45,8 @@
     /** The time after which an idle connection is closed, which is shorter than the usual timeout of servers. */
     private static final Duration IDLE_CONNECTION_TIMEOUT = Duration.ofSeconds(15);
 
-    /** The maximum size of an answer in bytes. */
-    private static final long MAXIMUM_ANSWER_BYTES = 64L << 20;
+    /** The maximum size of an answer in bytes: of the largest lists, and far less than the heap of a small process. */
+    private static final long MAXIMUM_ANSWER_BYTES = 8L << 20;
 
     /** The client for calls that do not wait for changes. */
     private final OkHttpClient client;
@@ -245,6 +245,7 @@
             try (response) {
                 BufferedSource source = response.body().source();
                 if (source.request(MAXIMUM_ANSWER_BYTES + 1)) {
+                    call.cancel();
                     return new Reply.Failed("answer exceeds the maximum size", true, false);
                 }
                 return new Reply.Answered(
--- /dev/null
+++ b/yuccaswitch-platform/src/test/java/io/yuccaswitch/platform/EndlessAnswerTest.java
@@ -0,0 +1,68 @@
+package io.yuccaswitch.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
+
+import com.codahale.metrics.MetricRegistry;
+import io.yuccaswitch.core.platform.PlatformEvent;
+import io.yuccaswitch.testkit.http.EndlessServer;
+import java.time.Duration;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Tests that an answer of the platform without end is broken off, and that its connection is closed. */
+final class EndlessAnswerTest {
+
+    private static final Duration PAUSE = Duration.ofMillis(50);
+    private static final String BODY = "HTTP/1.1 200 OK\r\nX-Object-Version: 1\r\n\r\n";
+
+    /** The room for the buffers of sockets, which a server fills although its peer reads no more. */
+    private static final long SOCKET_BUFFERS = 20L << 20;
+
+    private EndlessServer server;
+
+    @AfterEach
+    void close() {
+        server.close();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "HTTP/1.1 200 OK\r\nX-Endless: "})
+    void aHeadWithoutEndIsBrokenOffAtItsMaximumSize(String beginning) {
+        server = new EndlessServer(beginning, _part -> "xxxxxxxx", Duration.ZERO);
+        assertUnavailable(SOCKET_BUFFERS);
+    }
+
+    @Test
+    void informationalAnswersWithoutEndAreNoAnswer() {
+        server = new EndlessServer("", _part -> "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", Duration.ZERO);
+        assertUnavailable(SOCKET_BUFFERS);
+    }
+
+    @Test
+    void aBodyWithoutEndIsBrokenOffAtItsMaximumSize() {
+        server = new EndlessServer(BODY, _part -> "xxxxxxxx", Duration.ZERO);
+        assertUnavailable((16L << 20) + SOCKET_BUFFERS);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", BODY})
+    void anAnswerThatDripsIsBrokenOffAtItsTimeout(String beginning) {
+        server = new EndlessServer(beginning, _part -> "x", PAUSE);
+        assertUnavailable(1 << 20);
+    }
+
+    private void assertUnavailable(long maximumBytes) {
+        int port = Integer.parseInt(server.address().substring(server.address().indexOf(':') + 1));
+        try (PlatformClient client = new PlatformClient(Calls.settings(port), new MetricRegistry())) {
+            assertThat(new Calls(client).create("a"))
+                    .isInstanceOfSatisfying(
+                            PlatformEvent.Unavailable.class, unavailable -> assertThat(unavailable.maybeApplied())
+                                    .isTrue());
+            await().until(() -> server.openConnections() == 0);
+        }
+        assertThat(server.sentBytes()).isLessThan(maximumBytes);
+    }
+}
