Bound answers to the operator's client to 8 MiB

The client read the answer of a node wholly into memory, for up to 5 s from 16 nodes at a time. EndlessAnswerTest#aBodyWithoutEndIsBrokenOffAtItsMaximumSize failed before with 647,528,467 bytes sent in 5.2 s, where less than 20 MiB were demanded (now 28 MiB, with the room of the socket buffers), and passes after: the call is cancelled at the bound and the node is shown as without an answer. The cases of an endless head and of drips passed before.

--- a/yuccaswitch-command/src/main/java/io/yuccaswitch/command/operator/OperatorClient.java
+++ b/yuccaswitch-command/src/main/java/io/yuccaswitch/command/operator/OperatorClient.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.SortedMap;
+import okhttp3.Call;
 import okhttp3.HttpUrl;
 import okhttp3.MediaType;
 import okhttp3.OkHttpClient;
@@ -35,6 +36,9 @@
     /** The maximum number of concurrent calls. */
     private static final int MAXIMUM_CONCURRENT_CALLS = 16;
 
+    /** The maximum size of an answer in bytes. */
+    private static final long MAXIMUM_ANSWER_BYTES = 8L << 20;
+
     /** The media type of bodies. */
     private static final MediaType JSON = MediaType.get("application/json");
 
@@ -119,7 +123,13 @@
      * @return The answer.
      */
     private NodeReply send(String node, String address, Request request) {
-        try (Response response = client.newCall(request).execute()) {
+        Call call = client.newCall(request);
+        try (Response response = call.execute()) {
+            if (response.body().source().request(MAXIMUM_ANSWER_BYTES + 1)) {
+                call.cancel();
+                String reason = "answer exceeds " + MAXIMUM_ANSWER_BYTES + " bytes";
+                return new NodeReply(node, address, ReplyKind.NO_ANSWER, MissingNode.getInstance(), reason);
+            }
             JsonNode body = parse(response.body().string());
             ReplyKind kind = response.isSuccessful() ? ReplyKind.DONE : ReplyKind.REFUSED;
             return new NodeReply(node, address, kind, body, "HTTP status " + response.code());
