Read the pages of a list in a loop, and answer a call whose processing fails

Cause: PlatformClient read the pages by a recursion of nested singles, and copied the list once for each page. It ended with a StackOverflowError or an OutOfMemoryError. RxJava passes neither on, and OkHttp drops what a callback throws, so the call had no answer.

PagedList now gathers the pages, and the client repeats the call in a loop. An error or exception while an answer is read, decoded or gathered is logged and answers the call as unavailable, so that its caller retries.

--- a/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/HttpTransport.java
+++ b/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/HttpTransport.java
@@ -23,6 +23,7 @@
 import okhttp3.Request;
 import okhttp3.Response;
 import okio.BufferedSource;
+import org.jboss.logging.Logger;
 
 /**
  * Sends each request at most once over HTTP. All automatic retries of OkHttp are disabled, since a repeated write could
@@ -30,6 +31,9 @@
  */
 final class HttpTransport implements AutoCloseable {
 
+    /** The logger. */
+    private static final Logger LOGGER = Logger.getLogger(HttpTransport.class);
+
     /** The header that contains an object's version. */
     private static final String VERSION_HEADER = "X-Object-Version";
 
@@ -253,6 +257,13 @@
                         Bytes.wrap(source.readByteArray()));
             } catch (IOException exception) {
                 return failed(call, exception);
+            } catch (RuntimeException | Error failure) {
+                // OkHttp drops what a callback throws, and the call would never be answered.
+                LOGGER.errorf(
+                        failure,
+                        "event=platform-answer-unreadable url=%s",
+                        call.request().url());
+                return new Reply.Failed("failure: " + failure, true, false);
             }
         }
 
--- a/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/PlatformClient.java
+++ b/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/PlatformClient.java
@@ -6,10 +6,7 @@
 import io.yuccaswitch.core.platform.PlatformEffect;
 import io.yuccaswitch.core.platform.PlatformEvent;
 import io.yuccaswitch.core.platform.PlatformPurpose;
-import io.yuccaswitch.core.platform.StoredObject;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
@@ -123,13 +120,70 @@
                     effect.token(), false, "value of " + write.value().size() + " bytes", Outcome.TOO_LARGE);
             return Single.fromSupplier(() -> finish(effect, oversized).event());
         }
+        Single<PlatformEvent> answer =
+                effect instanceof PlatformEffect.ListKind list ? listPages(list) : attempts(effect);
+        return answer.flatMap(event -> conflictingObject(effect, event))
+                .onErrorReturn(failure -> failed(effect, failure).event());
+    }
+
+    /**
+     * Makes the attempts of a call.
+     *
+     * @param effect The call.
+     * @return The answer to the last attempt.
+     */
+    private Single<PlatformEvent> attempts(PlatformEffect effect) {
         return Single.defer(() -> {
                     retryBudget.earn();
                     return attempt(effect, 1);
                 })
-                .map(Attempt::event)
-                .flatMap(event -> remainingPages(effect, event))
-                .flatMap(event -> conflictingObject(effect, event));
+                .map(Attempt::event);
+    }
+
+    /**
+     * Reads all pages of a list. The repetition is a loop: a long list would exhaust the stack of a recursion.
+     *
+     * @param list The call.
+     * @return The answer with the objects of all pages.
+     */
+    private Single<PlatformEvent> listPages(PlatformEffect.ListKind list) {
+        return Single.defer(() -> {
+            PagedList pages = new PagedList(list);
+            return Single.defer(() -> pages.delay().isZero()
+                            ? attempts(pages.next())
+                            : delay(pages.delay()).flatMap(_waited -> attempts(pages.next())))
+                    .doOnSuccess(event -> receive(pages, event))
+                    .repeatUntil(pages::isComplete)
+                    .ignoreElements()
+                    .andThen(Single.fromSupplier(pages::result));
+        });
+    }
+
+    /**
+     * Adds a page to a list. RxJava passes on the exception, but not an error of the virtual machine.
+     *
+     * @param pages The list.
+     * @param event The answer to the call for the page.
+     */
+    private static void receive(PagedList pages, PlatformEvent event) {
+        try {
+            pages.receive(event);
+        } catch (VirtualMachineError error) {
+            throw new IllegalStateException("list exceeds the memory", error);
+        }
+    }
+
+    /**
+     * Creates the result of a call whose processing failed.
+     *
+     * @param effect The call.
+     * @param failure The failure.
+     * @return The result, which reports that a write may have taken effect.
+     */
+    private static Attempt failed(PlatformEffect effect, Throwable failure) {
+        LOGGER.errorf(failure, "event=platform-call-failed purpose=%s", effect.purpose());
+        return Attempt.unavailable(
+                effect.token(), PlatformReplies.changes(effect), "failure: " + failure, Outcome.FAILED);
     }
 
     /**
@@ -151,41 +205,6 @@
                         : event);
     }
 
-    /**
-     * Reads the remaining pages of a list.
-     *
-     * @param effect The call.
-     * @param event The answer to the call.
-     * @return The answer with the objects of all pages and the version of the first page, so that a watch from this
-     *     version misses no change.
-     */
-    private Single<PlatformEvent> remainingPages(PlatformEffect effect, PlatformEvent event) {
-        if (!(effect instanceof PlatformEffect.ListKind list)
-                || !(event instanceof PlatformEvent.ObjectsListed page)
-                || !page.more()
-                || page.objects().isEmpty()) {
-            return Single.just(event);
-        }
-        String last = page.objects().get(page.objects().size() - 1).key().name();
-        return execute(list.withAfter(last)).map(rest -> join(page, rest));
-    }
-
-    /**
-     * Joins a page with the answer for the following pages.
-     *
-     * @param page The page.
-     * @param rest The answer for the following pages.
-     * @return The joined list, or the failure of the following pages.
-     */
-    private static PlatformEvent join(PlatformEvent.ObjectsListed page, PlatformEvent rest) {
-        if (!(rest instanceof PlatformEvent.ObjectsListed further)) {
-            return rest;
-        }
-        List<StoredObject> objects = new ArrayList<>(page.objects());
-        objects.addAll(further.objects());
-        return new PlatformEvent.ObjectsListed(page.token(), objects, page.version(), false);
-    }
-
     /**
      * Changes the rate limits of this client, for example when the number of clients has changed.
      *
@@ -294,7 +313,7 @@
         return reply(effect, dialect.request(effect, admission == Circuit.Admission.PROBE))
                 .doOnDispose(() -> circuit.abandoned(admission))
                 .map(reply -> {
-                    Attempt attempt = PlatformReplies.decode(dialect, effect, reply);
+                    Attempt attempt = decode(effect, reply);
                     if (reply instanceof Reply.Answered) {
                         metrics.recordAnswer(effect.purpose(), sentAt, !watches);
                     }
@@ -310,6 +329,22 @@
                 });
     }
 
+    /**
+     * Decodes a reply. RxJava does not pass on errors of the virtual machine, so these are converted here: a call
+     * without an answer would make its caller wait forever.
+     *
+     * @param effect The call.
+     * @param reply The reply.
+     * @return The result.
+     */
+    private Attempt decode(PlatformEffect effect, Reply reply) {
+        try {
+            return PlatformReplies.decode(dialect, effect, reply);
+        } catch (RuntimeException | Error failure) {
+            return failed(effect, failure);
+        }
+    }
+
     /**
      * Sends a request with the timeout of its call.
      *
