Hold the index entries of open batch jobs and of few ended ones

A gateway held the index entries of all batch jobs ever accepted, twice: as objects, which it sends to nodes that follow it, and as decoded rows.

What a node does with an ended job is to stop it if it runs there. All else asks the platform if the index has no entry: reads, ends and repeated submissions already did so. A list therefore takes a filter, which the client applies to each page. As a complete list no longer shows that a job has ended, the runner of a job that the index has lacked for 3 s reads its entry.

The copy now forgets its oldest deletion once it has too many, and not all of them at once, so that a follower that is slightly behind still receives changes.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchOwnershipSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchOwnershipSystem.java
@@ -38,6 +38,12 @@
     /** The delay after a failed claim or load. By its end the index shows the changes of other nodes. */
     private static final Duration FAILURE_DELAY = Duration.ofMillis(600);
 
+    /**
+     * How long the index may lack a running job before its entry is read from the platform: longer than a change takes
+     * to arrive. A list of the index omits ended jobs.
+     */
+    private static final Duration UNLISTED_TIMEOUT = Duration.ofSeconds(3);
+
     /** The tables of the batch system. */
     private final BatchState state;
 
@@ -50,6 +56,9 @@
     /** The time until which a job that could not be claimed or loaded is skipped. */
     private final Map<BatchJobId, MonotonicTime> excludedUntil = new HashMap<>();
 
+    /** The time since which the index has lacked a running job, or of the latest read of its entry. */
+    private final Map<BatchJobId, MonotonicTime> unlistedSince = new HashMap<>();
+
     /** The jobs that are being claimed or loaded. */
     private final Set<BatchJobId> claimingOrLoading = new HashSet<>();
 
@@ -78,6 +87,59 @@
             evaluate(tick, changed);
         }
         state.index().open().forEach(row -> evaluate(tick, row));
+        checkUnlisted(tick);
+    }
+
+    /**
+     * Reads the entries of running jobs that the index lacks, as these may have ended.
+     *
+     * @param tick The tick.
+     */
+    private void checkUnlisted(Tick tick) {
+        unlistedSince.keySet().removeIf(id -> !state.running().contains(id) || isListed(id));
+        for (RunningJob running : state.running().view()) {
+            BatchJobId id = running.job().id();
+            if (isListed(id)) {
+                continue;
+            }
+            MonotonicTime since = unlistedSince.computeIfAbsent(id, _id -> tick.now());
+            if (tick.now().since(since).compareTo(UNLISTED_TIMEOUT) >= 0) {
+                unlistedSince.put(id, tick.now());
+                readEntry(tick, id);
+            }
+        }
+    }
+
+    /**
+     * Returns whether the index has a job.
+     *
+     * @param id The job.
+     * @return {@code true} if it has.
+     */
+    private boolean isListed(BatchJobId id) {
+        return state.index().find(id).isPresent();
+    }
+
+    /**
+     * Reads the entry of a job from the platform, and acts on it if the index still lacks the job.
+     *
+     * @param tick The tick.
+     * @param id The job.
+     */
+    private void readEntry(Tick tick, BatchJobId id) {
+        state.calls()
+                .call(
+                        tick,
+                        token -> new PlatformEffect.Read(token, PlatformPurpose.BATCH, BatchObjects.index(id)),
+                        (later, event) -> {
+                            if (event instanceof PlatformEvent.ObjectRead read && !isListed(id)) {
+                                read.object()
+                                        .flatMap(object -> state.codec()
+                                                .readEntry(object.value())
+                                                .map(entry -> new BatchIndex.Row(entry, object.version())))
+                                        .ifPresent(row -> evaluate(later, row));
+                            }
+                        });
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchSystem.java
@@ -56,7 +56,8 @@
             Quarantine quarantine,
             SchedulingOptions options,
             LongSupplier timeOfDay) {
-        KindFeed entries = watches.watch(BatchObjects.INDEX, PlatformPurpose.BATCH, tokens, BATCHING_DELAY);
+        KindFeed entries = watches.watch(
+                BatchObjects.INDEX, PlatformPurpose.BATCH, BatchIndex.openJobs(codec), tokens, BATCHING_DELAY);
         BatchIndex index = new BatchIndex(entries, codec);
         state = BatchState.empty(
                 membership, registry, routes, codec, new PlatformCalls(tokens), index, quarantine, options);
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/platform/KindWatch.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/platform/KindWatch.java
@@ -30,6 +30,9 @@
     /** The purpose of the calls. */
     private final PlatformPurpose purpose;
 
+    /** Selects the objects that are listed. */
+    private final ObjectFilter filter;
+
     /** The calls that wait for their answers. */
     private final PlatformCalls calls;
 
@@ -66,11 +69,30 @@
     /** The changes that were received in this tick. */
     private Optional<KindFeed.Changes> changes = Optional.empty();
 
+    /**
+     * Creates a watch of all objects that has received none.
+     *
+     * @param kind The kind of the objects.
+     * @param purpose The purpose of the calls.
+     * @param tokens Allocates the tokens of calls.
+     * @param batchingDelay The delay after an answer, which batches further changes into the next one.
+     * @param watchTimeout How long the platform may hold a call to wait for changes.
+     */
+    public KindWatch(
+            String kind,
+            PlatformPurpose purpose,
+            PlatformTokens tokens,
+            Duration batchingDelay,
+            Duration watchTimeout) {
+        this(kind, purpose, ObjectFilter.ALL, tokens, batchingDelay, watchTimeout);
+    }
+
     /**
      * Creates a watch that has received no objects.
      *
      * @param kind The kind of the objects.
      * @param purpose The purpose of the calls.
+     * @param filter Selects the objects that are listed. Changes are received for all objects.
      * @param tokens Allocates the tokens of calls.
      * @param batchingDelay The delay after an answer, which batches further changes into the next one.
      * @param watchTimeout How long the platform may hold a call to wait for changes. A broken connection is detected a
@@ -79,11 +101,13 @@
     public KindWatch(
             String kind,
             PlatformPurpose purpose,
+            ObjectFilter filter,
             PlatformTokens tokens,
             Duration batchingDelay,
             Duration watchTimeout) {
         this.kind = kind;
         this.purpose = purpose;
+        this.filter = filter;
         this.batchingDelay = batchingDelay;
         this.watchTimeout = watchTimeout;
         calls = new PlatformCalls(tokens);
@@ -197,7 +221,7 @@
      */
     private PlatformEffect nextCall(long token) {
         return holdTime.isEmpty()
-                ? new PlatformEffect.ListKind(token, purpose, kind)
+                ? new PlatformEffect.ListKind(token, purpose, kind).withFilter(filter)
                 : new PlatformEffect.Watch(token, purpose, kind, version.orElseThrow(), holdTime);
     }
 
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/platform/PlatformEffect.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/platform/PlatformEffect.java
@@ -42,10 +42,30 @@
      * @param kind The kind of the objects.
      * @param after The name after which the list begins, or empty for all objects.
      * @param stale Whether the answer may be some seconds old, which loads the platform less.
+     * @param filter Selects the objects in the answer.
      */
-    record ListKind(long token, PlatformPurpose purpose, String kind, Optional<String> after, boolean stale)
+    record ListKind(
+            long token,
+            PlatformPurpose purpose,
+            String kind,
+            Optional<String> after,
+            boolean stale,
+            ObjectFilter filter)
             implements PlatformEffect {
 
+        /**
+         * Creates a call that lists objects without a filter.
+         *
+         * @param token The token that the answer repeats.
+         * @param purpose The purpose of the call.
+         * @param kind The kind of the objects.
+         * @param after The name after which the list begins, or empty for all objects.
+         * @param stale Whether the answer may be some seconds old, which loads the platform less.
+         */
+        public ListKind(long token, PlatformPurpose purpose, String kind, Optional<String> after, boolean stale) {
+            this(token, purpose, kind, after, stale, ObjectFilter.ALL);
+        }
+
         /**
          * Creates a call that lists the current state of all objects of a kind.
          *
@@ -64,7 +84,17 @@
          * @return The call.
          */
         public ListKind withAfter(String name) {
-            return new ListKind(token, purpose, kind, Optional.of(name), stale);
+            return new ListKind(token, purpose, kind, Optional.of(name), stale, filter);
+        }
+
+        /**
+         * Returns a copy of this call for the objects that a filter retains.
+         *
+         * @param newFilter Selects the objects in the answer.
+         * @return The call.
+         */
+        public ListKind withFilter(ObjectFilter newFilter) {
+            return new ListKind(token, purpose, kind, after, stale, newFilter);
         }
     }
 
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/KindConfirmation.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/KindConfirmation.java
@@ -3,6 +3,7 @@
 import io.yuccaswitch.core.decision.Tick;
 import io.yuccaswitch.core.platform.CallBackoff;
 import io.yuccaswitch.core.platform.KindFeed;
+import io.yuccaswitch.core.platform.ObjectFilter;
 import io.yuccaswitch.core.platform.PlatformCalls;
 import io.yuccaswitch.core.platform.PlatformEffect;
 import io.yuccaswitch.core.platform.PlatformEvent;
@@ -54,6 +55,9 @@
     /** The purpose of the calls. */
     private final PlatformPurpose purpose;
 
+    /** Selects the objects that are listed. */
+    private final ObjectFilter filter;
+
     /** The calls that wait for their answers. */
     private final PlatformCalls calls;
 
@@ -92,11 +96,13 @@
      *
      * @param kind The kind.
      * @param purpose The purpose of the calls.
+     * @param filter Selects the objects that are listed.
      * @param tokens Allocates the tokens of calls.
      */
-    KindConfirmation(String kind, PlatformPurpose purpose, PlatformTokens tokens) {
+    KindConfirmation(String kind, PlatformPurpose purpose, ObjectFilter filter, PlatformTokens tokens) {
         this.kind = kind;
         this.purpose = purpose;
+        this.filter = filter;
         calls = new PlatformCalls(tokens);
     }
 
@@ -132,7 +138,7 @@
         calls.call(
                 tick,
                 token -> lists
-                        ? new PlatformEffect.ListKind(token, purpose, kind)
+                        ? new PlatformEffect.ListKind(token, purpose, kind).withFilter(filter)
                         : new PlatformEffect.Watch(token, purpose, kind, version, Optional.of(MINIMUM_WAIT)),
                 (later, event) -> receive(later, event, version, lists));
     }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/KindReplica.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/KindReplica.java
@@ -1,17 +1,26 @@
 package io.yuccaswitch.core.watch;
 
 import io.yuccaswitch.core.platform.KindFeed;
+import io.yuccaswitch.core.platform.ObjectFilter;
 import io.yuccaswitch.core.platform.StoredObject;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** This node's copy of the objects of one kind, with the latest changes, which it serves to followers. */
 final class KindReplica {
 
-    /** The maximum number of deletions that are retained. Beyond it, followers get all objects again. */
-    private static final int MAXIMUM_RETAINED_DELETIONS = 500;
+    /**
+     * The maximum number of deletions, and of objects that need not be held, that are retained. A follower that lacks
+     * an older one gets all objects again.
+     */
+    private static final int MAXIMUM_RETAINED_REMOVALS = 500;
+
+    /** Selects the objects that have to be held. */
+    private final ObjectFilter filter;
 
     /** The objects and the retained deletions, by name. */
     private final Map<String, StoredObject> objects = new HashMap<>();
@@ -22,11 +31,20 @@
     /** The version of the latest change, or that of the latest list of all objects. */
     private long changedAt = WatchMessage.UNKNOWN_VERSION;
 
-    /** The version after which all deletions are retained. */
-    private long deletionsRetainedAfter = Long.MAX_VALUE;
+    /** The version after which all deletions, and all objects that need not be held, are retained. */
+    private long removalsRetainedAfter = Long.MAX_VALUE;
 
-    /** The number of retained deletions. */
-    private int deletions;
+    /** The names of the retained deletions and of the objects that need not be held, the latest change last. */
+    private final Set<String> removals = new LinkedHashSet<>();
+
+    /**
+     * Creates a copy without objects.
+     *
+     * @param filter Selects the objects that have to be held.
+     */
+    KindReplica(ObjectFilter filter) {
+        this.filter = filter;
+    }
 
     /**
      * Returns the version up to which this copy includes all changes.
@@ -65,27 +83,33 @@
     void apply(KindFeed.Changes changes, long upTo) {
         if (changes.complete()) {
             objects.clear();
-            deletions = 0;
-            deletionsRetainedAfter = upTo;
+            removals.clear();
+            removalsRetainedAfter = upTo;
             changedAt = upTo;
         }
         changes.objects().forEach(this::put);
         version = Math.max(version, upTo);
-        if (deletions > MAXIMUM_RETAINED_DELETIONS) {
-            objects.values().removeIf(StoredObject::deleted);
-            deletions = 0;
-            deletionsRetainedAfter = version;
+        while (removals.size() > MAXIMUM_RETAINED_REMOVALS) {
+            forgetOldestRemoval();
         }
     }
 
+    /** Removes the oldest deletion or object that need not be held. */
+    private void forgetOldestRemoval() {
+        String name = removals.iterator().next();
+        removals.remove(name);
+        StoredObject removed = objects.remove(name);
+        removalsRetainedAfter = Math.max(removalsRetainedAfter, removed.version());
+    }
+
     /**
      * Returns the update for a node that has all changes up to a version.
      *
      * @param afterVersion The version.
-     * @return The changes after the version, or all objects if some deletions since then are no longer retained.
+     * @return The changes after the version, or all objects if some removals since then are no longer retained.
      */
     KindFeed.Changes changesAfter(long afterVersion) {
-        boolean complete = afterVersion < deletionsRetainedAfter;
+        boolean complete = afterVersion < removalsRetainedAfter;
         List<StoredObject> wanted = objects.values().stream()
                 .filter(object -> complete ? !object.deleted() : object.version() > afterVersion)
                 .sorted(Comparator.comparingLong(StoredObject::version))
@@ -99,8 +123,12 @@
      * @param object The object.
      */
     private void put(StoredObject object) {
-        StoredObject before = objects.put(object.key().name(), object);
+        String name = object.key().name();
+        objects.put(name, object);
         changedAt = Math.max(changedAt, object.version());
-        deletions += (object.deleted() ? 1 : 0) - (before != null && before.deleted() ? 1 : 0);
+        removals.remove(name);
+        if (object.deleted() || !filter.retains(object)) {
+            removals.add(name);
+        }
     }
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/SharedKindWatch.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/SharedKindWatch.java
@@ -5,6 +5,7 @@
 import io.yuccaswitch.core.platform.CallBackoff;
 import io.yuccaswitch.core.platform.KindFeed;
 import io.yuccaswitch.core.platform.KindWatch;
+import io.yuccaswitch.core.platform.ObjectFilter;
 import io.yuccaswitch.core.platform.PlatformPurpose;
 import io.yuccaswitch.core.platform.PlatformTokens;
 import io.yuccaswitch.core.suspension.Suspended;
@@ -41,7 +42,7 @@
     private final KindWatch platformWatch;
 
     /** This node's copy of the objects. */
-    private final KindReplica replica = new KindReplica();
+    private final KindReplica replica;
 
     /** Selects the watchers. */
     private final WatchRoles roles;
@@ -84,6 +85,7 @@
      *
      * @param kind The kind of the objects.
      * @param purpose The purpose of the calls.
+     * @param filter Selects the objects that have to be held.
      * @param tokens Allocates the tokens of calls.
      * @param batchingDelay The delay after an answer of the platform, which batches further changes into the next one.
      * @param maximumAge The age at which this node's state is confirmed at the platform, or empty if its age is not
@@ -95,6 +97,7 @@
     SharedKindWatch(
             String kind,
             PlatformPurpose purpose,
+            ObjectFilter filter,
             PlatformTokens tokens,
             Duration batchingDelay,
             Optional<Duration> maximumAge,
@@ -103,8 +106,9 @@
             KindAges ages) {
         this.kind = kind;
         this.ages = ages;
-        platformWatch = new KindWatch(kind, purpose, tokens, batchingDelay, WATCH_TIMEOUT);
-        confirmation = new KindConfirmation(kind, purpose, tokens);
+        replica = new KindReplica(filter);
+        platformWatch = new KindWatch(kind, purpose, filter, tokens, batchingDelay, WATCH_TIMEOUT);
+        confirmation = new KindConfirmation(kind, purpose, filter, tokens);
         this.maximumAge = maximumAge;
         this.roles = roles;
         this.follower = follower;
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/SharedWatches.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/SharedWatches.java
@@ -1,6 +1,7 @@
 package io.yuccaswitch.core.watch;
 
 import io.yuccaswitch.core.membership.MembershipView;
+import io.yuccaswitch.core.platform.ObjectFilter;
 import io.yuccaswitch.core.platform.PlatformPurpose;
 import io.yuccaswitch.core.platform.PlatformTokens;
 import java.time.Duration;
@@ -40,7 +41,23 @@
      * @return The watch.
      */
     public SharedKindWatch watch(String kind, PlatformPurpose purpose, PlatformTokens tokens, Duration batchingDelay) {
-        return watch(kind, purpose, tokens, batchingDelay, Optional.empty());
+        return watch(kind, purpose, ObjectFilter.ALL, tokens, batchingDelay, Optional.empty());
+    }
+
+    /**
+     * Creates the watch of a kind of which only some objects have to be held. Changes of all objects are received, but
+     * a list of all objects omits the others.
+     *
+     * @param kind The kind of the objects.
+     * @param purpose The purpose of the calls.
+     * @param filter Selects the objects that have to be held.
+     * @param tokens Allocates the tokens of calls.
+     * @param batchingDelay The delay after an answer of the platform, which batches further changes into the next one.
+     * @return The watch.
+     */
+    public SharedKindWatch watch(
+            String kind, PlatformPurpose purpose, ObjectFilter filter, PlatformTokens tokens, Duration batchingDelay) {
+        return watch(kind, purpose, filter, tokens, batchingDelay, Optional.empty());
     }
 
     /**
@@ -55,7 +72,7 @@
      */
     public SharedKindWatch watchWithin(
             String kind, PlatformPurpose purpose, PlatformTokens tokens, Duration batchingDelay, Duration maximumAge) {
-        return watch(kind, purpose, tokens, batchingDelay, Optional.of(maximumAge));
+        return watch(kind, purpose, ObjectFilter.ALL, tokens, batchingDelay, Optional.of(maximumAge));
     }
 
     /**
@@ -63,6 +80,7 @@
      *
      * @param kind The kind of the objects.
      * @param purpose The purpose of the calls.
+     * @param filter Selects the objects that have to be held.
      * @param tokens Allocates the tokens of calls.
      * @param batchingDelay The delay after an answer of the platform, which batches further changes into the next one.
      * @param maximumAge The age at which this node's state is confirmed at the platform, or empty if its age is not
@@ -72,13 +90,14 @@
     private SharedKindWatch watch(
             String kind,
             PlatformPurpose purpose,
+            ObjectFilter filter,
             PlatformTokens tokens,
             Duration batchingDelay,
             Optional<Duration> maximumAge) {
         WatchFollower follower = new WatchFollower(kind, contacts, ages, !probeAssigned);
         probeAssigned = true;
         SharedKindWatch watch = new SharedKindWatch(
-                kind, purpose, tokens, batchingDelay, maximumAge, new WatchRoles(membership), follower, ages);
+                kind, purpose, filter, tokens, batchingDelay, maximumAge, new WatchRoles(membership), follower, ages);
         ages.add(watch);
         return watch;
     }
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSite.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSite.java
@@ -44,7 +44,7 @@
     final List<BatchEffect.Cancel> cancelled = new ArrayList<>();
     final List<BatchEffect.Score> scored = new ArrayList<>();
     final List<BatchEffect.CancelScoring> cancelledScorings = new ArrayList<>();
-    private final PlainBatchCodec codec = new PlainBatchCodec();
+    final PlainBatchCodec codec = new PlainBatchCodec();
     private final List<TestNode> nodes = new ArrayList<>();
     private final Map<Long, BatchAnswer> answers = new HashMap<>();
     private Function<BatchEffect.Run, Optional<BatchEvent.AttemptEnded>> engines =
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSystemTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSystemTest.java
@@ -554,6 +554,51 @@
         assertThat(site.cancelled).hasSize(4);
     }
 
+    @Test
+    void aRunnerWhoseNewListOfTheIndexOmitsAnEndedJobFindsTheEnd() {
+        TestNode runner = site.node("node-1");
+        site.run(500);
+        site.engines(_run -> Optional.empty());
+        site.submit(runner, BatchSite.job("job", 4));
+        site.run(1000);
+        site.site.platform().failWhere((_node, call) -> call instanceof PlatformEffect.Watch);
+        BatchIndexEntry entry =
+                new BatchIndexEntry(new BatchJobId("job"), new NodeName("node-1"), true, 4, BatchSite.MODEL);
+        site.site
+                .platform()
+                .put(BatchObjects.INDEX, "job", site.codec.writeEntry(entry).toUtf8());
+        site.run(500);
+        site.site.platform().compact();
+        site.site.platform().failWhere(BatchSystemTest::never);
+        site.run(5000);
+        assertThat(site.cancelled).hasSize(4);
+    }
+
+    @Test
+    void anEndedJobThatTheIndexOmitsIsReadEndedAndSubmittedAgainAsBefore() {
+        TestNode first = site.node("node-1");
+        site.run(500);
+        site.submit(first, BatchSite.job("job", 4));
+        site.run(2000);
+        site.end(first, "job");
+        site.run(1000);
+        site.kill(first);
+        TestNode second = site.node("node-2");
+        site.run(5000);
+        site.runs.clear();
+        long read = site.read(second, "job", 0, Duration.ofSeconds(1));
+        long end = site.end(second, "job");
+        long submission = site.submit(second, BatchSite.job("job", 4));
+        site.run(3000);
+        assertThat(site.answer(read)
+                        .map(answer -> ((BatchAnswer.Results) answer).results())
+                        .orElseThrow())
+                .hasSize(4);
+        assertThat(site.answer(end)).contains(new BatchAnswer.Ended());
+        assertThat(site.answer(submission)).contains(new BatchAnswer.Accepted());
+        assertThat(site.runs).as("no item runs again").isEmpty();
+    }
+
     @Test
     void anInterruptedItemResumesAfterItsLastEvent() {
         TestNode node = site.node("node-1");
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/site/SharedPlatform.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/site/SharedPlatform.java
@@ -147,6 +147,7 @@
                     .filter(object -> list.after()
                             .filter(name -> object.key().name().compareTo(name) <= 0)
                             .isEmpty())
+                    .filter(object -> object.deleted() || list.filter().retains(object))
                     .toList();
             return new PlatformEvent.ObjectsListed(list.token(), found, version, false);
         }
--- a/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/PagedList.java
+++ b/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/PagedList.java
@@ -98,7 +98,7 @@
         }
         failures = 0;
         version = version.or(() -> Optional.of(page.version()));
-        objects.addAll(page.objects());
+        page.objects().stream().filter(next.filter()::retains).forEach(objects::add);
         if (page.more() && !page.objects().isEmpty()) {
             List<StoredObject> last = page.objects();
             next = next.withAfter(last.get(last.size() - 1).key().name());
