Refuse requests before a planned stop ends, so that none that was passed on is cut

Around a SIGTERM callers lost requests that a gateway had read and passed on: their connections ended without an answer, 3.3 to 3.6 s after the signal, or 6.7 to 7.2 s after it at a gateway that was never idle.

Cause: the gateway closed its listening sockets once it was idle or its time was up, waited 150 ms, and closed everything. In between it still read requests on open connections and passed them on. As long as requests came it was never idle, and cut what it had in progress at the end.

The gateway now refuses further requests as it closes its listening sockets: 503, or 504 for the submission of a batch job, which an earlier call may have got accepted. Then it waits until those in progress are answered. A request is counted before it is checked, so that each one is either refused or waited for. A gateway that isn't idle does so 3 s before its work time ends, which leaves the last requests that time. Whether an answer closes the connection is now decided when it is written, and not when its request was read.

QueuedAssignmentTest only passes a supplier in place of a constant now.

--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/CallerResponse.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/CallerResponse.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import okhttp3.Headers;
 
@@ -27,17 +28,17 @@
     /** The connection of the caller. */
     private final ClientConnection connection;
 
-    /** Whether the node is about to stop, so that connections are not kept alive. */
-    private final boolean closing;
+    /** Returns whether the node is about to stop, so that connections are not kept alive. */
+    private final BooleanSupplier closing;
 
     /**
      * Creates a writer.
      *
      * @param context The request.
      * @param connection The connection of the caller.
-     * @param closing Whether the node is about to stop, so that connections are not kept alive.
+     * @param closing Returns whether the node is about to stop, so that connections are not kept alive.
      */
-    CallerResponse(Context context, ClientConnection connection, boolean closing) {
+    CallerResponse(Context context, ClientConnection connection, BooleanSupplier closing) {
         response = context.res();
         this.connection = connection;
         this.closing = closing;
@@ -138,7 +139,7 @@
      * another node.
      */
     private void closeIfLeaving() {
-        if (closing) {
+        if (closing.getAsBoolean()) {
             response.setHeader(CONNECTION, "close");
         }
     }
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
@@ -65,6 +65,9 @@
     /** How long a stopping node keeps accepting requests: three times the validity of the directory's answers. */
     private static final Duration LINGER_DURATION = Duration.ofMillis(3300);
 
+    /** The time before the end of a planned stop that is left for the answers to the last requests. */
+    private static final Duration ANSWER_TIME = Duration.ofSeconds(3);
+
     /** The margin before the end of a planned stop, at which the process ends all work in progress. */
     private static final Duration STOP_MARGIN = Duration.ofMillis(900);
 
@@ -248,7 +251,8 @@
 
     /**
      * Stops the node gracefully: leaves the directory, serves callers that still use an earlier answer of the
-     * directory, waits for requests and items in progress, and hands the remaining jobs over to other nodes.
+     * directory, refuses further requests once none is in progress or the time is short, waits for requests and items
+     * in progress, and hands the remaining jobs over to other nodes.
      */
     public void stopGracefully() {
         long startedAt = System.nanoTime();
@@ -258,8 +262,10 @@
         loop.accept(new BatchEvent.Leaving());
         try {
             sleepUntil(startedAt, LINGER_DURATION);
-            awaitIdle(startedAt);
+            Duration workTime = settings.stopTime().minus(STOP_MARGIN);
+            awaitIdle(startedAt, workTime.minus(ANSWER_TIME));
             server.stopAccepting();
+            awaitIdle(startedAt, workTime);
             loop.accept(new MembershipEvent.Departing());
             TimeUnit.MILLISECONDS.sleep(DEPARTURE_DELAY.toMillis());
         } catch (InterruptedException exception) {
@@ -323,13 +329,14 @@
     }
 
     /**
-     * Waits until no request and no batch job is in progress, or the time for a planned stop has nearly elapsed.
+     * Waits until no request and no batch job is in progress, or a time after the start of a planned stop has elapsed.
      *
      * @param startedAt When the stop started, in nanoseconds.
+     * @param limit The time after the start.
      * @throws InterruptedException If the thread is interrupted.
      */
-    private void awaitIdle(long startedAt) throws InterruptedException {
-        long end = startedAt + settings.stopTime().minus(STOP_MARGIN).toNanos();
+    private void awaitIdle(long startedAt, Duration limit) throws InterruptedException {
+        long end = startedAt + limit.toNanos();
         while (System.nanoTime() < end
                 && (server.inProgress() > 0 || core.batches().runningJobs() > 0)) {
             TimeUnit.MILLISECONDS.sleep(IDLE_POLL_INTERVAL.toMillis());
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayServer.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayServer.java
@@ -73,9 +73,12 @@
     /** The status of a body that is too large. */
     private static final int CONTENT_TOO_LARGE = 413;
 
-    /** The status of a node that has no configuration yet. */
+    /** The status of a node that has no configuration yet or is stopping. */
     private static final int UNAVAILABLE = 503;
 
+    /** The status of a submission to a stopping node, which may have been accepted by an earlier call. */
+    private static final int GATEWAY_TIMEOUT = 504;
+
     /** The logger. */
     private static final Logger LOGGER = Logger.getLogger(GatewayServer.class);
 
@@ -112,6 +115,9 @@
     /** The number of requests in progress at the address for requests. */
     private final AtomicInteger inProgress = new AtomicInteger();
 
+    /** Whether requests are no longer served. */
+    private volatile boolean refusing;
+
     /** The connectors. */
     private final List<ServerConnector> connectors = new ArrayList<>();
 
@@ -165,9 +171,13 @@
         return inProgress.get();
     }
 
-    /** Stops accepting connections, and keeps serving the existing ones. */
+    /**
+     * Stops accepting connections, and refuses further requests on the existing ones. A request counts as in progress
+     * before it is checked, so that each one is either refused or counted after this call.
+     */
     void stopAccepting() {
         connectors.forEach(ServerConnector::close);
+        refusing = true;
     }
 
     /**
@@ -344,7 +354,7 @@
                 .orElse(Long.MAX_VALUE);
         Optional<Bytes> body = readBody(context, maximumBodyBytes);
         ClientConnection connection = ClientConnection.of(context.req());
-        CallerResponse caller = new CallerResponse(context, connection, view.isLeaving());
+        CallerResponse caller = new CallerResponse(context, connection, view::isLeaving);
         if (routes.isEmpty() || !view.hasEndpoints()) {
             caller.answerText(UNAVAILABLE, "no configuration yet", Optional.of(NOT_READY_RETRY_AFTER));
             return false;
@@ -353,6 +363,10 @@
             caller.answerText(CONTENT_TOO_LARGE, "the body is too large", Optional.empty());
             return false;
         }
+        if (refusing) {
+            refuse(context, caller, routes.get(), path);
+            return false;
+        }
         Optional<CallerDialect.BatchCall> call =
                 callers.batchCall(context.req().getMethod(), path, context::queryParam, context::header);
         if (call.isPresent()) {
@@ -387,6 +401,25 @@
         return false;
     }
 
+    /**
+     * Refuses a request because this node is about to end. The submission of a batch job is not reported as not run,
+     * since an earlier call may have been accepted.
+     *
+     * @param context The request.
+     * @param caller Writes the answer.
+     * @param routes The configuration of routes.
+     * @param path The path.
+     * @throws IOException If the caller has disconnected.
+     */
+    private static void refuse(Context context, CallerResponse caller, RouteConfiguration routes, String path)
+            throws IOException {
+        String host = Optional.ofNullable(context.header("Host")).orElse("");
+        boolean submits = routes.find(host, path)
+                .filter(route -> route.kind() == RequestKind.BATCH)
+                .isPresent();
+        caller.answerText(submits ? GATEWAY_TIMEOUT : UNAVAILABLE, "this node is stopping", Optional.of(Duration.ZERO));
+    }
+
     /**
      * Serves the submission of a batch job.
      *
--- a/yuccaswitch-node/src/test/java/io/yuccaswitch/node/gateway/QueuedAssignmentTest.java
+++ b/yuccaswitch-node/src/test/java/io/yuccaswitch/node/gateway/QueuedAssignmentTest.java
@@ -94,7 +94,7 @@
                     try (DisconnectWatch.WatchedRequest watched = watch.watch(connection)) {
                         handler.serve(
                                 request(context.header("Request-Id")),
-                                new CallerResponse(context, connection, false),
+                                new CallerResponse(context, connection, () -> false),
                                 watched);
                     }
                 }))
