--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchOwnershipSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchOwnershipSystem.java
@@ -8,7 +8,9 @@
 import io.yuccaswitch.core.membership.MemberCondition;
 import io.yuccaswitch.core.membership.MembershipEvent;
 import io.yuccaswitch.core.membership.RendezvousRanking;
+import io.yuccaswitch.core.platform.PlatformEffect;
 import io.yuccaswitch.core.platform.PlatformEvent;
+import io.yuccaswitch.core.platform.PlatformPurpose;
 import io.yuccaswitch.core.time.MonotonicTime;
 import java.time.Duration;
 import java.util.HashMap;
@@ -30,6 +32,13 @@
      */
     private static final Duration ORPHAN_TIMEOUT = Duration.ofMillis(700);
 
+    /**
+     * How long the index may lack a running job before its entry is read from the platform: longer than a change
+     * usually takes to arrive, and short, as items of an ended job must stop within seconds. A list of the index omits
+     * ended jobs.
+     */
+    private static final Duration UNLISTED_TIMEOUT = Duration.ofSeconds(1);
+
     /** The tables of the batch system. */
     private final BatchState state;
 
@@ -39,6 +48,9 @@
     /** The time since which the runner of a job has been missing. */
     private final Map<BatchJobId, MonotonicTime> orphanedSince = new HashMap<>();
 
+    /** The time since which the index has lacked a running job, or of the latest read of its entry. */
+    private final Map<BatchJobId, MonotonicTime> unlistedSince = new HashMap<>();
+
     /** The jobs that are being claimed. */
     private final Set<BatchJobId> claiming = new HashSet<>();
 
@@ -67,6 +79,59 @@
             evaluate(tick, changed);
         }
         state.index().open().forEach(row -> evaluate(tick, row));
+        checkUnlisted(tick);
+    }
+
+    /**
+     * Reads the entries of running jobs that the index lacks, as these may have ended.
+     *
+     * @param tick The tick.
+     */
+    private void checkUnlisted(Tick tick) {
+        unlistedSince.keySet().removeIf(id -> !state.running().contains(id) || isListed(id));
+        for (RunningJob running : state.running().view()) {
+            BatchJobId id = running.job().id();
+            if (isListed(id)) {
+                continue;
+            }
+            MonotonicTime since = unlistedSince.computeIfAbsent(id, _id -> tick.now());
+            if (tick.now().since(since).compareTo(UNLISTED_TIMEOUT) >= 0) {
+                unlistedSince.put(id, tick.now());
+                readEntry(tick, id);
+            }
+        }
+    }
+
+    /**
+     * Returns whether the index has a job.
+     *
+     * @param id The job.
+     * @return {@code true} if it has.
+     */
+    private boolean isListed(BatchJobId id) {
+        return state.index().find(id).isPresent();
+    }
+
+    /**
+     * Reads the entry of a job from the platform, and acts on it if the index still lacks the job.
+     *
+     * @param tick The tick.
+     * @param id The job.
+     */
+    private void readEntry(Tick tick, BatchJobId id) {
+        state.calls()
+                .call(
+                        tick,
+                        token -> new PlatformEffect.Read(token, PlatformPurpose.BATCH, BatchObjects.index(id)),
+                        (later, event) -> {
+                            if (event instanceof PlatformEvent.ObjectRead read && !isListed(id)) {
+                                read.object()
+                                        .flatMap(object -> state.codec()
+                                                .readEntry(object.value())
+                                                .map(entry -> new BatchIndex.Row(entry, object.version())))
+                                        .ifPresent(row -> evaluate(later, row));
+                            }
+                        });
     }
 
     /**
