Test the line of a write that is answered after its run was stopped

The first form of the test failed, as the job had finished before the stop; the engines now hold the items until the answers of the platform are delayed.

--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/JobTraceTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/JobTraceTest.java
@@ -5,6 +5,7 @@
 import io.yuccaswitch.core.decision.Decision;
 import io.yuccaswitch.core.decision.Tick;
 import io.yuccaswitch.core.identity.NodeName;
+import io.yuccaswitch.core.peer.PeerEvent;
 import io.yuccaswitch.core.platform.ObjectKey;
 import io.yuccaswitch.core.platform.PlatformEffect;
 import io.yuccaswitch.core.platform.StoredObject;
@@ -160,6 +161,25 @@
                         + " items job-{0..1}");
     }
 
+    @Test
+    void aWriteThatIsAnsweredAfterTheStopOfItsRunIsNamedAsOneOfAnEarlierRun() {
+        site.engines(_run -> Optional.empty());
+        site.submit(node, BatchSite.job("job", 2));
+        site.run(600);
+        site.site.platform().delayAnswers(_node -> Duration.ofSeconds(1));
+        site.started.forEach(run -> node.accept(BatchSite.completed(run, 1)));
+        site.run(300);
+        node.accept(new PeerEvent.Received(node.self().identity(), new BatchMessage.Ended("job")));
+        site.run(2000);
+        assertThat(reasons(node, "batch-job", "stop here"))
+                .singleElement()
+                .asString()
+                .contains(", a write of results is in progress, ");
+        assertThat(reasons(node, "batch-results", "listed"))
+                .containsExactly("object 0 with 2 results at positions 0 to 1, 2 in total, items job-{0..1},"
+                        + " begun by an earlier run or with an evicted log, node node-1@1");
+    }
+
     @Test
     void aReaderTellsWhichObjectsItReadAndHow() {
         TestNode reader = start("node-2");
