--- a/yuccaswitch-endpoint/src/test/java/io/yuccaswitch/endpoint/GenerationTest.java
+++ b/yuccaswitch-endpoint/src/test/java/io/yuccaswitch/endpoint/GenerationTest.java
@@ -160,6 +160,7 @@
                 Optional.empty());
         TestSubscriber<RequestEvent> events = fixture.start(send, PoolKind.ENGINE);
         awaitTokens(engine, 5);
+        await().until(() -> events.values().stream().anyMatch(RequestEvent.Progressed.class::isInstance));
         fixture.client.cancel(send.id(), send.attempt());
         assertThat(ClientFixture.result(events)).isInstanceOfSatisfying(AttemptResult.MaybeRun.class, ended -> {
             assertThat(ended.code()).isEqualTo(FailureCodes.CANCELLED);
