Bound the changes of the version within a generation

An engine that sends events with tokens, no text and another version each grew the list of segments without bound until the deadline, and each progress copied it. EndlessAnswerTest#eventsWithoutTextAndEndAreBrokenOffAtTheirMaximumNumber failed before: the attempt had not ended after 20 s, in 397 progress events. It passes after: beyond 4,096 segments the answer is too large and its connection is closed; a generation sees a version change every half minute at most.

--- a/yuccaswitch-endpoint/src/main/java/io/yuccaswitch/endpoint/GenerationBuilder.java
+++ b/yuccaswitch-endpoint/src/main/java/io/yuccaswitch/endpoint/GenerationBuilder.java
@@ -10,6 +10,9 @@
 /** Accumulates the output of an engine, appended to the generation of an earlier attempt that is resumed. */
 final class GenerationBuilder {
 
+    /** The maximum number of changes of the weight version within a generation. */
+    private static final int MAXIMUM_SEGMENTS = 4096;
+
     /** The text generated so far. */
     private final StringBuilder text;
 
@@ -40,13 +43,14 @@
      * @param tokenText The text of the tokens.
      * @param tokens The number of tokens.
      * @param version The weight version, or {@link Segment#UNKNOWN_VERSION}.
-     * @throws AnswerException If the text becomes too long, or if the number of tokens is invalid.
+     * @throws AnswerException If the text becomes too long, if there are too many segments, or if the number of tokens
+     *     is invalid.
      */
     void add(String tokenText, int tokens, long version) throws AnswerException {
         if (tokens < 0 || (tokens == 0 && !tokenText.isEmpty())) {
             throw new AnswerException(FailureCodes.MALFORMED_ANSWER);
         }
-        if (text.length() + (long) tokenText.length() > maximumLength) {
+        if (text.length() + (long) tokenText.length() > maximumLength || reportedSegments.size() > MAXIMUM_SEGMENTS) {
             throw new AnswerException(FailureCodes.ANSWER_TOO_LARGE);
         }
         text.append(tokenText);
