Bound the memory of all answers at a gateway together

A gateway held up to 16 MiB of each plain answer until it was complete. With 50 endpoints whose bodies never end and 100 requests at once, callers of the real program with its heap of 64 MB got 500 instead of a true answer, also for requests that may have run.

EndlessAnswerProcessTest, case body without pause: failed before with status 500, passes after with 502, 503 or 504 for each request, no OutOfMemoryError in the log, all connections closed and a sound endpoint serving at once.

All answers being read together may take a quarter of the heap. Beyond it the largest is broken off, which is one without end, as those outgrow the others; it counts as an answer that may have run at an unusable endpoint.

--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointAttempts.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointAttempts.java
@@ -6,6 +6,7 @@
 import io.yuccaswitch.core.quarantine.Loss;
 import io.yuccaswitch.core.registry.RegisteredEndpoint;
 import io.yuccaswitch.core.value.Bytes;
+import io.yuccaswitch.endpoint.AnswerMemory;
 import io.yuccaswitch.endpoint.EndpointChecks;
 import io.yuccaswitch.endpoint.EndpointHttp;
 import io.yuccaswitch.endpoint.OneShotBody;
@@ -25,6 +26,7 @@
 import okhttp3.HttpUrl;
 import okhttp3.Request;
 import okhttp3.Response;
+import okio.Buffer;
 import org.jboss.logging.Logger;
 
 /** Sends plain requests to endpoints, and validates that answers are complete and belong to their requests. */
@@ -36,6 +38,9 @@
     /** The maximum size of an answer that is forwarded, in bytes. */
     private static final long MAXIMUM_ANSWER_BYTES = 16L << 20;
 
+    /** The maximum number of bytes that one read requests. */
+    private static final long READ_CHUNK_BYTES = 8192;
+
     /**
      * The statuses of overloaded and unavailable endpoints. Unless the endpoint also guarantees that the request was
      * not run, it may have run.
@@ -60,6 +65,9 @@
     /** Checks endpoints again right before requests are sent. */
     private final DispatchCheck dispatch;
 
+    /** Bounds the memory of all answers that are being read. */
+    private final AnswerMemory memory = AnswerMemory.ofHeap();
+
     /** The calls in progress, with the endpoint incarnations that they were sent to. */
     private final Map<Call, EndpointName> callsInProgress = new ConcurrentHashMap<>();
 
@@ -196,17 +204,23 @@
      */
     AttemptResult readComplete(OpenedAttempt opened) {
         Response response = opened.response().orElseThrow();
-        try (response) {
-            byte[] body = response.body().source().request(MAXIMUM_ANSWER_BYTES + 1)
-                    ? new byte[0]
-                    : response.body().source().readByteArray();
-            if (body.length == 0 && !response.body().source().exhausted()) {
-                opened.discard();
-                return unusableAnswer("the answer is too large");
+        AnswerMemory.Share share = memory.open(opened.call()::cancel);
+        try (response;
+                share) {
+            Buffer body = new Buffer();
+            long count = response.body().source().read(body, READ_CHUNK_BYTES);
+            while (count >= 0) {
+                if (!share.add(count) || body.size() > MAXIMUM_ANSWER_BYTES) {
+                    opened.discard();
+                    return unusableAnswer("the answer is too large");
+                }
+                count = response.body().source().read(body, READ_CHUNK_BYTES);
             }
-            return new AttemptResult.Complete(response.code(), response.headers(), Bytes.wrap(body));
+            return new AttemptResult.Complete(response.code(), response.headers(), Bytes.wrap(body.readByteArray()));
         } catch (IOException exception) {
-            AttemptResult result = lostAnswer(opened, "the answer broke off: " + describe(exception));
+            AttemptResult result = share.isBrokenOff()
+                    ? unusableAnswer("the answer is too large")
+                    : lostAnswer(opened, "the answer broke off: " + describe(exception));
             opened.discard();
             return result;
         }
