--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchRunSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchRunSystem.java
@@ -143,7 +143,7 @@
         RunningJob job = share.job();
         if (!route.resumable()
                 || violatesSingleVersion(route, item, engine, job.job().model())) {
-            item.replaceText(ItemText.EMPTY);
+            item.discardText();
         }
         int attempt = item.begin(engine.name());
         state.loads().begin(engine.name());
@@ -240,7 +240,7 @@
         state.loads().endTrial(engine, model);
         ended.text().versions().stream().max(Comparator.naturalOrder()).ifPresent(version -> state.registry()
                 .recordVersion(tick, engine, model, version));
-        item.get().replaceText(item.get().text().append(ended.text()));
+        item.get().appendText(ended.text());
         AttemptOutcome outcome = ended.outcome();
         if (outcome instanceof AttemptOutcome.Completed) {
             state.loads().succeed(engine, model);
@@ -283,7 +283,7 @@
                 && versions.get(0) >= job.job().minimumVersion()
                 && (!single || versions.size() == 1);
         if (!allowed) {
-            item.replaceText(ItemText.EMPTY);
+            item.discardText();
             state.loads().exclude(engine, job.job().model(), tick.now(), INTERRUPTION_EXCLUSION);
             retry(tick, item, engine, "versions " + versions + " are not allowed");
             return;
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
@@ -49,7 +49,7 @@
  * @param lengths Estimates the output lengths of items.
  * @param remoteLoads The engine loads reported by other nodes that run jobs.
  * @param notices The engines that are about to load versions.
- * @param quarantine Withholds items that caused engines to end from further engines.
+ * @param quarantine The endpoints that ended recently, which items report and spare.
  * @param options The optional decisions that the settings of the node ask for.
  * @param trace Records from which results jobs start, and which results are read and listed.
  */
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/JobLoader.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/JobLoader.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 
 /**
@@ -94,7 +95,7 @@
      */
     void startCreated(Tick tick, BatchJob job, JobStart cause) {
         if (!isStarted(job.id())) {
-            start(tick, job, cause, new StoredTexts(), 0);
+            start(tick, job, cause, new StoredTexts());
         }
     }
 
@@ -166,7 +167,7 @@
                                 state.finished().add(id);
                                 return;
                             }
-                            loadTexts(later, job, cause, Optional.empty(), new StoredTexts(), 0);
+                            loadTexts(later, job, cause, Optional.empty(), new StoredTexts());
                         });
     }
 
@@ -178,10 +179,8 @@
      * @param cause Why this node runs it.
      * @param after The name after which the next page starts, or empty for the first page.
      * @param texts The texts read so far.
-     * @param objectsRead The number of objects read so far.
      */
-    private void loadTexts(
-            Tick tick, BatchJob job, JobStart cause, Optional<String> after, StoredTexts texts, int objectsRead) {
+    private void loadTexts(Tick tick, BatchJob job, JobStart cause, Optional<String> after, StoredTexts texts) {
         String kind = BatchObjects.texts(job.id());
         state.calls()
                 .call(
@@ -192,15 +191,18 @@
                                     event instanceof PlatformEvent.ObjectsListed listed ? listed.objects() : List.of();
                             objects.forEach(object -> state.codec()
                                     .readTexts(object.value())
-                                    .ifPresent(parts -> parts.forEach(texts::add)));
-                            int read = objectsRead + objects.size();
+                                    .ifPresent(
+                                            parts -> texts.addAll(object.key().name(), parts)));
                             boolean more = event instanceof PlatformEvent.ObjectsListed listed && listed.more();
+                            Optional<String> last = objects.isEmpty()
+                                    ? after
+                                    : Optional.of(objects.get(objects.size() - 1)
+                                            .key()
+                                            .name());
                             if (more && !objects.isEmpty()) {
-                                String last =
-                                        objects.get(objects.size() - 1).key().name();
-                                loadTexts(later, job, cause, Optional.of(last), texts, read);
+                                loadTexts(later, job, cause, last, texts);
                             } else {
-                                finish(later, job, cause, texts, read);
+                                finish(later, job, cause, texts, last);
                             }
                         });
     }
@@ -212,14 +214,21 @@
      * @param job The job.
      * @param cause Why this node runs it.
      * @param texts The texts that an earlier runner stored.
-     * @param textObjects The number of objects with texts that an earlier runner stored.
+     * @param lastTextObject The name of the last object with texts that an earlier runner stored, if there is one.
      */
-    private void finish(Tick tick, BatchJob job, JobStart cause, StoredTexts texts, int textObjects) {
+    private void finish(
+            Tick tick, BatchJob job, JobStart cause, StoredTexts texts, Optional<String> lastTextObject) {
         boolean ended = state.finished().contains(job.id());
         end(tick, job.id(), ended ? JobTrace.LoadOutcome.SUPERSEDED : JobTrace.LoadOutcome.STARTS);
-        if (!ended) {
-            start(tick, job, cause, texts, textObjects);
+        if (ended) {
+            return;
         }
+        start(tick, job, cause, texts);
+        int last = lastTextObject
+                .map(BatchObjects::number)
+                .orElseGet(OptionalInt::empty)
+                .orElse(-1);
+        state.running().find(job.id()).ifPresent(started -> started.skipTextObjects(last + 1));
     }
 
     /**
@@ -229,12 +238,10 @@
      * @param job The job.
      * @param cause Why this node runs it.
      * @param texts The texts that an earlier runner stored.
-     * @param textObjects The number of objects with texts that an earlier runner stored.
      */
-    private void start(Tick tick, BatchJob job, JobStart cause, StoredTexts texts, int textObjects) {
+    private void start(Tick tick, BatchJob job, JobStart cause, StoredTexts texts) {
         ResultLog log = state.log(job.id(), job.items().size(), tick.now());
         state.run(tick, job, log, jobTimeouts.deadline(job, tick.now()), texts, cause);
-        state.running().find(job.id()).ifPresent(started -> started.skipTextObjects(textObjects));
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningItem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningItem.java
@@ -48,6 +48,9 @@
     /** The events received so far. */
     private ItemText text = ItemText.EMPTY;
 
+    /** How often received events were discarded. */
+    private int discardedTexts;
+
     /** The scoring of the complete output while its score is outstanding. */
     private Optional<ItemScoring> scoring = Optional.empty();
 
@@ -267,12 +270,27 @@
     }
 
     /**
-     * Replaces the events received so far.
+     * Appends the events of an attempt that resumed after the text.
+     *
+     * @param continuation The events.
+     */
+    void appendText(ItemText continuation) {
+        text = text.append(continuation);
+    }
+
+    /** Discards the events received so far: the next attempt starts from the beginning. */
+    void discardText() {
+        text = ItemText.EMPTY;
+        discardedTexts++;
+    }
+
+    /**
+     * Returns how often received events were discarded. Only texts with the same number continue each other.
      *
-     * @param replacement The text.
+     * @return The number.
      */
-    void replaceText(ItemText replacement) {
-        text = replacement;
+    int discardedTexts() {
+        return discardedTexts;
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningJob.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningJob.java
@@ -149,15 +149,16 @@
     }
 
     /**
-     * Resumes an item after a text that an earlier runner stored.
+     * Resumes an item after one of the texts that earlier runners stored.
      *
      * @param id The item's identifier.
-     * @param text The text.
-     * @return Whether the item resumes after the text, which requires that it still needs a result and that the text's
-     *     versions are allowed.
+     * @param texts The texts, the preferred ones first.
+     * @return Whether the item resumes after a text, which requires that it still needs a result and that the versions
+     *     of the text are allowed.
      */
-    boolean resume(String id, ItemText text) {
-        return find(id).filter(item -> item.resume(text, job.minimumVersion())).isPresent();
+    boolean resume(String id, List<ItemText> texts) {
+        Optional<RunningItem> item = find(id);
+        return item.isPresent() && texts.stream().anyMatch(text -> item.get().resume(text, job.minimumVersion()));
     }
 
     /**
@@ -235,10 +236,10 @@
     /**
      * Skips the numbers of objects with texts in progress that an earlier runner wrote.
      *
-     * @param count The number of the next object.
+     * @param next The number of the next object.
      */
-    void skipTextObjects(int count) {
-        textObjects = Math.max(textObjects, count);
+    void skipTextObjects(int next) {
+        textObjects = Math.max(textObjects, next);
     }
 
     /**
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/site/TestSite.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/site/TestSite.java
@@ -78,7 +78,7 @@
         consideredDead.add(name);
     }
 
-    /** Makes the others X */
+    /** Makes the others consider a node as working again that they considered dead. */
     public void markBack(String name) {
         consideredDead.remove(name);
     }
