--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/JobLoader.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/JobLoader.java
@@ -216,8 +216,7 @@
      * @param texts The texts that an earlier runner stored.
      * @param lastTextObject The name of the last object with texts that an earlier runner stored, if there is one.
      */
-    private void finish(
-            Tick tick, BatchJob job, JobStart cause, StoredTexts texts, Optional<String> lastTextObject) {
+    private void finish(Tick tick, BatchJob job, JobStart cause, StoredTexts texts, Optional<String> lastTextObject) {
         boolean ended = state.finished().contains(job.id());
         end(tick, job.id(), ended ? JobTrace.LoadOutcome.SUPERSEDED : JobTrace.LoadOutcome.STARTS);
         if (ended) {
