Receive the answer to a watch that was sent under a lease that is now lost

What operators would see: a node that holds the lease of version orders or retirements again after it had lost it orders no named version, and completes no retirement, for as long as it holds it.

Cause: both systems polled their watch only while they held the lease. The answer to a call of the earlier tenure arrived meanwhile and was dropped, and a watch that waits for an answer sends no further call.

Change: answers are received in each tick; only calls need the lease.

The two tests are here and pass.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/NamedVersionSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/NamedVersionSystem.java
@@ -8,6 +8,7 @@
 import io.yuccaswitch.core.membership.RandomPeer;
 import io.yuccaswitch.core.peer.PeerEffect;
 import io.yuccaswitch.core.peer.PeerEvent;
+import io.yuccaswitch.core.platform.KindFeed;
 import io.yuccaswitch.core.platform.KindWatch;
 import io.yuccaswitch.core.platform.PlatformPurpose;
 import io.yuccaswitch.core.platform.PlatformTokens;
@@ -77,11 +78,13 @@
 
     @Override
     public void run(Tick tick) {
+        // A call that was sent under the lease may be answered after it is lost, and without the answer none follows.
+        Optional<KindFeed.Changes> answer = lease.isHeld() ? watch.run(tick) : watch.receive(tick);
+        answer.ifPresent(changes -> {
+            listed = true;
+            changes.objects().forEach(object -> apply(tick, object));
+        });
         if (lease.isHeld()) {
-            watch.run(tick).ifPresent(changes -> {
-                listed = true;
-                changes.objects().forEach(object -> apply(tick, object));
-            });
             requestFromPeer(tick);
             for (PeerEvent.Received received : tick.events(PeerEvent.Received.class)) {
                 if (received.message() instanceof OrderMessage.VersionsRead read) {
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/retirement/RetirementSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/retirement/RetirementSystem.java
@@ -4,6 +4,7 @@
 import io.yuccaswitch.core.decision.DecisionSystem;
 import io.yuccaswitch.core.decision.Tick;
 import io.yuccaswitch.core.platform.CallBackoff;
+import io.yuccaswitch.core.platform.KindFeed;
 import io.yuccaswitch.core.platform.KindWatch;
 import io.yuccaswitch.core.platform.PlatformCalls;
 import io.yuccaswitch.core.platform.PlatformEffect;
@@ -16,6 +17,7 @@
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
@@ -80,10 +82,13 @@
     @Override
     public void run(Tick tick) {
         calls.processAnswers(tick);
-        if (!responsible.getAsBoolean()) {
+        boolean isResponsible = responsible.getAsBoolean();
+        // A call that was sent while responsible may be answered later, and without the answer none follows.
+        Optional<KindFeed.Changes> answer = isResponsible ? watch.run(tick) : watch.receive(tick);
+        answer.ifPresent(changes -> changes.objects().forEach(this::apply));
+        if (!isResponsible) {
             return;
         }
-        watch.run(tick).ifPresent(changes -> changes.objects().forEach(this::apply));
         if (!writing && !pending.isEmpty() && backoff.allows(tick.now())) {
             write(tick, pending.values().iterator().next());
         }
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/modelversion/VersionSystemsTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/modelversion/VersionSystemsTest.java
@@ -299,6 +299,27 @@
         assertThat(ordersOf("node-2")).isPositive();
     }
 
+    @Test
+    void aHolderThatHoldsTheLeaseAgainLoadsNamedVersions() {
+        TestNode first = start("node-1");
+        run(500);
+        TestNode second = start("node-2");
+        run(100);
+        first.freeze(true);
+        run(8000);
+        first.freeze(false);
+        run(4000);
+        name("model-b", 2);
+        run(4000);
+        assertThat(orders).isNotEmpty().allMatch(order -> order.holder().equals("node-2"));
+        nodes.removeIf(node -> node.equals(second));
+        site.kill("node-2");
+        run(9000);
+        name("model-a", 2);
+        run(20000);
+        assertThat(ordersOf("node-1")).isPositive();
+    }
+
     private long ordersOf(String node) {
         return orders.stream().filter(order -> order.holder().equals(node)).count();
     }
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/retirement/RetirementSystemTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/retirement/RetirementSystemTest.java
@@ -14,6 +14,20 @@
     private final TestSite site = new TestSite();
     private boolean responsible = true;
 
+    @Test
+    void aRequestIsCompletedByANodeThatIsResponsibleAgain() {
+        site.start("node", (_node, tokens) -> List.of(new RetirementSystem(tokens, () -> responsible)));
+        site.run(Duration.ofSeconds(1));
+        responsible = false;
+        site.platform().put(RetirementSystem.KIND, "store-1", "asked");
+        site.run(Duration.ofSeconds(6));
+        responsible = true;
+        site.run(Duration.ofSeconds(20));
+        assertThat(site.platform().find(RetirementSystem.KIND, "store-1"))
+                .hasValueSatisfying(
+                        object -> assertThat(object.value().toUtf8()).isEqualTo("completed"));
+    }
+
     @Test
     void requestIsCompletedImmediately() {
         start();
