Complete a job by its items, not by the number of its listed results

What callers would see: items that are never listed, in a job whose list repeats items since a node of an earlier release wrote them. Found by reading in the review of results listed twice.

Cause: a log was complete once it had as many results as the job has items.

Change: it is complete once it has a result of each item. Besides, the Javadoc of the loader, the commit and the attempt numbers is more exact.

Evidence: theOtherItemsOfAListThatRepeatsAnItemAreStillListed passes with the change, as do the other tests of batch jobs that were run (ResultsListedTwice, EarlierRun, JobTrace, BatchSystem, HarmfulItem, CrashBurst, ResumedText and TextCheckpointSystem). The test was not run without the change.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchCommitSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchCommitSystem.java
@@ -87,8 +87,9 @@
     }
 
     /**
-     * Writes results to the platform, unless the log already contains a result of one of their items. The conditional
-     * creation only protects the number of an object, not its items.
+     * Writes results to the platform. If the log already contains results of some of their items, these are dropped,
+     * and the others follow in the next tick: the conditional creation only protects the number of an object, not its
+     * items.
      *
      * @param tick The tick.
      * @param job The job.
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
@@ -272,7 +272,8 @@
      * @param start Why this node runs it.
      */
     void run(Tick tick, BatchJob job, ResultLog log, MonotonicTime deadline, StoredTexts texts, JobStart start) {
-        int attemptBase = runs.merge(job.id(), 1, Integer::sum) * MAXIMUM_ATTEMPTS_PER_RUN - MAXIMUM_ATTEMPTS_PER_RUN;
+        int earlierRuns = runs.merge(job.id(), 1, Integer::sum) - 1;
+        int attemptBase = earlierRuns * MAXIMUM_ATTEMPTS_PER_RUN;
         RunningJob started = new RunningJob(job, log, tick.now(), deadline, attemptBase);
         long resumed = texts.all().entrySet().stream()
                 .filter(text -> started.resume(text.getKey(), text.getValue()))
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/JobLoader.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/JobLoader.java
@@ -16,8 +16,9 @@
 import java.util.Set;
 
 /**
- * Starts jobs at this node, each at most once. A job whose entry this node or the sender of a message has just created
- * starts without results. Every other job may have listed results, so they are read before it starts.
+ * Starts jobs at this node, with at most one run of a job at a time. A job whose entry this node or the sender of a
+ * message has created starts without results. Every other job may have listed results, so they are read before it
+ * starts.
  */
 final class JobLoader {
 
@@ -48,7 +49,7 @@
     }
 
     /**
-     * Returns whether a job can't be started now.
+     * Returns whether a job must not be started.
      *
      * @param id The job.
      * @return {@code true} if the job runs at this node, was finished or ended, or is being loaded.
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ResultLog.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ResultLog.java
@@ -190,7 +190,7 @@
      * @return {@code true} if it does.
      */
     boolean isComplete() {
-        return results.size() >= total;
+        return items.size() >= total;
     }
 
     /**
