Join the stored parts of a text only within one sequence of runs

Seen: a gateway froze for 4 s and woke, and later the one that had taken over its batch job was killed.

Cause: parts of texts named only their item and event numbers. A runner that doesn't know yet that it lost its job stores events of its runs, and its successor stores those of other runs under the same numbers; a reader joined both, as they follow or overlap. A second way to the same fault: attempts were counted from 1 each time that a node ran a job, so the late end of an attempt of an earlier run of the job at the node was taken for the attempt in progress.

Change: a runner stores the texts of its own from their beginnings, and each later part names the object with that beginning, which the platform creates once. Readers join parts of one text only and resume after the longest one that is allowed. A text that is discarded, and a job that is started again, begin new texts. Parts of earlier releases are used only if they are beginnings. Numbers of attempts don't repeat within a node's runs of a job. A reader goes on with the number behind the last object, not with the count of objects, which is lower after a lost write.

Changed tests: the three tests of StoredTexts give parts a text now and compare the complete result. aTextFromItsBeginningReplacesTheEarlierText asserted the old rule, by which whatever was written last won; the tests of parts of different texts and of the order of texts replace it.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchOwnershipSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchOwnershipSystem.java
@@ -19,6 +19,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 
@@ -273,7 +274,7 @@
                                 state.finished().add(job.id());
                                 return;
                             }
-                            loadTexts(later, job, Optional.empty(), new StoredTexts(), 0);
+                            loadTexts(later, job, Optional.empty(), new StoredTexts());
                         });
     }
 
@@ -284,9 +285,8 @@
      * @param job The job.
      * @param after The name after which the next page starts, or empty for the first page.
      * @param texts The texts read so far.
-     * @param objectsRead The number of objects read so far.
      */
-    private void loadTexts(Tick tick, BatchJob job, Optional<String> after, StoredTexts texts, int objectsRead) {
+    private void loadTexts(Tick tick, BatchJob job, Optional<String> after, StoredTexts texts) {
         String kind = BatchObjects.texts(job.id());
         state.calls()
                 .call(
@@ -297,15 +297,18 @@
                                     event instanceof PlatformEvent.ObjectsListed listed ? listed.objects() : List.of();
                             objects.forEach(object -> state.codec()
                                     .readTexts(object.value())
-                                    .ifPresent(parts -> parts.forEach(texts::add)));
-                            int read = objectsRead + objects.size();
+                                    .ifPresent(
+                                            parts -> texts.addAll(object.key().name(), parts)));
                             boolean more = event instanceof PlatformEvent.ObjectsListed listed && listed.more();
+                            Optional<String> last = objects.isEmpty()
+                                    ? after
+                                    : Optional.of(objects.get(objects.size() - 1)
+                                            .key()
+                                            .name());
                             if (more && !objects.isEmpty()) {
-                                String last =
-                                        objects.get(objects.size() - 1).key().name();
-                                loadTexts(later, job, Optional.of(last), texts, read);
+                                loadTexts(later, job, last, texts);
                             } else {
-                                begin(later, job, texts, read);
+                                begin(later, job, texts, last);
                             }
                         });
     }
@@ -316,15 +319,19 @@
      * @param tick The tick.
      * @param job The job.
      * @param texts The texts that an earlier runner stored.
-     * @param textObjects The number of objects with texts that an earlier runner stored.
+     * @param lastTextObject The name of the last object with texts that an earlier runner stored, if there is one.
      */
-    private void begin(Tick tick, BatchJob job, StoredTexts texts, int textObjects) {
+    private void begin(Tick tick, BatchJob job, StoredTexts texts, Optional<String> lastTextObject) {
         claimingOrLoading.remove(job.id());
         if (state.running().contains(job.id()) || state.finished().contains(job.id())) {
             return;
         }
         ResultLog log = state.log(job.id(), job.items().size(), tick.now());
         state.run(tick, job, log, jobTimeouts.deadline(job, tick.now()), texts);
-        state.running().find(job.id()).ifPresent(started -> started.skipTextObjects(textObjects));
+        int textObjects = lastTextObject
+                .map(BatchObjects::number)
+                .orElseGet(OptionalInt::empty)
+                .orElse(-1);
+        state.running().find(job.id()).ifPresent(started -> started.skipTextObjects(textObjects + 1));
     }
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchRunSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchRunSystem.java
@@ -38,6 +38,9 @@
     /** The order in which waiting items start. */
     private final DispatchOrder order;
 
+    /** The highest number of an attempt at this node, or 0 before the first. */
+    private int highestAttempt;
+
     /**
      * Creates a system without items in progress.
      *
@@ -150,9 +153,11 @@
         RunningJob job = share.job();
         if (!route.resumable()
                 || violatesSingleVersion(route, item, engine, job.job().model())) {
-            item.replaceText(ItemText.EMPTY);
+            item.discardText();
         }
-        int attempt = item.begin(engine.name());
+        int attempt = job.nextAttempt(item, highestAttempt);
+        highestAttempt = Math.max(highestAttempt, attempt);
+        item.begin(engine.name(), attempt);
         state.loads().begin(engine.name());
         state.loads().startTrial(engine.name(), job.job().model());
         job.setLastEngine(item.item().group(), engine.name());
@@ -247,7 +252,7 @@
         state.loads().endTrial(engine, model);
         ended.text().versions().stream().max(Comparator.naturalOrder()).ifPresent(version -> state.registry()
                 .recordVersion(tick, engine, model, version));
-        item.get().replaceText(item.get().text().append(ended.text()));
+        item.get().appendText(ended.text());
         AttemptOutcome outcome = ended.outcome();
         if (outcome instanceof AttemptOutcome.Completed) {
             state.loads().succeed(engine, model);
@@ -255,7 +260,7 @@
                     .recordSuccess(
                             tick,
                             () -> fingerprint(job.get(), item.get().item()),
-                            item.get().attempt() == 1);
+                            item.get().attempts() == 1);
             complete(tick, job.get(), item.get(), engine);
         } else if (outcome instanceof AttemptOutcome.Impossible) {
             finish(
@@ -301,7 +306,7 @@
                 && versions.get(0) >= job.job().minimumVersion()
                 && (!single || versions.size() == 1);
         if (!allowed) {
-            item.replaceText(ItemText.EMPTY);
+            item.discardText();
             state.loads().exclude(engine, job.job().model(), tick.now(), INTERRUPTION_EXCLUSION);
             retry(tick, item, engine, "versions " + versions + " are not allowed");
             return;
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningItem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningItem.java
@@ -15,6 +15,9 @@
     /** The number of started attempts. */
     private int attempts;
 
+    /** The number of the last attempt, or 0 before the first. */
+    private int attempt;
+
     /** The number of attempts at which an engine failed. */
     private int failures;
 
@@ -42,6 +45,9 @@
     /** The events received so far. */
     private ItemText text = ItemText.EMPTY;
 
+    /** How often received events were discarded. */
+    private int discardedTexts;
+
     /** The scoring of the complete output while its score is outstanding. */
     private Optional<ItemScoring> scoring = Optional.empty();
 
@@ -79,15 +85,15 @@
      * Starts an attempt.
      *
      * @param chosen The engine.
-     * @return The number of the attempt.
+     * @param number The number of the attempt, which no other attempt for the item at this node has.
      */
-    int begin(EndpointName chosen) {
+    void begin(EndpointName chosen, int number) {
         endpoint = Optional.of(chosen);
         moving = false;
         eventsRead = 0;
         durationRead = Duration.ZERO;
         attempts++;
-        return attempts;
+        attempt = number;
     }
 
     /**
@@ -108,15 +114,24 @@
      * @return {@code true} if it is.
      */
     boolean isCurrent(int attempt) {
-        return endpoint.isPresent() && attempts == attempt;
+        return endpoint.isPresent() && this.attempt == attempt;
     }
 
     /**
      * Returns the number of the last attempt.
      *
-     * @return The number.
+     * @return The number, or 0 before the first attempt.
      */
     int attempt() {
+        return attempt;
+    }
+
+    /**
+     * Returns the number of attempts that have started.
+     *
+     * @return The number.
+     */
+    int attempts() {
         return attempts;
     }
 
@@ -239,12 +254,27 @@
     }
 
     /**
-     * Replaces the events received so far.
+     * Appends the events of an attempt that resumed after the text.
      *
-     * @param replacement The text.
+     * @param continuation The events.
+     */
+    void appendText(ItemText continuation) {
+        text = text.append(continuation);
+    }
+
+    /** Discards the events received so far: the next attempt starts from the beginning. */
+    void discardText() {
+        text = ItemText.EMPTY;
+        discardedTexts++;
+    }
+
+    /**
+     * Returns how often received events were discarded. Only texts with the same number continue each other.
+     *
+     * @return The number.
      */
-    void replaceText(ItemText replacement) {
-        text = replacement;
+    int discardedTexts() {
+        return discardedTexts;
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningJob.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningJob.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 
 /** A job that this node runs. */
@@ -31,6 +32,9 @@
     /** What the caller states about the lengths of the items, once it was needed. */
     private Optional<LengthHints> lengthHints = Optional.empty();
 
+    /** The highest number of the attempts that preceded the first attempt of this run, once there was one. */
+    private OptionalInt attemptsBefore = OptionalInt.empty();
+
     /** The number of the next object with texts in progress. */
     private int textObjects;
 
@@ -148,15 +152,16 @@
     }
 
     /**
-     * Resumes an item after a text that an earlier runner stored.
+     * Resumes an item after one of the texts that earlier runners stored.
      *
      * @param id The item's identifier.
-     * @param text The text.
-     * @return Whether the item resumes after the text, which requires that it still needs a result and that the text's
-     *     versions are allowed.
+     * @param texts The texts, the preferred ones first.
+     * @return Whether the item resumes after a text, which requires that it still needs a result and that the versions
+     *     of the text are allowed.
      */
-    boolean resume(String id, ItemText text) {
-        return find(id).filter(item -> item.resume(text, job.minimumVersion())).isPresent();
+    boolean resume(String id, List<ItemText> texts) {
+        Optional<RunningItem> item = find(id);
+        return item.isPresent() && texts.stream().anyMatch(text -> item.get().resume(text, job.minimumVersion()));
     }
 
     /**
@@ -222,6 +227,21 @@
         return deadline;
     }
 
+    /**
+     * Allocates the number of an item's next attempt. The numbers of an item's attempts differ from those of an earlier
+     * run of the job at this node, whose attempts may end after the job has started again.
+     *
+     * @param item The item.
+     * @param highest The highest number of all attempts at this node.
+     * @return The number.
+     */
+    int nextAttempt(RunningItem item, int highest) {
+        if (attemptsBefore.isEmpty()) {
+            attemptsBefore = OptionalInt.of(highest);
+        }
+        return attemptsBefore.getAsInt() + item.attempts() + 1;
+    }
+
     /**
      * Allocates the number of the next object with texts in progress.
      *
@@ -234,10 +254,10 @@
     /**
      * Skips the numbers of objects with texts in progress that an earlier runner wrote.
      *
-     * @param count The number of the next object.
+     * @param next The number of the next object.
      */
-    void skipTextObjects(int count) {
-        textObjects = Math.max(textObjects, count);
+    void skipTextObjects(int next) {
+        textObjects = Math.max(textObjects, next);
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/TextCheckpointSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/TextCheckpointSystem.java
@@ -8,16 +8,20 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 
 /**
  * Stores the texts of long items on the platform as they grow, each time only the added part. This limits the loss when
  * all nodes fail at once: the longest items determine when a step ends, and restarting them from the beginning would
  * delay it by up to their full 7 s.
+ *
+ * <p>A node that was considered dead may store events while its successor does the same. Therefore each runner stores
+ * the texts of its own from their beginnings, including what it resumed after, and never continues those of another.
  */
 final class TextCheckpointSystem implements DecisionSystem {
 
@@ -39,8 +43,8 @@
     /** The tables of the batch system. */
     private final BatchState state;
 
-    /** The parts that have to be stored, by job. */
-    private final Map<BatchJobId, Pending> pendingByJob = new HashMap<>();
+    /** The stored texts of the jobs that this node runs. */
+    private final Map<BatchJobId, JobTexts> textsByJob = new HashMap<>();
 
     /**
      * Creates a system without texts.
@@ -53,10 +57,21 @@
 
     @Override
     public void run(Tick tick) {
+        textsByJob.entrySet().removeIf(texts -> !isCurrent(texts.getKey(), texts.getValue()));
         tick.events(BatchEvent.TextGrown.class).forEach(grown -> handle(tick, grown));
         tick.events(BatchEvent.AttemptEnded.class).forEach(ended -> handleAttemptEnd(tick, ended));
-        pendingByJob.keySet().removeIf(id -> !state.running().contains(id));
-        pendingByJob.forEach((id, pending) -> writeIfDue(tick, id, pending));
+        textsByJob.forEach((id, texts) -> writeIfDue(tick, id, texts));
+    }
+
+    /**
+     * Returns whether texts belong to the current run of a job, which may have been stopped and started again.
+     *
+     * @param id The job.
+     * @param texts The texts.
+     * @return {@code true} if they do.
+     */
+    private boolean isCurrent(BatchJobId id, JobTexts texts) {
+        return state.running().find(id).filter(job -> job == texts.job).isPresent();
     }
 
     /**
@@ -66,70 +81,87 @@
      * @param grown The added events.
      */
     private void handle(Tick tick, BatchEvent.TextGrown grown) {
-        boolean current = state.running()
-                .find(grown.id())
-                .flatMap(job -> job.find(grown.item()))
-                .filter(item -> item.isCurrent(grown.attempt()))
+        Optional<RunningJob> job = state.running().find(grown.id());
+        Optional<RunningItem> item =
+                job.flatMap(found -> found.find(grown.item())).filter(found -> found.isCurrent(grown.attempt()));
+        if (item.isEmpty()) {
+            return;
+        }
+        ItemText before = item.get().text();
+        JobTexts texts = texts(tick, job.get());
+        boolean follows = texts.find(grown.item())
+                .filter(chain -> chain.lastEventId() == grown.after())
                 .isPresent();
-        if (current) {
-            add(tick, grown.id(), new TextPart(grown.item(), grown.after(), grown.part()));
+        if (follows) {
+            texts.add(grown.item(), grown.attempt(), grown.part());
+        } else if (grown.after() == before.lastEventId()) {
+            texts.begin(item.get(), grown.attempt(), before.append(grown.part()));
         }
     }
 
     /**
-     * Handles the end of an attempt: adds the full text of an interrupted item, as the next attempt resumes after all
-     * of it, or drops the part of an item that needs no text any more.
+     * Handles the end of an attempt: adds the remaining events of an interrupted item, as the next attempt resumes
+     * after all of them, or drops the text of an item that needs none any more.
      *
      * @param tick The tick.
      * @param ended The end of the attempt, which the item has already processed.
      */
     private void handleAttemptEnd(Tick tick, BatchEvent.AttemptEnded ended) {
-        Optional<ItemText> text = state.running()
-                .find(ended.id())
-                .flatMap(job -> job.find(ended.item()))
-                .map(RunningItem::text)
-                .filter(stored -> !stored.isEmpty());
-        if (text.isPresent()) {
-            add(tick, ended.id(), new TextPart(ended.item(), 0, text.get()));
-        } else if (pendingByJob.containsKey(ended.id())) {
-            pendingByJob.get(ended.id()).parts.remove(ended.item());
+        Optional<RunningJob> job = state.running().find(ended.id());
+        if (job.isEmpty()) {
+            return;
+        }
+        Optional<RunningItem> item = job.get().find(ended.item());
+        ItemText text = item.map(RunningItem::text).orElse(ItemText.EMPTY);
+        JobTexts texts = texts(tick, job.get());
+        Optional<TextChain> chain = texts.find(ended.item());
+        if (text.isEmpty()) {
+            texts.drop(ended.item());
+        } else if (chain.isEmpty()) {
+            texts.begin(item.get(), ended.attempt(), text);
+        } else if (chain.get().attempt() != ended.attempt()
+                && item.get().isCurrent(chain.get().attempt())) {
+            return;
+        } else if (chain.get().lastEventId() <= text.lastEventId()) {
+            texts.add(
+                    ended.item(), ended.attempt(), text.eventsAfter(chain.get().lastEventId()));
+        } else {
+            texts.begin(item.get(), ended.attempt(), text);
         }
     }
 
     /**
-     * Adds a part that has to be stored.
+     * Returns the texts of a job.
      *
      * @param tick The tick.
-     * @param id The job.
-     * @param part The part.
+     * @param job The job.
+     * @return The texts.
      */
-    private void add(Tick tick, BatchJobId id, TextPart part) {
-        pendingByJob
-                .computeIfAbsent(id, _id -> new Pending(tick.now().plus(INITIAL_DELAY)))
-                .parts
-                .merge(part.item(), part, TextPart::join);
+    private JobTexts texts(Tick tick, RunningJob job) {
+        return textsByJob.computeIfAbsent(
+                job.job().id(), _id -> new JobTexts(job, tick.now().plus(INITIAL_DELAY)));
     }
 
     /**
-     * Writes the pending parts of a job if a checkpoint is due.
+     * Writes the unwritten events of a job if a checkpoint is due.
      *
      * @param tick The tick.
      * @param id The job.
-     * @param pending The pending parts.
+     * @param texts The texts of the job.
      */
-    private void writeIfDue(Tick tick, BatchJobId id, Pending pending) {
-        if (pending.writing || pending.parts.isEmpty() || tick.now().isBefore(pending.dueAt)) {
+    private void writeIfDue(Tick tick, BatchJobId id, JobTexts texts) {
+        if (texts.writing || texts.unwritten.isEmpty() || tick.now().isBefore(texts.dueAt)) {
             return;
         }
-        List<TextPart> parts = pending.take();
-        int number = state.running().find(id).orElseThrow().nextTextObject();
-        pending.writing = true;
+        List<Writing> parts = texts.take();
+        int number = texts.job.nextTextObject();
+        texts.writing = true;
         state.write(
                 tick,
                 BatchObjects.texts(id, number),
                 OptionalLong.empty(),
-                state.codec().writeTexts(parts),
-                (later, event) -> receive(later, id, pending, parts, event));
+                state.codec().writeTexts(parts.stream().map(Writing::part).toList()),
+                (later, event) -> receive(later, id, texts, parts, number, event));
     }
 
     /**
@@ -138,16 +170,20 @@
      *
      * @param tick The tick.
      * @param id The job.
-     * @param pending The pending parts.
+     * @param texts The texts of the job.
      * @param parts The written parts.
+     * @param number The number of the object.
      * @param event The answer.
      */
-    private static void receive(Tick tick, BatchJobId id, Pending pending, List<TextPart> parts, PlatformEvent event) {
+    private static void receive(
+            Tick tick, BatchJobId id, JobTexts texts, List<Writing> parts, int number, PlatformEvent event) {
         boolean stored = event instanceof PlatformEvent.Accepted;
-        pending.writing = false;
-        pending.dueAt = tick.now().plus(stored ? CHECKPOINT_INTERVAL : FAILURE_DELAY);
-        if (!stored) {
-            pending.putBack(parts);
+        texts.writing = false;
+        texts.dueAt = tick.now().plus(stored ? CHECKPOINT_INTERVAL : FAILURE_DELAY);
+        if (stored) {
+            parts.forEach(writing -> writing.chain().recordStored(writing.part(), number));
+        } else {
+            parts.forEach(texts::putBack);
         }
         tick.decide(Decision.of(
                 "batch-texts",
@@ -156,11 +192,17 @@
                 "parts of " + parts.size() + " texts, " + event.getClass().getSimpleName()));
     }
 
-    /** The parts of one job that have to be stored. */
-    private static final class Pending {
+    /** The stored texts of one run of a job. */
+    private static final class JobTexts {
+
+        /** The run of the job. */
+        private final RunningJob job;
 
-        /** The parts, by item. */
-        private final Map<String, TextPart> parts = new LinkedHashMap<>();
+        /** The current text of each item. */
+        private final Map<String, TextChain> chains = new HashMap<>();
+
+        /** The texts with unwritten events, in the order in which they are written. */
+        private final Set<TextChain> unwritten = new LinkedHashSet<>();
 
         /** When the next checkpoint is due. */
         private MonotonicTime dueAt;
@@ -171,37 +213,102 @@
         /**
          * Creates an empty table.
          *
+         * @param job The run of the job.
          * @param dueAt When the first checkpoint is due.
          */
-        private Pending(MonotonicTime dueAt) {
+        private JobTexts(RunningJob job, MonotonicTime dueAt) {
+            this.job = job;
             this.dueAt = dueAt;
         }
 
         /**
-         * Removes as many parts as fit in one object.
+         * Returns the current text of an item.
+         *
+         * @param item The item.
+         * @return The text, or empty if it has none.
+         */
+        private Optional<TextChain> find(String item) {
+            return Optional.ofNullable(chains.get(item)).filter(TextChain::isCurrent);
+        }
+
+        /**
+         * Begins a text of an item in place of the current one.
+         *
+         * @param item The item.
+         * @param attempt The number of the attempt.
+         * @param text The complete text.
+         */
+        private void begin(RunningItem item, int attempt, ItemText text) {
+            String id = item.item().id();
+            drop(id);
+            chains.put(id, new TextChain(item));
+            add(id, attempt, text);
+        }
+
+        /**
+         * Adds events to the current text of an item.
+         *
+         * @param item The item.
+         * @param attempt The number of the attempt.
+         * @param events The events.
+         */
+        private void add(String item, int attempt, ItemText events) {
+            TextChain chain = chains.get(item);
+            chain.add(attempt, events);
+            if (!events.isEmpty()) {
+                unwritten.add(chain);
+            }
+        }
+
+        /**
+         * Drops the current text of an item.
+         *
+         * @param item The item.
+         */
+        private void drop(String item) {
+            TextChain dropped = chains.remove(item);
+            if (dropped != null) {
+                unwritten.remove(dropped);
+            }
+        }
+
+        /**
+         * Removes as many unwritten events as fit in one object.
          *
          * @return The parts.
          */
-        private List<TextPart> take() {
-            List<TextPart> taken = new ArrayList<>();
+        private List<Writing> take() {
+            List<Writing> taken = new ArrayList<>();
             long bytes = 0;
-            for (TextPart part : List.copyOf(parts.values())) {
-                bytes += part.bytes();
+            for (TextChain chain : List.copyOf(unwritten)) {
+                bytes += chain.unwrittenBytes();
                 if (!taken.isEmpty() && bytes > MAXIMUM_OBJECT_BYTES) {
                     break;
                 }
-                taken.add(parts.remove(part.item()));
+                unwritten.remove(chain);
+                chain.take().ifPresent(part -> taken.add(new Writing(chain, part)));
             }
             return taken;
         }
 
         /**
-         * Puts parts back before those that were added in the meantime.
+         * Puts a part back that is not known to be stored, unless its text was dropped in the meantime.
          *
-         * @param taken The parts.
+         * @param writing The part.
          */
-        private void putBack(List<TextPart> taken) {
-            taken.forEach(part -> parts.merge(part.item(), part, (later, earlier) -> earlier.join(later)));
+        private void putBack(Writing writing) {
+            if (chains.get(writing.part().item()) == writing.chain()) {
+                writing.chain().putBack(writing.part());
+                unwritten.add(writing.chain());
+            }
         }
     }
+
+    /**
+     * A part that is being written.
+     *
+     * @param chain The text that it belongs to.
+     * @param part The part.
+     */
+    private record Writing(TextChain chain, TextPart part) {}
 }
--- /dev/null
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/EventRecordingEngines.java
@@ -0,0 +1,156 @@
+package io.yuccaswitch.core.batch;
+
+import io.yuccaswitch.core.site.TestNode;
+import io.yuccaswitch.core.time.MonotonicTime;
+import io.yuccaswitch.core.value.Bytes;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.IdentityHashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Simulates engines whose events name the run that made them, and the part of a node that reads these events: it
+ * reports the growth of texts at intervals, and the received events when an attempt ends.
+ */
+final class EventRecordingEngines {
+
+    /** The number of events of each output. */
+    static final int EVENTS = 150;
+
+    private static final Duration EVENT_INTERVAL = Duration.ofMillis(80);
+    private static final Duration GROWTH_INTERVAL = Duration.ofMillis(250);
+    private static final Duration MINIMUM_GROWTH_AGE = Duration.ofSeconds(1);
+
+    private final BatchSite site;
+    private final Map<Long, Long> resumedAfter = new HashMap<>();
+    private final IdentityHashMap<TestNode, Map<Key, Attempt>> attempts = new IdentityHashMap<>();
+    private final List<LateEnd> lateEnds = new ArrayList<>();
+    private Duration cancellationDelay = Duration.ZERO;
+    private long runs;
+
+    EventRecordingEngines(BatchSite site) {
+        this.site = site;
+    }
+
+    /** Sets the time from the cancellation of an attempt to the report of its end. */
+    void delayCancellations(Duration delay) {
+        cancellationDelay = delay;
+    }
+
+    /** Advances the attempts of nodes. The attempts of other nodes are lost, as those of a node that was killed. */
+    void step(Collection<TestNode> nodes) {
+        attempts.keySet().retainAll(nodes);
+        for (TestNode node : nodes) {
+            Map<Key, Attempt> running = attempts.computeIfAbsent(node, _node -> new LinkedHashMap<>());
+            node.take(BatchEffect.Cancel.class).forEach(cancel -> cancel(node, running, cancel));
+            for (BatchEffect.Run run : node.take(BatchEffect.Run.class)) {
+                resumedAfter.put(++runs, run.lastEventId());
+                running.put(new Key(run.id(), run.item().id(), run.attempt()), new Attempt(run, runs, site.site.now()));
+            }
+            running.values().forEach(attempt -> attempt.advance(site.site.now(), node));
+            running.values().removeIf(Attempt::isComplete);
+        }
+        lateEnds.removeIf(end -> {
+            boolean due = !site.site.now().isBefore(end.at());
+            if (due) {
+                end.node().accept(end.event());
+            }
+            return due;
+        });
+    }
+
+    /** Interrupts the attempts of a node. */
+    void interrupt(TestNode node) {
+        Map<Key, Attempt> running = attempts.getOrDefault(node, Map.of());
+        running.values().forEach(attempt -> node.accept(attempt.interrupted()));
+        running.clear();
+    }
+
+    /**
+     * Returns the first fault of an output: an event that is missing or stands twice, or a run that resumed elsewhere.
+     */
+    Optional<String> fault(String output) {
+        long event = 0;
+        long previousRun = 0;
+        for (String line : output.split("\n", -1)) {
+            String[] parts = line.split("/", -1);
+            long number = Long.parseLong(parts[0]);
+            long run = Long.parseLong(parts[1]);
+            if (number != event + 1) {
+                return Optional.of("event " + number + " follows event " + event);
+            }
+            if (run != previousRun && resumedAfter.get(run) != event) {
+                return Optional.of("run " + run + " resumed after event " + resumedAfter.get(run)
+                        + ", but its events follow event " + event + " of run " + previousRun);
+            }
+            event = number;
+            previousRun = run;
+        }
+        return event == EVENTS ? Optional.empty() : Optional.of("the output ends after event " + event);
+    }
+
+    private void cancel(TestNode node, Map<Key, Attempt> running, BatchEffect.Cancel cancel) {
+        Attempt cancelled = running.remove(new Key(cancel.id(), cancel.item(), cancel.attempt()));
+        if (cancelled != null) {
+            MonotonicTime at = site.site.now().plus(cancellationDelay);
+            lateEnds.add(new LateEnd(node, at, cancelled.interrupted()));
+        }
+    }
+
+    private record Key(BatchJobId id, String item, int attempt) {}
+
+    private record LateEnd(TestNode node, MonotonicTime at, BatchEvent.AttemptEnded event) {}
+
+    private static final class Attempt {
+
+        private final BatchEffect.Run run;
+        private final long number;
+        private final MonotonicTime startedAt;
+        private final List<Bytes> events = new ArrayList<>();
+        private int reported;
+        private MonotonicTime reportedAt;
+
+        private Attempt(BatchEffect.Run run, long number, MonotonicTime now) {
+            this.run = run;
+            this.number = number;
+            startedAt = now;
+            reportedAt = now;
+        }
+
+        private void advance(MonotonicTime now, TestNode node) {
+            Duration age = now.since(startedAt);
+            long due = Math.min(EVENTS - run.lastEventId(), age.toMillis() / EVENT_INTERVAL.toMillis());
+            while (events.size() < due) {
+                events.add(Bytes.ofUtf8((run.lastEventId() + events.size() + 1) + "/" + number));
+            }
+            if (isComplete()) {
+                node.accept(BatchSite.ended(run, new AttemptOutcome.Completed(), text(0)));
+            } else if (reported < events.size()
+                    && age.compareTo(MINIMUM_GROWTH_AGE) >= 0
+                    && now.since(reportedAt).compareTo(GROWTH_INTERVAL) >= 0) {
+                node.accept(new BatchEvent.TextGrown(
+                        run.id(), run.item().id(), run.attempt(), run.lastEventId() + reported, text(reported)));
+                reported = events.size();
+                reportedAt = now;
+            }
+        }
+
+        private boolean isComplete() {
+            return run.lastEventId() + events.size() == EVENTS;
+        }
+
+        private BatchEvent.AttemptEnded interrupted() {
+            return BatchSite.ended(run, new AttemptOutcome.Interrupted("broken off", false), text(0));
+        }
+
+        private ItemText text(int from) {
+            List<Bytes> part = events.subList(from, events.size());
+            return new ItemText(run.lastEventId() + events.size(), part, part.isEmpty() ? List.of() : List.of(1L));
+        }
+    }
+}
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/TextCheckpointSystemTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/TextCheckpointSystemTest.java
@@ -2,11 +2,14 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.yuccaswitch.core.registry.EndpointRegistrySystem;
 import io.yuccaswitch.core.site.TestNode;
 import io.yuccaswitch.core.value.Bytes;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.junit.jupiter.api.Test;
 
 /** Tests that texts in progress survive the failure of the node that runs them, as they are stored on the platform. */
@@ -122,33 +125,86 @@
         assertThat(site.started.get(site.started.size() - 1).lastEventId()).isEqualTo(70);
     }
 
+    @Test
+    void aTextThatStartedFromTheBeginningDoesNotContinueTheDiscardedOne() {
+        site.demandSingleVersion();
+        site.site.platform().remove(EndpointRegistrySystem.KIND, "engine-2");
+        TestNode first = site.node("node-1");
+        site.run(100);
+        site.engines(_run -> Optional.empty());
+        site.submit(first, BatchSite.job("job", 1));
+        site.run(100);
+        grow(first, site.started.get(0), 0, 40);
+        first.accept(
+                BatchSite.ended(site.started.get(0), new AttemptOutcome.Interrupted("broken off", false), text(0, 40)));
+        site.registerEngine("engine-1", 2);
+        site.run(2000);
+        BatchEffect.Run second = site.started.get(1);
+        assertThat(second.lastEventId()).isZero();
+        first.accept(BatchSite.ended(
+                second, new AttemptOutcome.Interrupted("broken off", false), BatchSite.text(second, 50, 2)));
+        site.run(4000);
+        site.kill(first);
+        site.node("node-2");
+        site.run(4000);
+        assertThat(site.started.get(site.started.size() - 1).lastEventId()).isEqualTo(50);
+    }
+
     @Test
     void anOverlappingPartIsJoinedWithoutDuplicateEvents() {
         StoredTexts texts = new StoredTexts();
-        texts.add(new TextPart("item", 0, text(0, 5)));
-        texts.add(new TextPart("item", 3, text(3, 4)));
-        texts.add(new TextPart("item", 1, text(1, 2)));
-        assertThat(texts.all().get("item")).isEqualTo(text(0, 7));
+        texts.add(0, beginning("item", 5));
+        texts.add(1, continuation("item", 0, 3, 4));
+        texts.add(2, continuation("item", 0, 1, 2));
+        assertThat(texts.all()).containsOnly(Map.entry("item", List.of(text(0, 7))));
     }
 
     @Test
     void aPartAfterAGapIsNotJoined() {
         StoredTexts texts = new StoredTexts();
-        texts.add(new TextPart("item", 0, text(0, 5)));
-        texts.add(new TextPart("item", 7, text(7, 5)));
-        assertThat(texts.all().get("item").lastEventId()).isEqualTo(5);
-        texts.add(new TextPart("item", 5, text(5, 2)));
-        assertThat(texts.all().get("item").events()).hasSize(7);
-        texts.add(new TextPart("other", 3, text(3, 2)));
+        texts.add(0, beginning("item", 5));
+        texts.add(1, continuation("item", 0, 7, 5));
+        assertThat(texts.all()).containsOnly(Map.entry("item", List.of(text(0, 5))));
+        texts.add(2, continuation("item", 0, 5, 2));
+        assertThat(texts.all()).containsOnly(Map.entry("item", List.of(text(0, 7))));
+        texts.add(3, continuation("other", 0, 3, 2));
         assertThat(texts.all()).doesNotContainKey("other");
     }
 
     @Test
-    void aTextFromItsBeginningReplacesTheEarlierText() {
+    void aPartIsJoinedOnlyToTheTextThatItContinues() {
         StoredTexts texts = new StoredTexts();
-        texts.add(new TextPart("item", 0, text(0, 5)));
-        texts.add(new TextPart("item", 0, text(0, 2)));
-        assertThat(texts.all().get("item")).isEqualTo(text(0, 2));
+        texts.add(0, beginning("item", 5));
+        texts.add(3, beginning("item", 4));
+        texts.add(4, continuation("item", 0, 5, 3));
+        texts.add(5, continuation("item", 3, 4, 2));
+        texts.add(6, continuation("item", 2, 5, 9));
+        assertThat(texts.all()).containsOnly(Map.entry("item", List.of(text(0, 8), text(0, 6))));
+    }
+
+    @Test
+    void aPartOfAnEarlierReleaseIsUsedOnlyIfItIsTheBeginningOfAText() {
+        StoredTexts texts = new StoredTexts();
+        texts.add(0, beginning("item", 5));
+        texts.add(1, new TextPart("item", OptionalInt.empty(), 5, text(5, 4)));
+        assertThat(texts.all()).containsOnly(Map.entry("item", List.of(text(0, 5))));
+    }
+
+    @Test
+    void amongTextsOfEqualLengthTheLatestIsPreferred() {
+        StoredTexts texts = new StoredTexts();
+        texts.add(0, beginning("item", 2));
+        ItemText later = new ItemText(2, List.of(event(1), Bytes.ofUtf8("other")), List.of(2L));
+        texts.add(1, new TextPart("item", OptionalInt.empty(), 0, later));
+        assertThat(texts.all()).containsOnly(Map.entry("item", List.of(later, text(0, 2))));
+    }
+
+    private static TextPart beginning(String item, int events) {
+        return new TextPart(item, OptionalInt.empty(), 0, text(0, events));
+    }
+
+    private static TextPart continuation(String item, int beginning, long after, int events) {
+        return new TextPart(item, OptionalInt.of(beginning), after, text(after, events));
     }
 
     private static void grow(TestNode node, BatchEffect.Run run, long after, int events) {
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/site/TestSite.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/site/TestSite.java
@@ -78,6 +78,11 @@
         consideredDead.add(name);
     }
 
+    /** Makes the others consider a node as working again that they considered dead. */
+    public void markBack(String name) {
+        consideredDead.remove(name);
+    }
+
     /** Makes the others consider a node as leaving. */
     public void markLeaving(String name) {
         leaving.add(name);
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/JsonBatchCodec.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/JsonBatchCodec.java
@@ -130,6 +130,7 @@
         return write(new TextsDocument(parts.stream()
                 .map(part -> new TextDocument(
                         part.item(),
+                        part.beginning().isPresent() ? part.beginning().getAsInt() : null,
                         part.after(),
                         part.text().lastEventId(),
                         part.text().events().stream()
@@ -144,6 +145,7 @@
         return read(value, TextsDocument.class).map(document -> document.texts().stream()
                 .map(text -> new TextPart(
                         text.item(),
+                        text.beginning() == null ? OptionalInt.empty() : OptionalInt.of(text.beginning()),
                         text.after(),
                         new ItemText(
                                 text.last(),
@@ -370,10 +372,18 @@
      * A part of a text in progress.
      *
      * @param item The identifier of the item.
+     * @param beginning The number of the object that contains the beginning of the text, absent in a part that is a
+     *     beginning and in parts of earlier releases.
      * @param after The identifier of the event after which the part resumes.
      * @param last The identifier of its last event.
      * @param events The data of its events.
      * @param versions The versions of the weights that produced them.
      */
-    private record TextDocument(String item, long after, long last, List<String> events, List<Long> versions) {}
+    private record TextDocument(
+            String item,
+            @JsonInclude(JsonInclude.Include.NON_NULL) Integer beginning,
+            long after,
+            long last,
+            List<String> events,
+            List<Long> versions) {}
 }
--- a/yuccaswitch-node/src/test/java/io/yuccaswitch/node/gateway/JsonBatchCodecTest.java
+++ b/yuccaswitch-node/src/test/java/io/yuccaswitch/node/gateway/JsonBatchCodecTest.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.junit.jupiter.api.Test;
 
 /** Tests that stored batch documents are read back as written. */
@@ -53,11 +54,24 @@
     void textPartsKeepTextAndBinaryEvents() {
         Bytes binary = Bytes.wrap(new byte[] {(byte) 0xff, 0, 1});
         List<TextPart> parts = List.of(
-                new TextPart("a", 0, new ItemText(2, List.of(Bytes.ofUtf8("one"), binary), List.of(1L))),
-                new TextPart("b", 7, new ItemText(8, List.of(Bytes.EMPTY), List.of(1L, 2L))));
+                new TextPart(
+                        "a",
+                        OptionalInt.empty(),
+                        0,
+                        new ItemText(2, List.of(Bytes.ofUtf8("one"), binary), List.of(1L))),
+                new TextPart("b", OptionalInt.of(3), 7, new ItemText(8, List.of(Bytes.EMPTY), List.of(1L, 2L))));
         assertThat(codec.readTexts(codec.writeTexts(parts))).contains(parts);
     }
 
+    @Test
+    void readsPartsOfTextsOfEarlierReleases() {
+        Bytes earlier = Bytes.ofUtf8(
+                "{\"texts\":[{\"item\":\"a\",\"after\":7,\"last\":8,\"events\":[\"tx\"],\"versions\":[1]}]}");
+        assertThat(codec.readTexts(earlier))
+                .contains(List.of(new TextPart(
+                        "a", OptionalInt.empty(), 7, new ItemText(8, List.of(Bytes.ofUtf8("x")), List.of(1L)))));
+    }
+
     @Test
     void ignoresInvalidDocuments() {
         assertThat(codec.readTexts(Bytes.ofUtf8("{"))).isEmpty();
