--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/EventRecordingEngines.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/EventRecordingEngines.java
@@ -12,10 +12,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeSet;
 
 /**
- * Simulates engines whose events name the run that made them, and the part of a node that reads these events: it
- * reports the growth of texts at intervals, and the received events when an attempt ends.
+ * Simulates engines whose events name the run and the version that made them, and the part of a node that reads these
+ * events: it reports the growth of texts at intervals, and the received events when an attempt ends.
  */
 final class EventRecordingEngines {
 
@@ -25,6 +26,7 @@
     private static final Duration EVENT_INTERVAL = Duration.ofMillis(80);
     private static final Duration GROWTH_INTERVAL = Duration.ofMillis(250);
     private static final Duration MINIMUM_GROWTH_AGE = Duration.ofSeconds(1);
+    private static final Duration VERSION_INTERVAL = Duration.ofSeconds(3);
 
     private final BatchSite site;
     private final Map<Long, Long> resumedAfter = new HashMap<>();
@@ -72,15 +74,18 @@
     }
 
     /**
-     * Returns the first fault of an output: an event that is missing or stands twice, or a run that resumed elsewhere.
+     * Returns the first fault of a result: an event that is missing or stands twice, a run that resumed elsewhere, or
+     * versions that are not exactly those of the events.
      */
-    Optional<String> fault(String output) {
+    Optional<String> fault(BatchResult result) {
         long event = 0;
         long previousRun = 0;
-        for (String line : output.split("\n", -1)) {
+        TreeSet<Long> versions = new TreeSet<>();
+        for (String line : result.output().toUtf8().split("\n", -1)) {
             String[] parts = line.split("/", -1);
             long number = Long.parseLong(parts[0]);
             long run = Long.parseLong(parts[1]);
+            versions.add(Long.parseLong(parts[2]));
             if (number != event + 1) {
                 return Optional.of("event " + number + " follows event " + event);
             }
@@ -91,9 +96,17 @@
             event = number;
             previousRun = run;
         }
+        if (!result.versions().equals(List.copyOf(versions))) {
+            return Optional.of("the versions are " + result.versions() + ", but those of the events are " + versions);
+        }
         return event == EVENTS ? Optional.empty() : Optional.of("the output ends after event " + event);
     }
 
+    /** Returns the version of the weights at a time. */
+    private static long versionAt(MonotonicTime time) {
+        return 1 + time.nanoseconds() / VERSION_INTERVAL.toNanos();
+    }
+
     private void cancel(TestNode node, Map<Key, Attempt> running, BatchEffect.Cancel cancel) {
         Attempt cancelled = running.remove(new Key(cancel.id(), cancel.item(), cancel.attempt()));
         if (cancelled != null) {
@@ -112,6 +125,7 @@
         private final long number;
         private final MonotonicTime startedAt;
         private final List<Bytes> events = new ArrayList<>();
+        private final List<Long> versions = new ArrayList<>();
         private int reported;
         private MonotonicTime reportedAt;
 
@@ -126,7 +140,9 @@
             Duration age = now.since(startedAt);
             long due = Math.min(EVENTS - run.lastEventId(), age.toMillis() / EVENT_INTERVAL.toMillis());
             while (events.size() < due) {
-                events.add(Bytes.ofUtf8((run.lastEventId() + events.size() + 1) + "/" + number));
+                long version = versionAt(startedAt.plus(EVENT_INTERVAL.multipliedBy(events.size() + 1L)));
+                events.add(Bytes.ofUtf8((run.lastEventId() + events.size() + 1) + "/" + number + "/" + version));
+                versions.add(version);
             }
             if (isComplete()) {
                 node.accept(BatchSite.ended(run, new AttemptOutcome.Completed(), text(0)));
@@ -149,8 +165,11 @@
         }
 
         private ItemText text(int from) {
-            List<Bytes> part = events.subList(from, events.size());
-            return new ItemText(run.lastEventId() + events.size(), part, part.isEmpty() ? List.of() : List.of(1L));
+            TreeSet<Long> distinctVersions = new TreeSet<>(versions.subList(from, versions.size()));
+            return new ItemText(
+                    run.lastEventId() + events.size(),
+                    events.subList(from, events.size()),
+                    List.copyOf(distinctVersions));
         }
     }
 }
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/ResumedTextTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/ResumedTextTest.java
@@ -19,7 +19,7 @@
 
 /**
  * Tests that each completed text consists of runs that were asked to resume after exactly the events that precede them,
- * whichever nodes stored its parts.
+ * and names exactly the versions of its events, whichever nodes stored its parts.
  */
 final class ResumedTextTest {
 
@@ -27,6 +27,10 @@
     private static final long SEEDS = Long.getLong("resumed-text.seeds", 60);
 
     private static final long FIRST_SEED = Long.getLong("resumed-text.first-seed", 1);
+
+    /** The step of the sweep over freezes and kills, which the system property overrides for closer searches. */
+    private static final int SWEEP_MILLIS = Integer.getInteger("resumed-text.sweep-millis", 1500);
+
     private static final int ITEMS = 3;
     private static final int STEP_MILLIS = 100;
 
@@ -60,6 +64,20 @@
         assertThat(site.listed("job")).hasSize(ITEMS);
     }
 
+    /** Guards against joined texts whenever the first node wakes and the second one is killed. */
+    @Test
+    void noTextIsJoinedFromTwoNodesWheneverTheFirstWakesAndTheSecondIsKilled() {
+        List<String> broken = new ArrayList<>();
+        for (int platformMillis : List.of(0, 3500)) {
+            for (int freezeMillis = 1000; freezeMillis <= 8000; freezeMillis += SWEEP_MILLIS) {
+                for (int killMillis = 500; killMillis <= 8000; killMillis += SWEEP_MILLIS) {
+                    broken.addAll(new HandOver(platformMillis, freezeMillis, killMillis).faults());
+                }
+            }
+        }
+        assertThat(broken).isEmpty();
+    }
+
     @Test
     void theLateEndOfAnAttemptIsNotTakenForThatOfAnAttemptOfALaterStart() {
         engines.delayCancellations(Duration.ofSeconds(3));
@@ -182,11 +200,43 @@
         site.kill(nodes.remove(name));
     }
 
+    /**
+     * A job whose first node freezes and is considered dead, and whose second node is killed after the first one has
+     * woken.
+     */
+    private record HandOver(int platformMillis, int freezeMillis, int killMillis) {
+
+        private List<String> faults() {
+            ResumedTextTest play = new ResumedTextTest();
+            BatchSite played = play.site;
+            play.start("node-1", "node-2");
+            played.submit(play.nodes.get("node-1"), BatchSite.job("job", ITEMS));
+            played.run(2400);
+            TestNode first = play.nodes.get("node-1");
+            played.site.platform().delayAnswers(name -> Duration.ofMillis(name.equals("node-1") ? platformMillis : 0));
+            first.freeze(true);
+            played.site.markGone("node-1");
+            played.run(freezeMillis);
+            first.freeze(false);
+            played.run(killMillis);
+            play.kill("node-2");
+            played.site.platform().delayAnswers(_name -> Duration.ZERO);
+            play.start("node-3");
+            for (int at = 0; at < RECOVERY_MILLIS && played.listed("job").size() < ITEMS; at += STEP_MILLIS) {
+                played.run(STEP_MILLIS);
+            }
+            List<String> faults = new ArrayList<>(play.faults("job"));
+            if (played.listed("job").size() != ITEMS) {
+                faults.add("listed " + played.listed("job"));
+            }
+            return faults.stream().map(fault -> this + " " + fault).toList();
+        }
+    }
+
     private List<String> faults(String job) {
         return site.results(job).stream()
                 .filter(BatchResult::completed)
-                .flatMap(result ->
-                        engines.fault(result.output().toUtf8()).map(fault -> result.item() + ": " + fault).stream())
+                .flatMap(result -> engines.fault(result).map(fault -> result.item() + ": " + fault).stream())
                 .toList();
     }
 }
