Match no answer to a request of an earlier incarnation of the node

Cause: a node numbers its requests to other nodes from 1 after each start, and an answer is addressed to the name of a node and matched by its number alone. The answer to request 1 of the earlier incarnation is so taken for that to request 1 of the current one. The numbers of pulls, relayed renewals of the lease, relayed results and watches of other nodes were all allocated so. A holder of the duties could take the renewal that its earlier incarnation had asked for as granted to itself.

Change: RequestNumbers allocates them, from a number that the incarnation gives, so that no two incarnations use the same. Pulls get a number of their own in the core in place of the entry server's token. The messages are unchanged, so nodes of both releases understand each other. RunnerQueries is left: it compares the job and the position too, and a declined read asks the platform.

Evidence: before, theAnswerToAPullBeforeARestartIsNotTakenForThatToAnother- TrainersPull failed (trainer b was handed the group a/1/0), and so did theAnswerToARenewalOfAnEarlierIncarnationIsNotReceived. With the change both pass, as do HandOverTest, SampleInterleavingTest, SharedKindWatchTest, VersionSystemsTest, ResultRelayTest, BatchFaultsTest and BatchSystemTest.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchCommitSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchCommitSystem.java
@@ -7,6 +7,7 @@
 import io.yuccaswitch.core.membership.RandomPeer;
 import io.yuccaswitch.core.peer.PeerEffect;
 import io.yuccaswitch.core.peer.PeerEvent;
+import io.yuccaswitch.core.peer.RequestNumbers;
 import io.yuccaswitch.core.platform.PlatformEvent;
 import io.yuccaswitch.core.platform.StoredObject;
 import io.yuccaswitch.core.time.MonotonicTime;
@@ -51,8 +52,8 @@
     /** The results that other nodes were asked to list, by ticket. */
     private final EntityTable<Long, Relayed> relayed = new EntityTable<>();
 
-    /** The last allocated ticket. */
-    private long lastTicket;
+    /** Allocates the tickets of relayed results. */
+    private final RequestNumbers tickets;
 
     /**
      * Creates a system without results.
@@ -61,6 +62,7 @@
      */
     BatchCommitSystem(BatchState state) {
         this.state = state;
+        tickets = new RequestNumbers(state.membership().self().identity());
     }
 
     @Override
@@ -156,13 +158,12 @@
             return false;
         }
         NodeName other = chosen.get();
-        lastTicket++;
-        relayed.put(
-                lastTicket, new Relayed(lastTicket, commit, other, tick.now().plus(RELAY_TIMEOUT)));
+        long ticket = tickets.next();
+        relayed.put(ticket, new Relayed(ticket, commit, other, tick.now().plus(RELAY_TIMEOUT)));
         tick.emit(new PeerEffect.Send(
                 other,
                 new BatchMessage.StoreResults(
-                        lastTicket,
+                        ticket,
                         commit.job().job().id().value(),
                         commit.number(),
                         state.codec().writeResults(results))));
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/duty/LeaseRelay.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/duty/LeaseRelay.java
@@ -6,6 +6,7 @@
 import io.yuccaswitch.core.membership.RandomPeer;
 import io.yuccaswitch.core.peer.PeerEffect;
 import io.yuccaswitch.core.peer.PeerEvent;
+import io.yuccaswitch.core.peer.RequestNumbers;
 import io.yuccaswitch.core.time.MonotonicTime;
 import io.yuccaswitch.core.value.Bytes;
 import java.time.Duration;
@@ -27,8 +28,8 @@
     /** The request in progress, if any. */
     private Optional<Request> request = Optional.empty();
 
-    /** The ticket of the last request. */
-    private long lastTicket;
+    /** Allocates the tickets of requests. */
+    private final RequestNumbers tickets;
 
     /**
      * Creates a relay without requests.
@@ -37,6 +38,7 @@
      */
     LeaseRelay(MembershipView membership) {
         this.membership = membership;
+        tickets = new RequestNumbers(membership.self().identity());
     }
 
     /**
@@ -52,10 +54,10 @@
         if (other.isEmpty()) {
             return false;
         }
-        lastTicket++;
-        request = Optional.of(new Request(lastTicket, value, tick.now()));
+        long ticket = tickets.next();
+        request = Optional.of(new Request(ticket, value, tick.now()));
         Bytes encoded = value.encode();
-        tick.emit(new PeerEffect.Send(other.get(), new DutyMessage.RenewLease(lastTicket, expectedVersion, encoded)));
+        tick.emit(new PeerEffect.Send(other.get(), new DutyMessage.RenewLease(ticket, expectedVersion, encoded)));
         return true;
     }
 
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/PullSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/sample/PullSystem.java
@@ -6,6 +6,7 @@
 import io.yuccaswitch.core.identity.NodeIdentity;
 import io.yuccaswitch.core.membership.Member;
 import io.yuccaswitch.core.peer.PeerEvent;
+import io.yuccaswitch.core.peer.RequestNumbers;
 import io.yuccaswitch.core.time.MonotonicTime;
 import java.time.Duration;
 import java.util.List;
@@ -33,9 +34,12 @@
     /** The shared tables. */
     private final SampleContext context;
 
-    /** The unanswered pulls by token. */
+    /** The unanswered pulls, by the numbers under which they were forwarded. */
     private final EntityTable<Long, ForwardedPull> forwardedPulls = new EntityTable<>();
 
+    /** Allocates the numbers of pulls. */
+    private final RequestNumbers numbers;
+
     /**
      * Creates a new system.
      *
@@ -43,6 +47,7 @@
      */
     PullSystem(SampleContext context) {
         this.context = context;
+        numbers = new RequestNumbers(context.membership.self().identity());
     }
 
     /** {@inheritDoc} */
@@ -62,20 +67,21 @@
     @Override
     public void run(Tick tick) {
         tick.events(SampleEvent.PullRequested.class).forEach(event -> start(tick, event));
-        tick.events(SampleEvent.PullAbandoned.class).forEach(event -> forwardedPulls.remove(event.token()));
+        tick.events(SampleEvent.PullAbandoned.class)
+                .forEach(event -> forwardedPulls.removeIf(pull -> pull.event().token() == event.token()));
         for (PeerEvent.Undeliverable event : tick.events(PeerEvent.Undeliverable.class)) {
             if (event.message() instanceof SampleMessage.Pull pull) {
                 forwardedPulls
                         .find(pull.token())
                         .filter(forwardedPull -> forwardedPull.keeper().name().equals(event.target()))
-                        .ifPresent(forwardedPull -> forward(tick, forwardedPull.event(), Optional.of(forwardedPull)));
+                        .ifPresent(forwardedPull -> forwardAgain(tick, forwardedPull));
             }
         }
         for (ForwardedPull forwardedPull : forwardedPulls.rows()) {
             boolean working = context.roles.working().stream()
                     .anyMatch(member -> member.identity().equals(forwardedPull.keeper()));
             if (!working || forwardedPull.keeperDeadline().isBefore(tick.now())) {
-                forward(tick, forwardedPull.event(), Optional.of(forwardedPull));
+                forwardAgain(tick, forwardedPull);
             }
         }
     }
@@ -100,7 +106,7 @@
                     "The cursor belongs to the trainer " + foreign.owner() + ".",
                     Optional.empty());
         } else {
-            forward(tick, event, Optional.empty());
+            forward(tick, numbers.next(), event, Optional.empty());
         }
     }
 
@@ -108,13 +114,15 @@
      * Forwards a pull to the next keeper, or refuses it if there is none.
      *
      * @param tick The current tick.
+     * @param number The number of the pull.
      * @param event The pull.
      * @param previous The previous attempt, or empty for the first.
      */
-    private void forward(Tick tick, SampleEvent.PullRequested event, Optional<ForwardedPull> previous) {
+    private void forward(Tick tick, long number, SampleEvent.PullRequested event, Optional<ForwardedPull> previous) {
         int attempt = previous.map(ForwardedPull::attempt).orElse(0) + 1;
         List<Member> keepers = context.roles.keepers(event.trainer());
         if (attempt > MAXIMUM_ATTEMPTS || keepers.isEmpty()) {
+            forwardedPulls.remove(number);
             refuse(tick, event, "keepers-unreachable", "No keeper answered.", Optional.of(RETRY_DELAY));
             return;
         }
@@ -128,9 +136,9 @@
         Duration remainingWait = tick.now().isBefore(deadline) ? deadline.since(tick.now()) : Duration.ZERO;
         MonotonicTime keeperDeadline = tick.now().plus(remainingWait).plus(KEEPER_TIMEOUT_MARGIN);
         forwardedPulls.put(
-                event.token(), new ForwardedPull(event, keeper.identity(), attempt, deadline, keeperDeadline));
+                number, new ForwardedPull(number, event, keeper.identity(), attempt, deadline, keeperDeadline));
         SampleMessage.Pull message = new SampleMessage.Pull(
-                event.token(),
+                number,
                 event.trainer(),
                 event.cursor().orElse(""),
                 event.useVersion(),
@@ -140,6 +148,16 @@
         context.outbox.send(tick, keeper, message);
     }
 
+    /**
+     * Forwards a pull to another keeper than before.
+     *
+     * @param tick The current tick.
+     * @param previous The previous attempt.
+     */
+    private void forwardAgain(Tick tick, ForwardedPull previous) {
+        forward(tick, previous.number(), previous.event(), Optional.of(previous));
+    }
+
     /**
      * Limits the time that a pull may wait.
      *
@@ -161,7 +179,6 @@
      */
     private void refuse(
             Tick tick, SampleEvent.PullRequested event, String code, String message, Optional<Duration> retryAfter) {
-        forwardedPulls.remove(event.token());
         tick.decide(Decision.of("pull", event.trainer().toString(), Decision.NO_CHOICE, code));
         tick.emit(new SampleEffect.AnswerPull(event.token(), new PullResult.Refused(code, message, retryAfter)));
     }
@@ -170,16 +187,20 @@
      * Answers a pull, unless it was answered before.
      *
      * @param tick The current tick.
-     * @param token The token of the pull.
+     * @param number The number of the pull.
      * @param result The result.
      */
-    private void conclude(Tick tick, long token, PullResult result) {
-        forwardedPulls.remove(token).ifPresent(_forwardedPull -> tick.emit(new SampleEffect.AnswerPull(token, result)));
+    private void conclude(Tick tick, long number, PullResult result) {
+        forwardedPulls
+                .remove(number)
+                .ifPresent(pull ->
+                        tick.emit(new SampleEffect.AnswerPull(pull.event().token(), result)));
     }
 
     /**
      * An unanswered pull, as it was forwarded to a keeper.
      *
+     * @param number The number of the pull.
      * @param event The pull.
      * @param keeper The keeper that it was forwarded to.
      * @param attempt The number of the attempt, starting at one.
@@ -187,6 +208,7 @@
      * @param keeperDeadline The time at which another keeper is tried.
      */
     private record ForwardedPull(
+            long number,
             SampleEvent.PullRequested event,
             NodeIdentity keeper,
             int attempt,
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/SharedWatches.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/SharedWatches.java
@@ -1,6 +1,7 @@
 package io.yuccaswitch.core.watch;
 
 import io.yuccaswitch.core.membership.MembershipView;
+import io.yuccaswitch.core.peer.RequestNumbers;
 import io.yuccaswitch.core.platform.ObjectFilter;
 import io.yuccaswitch.core.platform.PlatformPurpose;
 import io.yuccaswitch.core.platform.PlatformTokens;
@@ -16,6 +17,9 @@
     /** This node's contacts with the watchers. */
     private final WatcherContacts contacts = new WatcherContacts();
 
+    /** Allocates the numbers of requests to the watchers. */
+    private final RequestNumbers numbers;
+
     /** The ages that watchers report for all kinds. */
     private final KindAges ages = new KindAges();
 
@@ -29,6 +33,7 @@
      */
     public SharedWatches(MembershipView membership) {
         this.membership = membership;
+        numbers = new RequestNumbers(membership.self().identity());
     }
 
     /**
@@ -94,7 +99,7 @@
             PlatformTokens tokens,
             Duration batchingDelay,
             Optional<Duration> maximumAge) {
-        WatchFollower follower = new WatchFollower(kind, contacts, ages, !probeAssigned);
+        WatchFollower follower = new WatchFollower(kind, numbers, contacts, ages, !probeAssigned);
         probeAssigned = true;
         SharedKindWatch watch = new SharedKindWatch(
                 kind, purpose, filter, tokens, batchingDelay, maximumAge, new WatchRoles(membership), follower, ages);
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchFollower.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchFollower.java
@@ -6,6 +6,7 @@
 import io.yuccaswitch.core.identity.NodeName;
 import io.yuccaswitch.core.peer.PeerEffect;
 import io.yuccaswitch.core.peer.PeerEvent;
+import io.yuccaswitch.core.peer.RequestNumbers;
 import io.yuccaswitch.core.time.MonotonicTime;
 import java.time.Duration;
 import java.util.List;
@@ -53,19 +54,21 @@
     /** The pending request, if any. */
     private Optional<Request> request = Optional.empty();
 
-    /** The number of the latest request. */
-    private long number;
+    /** Allocates the numbers of requests. */
+    private final RequestNumbers numbers;
 
     /**
      * Creates a follower without a request.
      *
      * @param kind The kind.
+     * @param numbers Allocates the numbers of requests.
      * @param contacts This node's contacts with the watchers.
      * @param ages The ages that watchers report for all kinds.
      * @param probes Whether this kind detects lost nodes for the others.
      */
-    WatchFollower(String kind, WatcherContacts contacts, KindAges ages, boolean probes) {
+    WatchFollower(String kind, RequestNumbers numbers, WatcherContacts contacts, KindAges ages, boolean probes) {
         this.kind = kind;
+        this.numbers = numbers;
         this.contacts = contacts;
         this.ages = ages;
         this.probes = probes;
@@ -102,7 +105,7 @@
      * @param answerImmediately Whether the node shall answer immediately, even if it has no later changes.
      */
     void request(Tick tick, NodeName watcher, long version, boolean answerImmediately) {
-        number++;
+        long number = numbers.next();
         boolean allowsLongHold = !probes && !answerImmediately;
         Optional<NodeIdentity> contact =
                 allowsLongHold ? contacts.recentContact(watcher, tick.now()) : Optional.empty();
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchMessage.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/watch/WatchMessage.java
@@ -29,8 +29,8 @@
      *
      * @param kind The kind of the objects.
      * @param number The number of the request.
-     * @param requestVersion The version of the request. Request numbers restart with the node, so the answer repeats
-     *     both.
+     * @param requestVersion The version of the request. Request numbers of nodes of earlier releases restart with the
+     *     node, so the answer repeats both.
      * @param inContact Whether the sender watches the kind at the platform, and the platform answers.
      * @param heldMillis How long the request was held, in milliseconds.
      * @param confirmedAgeMillis The time since the sender's state was last guaranteed to be complete, in milliseconds.
