Log the number and the beginnings of an object with texts

Cause: the log of a stored text named neither its object nor whether it begins a text. For the review's case the records of the engines had to show which of two runners' parts a third one joined; a site has no such record.

Change: the line batch-texts gives the number of the object and how many of its parts are beginnings, so that the lines of two gateways can be put in the order of their objects.

Result: no behaviour changes.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/TextCheckpointSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/TextCheckpointSystem.java
@@ -185,11 +185,14 @@
         } else {
             parts.forEach(texts::putBack);
         }
+        long beginnings =
+                parts.stream().filter(writing -> writing.part().isBeginning()).count();
         tick.decide(Decision.of(
                 "batch-texts",
                 id.value(),
                 stored ? "kept" : "not kept",
-                "parts of " + parts.size() + " texts, " + event.getClass().getSimpleName()));
+                "object " + number + " with parts of " + parts.size() + " texts, " + beginnings
+                        + " of them beginnings, " + event.getClass().getSimpleName()));
     }
 
     /** The stored texts of one run of a job. */
