Take an answer to an order only for the order of that version

What callers would see: an engine keeps an old version and is taken for updated to the newest named one, so that items which need that version go to it and are begun again.

Cause: the answer to an order named the engine alone. The late answer 200 ("the order already holds") to an order for an earlier version was taken for that to the order of a later one, whose version was then recorded for the engine.

Change: the answer carries the model and the version of its order, and is compared with the update in progress.

Evidence: theLateAnswerToAnOrderIsNotTakenForThatToTheOrderOfALaterVersion failed before (2 of 3 engines got version 3 in 10 s) and passes now, as do the other 32 tests of VersionSystemsTest.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/EngineOrderRow.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/EngineOrderRow.java
@@ -52,6 +52,16 @@
         return stage == Stage.READING || stage == Stage.PROBING;
     }
 
+    /**
+     * Returns whether an answer belongs to the order that was sent for this update.
+     *
+     * @param answer The answer.
+     * @return {@code true} if it does.
+     */
+    boolean isAnsweredBy(OrderEvent.Ordered answer) {
+        return stage == Stage.ORDERING && model.equals(answer.model()) && version == answer.version();
+    }
+
     /** The stages of an update. */
     enum Stage {
         /** The engine's report was requested. */
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/OrderEvent.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/OrderEvent.java
@@ -19,9 +19,11 @@
      * An order was sent.
      *
      * @param engine The engine.
+     * @param model The model of the order.
+     * @param version The version of the order.
      * @param outcome The outcome.
      */
-    record Ordered(EndpointName engine, OrderOutcome outcome) implements OrderEvent {}
+    record Ordered(EndpointName engine, String model, long version, OrderOutcome outcome) implements OrderEvent {}
 
     /**
      * This node, which gives the orders, has announced or ended a load. Its own batch system handles it as a message.
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/VersionOrderSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/modelversion/VersionOrderSystem.java
@@ -424,15 +424,14 @@
     }
 
     /**
-     * Handles the answer to an order.
+     * Handles the answer to an order. The late answer to an order for another version is ignored.
      *
      * @param tick The tick.
      * @param ordered The answer.
      */
     private void handleAnswer(Tick tick, OrderEvent.Ordered ordered) {
         lease.recordAction();
-        Optional<EngineOrderRow> row =
-                rows.find(ordered.engine()).filter(found -> found.stage() == EngineOrderRow.Stage.ORDERING);
+        Optional<EngineOrderRow> row = rows.find(ordered.engine()).filter(found -> found.isAnsweredBy(ordered));
         if (row.isEmpty()) {
             return;
         }
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/LoadSite.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/LoadSite.java
@@ -216,7 +216,9 @@
         EndpointName name = order.engine().name();
         OrderOutcome outcome = engines.get(name.value()).load(order, site.now().nanoseconds() + loadNanos);
         orders++;
-        arrive(site.now().nanoseconds(), () -> node.accept(new OrderEvent.Ordered(name, outcome)));
+        arrive(
+                site.now().nanoseconds(),
+                () -> node.accept(new OrderEvent.Ordered(name, order.model(), order.version(), outcome)));
     }
 
     private void begin(TestNode node, BatchEffect.Run run) {
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/ResumedTextTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/ResumedTextTest.java
@@ -208,7 +208,7 @@
     private enum Absence {
         FROZEN {
             @Override
-            void set(BatchSite site, TestNode node, boolean absent) {
+            void set(BatchSite _site, TestNode node, boolean absent) {
                 node.freeze(absent);
             }
         },
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/modelversion/VersionSystemsTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/modelversion/VersionSystemsTest.java
@@ -44,6 +44,7 @@
     private final List<Order> orders = new ArrayList<>();
     private final Map<String, SimulatedEngine> engines = new HashMap<>();
     private boolean unanswered;
+    private boolean lost;
 
     @BeforeEach
     void startEngines() {
@@ -512,6 +513,27 @@
         assertThat(orders).isEmpty();
     }
 
+    /** Guards against an engine that is taken for updated because an order for an earlier version is answered late. */
+    @Test
+    void theLateAnswerToAnOrderIsNotTakenForThatToTheOrderOfALaterVersion() {
+        TestNode node = start("node-1");
+        run(500);
+        name("model-a", 2);
+        run(5000);
+        lost = true;
+        name("model-a", 3);
+        run(600);
+        Order later = orders.get(orders.size() - 1);
+        assertThat(later.version()).isEqualTo(3);
+        EndpointName engine = new EndpointName(POOL, later.engine(), engines.get(later.engine()).incarnation);
+        node.accept(new OrderEvent.Ordered(engine, "model-a", 2, OrderOutcome.HOLDS));
+        run(50);
+        lost = false;
+        run(10_000);
+        assertThat(engines.values().stream().filter(found -> found.versions.get("model-a") == 3))
+                .hasSize(3);
+    }
+
     private TestNode start(String name) {
         return start(name, Optional.empty());
     }
@@ -575,8 +597,12 @@
                 order.fence(),
                 order.expectedSequence(),
                 now));
+        if (lost) {
+            return;
+        }
         OrderOutcome outcome = engines.get(name.value()).accept(order, now);
-        node.accept(new OrderEvent.Ordered(name, unanswered ? OrderOutcome.UNANSWERED : outcome));
+        node.accept(new OrderEvent.Ordered(
+                name, order.model(), order.version(), unanswered ? OrderOutcome.UNANSWERED : outcome));
     }
 
     private Optional<RegisteredEndpoint> endpoint(StoredObject object) {
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/OrderCaller.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/OrderCaller.java
@@ -90,7 +90,7 @@
             OrderOutcome outcome = answer.map(
                             received -> dialect.orderOutcome(received.status()).orElse(OrderOutcome.REJECTED))
                     .orElse(OrderOutcome.UNANSWERED);
-            loop.accept(new OrderEvent.Ordered(engine, outcome));
+            loop.accept(new OrderEvent.Ordered(engine, effect.model(), effect.version(), outcome));
         });
     }
 
