--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchOwnershipSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchOwnershipSystem.java
@@ -51,9 +51,6 @@
     /** The time since which the index has lacked a running job, or of the latest read of its entry. */
     private final Map<BatchJobId, MonotonicTime> unlistedSince = new HashMap<>();
 
-    /** The entries with which this node claimed jobs, until the index has them. */
-    private final Map<BatchJobId, BatchIndex.Row> claimed = new HashMap<>();
-
     /** The jobs that are being claimed. */
     private final Set<BatchJobId> claiming = new HashSet<>();
 
@@ -141,10 +138,9 @@
      * Acts on the current state of an index entry: stops, loads or claims the job.
      *
      * @param tick The tick.
-     * @param listed The entry, as the index has it.
+     * @param row The entry.
      */
-    private void evaluate(Tick tick, BatchIndex.Row listed) {
-        BatchIndex.Row row = latest(listed);
+    private void evaluate(Tick tick, BatchIndex.Row row) {
         BatchIndexEntry entry = row.entry();
         BatchJobId id = entry.id();
         boolean own = entry.runner().equals(state.membership().self().identity().name());
@@ -171,25 +167,6 @@
         }
     }
 
-    /**
-     * Returns the latest known state of an entry: the one with which this node claimed the job, if the index does not
-     * have it yet.
-     *
-     * @param listed The entry, as the index has it.
-     * @return The latest state.
-     */
-    private BatchIndex.Row latest(BatchIndex.Row listed) {
-        BatchIndex.Row own = claimed.get(listed.entry().id());
-        if (own == null) {
-            return listed;
-        }
-        if (listed.version() < own.version()) {
-            return own;
-        }
-        claimed.remove(listed.entry().id());
-        return listed;
-    }
-
     /**
      * Returns whether a job's runner has been missing for long enough.
      *
@@ -257,8 +234,7 @@
                             entry.id().value(),
                             granted ? "granted" : "not granted",
                             "runner " + entry.runner() + " is gone, entry version " + row.version()));
-                    if (event instanceof PlatformEvent.Accepted accepted) {
-                        claimed.put(entry.id(), new BatchIndex.Row(own, accepted.version()));
+                    if (granted) {
                         JobStart start = JobStart.from(JobStart.Cause.TAKEN_OVER, entry.runner());
                         loader.load(later, entry.id(), start);
                     } else {
