--- a/yuccaswitch-endpoint/src/test/java/io/yuccaswitch/endpoint/EndpointReportsTest.java
+++ b/yuccaswitch-endpoint/src/test/java/io/yuccaswitch/endpoint/EndpointReportsTest.java
@@ -17,6 +17,7 @@
 import io.yuccaswitch.testkit.engine.EngineOptions;
 import io.yuccaswitch.testkit.engine.EngineStandIn;
 import io.yuccaswitch.testkit.http.Fault;
+import io.yuccaswitch.testkit.http.RawServer;
 import io.yuccaswitch.testkit.scorer.ScorerOptions;
 import io.yuccaswitch.testkit.scorer.ScorerStandIn;
 import io.yuccaswitch.testkit.service.ServiceOptions;
--- a/yuccaswitch-endpoint/src/test/java/io/yuccaswitch/endpoint/GenerationTest.java
+++ b/yuccaswitch-endpoint/src/test/java/io/yuccaswitch/endpoint/GenerationTest.java
@@ -17,6 +17,7 @@
 import io.yuccaswitch.testkit.engine.Prompt;
 import io.yuccaswitch.testkit.engine.RunRecord;
 import io.yuccaswitch.testkit.http.Fault;
+import io.yuccaswitch.testkit.http.RawServer;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
--- a/yuccaswitch-endpoint/src/test/java/io/yuccaswitch/endpoint/PooledConnectionTest.java
+++ b/yuccaswitch-endpoint/src/test/java/io/yuccaswitch/endpoint/PooledConnectionTest.java
@@ -6,6 +6,7 @@
 import io.yuccaswitch.core.quarantine.Loss;
 import io.yuccaswitch.core.request.AttemptResult;
 import io.yuccaswitch.testkit.http.Fault;
+import io.yuccaswitch.testkit.http.RawServer;
 import io.yuccaswitch.testkit.service.ServiceOptions;
 import io.yuccaswitch.testkit.service.ServiceStandIn;
 import java.io.IOException;
--- a/yuccaswitch-endpoint/src/test/java/io/yuccaswitch/endpoint/WholeAnswerTest.java
+++ b/yuccaswitch-endpoint/src/test/java/io/yuccaswitch/endpoint/WholeAnswerTest.java
@@ -10,6 +10,7 @@
 import io.yuccaswitch.core.request.RequestEffect;
 import io.yuccaswitch.core.request.RequestEvent;
 import io.yuccaswitch.testkit.http.Fault;
+import io.yuccaswitch.testkit.http.RawServer;
 import io.yuccaswitch.testkit.service.ServiceOptions;
 import io.yuccaswitch.testkit.service.ServiceStandIn;
 import java.io.IOException;
