Report malformed answers and the bytes that open connections hold

Cause: nothing in logs or metrics tells what is wrong with an answer's head, nor that a connection holds bytes when a request is about to be written on it. The hypotheses of the incident differ in just these.

It knows where an answer ends by RFC 9112, and writes a line and counts when a head or the framing of a body is malformed (event=answer-malformed, *_malformed_answers_*), or when a connection holds bytes or has ended before a request (event=connection-unusable). Bytes are escaped and cut at 80. Nothing is rejected: malformed bytes are handed over as before. The socket is based on a channel, as only a channel can be read without waiting.

--- a/yuccaswitch-endpoint/src/main/java/io/yuccaswitch/endpoint/EndpointHttp.java
+++ b/yuccaswitch-endpoint/src/main/java/io/yuccaswitch/endpoint/EndpointHttp.java
@@ -1,7 +1,10 @@
 package io.yuccaswitch.endpoint;
 
+import com.codahale.metrics.MetricRegistry;
 import io.yuccaswitch.core.endpoint.FailureCodes;
 import io.yuccaswitch.core.value.Bytes;
+import io.yuccaswitch.http.AnswerObserver;
+import io.yuccaswitch.http.AnswerValidation;
 import java.io.IOException;
 import java.net.Proxy;
 import java.time.Duration;
@@ -36,13 +39,14 @@
      * Creates a new client.
      *
      * @param settings The settings of the clients.
+     * @param metrics The metrics, which count malformed answers and unusable connections.
      */
-    public EndpointHttp(EndpointClientSettings settings) {
+    public EndpointHttp(EndpointClientSettings settings, MetricRegistry metrics) {
         this.settings = settings;
         Dispatcher dispatcher = new Dispatcher();
         dispatcher.setMaxRequests(MAXIMUM_CONCURRENT_CALLS);
         dispatcher.setMaxRequestsPerHost(MAXIMUM_CONCURRENT_CALLS);
-        client = new OkHttpClient.Builder()
+        client = AnswerValidation.addTo(new OkHttpClient.Builder(), new AnswerObserver.Reporting(metrics, "endpoint"))
                 .dispatcher(dispatcher)
                 .protocols(List.of(Protocol.HTTP_1_1))
                 .connectionSpecs(List.of(ConnectionSpec.CLEARTEXT))
--- a/yuccaswitch-endpoint/src/test/java/io/yuccaswitch/endpoint/ClientFixture.java
+++ b/yuccaswitch-endpoint/src/test/java/io/yuccaswitch/endpoint/ClientFixture.java
@@ -40,8 +40,9 @@
     }
 
     ClientFixture(EndpointClientSettings settings) {
-        http = new EndpointHttp(settings);
-        client = new EndpointClient(http, ClientFixture::now, endpointEvents::add, new MetricRegistry());
+        MetricRegistry metrics = new MetricRegistry();
+        http = new EndpointHttp(settings, metrics);
+        client = new EndpointClient(http, ClientFixture::now, endpointEvents::add, metrics);
     }
 
     static MonotonicTime now() {
--- /dev/null
+++ b/yuccaswitch-http/src/main/java/io/yuccaswitch/http/AnswerInputStream.java
@@ -0,0 +1,306 @@
+package io.yuccaswitch.http;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import okio.Buffer;
+
+/**
+ * Reads the answers of a connection one at a time. The head of an answer is handed over only when it is complete, and
+ * no byte after the end of an answer is handed over with it.
+ */
+final class AnswerInputStream extends InputStream {
+
+    /** The maximum size of a head with its interim answers, in bytes. */
+    private static final long MAXIMUM_HEAD_BYTES = 256 << 10;
+
+    /** The maximum number of interim answers before a final one. */
+    private static final int MAXIMUM_INTERIM_ANSWERS = 16;
+
+    /** The maximum size of the line before a chunk, and of all lines after the last chunk, in bytes. */
+    private static final long MAXIMUM_CHUNK_LINE_BYTES = 8 << 10;
+
+    /** The line before a chunk, with its size and an optional extension. */
+    private static final Pattern CHUNK_LINE =
+            Pattern.compile("([0-9A-Fa-f]{1,15})[\\t ]*(?:;[\\t\\x20-\\x7e\\x80-\\xff]*)?");
+
+    /** The base of the sizes of chunks. */
+    private static final int HEXADECIMAL = 16;
+
+    /** The line terminator. */
+    private static final String LINE_END = "\r\n";
+
+    /** The bytes that the peer sends. */
+    private final LineReader reader;
+
+    /** Receives malformed answers. */
+    private final Consumer<MalformedAnswerException> observer;
+
+    /** The lines that were read and not yet handed over. */
+    private final Buffer lines = new Buffer();
+
+    /** The part of an answer that is read next. */
+    private Part part = Part.NONE;
+
+    /** The method of the request whose answer is read. */
+    private String method = "";
+
+    /** The number of bytes of the body or the chunk that were not yet read. */
+    private long remainingBytes;
+
+    /** The number of bytes that the lines of the current head or trailer may still have. */
+    private long remainingLineBytes;
+
+    /** The number of interim answers before the current one. */
+    private int interimAnswers;
+
+    /**
+     * Creates a stream.
+     *
+     * @param source The bytes that the peer sends.
+     * @param observer Receives malformed answers.
+     */
+    AnswerInputStream(ByteSource source, Consumer<MalformedAnswerException> observer) {
+        reader = new LineReader(source);
+        this.observer = observer;
+    }
+
+    /**
+     * Determines without waiting whether the connection can be used for a request. No answer is being read.
+     *
+     * @return The condition of the connection.
+     */
+    ConnectionCondition condition() {
+        return reader.poll();
+    }
+
+    /**
+     * Returns the bytes that have arrived and belong to no answer.
+     *
+     * @return The bytes, escaped.
+     */
+    String unreadBytes() {
+        return EscapedBytes.of(reader.unread());
+    }
+
+    /**
+     * Starts to read an answer.
+     *
+     * @param requestMethod The method of the request.
+     */
+    void expectAnswer(String requestMethod) {
+        method = requestMethod;
+        interimAnswers = 0;
+        remainingLineBytes = MAXIMUM_HEAD_BYTES;
+        part = part == Part.NONE ? Part.HEAD : part;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public int read() throws IOException {
+        byte[] single = new byte[1];
+        return read(single, 0, 1) < 0 ? -1 : single[0] & 0xff;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public int read(byte[] target, int offset, int length) throws IOException {
+        if (length == 0) {
+            return 0;
+        }
+        while (lines.exhausted()) {
+            if (part == Part.NONE) {
+                return readNothing();
+            }
+            if (part == Part.BODY || part == Part.CHUNK) {
+                return readContent(target, offset, length);
+            }
+            if (part == Part.UNTIL_CLOSE) {
+                return reader.read(target, offset, length);
+            }
+            readLines();
+        }
+        return lines.read(target, offset, length);
+    }
+
+    /**
+     * Answers a read between two answers, with which the client library checks the connection.
+     *
+     * @return -1 if the connection has ended.
+     * @throws SocketTimeoutException If the connection is open.
+     */
+    private int readNothing() throws SocketTimeoutException {
+        if (condition() == ConnectionCondition.ENDED) {
+            return -1;
+        }
+        throw new SocketTimeoutException("no answer is expected");
+    }
+
+    /**
+     * Reads the lines of a part. If they are malformed, they are handed over with all bytes that follow.
+     *
+     * @throws IOException If the connection ended or failed.
+     */
+    private void readLines() throws IOException {
+        try {
+            switch (part) {
+                case HEAD -> readHead();
+                case CHUNK_LINE -> readChunkLine();
+                case CHUNK_END -> readChunkEnd();
+                default -> readTrailer();
+            }
+        } catch (MalformedAnswerException exception) {
+            observer.accept(exception);
+            part = Part.UNTIL_CLOSE;
+        }
+    }
+
+    /**
+     * Reads a head.
+     *
+     * @throws IOException If the head is malformed, or the connection ended or failed.
+     */
+    private void readHead() throws IOException {
+        requireVersionPrefix();
+        AnswerHead head = AnswerHead.ofStatusLine(readLine(AnswerFault.HEAD_SIZE));
+        for (String line = readLine(AnswerFault.HEAD_SIZE); !line.isEmpty(); line = readLine(AnswerFault.HEAD_SIZE)) {
+            head.add(line);
+        }
+        if (!head.isInterim()) {
+            begin(head.framing(method));
+        } else if (++interimAnswers > MAXIMUM_INTERIM_ANSWERS) {
+            throw new MalformedAnswerException(AnswerFault.INTERIM_ANSWERS, "");
+        }
+    }
+
+    /**
+     * Verifies that a status line begins, without waiting for its end.
+     *
+     * @throws IOException If another line begins, or the connection ended or failed.
+     */
+    private void requireVersionPrefix() throws IOException {
+        for (int index = 0; index < AnswerHead.VERSION_PREFIX.length(); index++) {
+            if (reader.peek(index) != AnswerHead.VERSION_PREFIX.charAt(index)) {
+                throw new MalformedAnswerException(AnswerFault.STATUS_LINE, reader.unread());
+            }
+        }
+    }
+
+    /**
+     * Starts to read the body.
+     *
+     * @param framing The framing of the body.
+     */
+    private void begin(BodyFraming framing) {
+        remainingBytes = framing.length();
+        part = switch (framing.kind()) {
+            case FIXED -> remainingBytes == 0 ? Part.NONE : Part.BODY;
+            case CHUNKED -> Part.CHUNK_LINE;
+            case UNTIL_CLOSE -> Part.UNTIL_CLOSE;
+        };
+        remainingLineBytes = MAXIMUM_CHUNK_LINE_BYTES;
+    }
+
+    /**
+     * Reads the line before a chunk.
+     *
+     * @throws IOException If the line is malformed, or the connection ended or failed.
+     */
+    private void readChunkLine() throws IOException {
+        remainingLineBytes = MAXIMUM_CHUNK_LINE_BYTES;
+        String line = readLine(AnswerFault.CHUNK);
+        Matcher matcher = CHUNK_LINE.matcher(line);
+        if (!matcher.matches()) {
+            throw new MalformedAnswerException(AnswerFault.CHUNK, line);
+        }
+        remainingBytes = Long.parseLong(matcher.group(1), HEXADECIMAL);
+        part = remainingBytes == 0 ? Part.TRAILER : Part.CHUNK;
+    }
+
+    /**
+     * Reads the terminator of a chunk.
+     *
+     * @throws IOException If the chunk is longer than stated, or the connection ended or failed.
+     */
+    private void readChunkEnd() throws IOException {
+        String line = readLine(AnswerFault.CHUNK);
+        if (!line.isEmpty()) {
+            throw new MalformedAnswerException(AnswerFault.CHUNK, line);
+        }
+        part = Part.CHUNK_LINE;
+    }
+
+    /**
+     * Reads the lines after the last chunk.
+     *
+     * @throws IOException If the lines are malformed, or the connection ended or failed.
+     */
+    private void readTrailer() throws IOException {
+        String line = readLine(AnswerFault.TRAILER);
+        if (line.isEmpty()) {
+            part = Part.NONE;
+        } else {
+            AnswerHead.requireHeader(line);
+        }
+    }
+
+    /**
+     * Reads a line.
+     *
+     * @param excess The fault if the line is too long.
+     * @return The line without its terminator.
+     * @throws IOException If the line is too long, or the connection ended or failed.
+     */
+    private String readLine(AnswerFault excess) throws IOException {
+        Optional<String> line = reader.readLine(remainingLineBytes);
+        if (line.isEmpty()) {
+            throw new MalformedAnswerException(excess, "");
+        }
+        remainingLineBytes -= line.get().length() + LINE_END.length();
+        lines.writeString(line.get(), StandardCharsets.ISO_8859_1).writeUtf8(LINE_END);
+        return line.get();
+    }
+
+    /**
+     * Reads bytes of the content, of a body of known length or of a chunk.
+     *
+     * @param target Receives the bytes.
+     * @param offset The position of the first byte.
+     * @param length The maximum number of bytes.
+     * @return The number of bytes, or -1 if the connection ended.
+     * @throws IOException If the connection failed.
+     */
+    private int readContent(byte[] target, int offset, int length) throws IOException {
+        int count = reader.read(target, offset, (int) Math.min(length, remainingBytes));
+        remainingBytes -= Math.max(0, count);
+        if (remainingBytes == 0) {
+            part = part == Part.BODY ? Part.NONE : Part.CHUNK_END;
+        }
+        return count;
+    }
+
+    /** The parts of an answer. */
+    private enum Part {
+        /** No answer is expected. */
+        NONE,
+        /** The status line and the headers. */
+        HEAD,
+        /** A body of known length. */
+        BODY,
+        /** The line before a chunk, with its size. */
+        CHUNK_LINE,
+        /** The content of a chunk. */
+        CHUNK,
+        /** The terminator of a chunk. */
+        CHUNK_END,
+        /** The lines after the last chunk. */
+        TRAILER,
+        /** Bytes that the end of the connection delimits. */
+        UNTIL_CLOSE
+    }
+}
--- /dev/null
+++ b/yuccaswitch-http/src/main/java/io/yuccaswitch/http/AnswerObserver.java
@@ -0,0 +1,82 @@
+package io.yuccaswitch.http;
+
+import com.codahale.metrics.MetricRegistry;
+import org.jboss.logging.Logger;
+
+/** Receives what is wrong with answers and connections, for operators. */
+public interface AnswerObserver {
+
+    /**
+     * Observes a malformed answer.
+     *
+     * @param peer The address from which it came.
+     * @param exception The fault.
+     */
+    void malformed(String peer, MalformedAnswerException exception);
+
+    /**
+     * Observes that an open connection can't be used for the next request.
+     *
+     * @param peer The address to which it leads.
+     * @param condition The condition of the connection.
+     * @param bytes The bytes that it holds, escaped.
+     */
+    void unusable(String peer, ConnectionCondition condition, String bytes);
+
+    /** Writes a log line and increments a counter for each observation. */
+    final class Reporting implements AnswerObserver {
+
+        /** The logger. */
+        private static final Logger LOGGER = Logger.getLogger(AnswerObserver.class);
+
+        /** The metrics. */
+        private final MetricRegistry metrics;
+
+        /** The name of the client in logs and metrics. */
+        private final String client;
+
+        /**
+         * Creates an observer.
+         *
+         * @param metrics The metrics.
+         * @param client The name of the client in logs and metrics.
+         */
+        public Reporting(MetricRegistry metrics, String client) {
+            this.metrics = metrics;
+            this.client = client;
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void malformed(String peer, MalformedAnswerException exception) {
+            metrics.counter(client + ".malformed-answers." + exception.fault().label())
+                    .inc();
+            LOGGER.warnf(
+                    "event=answer-malformed client=%s peer=%s reason=\"%s\"", client, peer, exception.getMessage());
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void unusable(String peer, ConnectionCondition condition, String bytes) {
+            metrics.counter(client + ".unusable-connections." + condition.label())
+                    .inc();
+            LOGGER.infof(
+                    "event=connection-unusable client=%s peer=%s condition=%s bytes=\"%s\"",
+                    client, peer, condition.label(), bytes);
+        }
+    }
+
+    /** Ignores all observations. */
+    enum NoOp implements AnswerObserver {
+        /** The only instance. */
+        INSTANCE;
+
+        /** {@inheritDoc} */
+        @Override
+        public void malformed(String _peer, MalformedAnswerException _exception) {}
+
+        /** {@inheritDoc} */
+        @Override
+        public void unusable(String _peer, ConnectionCondition _condition, String _bytes) {}
+    }
+}
--- /dev/null
+++ b/yuccaswitch-http/src/main/java/io/yuccaswitch/http/AnswerSocket.java
@@ -0,0 +1,236 @@
+package io.yuccaswitch.http;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.net.SocketAddress;
+import java.net.SocketException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+
+/**
+ * A socket whose input consists of valid answers only. It is based on a channel, since only a channel can be read
+ * without waiting.
+ */
+final class AnswerSocket extends Socket {
+
+    /** The channel. */
+    private final SocketChannel channel;
+
+    /** The socket of the channel. */
+    private final Socket delegate;
+
+    /** The answers. */
+    private final AnswerInputStream answers;
+
+    /** Receives what is wrong with answers and the connection. */
+    private final AnswerObserver observer;
+
+    /**
+     * Creates a socket that is not connected.
+     *
+     * @param observer Receives what is wrong with answers and the connection.
+     * @throws IOException If no socket is available.
+     */
+    AnswerSocket(AnswerObserver observer) throws IOException {
+        this.observer = observer;
+        channel = SocketChannel.open();
+        delegate = channel.socket();
+        answers = new AnswerInputStream(new ChannelSource(), fault -> observer.malformed(peer(), fault));
+    }
+
+    /**
+     * Determines whether the connection can be used for a request, and reports it if not.
+     *
+     * @return The condition of the connection.
+     */
+    ConnectionCondition condition() {
+        ConnectionCondition condition = answers.condition();
+        if (condition != ConnectionCondition.IDLE) {
+            observer.unusable(peer(), condition, answers.unreadBytes());
+        }
+        return condition;
+    }
+
+    /**
+     * Starts to read an answer.
+     *
+     * @param method The method of the request.
+     */
+    void expectAnswer(String method) {
+        answers.expectAnswer(method);
+    }
+
+    /**
+     * Returns the address of the peer.
+     *
+     * @return The address for logs.
+     */
+    private String peer() {
+        InetAddress address = delegate.getInetAddress();
+        return (address == null ? "unconnected" : address.getHostAddress()) + ":" + delegate.getPort();
+    }
+
+    @Override
+    public void connect(SocketAddress endpoint) throws IOException {
+        delegate.connect(endpoint);
+    }
+
+    @Override
+    public void connect(SocketAddress endpoint, int timeout) throws IOException {
+        delegate.connect(endpoint, timeout);
+    }
+
+    @Override
+    public void bind(SocketAddress bindpoint) throws IOException {
+        delegate.bind(bindpoint);
+    }
+
+    @Override
+    public InetAddress getInetAddress() {
+        return delegate.getInetAddress();
+    }
+
+    @Override
+    public InetAddress getLocalAddress() {
+        return delegate.getLocalAddress();
+    }
+
+    @Override
+    public int getPort() {
+        return delegate.getPort();
+    }
+
+    @Override
+    public int getLocalPort() {
+        return delegate.getLocalPort();
+    }
+
+    @Override
+    public SocketAddress getRemoteSocketAddress() {
+        return delegate.getRemoteSocketAddress();
+    }
+
+    @Override
+    public SocketAddress getLocalSocketAddress() {
+        return delegate.getLocalSocketAddress();
+    }
+
+    @Override
+    public SocketChannel getChannel() {
+        return channel;
+    }
+
+    @Override
+    public InputStream getInputStream() {
+        return answers;
+    }
+
+    @Override
+    public OutputStream getOutputStream() throws IOException {
+        return delegate.getOutputStream();
+    }
+
+    @Override
+    public void setTcpNoDelay(boolean isEnabled) throws SocketException {
+        delegate.setTcpNoDelay(isEnabled);
+    }
+
+    @Override
+    public boolean getTcpNoDelay() throws SocketException {
+        return delegate.getTcpNoDelay();
+    }
+
+    @Override
+    public void setKeepAlive(boolean isEnabled) throws SocketException {
+        delegate.setKeepAlive(isEnabled);
+    }
+
+    @Override
+    public boolean getKeepAlive() throws SocketException {
+        return delegate.getKeepAlive();
+    }
+
+    @Override
+    public synchronized void setSoTimeout(int timeout) throws SocketException {
+        delegate.setSoTimeout(timeout);
+    }
+
+    @Override
+    public synchronized int getSoTimeout() throws SocketException {
+        return delegate.getSoTimeout();
+    }
+
+    @Override
+    public void setSoLinger(boolean isEnabled, int seconds) throws SocketException {
+        delegate.setSoLinger(isEnabled, seconds);
+    }
+
+    @Override
+    public synchronized void close() throws IOException {
+        delegate.close();
+    }
+
+    @Override
+    public void shutdownInput() throws IOException {
+        delegate.shutdownInput();
+    }
+
+    @Override
+    public void shutdownOutput() throws IOException {
+        delegate.shutdownOutput();
+    }
+
+    @Override
+    public boolean isConnected() {
+        return delegate.isConnected();
+    }
+
+    @Override
+    public boolean isBound() {
+        return delegate.isBound();
+    }
+
+    @Override
+    public boolean isClosed() {
+        return delegate.isClosed();
+    }
+
+    @Override
+    public boolean isInputShutdown() {
+        return delegate.isInputShutdown();
+    }
+
+    @Override
+    public boolean isOutputShutdown() {
+        return delegate.isOutputShutdown();
+    }
+
+    @Override
+    public String toString() {
+        return delegate.toString();
+    }
+
+    /** Reads the channel. */
+    private final class ChannelSource implements ByteSource {
+
+        /** {@inheritDoc} */
+        @Override
+        public int read(byte[] target, int offset, int length) throws IOException {
+            return delegate.getInputStream().read(target, offset, length);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public int poll(byte[] target, int offset, int length) throws IOException {
+            channel.configureBlocking(false);
+            try {
+                return channel.read(ByteBuffer.wrap(target, offset, length));
+            } finally {
+                channel.configureBlocking(true);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/yuccaswitch-http/src/test/java/io/yuccaswitch/http/AnswerInputStreamTest.java
@@ -0,0 +1,179 @@
+package io.yuccaswitch.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Tests which bytes of a connection are handed over as an answer. */
+final class AnswerInputStreamTest {
+
+    private static final String OK = "HTTP/1.1 200 OK\r\n";
+    private static final String CHUNKED = OK + "Transfer-Encoding: chunked\r\n\r\n";
+
+    private final List<AnswerFault> faults = new ArrayList<>();
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 7, 4096})
+    void aValidAnswerIsHandedOverUnchanged(int blockBytes) throws IOException {
+        String answer = OK + "X-Request-Id: a\r\nX-Empty:\r\nContent-Length: 5\r\n\r\nhello";
+        AnswerInputStream stream = stream(ScriptedSource.open(answer, blockBytes));
+        stream.expectAnswer("GET");
+        assertThat(read(stream, answer.length())).isEqualTo(answer);
+        assertThat(stream.condition()).isEqualTo(ConnectionCondition.IDLE);
+        assertThat(faults).isEmpty();
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 7, 4096})
+    void aChunkedAnswerEndsWithItsLastChunk(int blockBytes) throws IOException {
+        String answer = CHUNKED + "5\r\nhello\r\n1;extension=x\r\n!\r\n0\r\n\r\n";
+        AnswerInputStream stream = stream(ScriptedSource.open(answer + "HTTP/1.1", blockBytes));
+        stream.expectAnswer("GET");
+        assertThat(read(stream, answer.length())).isEqualTo(answer);
+        assertThat(stream.condition()).isEqualTo(ConnectionCondition.UNREAD_BYTES);
+        assertThat(faults).isEmpty();
+    }
+
+    @ParameterizedTest
+    @MethodSource("answersByMethod")
+    void noByteAfterTheEndOfAnAnswerIsHandedOver(String method, String answer) throws IOException {
+        AnswerInputStream stream = stream(ScriptedSource.open(answer + "HTTP/1.1 500 Internal", 4096));
+        stream.expectAnswer(method);
+        assertThat(read(stream, answer.length())).isEqualTo(answer);
+        assertThatThrownBy(stream::read).isInstanceOf(SocketTimeoutException.class);
+        assertThat(stream.condition()).isEqualTo(ConnectionCondition.UNREAD_BYTES);
+        assertThat(stream.unreadBytes()).isEqualTo("HTTP/1.1 500 Internal");
+    }
+
+    static Stream<Arguments> answersByMethod() {
+        return Stream.of(
+                Arguments.of("GET", OK + "Content-Length: 2\r\n\r\nhi"),
+                Arguments.of("POST", OK + "Content-Length: 0\r\n\r\n"),
+                Arguments.of("GET", CHUNKED + "2\r\nhi\r\n0\r\n\r\n"),
+                Arguments.of("HEAD", OK + "Content-Length: 2\r\n\r\n"),
+                Arguments.of("GET", "HTTP/1.1 204 No Content\r\n\r\n"));
+    }
+
+    @Test
+    void anAnswerWithoutALengthEndsWithItsConnection() throws IOException {
+        String answer = OK + "\r\nhello";
+        AnswerInputStream stream = stream(ScriptedSource.ended(answer));
+        stream.expectAnswer("GET");
+        assertThat(new String(stream.readAllBytes(), StandardCharsets.ISO_8859_1))
+                .isEqualTo(answer);
+        assertThat(stream.condition()).isEqualTo(ConnectionCondition.ENDED);
+    }
+
+    @Test
+    void aConnectionThatHasEndedIsRecognisedBeforeItsNextUse() throws IOException {
+        AnswerInputStream stream = stream(ScriptedSource.ended(""));
+        assertThat(stream.condition()).isEqualTo(ConnectionCondition.ENDED);
+        assertThat(stream.read()).isEqualTo(-1);
+    }
+
+    @ParameterizedTest
+    @MethodSource("malformedAnswers")
+    void aMalformedAnswerIsReported(String answer, AnswerFault fault) {
+        AnswerInputStream stream = stream(ScriptedSource.ended(answer));
+        stream.expectAnswer("GET");
+        try {
+            stream.readAllBytes();
+        } catch (IOException _exception) {
+            // Whether the answer is handed over does not matter here.
+        }
+        assertThat(faults).containsExactly(fault);
+    }
+
+    static Stream<Arguments> malformedAnswers() {
+        return Stream.of(malformedHeads(), malformedFraming(), malformedChunks())
+                .flatMap(answers -> answers);
+    }
+
+    private static Stream<Arguments> malformedHeads() {
+        String end = "Content-Length: 5\r\n\r\nhello";
+        return Stream.of(
+                Arguments.of("\r\n" + OK + end, AnswerFault.STATUS_LINE),
+                Arguments.of("ICY 500 Error\r\n" + end, AnswerFault.STATUS_LINE),
+                Arguments.of("HTTP/2.0 200 OK\r\n" + end, AnswerFault.STATUS_LINE),
+                Arguments.of("HTTP/1.1  200 OK\r\n" + end, AnswerFault.STATUS_LINE),
+                Arguments.of("HTTP/1.1 2000 OK\r\n" + end, AnswerFault.STATUS_LINE),
+                Arguments.of("HTTP/1.1 -50 OK\r\n" + end, AnswerFault.STATUS_LINE),
+                Arguments.of("HTTP/1.1 200 O\0K\r\n" + end, AnswerFault.STATUS_LINE),
+                Arguments.of("HTTP/1.1 000 None\r\n" + end, AnswerFault.STATUS_CODE),
+                Arguments.of("HTTP/1.1 101 Switching Protocols\r\n" + end, AnswerFault.STATUS_CODE),
+                Arguments.of("HTTP/1.1 600 Beyond\r\n" + end, AnswerFault.STATUS_CODE),
+                Arguments.of("HTTP/1.1 999 Beyond\r\n" + end, AnswerFault.STATUS_CODE),
+                Arguments.of("HTTP/1.1 500 ISE\r\nHTTP/1.1 500 ISE\r\n" + end, AnswerFault.SECOND_STATUS_LINE),
+                Arguments.of(OK + "HTTP/1.1 500 ISE\r\n" + end, AnswerFault.SECOND_STATUS_LINE),
+                Arguments.of("HTTP/1.1 500 InternalHTTP/1.1 200 OK\r\n" + end, AnswerFault.SECOND_STATUS_LINE),
+                Arguments.of("HTTP/1.1 500 ISE\r\nX-Part: aHTTP/1.1 200 OK\r\n" + end, AnswerFault.SECOND_STATUS_LINE),
+                Arguments.of(OK + "nonsense\r\n" + end, AnswerFault.HEADER_NAME),
+                Arguments.of(OK + ": x\r\n" + end, AnswerFault.HEADER_NAME),
+                Arguments.of(OK + "X-A: a\r\n folded\r\n" + end, AnswerFault.HEADER_NAME),
+                Arguments.of(OK + "X-A: a\r\n folded: b\r\n" + end, AnswerFault.HEADER_NAME),
+                Arguments.of(OK + "Bad Name: x\r\n" + end, AnswerFault.HEADER_NAME),
+                Arguments.of(OK + "X-\u00e9: x\r\n" + end, AnswerFault.HEADER_NAME),
+                Arguments.of(OK + "X-\rA: x\r\n" + end, AnswerFault.HEADER_NAME),
+                Arguments.of(OK + "Transfer-Encoding : chunked\r\n" + end, AnswerFault.HEADER_NAME),
+                Arguments.of(OK + "X-A: a\0b\r\n" + end, AnswerFault.HEADER_VALUE),
+                Arguments.of(OK + "X-A: a\rb\r\n" + end, AnswerFault.HEADER_VALUE),
+                Arguments.of(OK + "X-A: " + "x".repeat(300_000) + "\r\n" + end, AnswerFault.HEAD_SIZE),
+                Arguments.of("HTTP/1.1 100 Continue\r\n\r\n".repeat(17) + OK + end, AnswerFault.INTERIM_ANSWERS));
+    }
+
+    private static Stream<Arguments> malformedFraming() {
+        Stream<Arguments> lengths = Stream.of(
+                        "-5", "+5", "abc", "", "5, 5", "5 5", "0x5", "99999999999999999999", "5\r\nContent-Length: 3")
+                .map(length ->
+                        Arguments.of(OK + "Content-Length: " + length + "\r\n\r\nhello", AnswerFault.CONTENT_LENGTH));
+        return Stream.concat(lengths, malformedCodings());
+    }
+
+    private static Stream<Arguments> malformedCodings() {
+        String end = "\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
+        return Stream.of(
+                Arguments.of(OK + "Transfer-Encoding: gzip, chunked" + end, AnswerFault.TRANSFER_CODING),
+                Arguments.of(OK + "Transfer-Encoding: xchunked" + end, AnswerFault.TRANSFER_CODING),
+                Arguments.of(
+                        OK + "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity" + end,
+                        AnswerFault.TRANSFER_CODING),
+                Arguments.of(OK + "Transfer-Encoding: chunked\r\nContent-Length: 5" + end, AnswerFault.CONTENT_LENGTH),
+                Arguments.of("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked" + end, AnswerFault.TRANSFER_CODING),
+                Arguments.of(
+                        "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked" + end, AnswerFault.TRANSFER_CODING),
+                Arguments.of("HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\nhello", AnswerFault.CONTENT_LENGTH),
+                Arguments.of(
+                        "HTTP/1.1 205 Reset Content\r\nContent-Length: 5\r\n\r\nhello", AnswerFault.CONTENT_LENGTH));
+    }
+
+    private static Stream<Arguments> malformedChunks() {
+        return Stream.of(
+                Arguments.of(CHUNKED + "g\r\nhello\r\n0\r\n\r\n", AnswerFault.CHUNK),
+                Arguments.of(CHUNKED + "-5\r\nhello\r\n0\r\n\r\n", AnswerFault.CHUNK),
+                Arguments.of(CHUNKED + "\r\nhello\r\n0\r\n\r\n", AnswerFault.CHUNK),
+                Arguments.of(CHUNKED + "4\r\nhello\r\n0\r\n\r\n", AnswerFault.CHUNK),
+                Arguments.of(CHUNKED + "0".repeat(100_000), AnswerFault.CHUNK),
+                Arguments.of(CHUNKED + "1;" + "x".repeat(100_000), AnswerFault.CHUNK),
+                Arguments.of(CHUNKED + "0\r\nHTTP/1.1 200 OK\r\n\r\n", AnswerFault.SECOND_STATUS_LINE),
+                Arguments.of(CHUNKED + "0\r\n" + "X-A: a\r\n".repeat(2_000) + "\r\n", AnswerFault.TRAILER));
+    }
+
+    private AnswerInputStream stream(ScriptedSource source) {
+        return new AnswerInputStream(source, exception -> faults.add(exception.fault()));
+    }
+
+    private static String read(AnswerInputStream stream, int length) throws IOException {
+        return new String(stream.readNBytes(length), StandardCharsets.ISO_8859_1);
+    }
+}
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/Node.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/Node.java
@@ -138,8 +138,8 @@
         membership = new MembershipService(loop, transport, addresses);
         configuration = new ConfigurationService(
                 loop, new EnvelopeDecoder.OfDocument(), settings.dataFolder().map(Path::of), metrics);
-        endpoints =
-                new EndpointShell(loop, core.endpoints(), new EndpointHttp(EndpointClientSettings.DEFAULT), metrics);
+        endpoints = new EndpointShell(
+                loop, core.endpoints(), new EndpointHttp(EndpointClientSettings.DEFAULT, metrics), metrics);
         TrainerRoutes trainers = new TrainerRoutes(loop, observer::configuration);
         entry = new EntryServer(
                 loop,
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
@@ -109,7 +109,7 @@
     private final MembershipService membership;
 
     /** The connections to endpoints. */
-    private final EndpointHttp http = new EndpointHttp(ENDPOINT_CLIENT_SETTINGS);
+    private final EndpointHttp http;
 
     /** Chooses endpoints for plain requests. */
     private final EndpointSelection selection;
@@ -156,6 +156,7 @@
     public Gateway(GatewaySettings settings, GatewayDialects dialects) {
         this.settings = settings;
         MetricRegistry metrics = new MetricRegistry();
+        http = new EndpointHttp(ENDPOINT_CLIENT_SETTINGS, metrics);
         Member self = self(settings);
         LongSupplier timeOfDay = new SteadyTimeOfDay(System::currentTimeMillis, System::nanoTime);
         core = new GatewayCore(self, settings, dialects, view, timeOfDay);
@@ -164,16 +165,7 @@
                 () -> Runtime.getRuntime().halt(EXIT_BROKEN_INVARIANT),
                 core::maximumTickInterval,
                 new TickMetrics(metrics));
-        NodeSettings.PlatformSettings platformSettings = settings.platform();
-        platform = new PlatformClient(
-                PlatformClientSettings.of("http://" + platformSettings.address())
-                        .withToken(platformSettings.token())
-                        .withTimeouts(PLATFORM_TIMEOUT, WATCH_TIMEOUT)
-                        .withCircuit(CIRCUIT_SETTINGS)
-                        .withRates(new CallRates(platformSettings.writesPerSecond(), platformSettings.readsPerSecond())
-                                .shareOf(settings.nodes())),
-                metrics,
-                dialects.platform());
+        platform = new PlatformClient(platformClientSettings(settings), metrics, dialects.platform());
         callLog = new PlatformCallLog(platform);
         LearnedAddresses addresses = new LearnedAddresses();
         transport = new PeerTransport(
@@ -214,6 +206,22 @@
         registerGauges(metrics);
     }
 
+    /**
+     * Returns the settings of the client of the platform.
+     *
+     * @param settings The settings of the gateway.
+     * @return The settings.
+     */
+    private static PlatformClientSettings platformClientSettings(GatewaySettings settings) {
+        NodeSettings.PlatformSettings platform = settings.platform();
+        return PlatformClientSettings.of("http://" + platform.address())
+                .withToken(platform.token())
+                .withTimeouts(PLATFORM_TIMEOUT, WATCH_TIMEOUT)
+                .withCircuit(CIRCUIT_SETTINGS)
+                .withRates(
+                        new CallRates(platform.writesPerSecond(), platform.readsPerSecond()).shareOf(settings.nodes()));
+    }
+
     /**
      * Returns how endpoints are assigned to plain requests.
      *
--- a/yuccaswitch-node/src/test/java/io/yuccaswitch/node/gateway/DispatchCheckTest.java
+++ b/yuccaswitch-node/src/test/java/io/yuccaswitch/node/gateway/DispatchCheckTest.java
@@ -42,7 +42,7 @@
     private final AtomicInteger arrived = new AtomicInteger();
     private final MetricRegistry metrics = new MetricRegistry();
     private final GatewayView view = new GatewayView();
-    private final EndpointHttp http = new EndpointHttp(SETTINGS);
+    private final EndpointHttp http = new EndpointHttp(SETTINGS, new MetricRegistry());
     private final EndpointAttempts attempts = new EndpointAttempts(
             http, new TestEndpointDialect(), new EndpointChecks(metrics), new DispatchCheck(view, metrics));
     private Javalin server;
--- a/yuccaswitch-node/src/test/java/io/yuccaswitch/node/gateway/EndlessAnswerTest.java
+++ b/yuccaswitch-node/src/test/java/io/yuccaswitch/node/gateway/EndlessAnswerTest.java
@@ -57,7 +57,7 @@
 
     private final MetricRegistry metrics = new MetricRegistry();
     private final GatewayView view = new GatewayView();
-    private final EndpointHttp http = new EndpointHttp(SETTINGS);
+    private final EndpointHttp http = new EndpointHttp(SETTINGS, new MetricRegistry());
     private final EndpointChecks checks = new EndpointChecks(metrics);
     private final DispatchCheck dispatch = new DispatchCheck(view, metrics);
     private final EndpointAttempts attempts = new EndpointAttempts(http, new TestEndpointDialect(), checks, dispatch);
--- a/yuccaswitch-node/src/test/java/io/yuccaswitch/node/gateway/ItemPriorityTest.java
+++ b/yuccaswitch-node/src/test/java/io/yuccaswitch/node/gateway/ItemPriorityTest.java
@@ -39,7 +39,7 @@
     private final BlockingQueue<Optional<String>> priorities = new LinkedBlockingQueue<>();
     private final MetricRegistry metrics = new MetricRegistry();
     private final GatewayView view = new GatewayView();
-    private final EndpointHttp http = new EndpointHttp(SETTINGS);
+    private final EndpointHttp http = new EndpointHttp(SETTINGS, new MetricRegistry());
     private final Javalin engine = Javalin.create(config -> config.routes.post("/x", context -> {
                 priorities.add(Optional.ofNullable(context.header(TestEndpointDialect.PRIORITY_HEADER)));
                 context.status(503);
--- a/yuccaswitch-node/src/test/java/io/yuccaswitch/node/gateway/QueuedAssignmentTest.java
+++ b/yuccaswitch-node/src/test/java/io/yuccaswitch/node/gateway/QueuedAssignmentTest.java
@@ -49,7 +49,7 @@
 
     private final MetricRegistry metrics = new MetricRegistry();
     private final GatewayView view = new GatewayView();
-    private final EndpointHttp http = new EndpointHttp(SETTINGS);
+    private final EndpointHttp http = new EndpointHttp(SETTINGS, new MetricRegistry());
     private final EndpointSelection selection = new EndpointSelection(new AvailabilityZone("zone-a"), "node");
     private final QueuedAssignment assignment = new QueuedAssignment(view, selection, metrics);
     private final DisconnectWatch watch = new DisconnectWatch();
--- a/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/HttpTransport.java
+++ b/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/HttpTransport.java
@@ -1,8 +1,11 @@
 package io.yuccaswitch.platform;
 
+import com.codahale.metrics.MetricRegistry;
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.core.SingleEmitter;
 import io.yuccaswitch.core.value.Bytes;
+import io.yuccaswitch.http.AnswerObserver;
+import io.yuccaswitch.http.AnswerValidation;
 import java.io.IOException;
 import java.io.InterruptedIOException;
 import java.time.Duration;
@@ -68,13 +71,14 @@
      * Creates a transport.
      *
      * @param settings The settings of the platform client.
+     * @param metrics The metrics, which count malformed answers and unusable connections.
      */
-    HttpTransport(PlatformClientSettings settings) {
+    HttpTransport(PlatformClientSettings settings, MetricRegistry metrics) {
         callTimeout = settings.callTimeout();
         Dispatcher dispatcher = new Dispatcher();
         dispatcher.setMaxRequests(MAXIMUM_CONCURRENT_CALLS);
         dispatcher.setMaxRequestsPerHost(MAXIMUM_CONCURRENT_CALLS);
-        client = new OkHttpClient.Builder()
+        client = validatedBuilder(settings.address(), metrics)
                 .dispatcher(dispatcher)
                 .connectionPool(new ConnectionPool(
                         MAXIMUM_IDLE_CONNECTIONS, IDLE_CONNECTION_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS))
@@ -171,6 +175,31 @@
         client.connectionPool().evictAll();
     }
 
+    /**
+     * Creates the builder of a client that validates answers. Answers over TLS are not validated, as only the client
+     * library reads them as cleartext.
+     *
+     * @param address The platform's address.
+     * @param metrics The metrics.
+     * @return The builder.
+     */
+    private static OkHttpClient.Builder validatedBuilder(String address, MetricRegistry metrics) {
+        OkHttpClient.Builder builder = new OkHttpClient.Builder();
+        return usesTls(address)
+                ? builder
+                : AnswerValidation.addTo(builder, new AnswerObserver.Reporting(metrics, "platform"));
+    }
+
+    /**
+     * Returns whether connections to an address use TLS.
+     *
+     * @param address The platform's address.
+     * @return {@code true} if they do.
+     */
+    private static boolean usesTls(String address) {
+        return address.startsWith("https:");
+    }
+
     /**
      * Returns the connection specifications for an address. Loading the TLS classes slows down the start of the
      * process, so TLS is omitted unless the platform's address requires it.
@@ -179,7 +208,7 @@
      * @return The connection specifications.
      */
     private static List<ConnectionSpec> connectionSpecs(String address) {
-        return address.startsWith("https:") ? List.of(ConnectionSpec.MODERN_TLS) : List.of(ConnectionSpec.CLEARTEXT);
+        return usesTls(address) ? List.of(ConnectionSpec.MODERN_TLS) : List.of(ConnectionSpec.CLEARTEXT);
     }
 
     /**
--- a/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/PlatformClient.java
+++ b/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/PlatformClient.java
@@ -88,7 +88,7 @@
      * @param dialect The dialect that encodes calls and decodes answers.
      */
     public PlatformClient(PlatformClientSettings settings, MetricRegistry registry, ObjectApiDialect dialect) {
-        transport = new HttpTransport(settings);
+        transport = new HttpTransport(settings, registry);
         watchWait = settings.watchWait();
         this.dialect = dialect;
         budget = new CallBudget(settings.rates(), clock);
