Reject answers with malformed heads

Cause: the client library reads a head leniently - a line without a colon becomes a header without a name, any number is a status, a length that is no number is none, of two lengths the last one holds - and the gateway writes out word for word what it has read.

Change: yuccaswitch-http hands a head over only if it is a status line from 200 to 599 and headers by RFC 9112, with one unambiguous framing; interim answers are left out. Every client of endpoints, of the cloud and of the platform goes through it. The exchange fails, so that the connection is never used again; the attempt may have run, and the endpoint counts as unusable. Bytes of headers that are not ASCII are kept as they are.

Why it works: the library no longer sees bytes on which it could differ from what the gateway writes.

--- a/yuccaswitch-http/src/main/java/io/yuccaswitch/http/AnswerHead.java
+++ b/yuccaswitch-http/src/main/java/io/yuccaswitch/http/AnswerHead.java
@@ -31,6 +31,10 @@
     /** A length, of as many digits as fit into a number of 64 bits. */
     private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
 
+    /** The beginning of a header that frames the body. */
+    private static final Pattern FRAMING_HEADER =
+            Pattern.compile("(?:content-length|transfer-encoding):", Pattern.CASE_INSENSITIVE);
+
     /** The header with the length of the body. */
     private static final String CONTENT_LENGTH = "content-length";
 
@@ -64,6 +68,9 @@
     /** The status of an answer whose content the client has already. */
     private static final int NOT_MODIFIED = 304;
 
+    /** The lines. */
+    private final List<String> lines = new ArrayList<>();
+
     /** The status. */
     private final int status;
 
@@ -79,10 +86,12 @@
     /**
      * Creates a head that consists of a status line.
      *
+     * @param statusLine The status line.
      * @param status The status.
      * @param isVersion10 Whether the answer is of HTTP/1.0.
      */
-    private AnswerHead(int status, boolean isVersion10) {
+    private AnswerHead(String statusLine, int status, boolean isVersion10) {
+        lines.add(statusLine);
         this.status = status;
         this.isVersion10 = isVersion10;
     }
@@ -106,7 +115,7 @@
         if (status < LOWEST_STATUS || status > HIGHEST_STATUS || status == SWITCHING_PROTOCOLS) {
             throw new MalformedAnswerException(AnswerFault.STATUS_CODE, line);
         }
-        return new AnswerHead(status, matcher.group(1).equals("0"));
+        return new AnswerHead(line, status, matcher.group(1).equals("0"));
     }
 
     /**
@@ -124,6 +133,7 @@
         } else if (name.equals(TRANSFER_ENCODING)) {
             transferCodings.add(value.toLowerCase(Locale.ROOT));
         }
+        lines.add(line);
     }
 
     /**
@@ -177,6 +187,24 @@
         return status == NO_CONTENT ? BodyFraming.NONE : stated;
     }
 
+    /**
+     * Returns the head for the client library. It contains no framing where the answer has no body, since the library
+     * reads a body wherever one is stated.
+     *
+     * @param method The method of the request.
+     * @return The lines with their terminators, including the empty line after them.
+     */
+    String toText(String method) {
+        boolean statesBody = method.equals(HEAD_METHOD) || (status != NO_CONTENT && status != NOT_MODIFIED);
+        StringBuilder text = new StringBuilder();
+        for (String line : lines) {
+            if (statesBody || !FRAMING_HEADER.matcher(line).lookingAt()) {
+                text.append(line).append("\r\n");
+            }
+        }
+        return text.append("\r\n").toString();
+    }
+
     /**
      * Reads the framing from the headers.
      *
--- a/yuccaswitch-http/src/main/java/io/yuccaswitch/http/AnswerInputStream.java
+++ b/yuccaswitch-http/src/main/java/io/yuccaswitch/http/AnswerInputStream.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.SocketTimeoutException;
-import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.regex.Matcher;
@@ -11,8 +10,11 @@
 import okio.Buffer;
 
 /**
- * Reads the answers of a connection one at a time. The head of an answer is handed over only when it is complete, and
- * no byte after the end of an answer is handed over with it.
+ * Reads the answers of a connection one at a time. The head of an answer is handed over only when it is complete and
+ * valid, and no byte after the end of an answer is handed over with it. Interim answers are left out.
+ *
+ * <p>The client library decodes heads as UTF-8, which loses other bytes. Heads are therefore handed over with each byte
+ * encoded as one character.
  */
 final class AnswerInputStream extends InputStream {
 
@@ -142,9 +144,10 @@
     }
 
     /**
-     * Reads the lines of a part. If they are malformed, they are handed over with all bytes that follow.
+     * Reads the lines of a part. If the lines of a chunk are malformed, they are handed over with all bytes that
+     * follow.
      *
-     * @throws IOException If the connection ended or failed.
+     * @throws IOException If the head is malformed, or the connection ended or failed.
      */
     private void readLines() throws IOException {
         try {
@@ -156,6 +159,9 @@
             }
         } catch (MalformedAnswerException exception) {
             observer.accept(exception);
+            if (part == Part.HEAD) {
+                throw exception;
+            }
             part = Part.UNTIL_CLOSE;
         }
     }
@@ -172,7 +178,9 @@
             head.add(line);
         }
         if (!head.isInterim()) {
-            begin(head.framing(method));
+            BodyFraming framing = head.framing(method);
+            lines.writeUtf8(head.toText(method));
+            begin(framing);
         } else if (++interimAnswers > MAXIMUM_INTERIM_ANSWERS) {
             throw new MalformedAnswerException(AnswerFault.INTERIM_ANSWERS, "");
         }
@@ -214,6 +222,7 @@
     private void readChunkLine() throws IOException {
         remainingLineBytes = MAXIMUM_CHUNK_LINE_BYTES;
         String line = readLine(AnswerFault.CHUNK);
+        handOver(line);
         Matcher matcher = CHUNK_LINE.matcher(line);
         if (!matcher.matches()) {
             throw new MalformedAnswerException(AnswerFault.CHUNK, line);
@@ -229,6 +238,7 @@
      */
     private void readChunkEnd() throws IOException {
         String line = readLine(AnswerFault.CHUNK);
+        handOver(line);
         if (!line.isEmpty()) {
             throw new MalformedAnswerException(AnswerFault.CHUNK, line);
         }
@@ -242,6 +252,7 @@
      */
     private void readTrailer() throws IOException {
         String line = readLine(AnswerFault.TRAILER);
+        handOver(line);
         if (line.isEmpty()) {
             part = Part.NONE;
         } else {
@@ -262,10 +273,18 @@
             throw new MalformedAnswerException(excess, "");
         }
         remainingLineBytes -= line.get().length() + LINE_END.length();
-        lines.writeString(line.get(), StandardCharsets.ISO_8859_1).writeUtf8(LINE_END);
         return line.get();
     }
 
+    /**
+     * Hands over a line.
+     *
+     * @param line The line without its terminator.
+     */
+    private void handOver(String line) {
+        lines.writeUtf8(line).writeUtf8(LINE_END);
+    }
+
     /**
      * Reads bytes of the content, of a body of known length or of a chunk.
      *
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointAttempts.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointAttempts.java
@@ -11,6 +11,7 @@
 import io.yuccaswitch.endpoint.EndpointHttp;
 import io.yuccaswitch.endpoint.OneShotBody;
 import io.yuccaswitch.endpoint.Transmission;
+import io.yuccaswitch.http.MalformedAnswerException;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.time.Duration;
@@ -134,7 +135,7 @@
             OpenedAttempt failed = new OpenedAttempt(endpoint, Optional.empty(), Optional.empty(), transmission, call);
             return failed.withFailure(
                     transmission.begun()
-                            ? lostAnswer(failed, describe(exception))
+                            ? failure(failed, exception, "")
                             : new AttemptResult.NotRun(causeOf(transmission, exception), describe(exception)));
         }
     }
@@ -220,12 +221,27 @@
         } catch (IOException exception) {
             AttemptResult result = share.isBrokenOff()
                     ? unusableAnswer("the answer is too large")
-                    : lostAnswer(opened, "the answer broke off: " + describe(exception));
+                    : failure(opened, exception, "the answer broke off: ");
             opened.discard();
             return result;
         }
     }
 
+    /**
+     * Returns the result of an attempt of which at least a byte was sent and whose answer can't be read.
+     *
+     * @param opened The attempt, which must not be discarded before.
+     * @param exception The failure.
+     * @param prefix The beginning of the reason, for logs.
+     * @return The result.
+     */
+    private AttemptResult failure(OpenedAttempt opened, IOException exception, String prefix) {
+        String reason = prefix + describe(exception);
+        return exception instanceof MalformedAnswerException
+                ? unusableAnswer(reason + " " + opened.transmission().describe())
+                : lostAnswer(opened, reason);
+    }
+
     /**
      * Returns the result of an attempt whose answer was not received or was interrupted.
      *
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ItemRunner.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ItemRunner.java
@@ -14,6 +14,7 @@
 import io.yuccaswitch.endpoint.EndpointHttp;
 import io.yuccaswitch.endpoint.OneShotBody;
 import io.yuccaswitch.endpoint.Transmission;
+import io.yuccaswitch.http.MalformedAnswerException;
 import io.yuccaswitch.node.decision.DecisionLoop;
 import java.io.IOException;
 import java.time.Duration;
@@ -315,7 +316,7 @@
                 end(run, new AttemptOutcome.Withheld("not sent, the engine may have left"), ItemText.EMPTY);
                 return;
             }
-            endInterrupted(EndpointAttempts.describe(exception));
+            endInterrupted(exception);
         }
 
         @Override
@@ -334,7 +335,7 @@
             } catch (IOException | RuntimeException exception) {
                 call.cancel();
                 transmission.closeConnection();
-                endInterrupted(exception.getClass().getSimpleName() + " " + exception.getMessage());
+                endInterrupted(exception);
             }
         }
 
@@ -409,12 +410,13 @@
         /**
          * Reports to the core that the attempt was interrupted.
          *
-         * @param reason The reason.
+         * @param exception The failure.
          */
-        private void endInterrupted(String reason) {
+        private void endInterrupted(Exception exception) {
+            String reason = exception.getClass().getSimpleName() + " " + exception.getMessage();
             String description = (timedOut ? "no data within the timeout" : reason) + " " + transmission.describe();
             boolean unreachable = !transmission.begun();
-            Loss loss = unreachable
+            Loss loss = unreachable || exception instanceof MalformedAnswerException
                     ? Loss.UNUSABLE
                     : checks.judge(
                             run.endpoint().name(), run.endpoint().address(), transmission, cancelled || timedOut);
