Use no connection that holds bytes or has ended for a request

Callers got a stale answer as their own (400, 404 and 500 without an identifier), a sealed 500 with their own body where the endpoint had answered 200, or a 502 for a request that had not run.

Cause: endpoints send bytes after a complete answer, or end the connection. The client library takes what a kept connection holds for the answer to the next request, which it writes all the same.

Evidence: 46 failed checks of 13 kinds of bytes, 4 of an ended connection.

Change: right before a request is written, its connection is polled without waiting. A new connection that does so fails the attempt as not run. Bytes after an answer are not handed to the client library either way.

Why it works: what arrived before a request was written can't be its answer. What arrives later can't be told apart here; the identifier of the answer has to.

--- a/yuccaswitch-http/src/main/java/io/yuccaswitch/http/AnswerInputStream.java
+++ b/yuccaswitch-http/src/main/java/io/yuccaswitch/http/AnswerInputStream.java
@@ -133,11 +133,11 @@
     /**
      * Answers a read between two answers, with which the client library checks the connection.
      *
-     * @return -1 if the connection has ended.
-     * @throws SocketTimeoutException If the connection is open.
+     * @return -1 if the connection can't be used again.
+     * @throws SocketTimeoutException If the connection can be used again.
      */
     private int readNothing() throws SocketTimeoutException {
-        if (condition() == ConnectionCondition.ENDED) {
+        if (condition() != ConnectionCondition.IDLE) {
             return -1;
         }
         throw new SocketTimeoutException("no answer is expected");
--- a/yuccaswitch-http/src/main/java/io/yuccaswitch/http/AnswerSocket.java
+++ b/yuccaswitch-http/src/main/java/io/yuccaswitch/http/AnswerSocket.java
@@ -8,6 +8,7 @@
 import java.net.SocketAddress;
 import java.net.SocketException;
 import java.nio.ByteBuffer;
+import java.nio.channels.AsynchronousCloseException;
 import java.nio.channels.SocketChannel;
 
 /**
@@ -28,6 +29,9 @@
     /** Receives what is wrong with answers and the connection. */
     private final AnswerObserver observer;
 
+    /** Whether the connection has carried a request. */
+    private volatile boolean isKept;
+
     /**
      * Creates a socket that is not connected.
      *
@@ -60,9 +64,19 @@
      * @param method The method of the request.
      */
     void expectAnswer(String method) {
+        isKept = true;
         answers.expectAnswer(method);
     }
 
+    /**
+     * Returns whether the connection has carried a request.
+     *
+     * @return {@code false} for a new connection.
+     */
+    boolean isKept() {
+        return isKept;
+    }
+
     /**
      * Returns the address of the peer.
      *
@@ -213,13 +227,29 @@
         return delegate.toString();
     }
 
+    /**
+     * Gives a reason to an exception that has none.
+     *
+     * @param cause The exception.
+     * @return The exception with a reason, for logs.
+     */
+    private static SocketException closedDuringRead(AsynchronousCloseException cause) {
+        SocketException exception = new SocketException("Socket closed");
+        exception.initCause(cause);
+        return exception;
+    }
+
     /** Reads the channel. */
     private final class ChannelSource implements ByteSource {
 
         /** {@inheritDoc} */
         @Override
         public int read(byte[] target, int offset, int length) throws IOException {
-            return delegate.getInputStream().read(target, offset, length);
+            try {
+                return delegate.getInputStream().read(target, offset, length);
+            } catch (AsynchronousCloseException exception) {
+                throw closedDuringRead(exception);
+            }
         }
 
         /** {@inheritDoc} */
--- a/yuccaswitch-http/src/main/java/io/yuccaswitch/http/AnswerValidation.java
+++ b/yuccaswitch-http/src/main/java/io/yuccaswitch/http/AnswerValidation.java
@@ -23,10 +23,36 @@
      * @return The client.
      */
     public static OkHttpClient.Builder addTo(OkHttpClient.Builder client, AnswerObserver observer) {
-        return client.socketFactory(new AnswerSocketFactory(observer)).addNetworkInterceptor(new ExchangeStart());
+        return client.socketFactory(new AnswerSocketFactory(observer))
+                .addInterceptor(new UnusableConnectionRetry())
+                .addNetworkInterceptor(new ExchangeStart());
     }
 
-    /** Prepares a connection for the answer to a request, right before the request is written. */
+    /**
+     * Sends a request on another connection if a kept one can't be used. Each failure closes a kept connection, so that
+     * the number of retries is bounded by their number.
+     */
+    private static final class UnusableConnectionRetry implements Interceptor {
+
+        /** {@inheritDoc} */
+        @Override
+        public Response intercept(Chain chain) throws IOException {
+            while (true) {
+                try {
+                    return chain.proceed(chain.request());
+                } catch (UnusableConnectionException exception) {
+                    if (!exception.isKept() || chain.call().isCanceled()) {
+                        throw exception;
+                    }
+                }
+            }
+        }
+    }
+
+    /**
+     * Prepares a connection for the answer to a request, right before the request is written. A connection that holds
+     * bytes or has ended is not used: the bytes would be read as the answer, and the request would be lost.
+     */
     private static final class ExchangeStart implements Interceptor {
 
         /** {@inheritDoc} */
@@ -34,7 +60,11 @@
         public Response intercept(Chain chain) throws IOException {
             Connection connection = chain.connection();
             if (connection != null && connection.socket() instanceof AnswerSocket socket) {
-                socket.condition();
+                ConnectionCondition condition = socket.condition();
+                if (condition != ConnectionCondition.IDLE) {
+                    socket.close();
+                    throw new UnusableConnectionException(condition, socket.isKept());
+                }
                 socket.expectAnswer(chain.request().method());
             }
             return chain.proceed(chain.request());
