Accept an answer of any status only with its request's identifier

Callers got failures that belonged to nobody: a 400, 404 or 500 without an identifier, left over from another request, was forwarded as the answer, and one with two identifiers was taken by either. An item of a batch job took such a 422 or 500 for its own too, and such a refusal for the word that it had not run.

Cause: the identifier of a failure was compared only if there was one, and the first of several decided.

Change: one check, EndpointDialect.belongsTo, for plain requests, streams, scoring and items, and for all statuses: the headers state the request's identifier, once.

Why it works: bytes that arrive after a request was written can be told apart only by what they state.

--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointAttempts.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointAttempts.java
@@ -287,10 +287,10 @@
      */
     private OpenedAttempt validate(OutgoingRequest request, OpenedAttempt opened) {
         Response response = opened.response().orElseThrow();
-        String echoed = response.header(dialect.requestIdHeader());
-        if (!request.id().isEmpty() && echoed != null && !echoed.equals(request.id())) {
+        if (!request.id().isEmpty() && !dialect.belongsTo(response.headers(), request.id())) {
             opened.discard();
-            return opened.withFailure(unusableAnswer("the answer belongs to another request"));
+            return opened.withFailure(unusableAnswer("status " + response.code() + " with identifiers "
+                    + response.headers(dialect.requestIdHeader()) + " does not belong to the request"));
         }
         if (dialect.isNotRun(response.code(), response.headers()) || dialect.isMisdirected(response.code())) {
             response.close();
@@ -310,10 +310,6 @@
             opened.discard();
             return opened.withFailure(unusableAnswer("the answer is not signed"));
         }
-        if (success && echoed == null) {
-            opened.discard();
-            return opened.withFailure(unusableAnswer("the answer echoes no request identifier"));
-        }
         return opened;
     }
 
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointDialect.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointDialect.java
@@ -8,6 +8,7 @@
 import io.yuccaswitch.core.proxy.ReportedLoad;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import okhttp3.Headers;
@@ -23,6 +24,17 @@
      */
     String requestIdHeader();
 
+    /**
+     * Returns whether an answer states that it belongs to a request, and to no other one.
+     *
+     * @param headers The headers of the answer.
+     * @param requestId The identifier of the request.
+     * @return {@code false} if the identifier is missing, stated twice, or that of another request.
+     */
+    default boolean belongsTo(Headers headers, String requestId) {
+        return headers.values(requestIdHeader()).equals(List.of(requestId));
+    }
+
     /**
      * Returns whether a header of a caller is forwarded to endpoints.
      *
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ItemRunner.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ItemRunner.java
@@ -347,11 +347,11 @@
          * @throws IOException If the answer can't be trusted.
          */
         private Optional<AttemptOutcome> refusal(Response response) throws IOException {
-            String echoed = response.header(dialect.requestIdHeader());
-            if (echoed != null && !echoed.equals(run.item().id())) {
-                throw new IOException("the answer belongs to another request");
-            }
             int status = response.code();
+            if (!dialect.belongsTo(response.headers(), run.item().id())) {
+                throw new IOException("status " + status + " with identifiers "
+                        + response.headers(dialect.requestIdHeader()) + " does not belong to the item");
+            }
             if (dialect.isNotRun(status, response.headers()) || dialect.isMisdirected(status)) {
                 return Optional.of(new AttemptOutcome.Refused("status " + status));
             }
@@ -361,7 +361,7 @@
             if (status == INTERNAL_SERVER_ERROR) {
                 return Optional.of(new AttemptOutcome.Failed());
             }
-            if (status != OK || echoed == null || !dialect.isSigned(response.headers())) {
+            if (status != OK || !dialect.isSigned(response.headers())) {
                 throw new IOException("status " + status + " is not a stream of this item");
             }
             return Optional.empty();
