--- a/yuccaswitch-http/src/main/java/io/yuccaswitch/http/AnswerInputStream.java
+++ b/yuccaswitch-http/src/main/java/io/yuccaswitch/http/AnswerInputStream.java
@@ -144,10 +144,9 @@
     }
 
     /**
-     * Reads the lines of a part. If the lines of a chunk are malformed, they are handed over with all bytes that
-     * follow.
+     * Reads the lines of a part.
      *
-     * @throws IOException If the head is malformed, or the connection ended or failed.
+     * @throws IOException If the lines are malformed, or the connection ended or failed.
      */
     private void readLines() throws IOException {
         try {
@@ -159,10 +158,7 @@
             }
         } catch (MalformedAnswerException exception) {
             observer.accept(exception);
-            if (part == Part.HEAD) {
-                throw exception;
-            }
-            part = Part.UNTIL_CLOSE;
+            throw exception;
         }
     }
 
@@ -215,18 +211,18 @@
     }
 
     /**
-     * Reads the line before a chunk.
+     * Reads the line before a chunk, and hands it over without its extension.
      *
      * @throws IOException If the line is malformed, or the connection ended or failed.
      */
     private void readChunkLine() throws IOException {
         remainingLineBytes = MAXIMUM_CHUNK_LINE_BYTES;
         String line = readLine(AnswerFault.CHUNK);
-        handOver(line);
         Matcher matcher = CHUNK_LINE.matcher(line);
         if (!matcher.matches()) {
             throw new MalformedAnswerException(AnswerFault.CHUNK, line);
         }
+        handOver(matcher.group(1));
         remainingBytes = Long.parseLong(matcher.group(1), HEXADECIMAL);
         part = remainingBytes == 0 ? Part.TRAILER : Part.CHUNK;
     }
@@ -238,26 +234,26 @@
      */
     private void readChunkEnd() throws IOException {
         String line = readLine(AnswerFault.CHUNK);
-        handOver(line);
         if (!line.isEmpty()) {
             throw new MalformedAnswerException(AnswerFault.CHUNK, line);
         }
+        handOver(line);
         part = Part.CHUNK_LINE;
     }
 
     /**
-     * Reads the lines after the last chunk.
+     * Reads a line after the last chunk. Trailers are left out, as no client uses them.
      *
      * @throws IOException If the lines are malformed, or the connection ended or failed.
      */
     private void readTrailer() throws IOException {
         String line = readLine(AnswerFault.TRAILER);
-        handOver(line);
-        if (line.isEmpty()) {
-            part = Part.NONE;
-        } else {
+        if (!line.isEmpty()) {
             AnswerHead.requireHeader(line);
+            return;
         }
+        handOver(line);
+        part = Part.NONE;
     }
 
     /**
