--- a/yuccaswitch-soak/src/test/java/io/yuccaswitch/soak/SoakCallers.java
+++ b/yuccaswitch-soak/src/test/java/io/yuccaswitch/soak/SoakCallers.java
@@ -63,6 +63,7 @@
                         for (int number = 0; !stopped; number++) {
                             role.act(caller, name + "-" + number, random);
                         }
+                        history.failures.addAll(caller.malformedHeads());
                     } catch (InterruptedException exception) {
                         Thread.currentThread().interrupt();
                     } catch (RuntimeException exception) {
--- a/yuccaswitch-soak/src/test/java/io/yuccaswitch/soak/SoakSite.java
+++ b/yuccaswitch-soak/src/test/java/io/yuccaswitch/soak/SoakSite.java
@@ -7,6 +7,8 @@
 import io.yuccaswitch.adapter.standin.SiteDocuments;
 import io.yuccaswitch.adapter.standin.StoreStandIn;
 import io.yuccaswitch.testkit.proxy.Link;
+import io.yuccaswitch.testkit.proxy.LinkFaults;
+import io.yuccaswitch.testkit.proxy.LinkMode;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -102,10 +104,20 @@
     /** Starts an endpoint that crashes while it runs a harmful request. */
     private EngineStandIn start(String id) {
         EngineStandIn engine = new EngineStandIn(id);
-        engine.crashOn(CrashingService.HARMFUL, CRASH_DELAY, () -> recordCrash(engine));
+        engine.crashOn(
+                CrashingService.HARMFUL, CRASH_DELAY, () -> refuseConnections(engine), () -> recordCrash(engine));
         return engine;
     }
 
+    /**
+     * Makes the address of an endpoint refuse connections before those that are open end, as for a process that ends.
+     */
+    private synchronized void refuseConnections(EngineStandIn engine) {
+        if (engines.get(engine.id()) == engine) {
+            engineLinks.get(engine.id()).apply(LinkFaults.of(LinkMode.REFUSE));
+        }
+    }
+
     private synchronized void recordCrash(EngineStandIn engine) {
         crashes++;
         if (engines.get(engine.id()) == engine) {
