--- a/yuccaswitch-node/src/test/java/io/yuccaswitch/node/gateway/TestEndpointDialect.java
+++ b/yuccaswitch-node/src/test/java/io/yuccaswitch/node/gateway/TestEndpointDialect.java
@@ -7,16 +7,24 @@
 import io.yuccaswitch.core.modelversion.OrderOutcome;
 import io.yuccaswitch.core.proxy.ReportedLoad;
 import java.time.Duration;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import okhttp3.Headers;
 import okhttp3.Request;
 
-/** A minimal endpoint dialect: each answer is signed, and status 503 means that the request was not run. */
+/**
+ * A minimal endpoint dialect: each answer is signed, status 503 means that the request was not run, and each body is a
+ * report.
+ */
 final class TestEndpointDialect implements EndpointDialect {
 
     static final String PRIORITY_HEADER = "Test-Priority";
 
+    static final String VERSION_HEADER = "Test-Version";
+
+    private static final int ACCEPTED = 202;
+
     private static final int UNAVAILABLE = 503;
 
     @Override
@@ -69,8 +77,9 @@
     }
 
     @Override
-    public OptionalLong version(Headers _headers) {
-        return OptionalLong.empty();
+    public OptionalLong version(Headers headers) {
+        String version = headers.get(VERSION_HEADER);
+        return version == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(version));
     }
 
     @Override
@@ -90,7 +99,7 @@
 
     @Override
     public EngineReport readReport(byte[] _body) {
-        throw new UnsupportedOperationException("This dialect reads no reports");
+        return new EngineReport(1, false, 0, Map.of());
     }
 
     @Override
@@ -99,7 +108,7 @@
     }
 
     @Override
-    public Optional<OrderOutcome> orderOutcome(int _status) {
-        return Optional.empty();
+    public Optional<OrderOutcome> orderOutcome(int status) {
+        return status == ACCEPTED ? Optional.of(OrderOutcome.STARTED) : Optional.empty();
     }
 }
