Drop headers that concern the endpoint's connection only

Callers got headers that Connection lists (4 of 4 spellings), and successes whose signature or identifier was such a header (4 of 4).

Cause: only headers with fixed names were left out. RFC 9110, 7.6.1: an intermediary removes what Connection lists, whatever its name.

Change: AnswerHead leaves out the listed headers before the client library reads the head; framing and Connection itself stay, as the library needs them. Each client that validates answers has that, so a listed signature or identifier is missing for each check: the answer is unsigned, or belongs to nobody, and becomes a 502 that says that the request may have run. "Not executed" in a listed header promises nothing either.

--- a/yuccaswitch-http/src/main/java/io/yuccaswitch/http/AnswerHead.java
+++ b/yuccaswitch-http/src/main/java/io/yuccaswitch/http/AnswerHead.java
@@ -1,8 +1,10 @@
 package io.yuccaswitch.http;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -31,9 +33,8 @@
     /** A length, of as many digits as fit into a number of 64 bits. */
     private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
 
-    /** The beginning of a header that frames the body. */
-    private static final Pattern FRAMING_HEADER =
-            Pattern.compile("(?:content-length|transfer-encoding):", Pattern.CASE_INSENSITIVE);
+    /** The header that lists the headers of the connection, which are not part of the answer. */
+    private static final String CONNECTION = "connection";
 
     /** The header with the length of the body. */
     private static final String CONTENT_LENGTH = "content-length";
@@ -41,12 +42,21 @@
     /** The header with the coding in which the body is transferred. */
     private static final String TRANSFER_ENCODING = "transfer-encoding";
 
+    /** The headers that frame the body, in lower case. */
+    private static final Set<String> FRAMING_HEADERS = Set.of(CONTENT_LENGTH, TRANSFER_ENCODING);
+
     /** The only supported transfer coding. */
     private static final String CHUNKED = "chunked";
 
+    /** The separator between the elements of a list. */
+    private static final Pattern LIST_SEPARATOR = Pattern.compile("[\\t ]*,[\\t ]*");
+
     /** The method whose answers have no body. */
     private static final String HEAD_METHOD = "HEAD";
 
+    /** The line terminator. */
+    private static final String LINE_END = "\r\n";
+
     /** The status of a connection that changes to another protocol. */
     private static final int SWITCHING_PROTOCOLS = 101;
 
@@ -68,8 +78,11 @@
     /** The status of an answer whose content the client has already. */
     private static final int NOT_MODIFIED = 304;
 
-    /** The lines. */
-    private final List<String> lines = new ArrayList<>();
+    /** The status line. */
+    private final String statusLine;
+
+    /** The headers. */
+    private final List<Line> headers = new ArrayList<>();
 
     /** The status. */
     private final int status;
@@ -80,6 +93,9 @@
     /** The values of the lengths that the head states. */
     private final List<String> lengths = new ArrayList<>();
 
+    /** The names of the headers of the connection, in lower case. */
+    private final Set<String> connectionHeaders = new HashSet<>();
+
     /** The values of the transfer codings that the head states. */
     private final List<String> transferCodings = new ArrayList<>();
 
@@ -91,7 +107,7 @@
      * @param isVersion10 Whether the answer is of HTTP/1.0.
      */
     private AnswerHead(String statusLine, int status, boolean isVersion10) {
-        lines.add(statusLine);
+        this.statusLine = statusLine;
         this.status = status;
         this.isVersion10 = isVersion10;
     }
@@ -132,8 +148,10 @@
             lengths.add(value);
         } else if (name.equals(TRANSFER_ENCODING)) {
             transferCodings.add(value.toLowerCase(Locale.ROOT));
+        } else if (name.equals(CONNECTION)) {
+            LIST_SEPARATOR.splitAsStream(value.toLowerCase(Locale.ROOT)).forEach(connectionHeaders::add);
         }
-        lines.add(line);
+        headers.add(new Line(name, line));
     }
 
     /**
@@ -189,20 +207,24 @@
 
     /**
      * Returns the head for the client library. It contains no framing where the answer has no body, since the library
-     * reads a body wherever one is stated.
+     * reads a body wherever one is stated. It contains no header that {@code Connection} lists: such a header concerns
+     * the connection only, so that it must neither be forwarded nor state anything about the answer.
      *
      * @param method The method of the request.
      * @return The lines with their terminators, including the empty line after them.
      */
     String toText(String method) {
         boolean statesBody = method.equals(HEAD_METHOD) || (status != NO_CONTENT && status != NOT_MODIFIED);
-        StringBuilder text = new StringBuilder();
-        for (String line : lines) {
-            if (statesBody || !FRAMING_HEADER.matcher(line).lookingAt()) {
-                text.append(line).append("\r\n");
+        StringBuilder text = new StringBuilder(statusLine).append(LINE_END);
+        for (Line header : headers) {
+            boolean isPart = FRAMING_HEADERS.contains(header.name())
+                    ? statesBody
+                    : header.name().equals(CONNECTION) || !connectionHeaders.contains(header.name());
+            if (isPart) {
+                text.append(header.text()).append(LINE_END);
             }
         }
-        return text.append("\r\n").toString();
+        return text.append(LINE_END).toString();
     }
 
     /**
@@ -230,4 +252,12 @@
         }
         return BodyFraming.ofLength(Long.parseLong(lengths.get(0)));
     }
+
+    /**
+     * A header.
+     *
+     * @param name The name in lower case.
+     * @param text The line without its terminator.
+     */
+    private record Line(String name, String text) {}
 }
