State the length and the type of the endpoint's answer, not the server's

Cause: the gateway stated the length of the body that it had read; the server adds the length 0 to an answer that ends without a byte, and its default type.

Change: an answer to HEAD has the length that the endpoint stated, and none if it stated none; a 304 has none. The first header of a name replaces what the server states by default, and the default type is removed.

--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/CallerResponse.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/CallerResponse.java
@@ -1,11 +1,15 @@
 package io.yuccaswitch.node.gateway;
 
 import io.javalin.http.Context;
+import io.javalin.http.HandlerType;
 import jakarta.servlet.http.HttpServletResponse;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import okhttp3.Headers;
@@ -19,6 +23,15 @@
     /** The header that requests the caller to close its connection. */
     private static final String CONNECTION = "Connection";
 
+    /** The header with the length of the body. */
+    private static final String CONTENT_LENGTH = "Content-Length";
+
+    /** The status of an answer without content. */
+    private static final int NO_CONTENT = 204;
+
+    /** The status of an answer whose content the caller has already. */
+    private static final int NOT_MODIFIED = 304;
+
     /** The number of milliseconds in a second. */
     private static final double MILLIS_PER_SECOND = 1000;
 
@@ -28,6 +41,9 @@
     /** The connection of the caller. */
     private final ClientConnection connection;
 
+    /** Whether the caller asked for the head of an answer only. */
+    private final boolean isHead;
+
     /** Returns whether the node is about to stop, so that connections are not kept alive. */
     private final BooleanSupplier closing;
 
@@ -40,6 +56,7 @@
      */
     CallerResponse(Context context, ClientConnection connection, BooleanSupplier closing) {
         response = context.res();
+        isHead = context.method() == HandlerType.HEAD;
         this.connection = connection;
         this.closing = closing;
     }
@@ -52,8 +69,13 @@
      * @throws IOException If the caller has disconnected.
      */
     void forward(AttemptResult.Complete answer, Predicate<String> headerFilter) throws IOException {
-        begin(answer.status(), answer.headers(), headerFilter);
-        response.setContentLength(answer.body().size());
+        writeHead(answer.status(), answer.headers(), headerFilter);
+        OptionalLong length = contentLength(answer);
+        length.ifPresent(response::setContentLengthLong);
+        if (length.isEmpty()) {
+            // Otherwise the server states the length of the body that it was given, which is zero.
+            response.flushBuffer();
+        }
         connection.release();
         response.getOutputStream().write(answer.body().unsafeArray());
         response.getOutputStream().close();
@@ -67,15 +89,53 @@
      * @param headerFilter Selects the headers that are forwarded.
      */
     void begin(int status, Headers headers, Predicate<String> headerFilter) {
+        writeHead(status, headers, headerFilter);
+    }
+
+    /**
+     * Starts an answer. Its headers replace those that the server states by default.
+     *
+     * @param status The status.
+     * @param headers The headers.
+     * @param headerFilter Selects the headers that are forwarded.
+     */
+    private void writeHead(int status, Headers headers, Predicate<String> headerFilter) {
         response.setStatus(status);
+        response.setContentType(null);
+        Set<String> names = new TreeSet<>(String.CASE_INSENSITIVE_ORDER);
         headers.forEach(header -> {
-            if (headerFilter.test(header.getFirst())) {
+            if (!headerFilter.test(header.getFirst())) {
+                return;
+            }
+            if (names.add(header.getFirst())) {
+                response.setHeader(header.getFirst(), header.getSecond());
+            } else {
                 response.addHeader(header.getFirst(), header.getSecond());
             }
         });
         closeIfLeaving();
     }
 
+    /**
+     * Returns the length that is stated to the caller.
+     *
+     * @param answer The answer.
+     * @return The length, or empty where an answer without a body states the length of another one, which only the
+     *     endpoint knows.
+     */
+    private OptionalLong contentLength(AttemptResult.Complete answer) {
+        if (answer.status() == NOT_MODIFIED) {
+            return OptionalLong.empty();
+        }
+        if (!isHead) {
+            return OptionalLong.of(answer.body().size());
+        }
+        String stated = answer.headers().get(CONTENT_LENGTH);
+        return stated == null || answer.status() == NO_CONTENT
+                ? OptionalLong.empty()
+                : OptionalLong.of(Long.parseLong(stated));
+    }
+
     /**
      * Forwards bytes of a stream and flushes them.
      *
