Send streams in chunks to callers that close their connection

To callers with Connection: close each broken stream that was not resumed looked complete: 14 of 14 kinds of breaking off, closed and reset, and those whose second attempt failed too. The same holds for each caller of a gateway that is about to stop, as the gateway itself states Connection: close then.

Cause: the server delimits a body of unknown length by the end of the connection if it does not keep it, and an aborted stream ends with a regular close.

Change: the head of a stream states chunks, so that it is complete only with its last chunk. A caller of HTTP/1.0 has no chunks and can't tell.

--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/CallerResponse.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/CallerResponse.java
@@ -26,6 +26,9 @@
     /** The header with the length of the body. */
     private static final String CONTENT_LENGTH = "Content-Length";
 
+    /** The header with the coding in which the body is transferred. */
+    private static final String TRANSFER_ENCODING = "Transfer-Encoding";
+
     /** The status of an answer without content. */
     private static final int NO_CONTENT = 204;
 
@@ -82,7 +85,8 @@
     }
 
     /**
-     * Starts to forward a stream.
+     * Starts to forward a stream. It is sent in chunks even if the connection is closed after it: if the end of the
+     * connection delimited it, the beginning of a stream that was aborted would look complete.
      *
      * @param status The status.
      * @param headers The headers.
@@ -90,6 +94,7 @@
      */
     void begin(int status, Headers headers, Predicate<String> headerFilter) {
         writeHead(status, headers, headerFilter);
+        response.setHeader(TRANSFER_ENCODING, "chunked");
     }
 
     /**
