Break off a stream in which another answer starts

Cause: a line of an event may have any name, and an event without an identifier was taken as it is. Where the end of the connection delimits the stream, an additional answer is part of its body.

Change: a line that starts like a status line breaks the stream off, for streams to callers and for items. It is resumed or aborted as after a lost connection.

Why it works: the name of a field never contains a slash and a version. A header line can't be told from a field, but an answer begins with its status line.

--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ServerSentEvents.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ServerSentEvents.java
@@ -23,6 +23,9 @@
     /** The field of an event's data. */
     private static final ByteString DATA_FIELD = ByteString.encodeUtf8("data:");
 
+    /** The beginning of a status line, which is no field of an event. */
+    private static final ByteString STATUS_LINE_PREFIX = ByteString.encodeUtf8("HTTP/1.");
+
     /** The line feed. */
     private static final byte LINE_FEED = '\n';
 
@@ -47,7 +50,8 @@
      * Reads the next event.
      *
      * @return The event, or empty if the stream ended between two events.
-     * @throws IOException If the connection failed, the stream ended within an event, or the event is too long.
+     * @throws IOException If the connection failed, the stream ended within an event, the event is too long, or another
+     *     answer starts within the stream.
      */
     Optional<Event> next() throws IOException {
         List<ByteString> lines = new ArrayList<>();
@@ -60,6 +64,9 @@
                 throw new IOException("the stream ended within an event");
             }
             ByteString line = readLine(remainingBytes);
+            if (line.startsWith(STATUS_LINE_PREFIX)) {
+                throw new IOException("another answer starts within the stream");
+            }
             if (line.size() > 0) {
                 lines.add(line);
                 remainingBytes -= line.size() + 1;
