Accept an answer of an attempt only with its identifier stated once

Cause: the last of several values was compared.

Change: the answer must state the identifier exactly once, as at gateways.

--- a/yuccaswitch-endpoint/src/main/java/io/yuccaswitch/endpoint/Attempt.java
+++ b/yuccaswitch-endpoint/src/main/java/io/yuccaswitch/endpoint/Attempt.java
@@ -9,6 +9,7 @@
 import io.yuccaswitch.core.request.RequestEvent;
 import io.yuccaswitch.core.time.MonotonicTime;
 import java.io.IOException;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -151,14 +152,14 @@
      * Rejects an answer that is not guaranteed to belong to this request.
      *
      * @param response The answer.
-     * @throws AnswerException If the answer carries a different identifier or none.
+     * @throws AnswerException If the answer carries a different identifier, several or none.
      */
     private void requireMatchingId(Response response) throws AnswerException {
-        String answerId = response.header(REQUEST_ID);
-        if (answerId == null) {
+        List<String> answerIds = response.headers(REQUEST_ID);
+        if (answerIds.isEmpty()) {
             throw new AnswerException(FailureCodes.UNIDENTIFIED_ANSWER);
         }
-        if (!answerId.equals(wireId)) {
+        if (!answerIds.equals(List.of(wireId))) {
             throw new AnswerException(FailureCodes.CROSSED_ANSWER);
         }
     }
