Validate the answers that the operator's client receives

Change: calls to addresses without TLS go through AnswerValidation. An address may state https; its client is separate, since the validation reads what TLS would decrypt. Redirects from one scheme to the other are not followed any more; nodes send none.

--- a/yuccaswitch-command/src/main/java/io/yuccaswitch/command/operator/OperatorClient.java
+++ b/yuccaswitch-command/src/main/java/io/yuccaswitch/command/operator/OperatorClient.java
@@ -8,6 +8,8 @@
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.schedulers.Schedulers;
+import io.yuccaswitch.http.AnswerObserver;
+import io.yuccaswitch.http.AnswerValidation;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.UnknownHostException;
@@ -45,11 +47,14 @@
     /** The separator between a scheme and an address. */
     private static final String SCHEME_SEPARATOR = "://";
 
-    /** The HTTP client. */
-    private final OkHttpClient client = new OkHttpClient.Builder()
-            .connectTimeout(CONNECT_TIMEOUT)
-            .callTimeout(CALL_TIMEOUT)
-            .retryOnConnectionFailure(false)
+    /** The client for addresses without TLS, which validates answers. */
+    private final OkHttpClient client =
+            AnswerValidation.addTo(builder(), AnswerObserver.NoOp.INSTANCE).build();
+
+    /** The client for addresses with TLS, whose answers can't be validated before they are decrypted. */
+    private final OkHttpClient tlsClient = builder()
+            .dispatcher(client.dispatcher())
+            .connectionPool(client.connectionPool())
             .build();
 
     /** Parses and serialises bodies. */
@@ -114,6 +119,20 @@
         client.connectionPool().evictAll();
     }
 
+    /**
+     * Creates the builder of a client. It follows no redirect from one scheme to the other, for which the other client
+     * is needed.
+     *
+     * @return The builder.
+     */
+    private static OkHttpClient.Builder builder() {
+        return new OkHttpClient.Builder()
+                .connectTimeout(CONNECT_TIMEOUT)
+                .callTimeout(CALL_TIMEOUT)
+                .retryOnConnectionFailure(false)
+                .followSslRedirects(false);
+    }
+
     /**
      * Sends a request.
      *
@@ -123,7 +142,7 @@
      * @return The answer.
      */
     private NodeReply send(String node, String address, Request request) {
-        Call call = client.newCall(request);
+        Call call = (request.isHttps() ? tlsClient : client).newCall(request);
         try (Response response = call.execute()) {
             if (response.body().source().request(MAXIMUM_ANSWER_BYTES + 1)) {
                 call.cancel();
