Send headers of callers to endpoints as the same bytes, or refuse them

A batch job whose item had a header with the value Économie was accepted with 202; then building the item's request threw, the exception reached the handler that ends the process (code 70), and the gateway that took the job over ended as well. A plain request with such a header got 500. An engine with an invalid address in a query of its report ended the process in the same way.

Cause: the client library's ordinary calls refuse values that are not ASCII, values with control characters and names that are no token by an exception. Submissions were not checked, and neither the runner of items nor the callers of engines and of the cloud expected the exception.

Change: SendableHeaders decides which headers can be sent unchanged, for plain requests, for submissions and before a request is built. A value that was received as bytes is decoded as UTF-8 and written as UTF-8 by addUnsafeNonAscii, so the bytes are the same; where they would not be, the caller gets 400 that names the header. A request that can't be built has an outcome: an item of an earlier release ends as impossible with a reason, a score is refused, a report and calls to the cloud are unanswered; each has a line. EndpointAttempts, ItemRunner, ScoringRunner, OrderCaller and CloudCaller were read for it; the clients of yuccaswitch-endpoint handled it already.

BatchSystemTest states a reason for an impossible item now, as the outcome carries one.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/AttemptOutcome.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/AttemptOutcome.java
@@ -45,6 +45,10 @@
     /** The engine failed while it ran the item, which counts towards the attempts of the route. */
     record Failed() implements AttemptOutcome {}
 
-    /** The engine reported that the item can never be completed. */
-    record Impossible() implements AttemptOutcome {}
+    /**
+     * The item can never be completed.
+     *
+     * @param reason The reason, for logs.
+     */
+    record Impossible(String reason) implements AttemptOutcome {}
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchRunSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchRunSystem.java
@@ -245,12 +245,8 @@
         if (outcome instanceof AttemptOutcome.Completed) {
             state.loads().succeed(engine, model);
             complete(tick, job.get(), item.get(), engine);
-        } else if (outcome instanceof AttemptOutcome.Impossible) {
-            finish(
-                    tick,
-                    item.get(),
-                    BatchResult.abandoned(ended.item()),
-                    "the engine reported that the item can never run");
+        } else if (outcome instanceof AttemptOutcome.Impossible impossible) {
+            finish(tick, item.get(), BatchResult.abandoned(ended.item()), impossible.reason());
         } else if (outcome instanceof AttemptOutcome.Failed) {
             fail(tick, job.get(), item.get(), engine);
         } else if (outcome instanceof AttemptOutcome.Refused refused) {
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSystemTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSystemTest.java
@@ -667,7 +667,8 @@
     void anItemThatCanNeverCompleteIsAbandonedAtOnce() {
         TestNode node = site.node("node-1");
         site.run(100);
-        site.engines(run -> Optional.of(BatchSite.ended(run, new AttemptOutcome.Impossible(), ItemText.EMPTY)));
+        site.engines(
+                run -> Optional.of(BatchSite.ended(run, new AttemptOutcome.Impossible("status 422"), ItemText.EMPTY)));
         site.submit(node, BatchSite.job("job", 1));
         site.run(1000);
         assertThat(site.runs).containsEntry("job-0", 1);
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/CloudCaller.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/CloudCaller.java
@@ -12,6 +12,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import okhttp3.Call;
 import okhttp3.Callback;
 import okhttp3.Request;
@@ -71,7 +72,7 @@
      */
     private void report(UsageEffect.Report report) {
         send(
-                dialect.report(address, report),
+                () -> dialect.report(address, report),
                 outcome -> loop.accept(new UsageEvent.Reported(report.window(), outcome)));
     }
 
@@ -82,18 +83,28 @@
      */
     private void order(ScalingEffect.Order order) {
         send(
-                dialect.order(address, order),
+                () -> dialect.order(address, order),
                 outcome -> loop.accept(new ScalingEvent.Ordered(order.pool(), order.zone(), outcome)));
     }
 
     /**
      * Sends a call.
      *
-     * @param request The call.
+     * @param request Builds the call.
      * @param onOutcome Receives the outcome.
      */
-    private void send(Request.Builder request, Consumer<DutyOutcome> onOutcome) {
-        http.call(request, new Transmission(), CLOUD_TIMEOUT).enqueue(new Callback() {
+    private void send(Supplier<Request.Builder> request, Consumer<DutyOutcome> onOutcome) {
+        Call prepared;
+        try {
+            prepared = http.call(request.get(), new Transmission(), CLOUD_TIMEOUT);
+        } catch (IllegalArgumentException exception) {
+            LOGGER.warnf(
+                    "event=cloud-call-not-sendable reason=\"%s\"",
+                    SendableHeaders.escape(String.valueOf(exception.getMessage())));
+            onOutcome.accept(DutyOutcome.UNANSWERED);
+            return;
+        }
+        prepared.enqueue(new Callback() {
             @Override
             public void onFailure(Call call, IOException exception) {
                 LOGGER.infof(
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointAttempts.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointAttempts.java
@@ -24,7 +24,7 @@
 import java.util.function.Consumer;
 import okhttp3.Call;
 import okhttp3.EventListener;
-import okhttp3.HttpUrl;
+import okhttp3.Headers;
 import okhttp3.Request;
 import okhttp3.Response;
 import okio.Buffer;
@@ -106,20 +106,17 @@
             Optional<Long> lastEventId,
             Consumer<Call> onCall) {
         Transmission transmission = new Transmission(() -> dispatch.maySend(endpoint.name(), request.id()));
-        HttpUrl url = HttpUrl.parse("http://" + endpoint.address() + request.target());
-        if (url == null) {
+        Request.Builder builder;
+        try {
+            builder = build(request, endpoint, timeouts, lastEventId);
+        } catch (IllegalArgumentException exception) {
+            String reason = "it can't be sent: " + SendableHeaders.escape(String.valueOf(exception.getMessage()));
+            LOGGER.warnf(
+                    "event=request-not-sendable endpoint=%s id=%s reason=\"%s\"",
+                    endpoint.name(), request.id(), reason);
             return OpenedAttempt.failed(
-                    endpoint,
-                    new AttemptResult.NotRun(AttemptResult.NotRunCause.UNDELIVERED, "the path can't be sent"));
-        }
-        Request.Builder builder = new Request.Builder().url(url).method(request.method(), bodyOf(request));
-        for (Map.Entry<String, String> header : request.headers()) {
-            builder.addHeader(header.getKey(), header.getValue());
+                    endpoint, new AttemptResult.NotRun(AttemptResult.NotRunCause.UNDELIVERED, reason));
         }
-        request.account().ifPresent(account -> dialect.identify(builder, account));
-        request.priority().ifPresent(priority -> dialect.prioritize(builder, priority));
-        dialect.address(builder, endpoint.name(), timeouts.total());
-        lastEventId.ifPresent(id -> dialect.resume(builder, id));
         Call call = http.call(builder, transmission, timeouts.total(), connection);
         track(call, endpoint.name());
         onCall.accept(call);
@@ -140,6 +137,31 @@
         }
     }
 
+    /**
+     * Builds the request of an attempt.
+     *
+     * @param request The request.
+     * @param endpoint The endpoint.
+     * @param timeouts The timeouts of the attempt.
+     * @param lastEventId The event after which a stream resumes, or empty to start from the beginning.
+     * @return The request.
+     * @throws IllegalArgumentException If the request can't be sent to the endpoint.
+     */
+    private Request.Builder build(
+            OutgoingRequest request, RegisteredEndpoint endpoint, Timeouts timeouts, Optional<Long> lastEventId) {
+        Headers.Builder headers = new Headers.Builder();
+        request.headers().forEach(header -> SendableHeaders.add(headers, header.getKey(), header.getValue()));
+        Request.Builder builder = new Request.Builder()
+                .url("http://" + endpoint.address() + request.target())
+                .headers(headers.build())
+                .method(request.method(), bodyOf(request));
+        request.account().ifPresent(account -> dialect.identify(builder, account));
+        request.priority().ifPresent(priority -> dialect.prioritize(builder, priority));
+        dialect.address(builder, endpoint.name(), timeouts.total());
+        lastEventId.ifPresent(id -> dialect.resume(builder, id));
+        return builder;
+    }
+
     /**
      * Returns why a request was not run that was never written.
      *
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayServer.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayServer.java
@@ -505,12 +505,31 @@
         List<Map.Entry<String, String>> headers = new ArrayList<>();
         for (String name : Collections.list(context.req().getHeaderNames())) {
             if (endpoints.isForwarded(name) && !(account.isChecked() && endpoints.isAccountHeader(name))) {
-                Collections.list(context.req().getHeaders(name)).forEach(value -> headers.add(Map.entry(name, value)));
+                Collections.list(context.req().getHeaders(name))
+                        .forEach(value -> headers.add(Map.entry(name, decoded(name, value))));
             }
         }
         return headers;
     }
 
+    /**
+     * Decodes the value of a header, which the server decoded as ISO 8859-1.
+     *
+     * @param name The name.
+     * @param value The value, with each byte as one character.
+     * @return The text that is sent to endpoints as the same bytes.
+     * @throws MalformedCallException If the bytes can't be sent unchanged.
+     */
+    private static String decoded(String name, String value) {
+        Optional<String> text = SendableHeaders.decode(value);
+        Optional<String> flaw =
+                text.isEmpty() ? Optional.of("the value is not valid UTF-8") : SendableHeaders.flaw(name, text.get());
+        flaw.ifPresent(reason -> {
+            throw new MalformedCallException("malformed-header", "header " + name + ": " + reason);
+        });
+        return text.get();
+    }
+
     /**
      * Reads the body of a request.
      *
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ItemRunner.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ItemRunner.java
@@ -28,7 +28,7 @@
 import java.util.concurrent.TimeUnit;
 import okhttp3.Call;
 import okhttp3.Callback;
-import okhttp3.HttpUrl;
+import okhttp3.Headers;
 import okhttp3.Request;
 import okhttp3.Response;
 
@@ -128,18 +128,44 @@
      * @param run The item to run.
      */
     private void start(BatchEffect.Run run) {
-        BatchItem item = run.item();
-        HttpUrl url = HttpUrl.parse("http://" + run.endpoint().address() + item.path());
-        if (url == null) {
-            end(run, new AttemptOutcome.Impossible(), ItemText.EMPTY);
+        Request.Builder request;
+        try {
+            request = request(run);
+        } catch (IllegalArgumentException exception) {
+            // Submissions are checked, so this item was accepted by an earlier release.
+            String reason = "it can't be sent: " + SendableHeaders.escape(String.valueOf(exception.getMessage()));
+            end(run, new AttemptOutcome.Impossible(reason), ItemText.EMPTY);
             return;
         }
-        Request.Builder request = new Request.Builder().url(url).post(new OneShotBody("", item.body()));
+        Transmission transmission = new Transmission(
+                () -> dispatch.maySend(run.endpoint().name(), run.item().id()));
+        EndpointHttp.ConnectionUse connection =
+                run.uncertain() ? EndpointHttp.ConnectionUse.NEW : EndpointHttp.ConnectionUse.KEPT;
+        Call call = http.call(request, transmission, run.timeLeft(), connection);
+        Attempt attempt = new Attempt(run, call, transmission);
+        running.put(Key.of(run), attempt);
+        call.enqueue(attempt);
+    }
+
+    /**
+     * Builds the request of an attempt.
+     *
+     * @param run The item to run.
+     * @return The request.
+     * @throws IllegalArgumentException If the path, the identifier or a header of the item can't be sent.
+     */
+    private Request.Builder request(BatchEffect.Run run) {
+        BatchItem item = run.item();
+        Headers.Builder headers = new Headers.Builder();
         item.headers().forEach((name, value) -> {
             if (dialect.isForwarded(name) && !(run.id().isChecked() && dialect.isAccountHeader(name))) {
-                request.header(name, value);
+                SendableHeaders.add(headers, name, value);
             }
         });
+        Request.Builder request = new Request.Builder()
+                .url("http://" + run.endpoint().address() + item.path())
+                .headers(headers.build())
+                .post(new OneShotBody("", item.body()));
         run.id().account().ifPresent(account -> dialect.identify(request, account));
         request.header("Host", run.host());
         request.header(dialect.requestIdHeader(), item.id());
@@ -148,14 +174,7 @@
         if (run.lastEventId() > 0) {
             dialect.resume(request, run.lastEventId());
         }
-        Transmission transmission =
-                new Transmission(() -> dispatch.maySend(run.endpoint().name(), item.id()));
-        EndpointHttp.ConnectionUse connection =
-                run.uncertain() ? EndpointHttp.ConnectionUse.NEW : EndpointHttp.ConnectionUse.KEPT;
-        Call call = http.call(request, transmission, run.timeLeft(), connection);
-        Attempt attempt = new Attempt(run, call, transmission);
-        running.put(Key.of(run), attempt);
-        call.enqueue(attempt);
+        return request;
     }
 
     /**
@@ -356,7 +375,7 @@
                 return Optional.of(new AttemptOutcome.Refused("status " + status));
             }
             if (dialect.isImpossible(status)) {
-                return Optional.of(new AttemptOutcome.Impossible());
+                return Optional.of(new AttemptOutcome.Impossible("the engine reported that the item can never run"));
             }
             if (status == INTERNAL_SERVER_ERROR) {
                 return Optional.of(new AttemptOutcome.Failed());
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/OrderCaller.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/OrderCaller.java
@@ -15,6 +15,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import okhttp3.Call;
 import okhttp3.Callback;
 import okhttp3.Request;
@@ -72,9 +73,8 @@
      */
     private void readReport(OrderEffect.ReadReport effect) {
         EndpointName engine = effect.engine().name();
-        Request.Builder request = dialect.report(effect.engine().address());
         send(
-                request,
+                () -> dialect.report(effect.engine().address()),
                 effect.engine(),
                 answer -> loop.accept(new OrderEvent.ReportRead(engine, report(engine, answer))));
     }
@@ -86,7 +86,7 @@
      */
     private void order(OrderEffect.LoadVersion effect) {
         EndpointName engine = effect.engine().name();
-        send(dialect.order(effect), effect.engine(), answer -> {
+        send(() -> dialect.order(effect), effect.engine(), answer -> {
             OrderOutcome outcome = answer.map(
                             received -> dialect.orderOutcome(received.status()).orElse(OrderOutcome.REJECTED))
                     .orElse(OrderOutcome.UNANSWERED);
@@ -116,13 +116,25 @@
     /**
      * Sends a call.
      *
-     * @param request The call.
+     * @param request Builds the call.
      * @param engine The engine.
      * @param onAnswer Receives the answer, or empty if none was received.
      */
-    private void send(Request.Builder request, RegisteredEndpoint engine, Consumer<Optional<Answer>> onAnswer) {
-        dialect.address(request, engine.name(), ENGINE_TIMEOUT);
-        http.call(request, new Transmission(), ENGINE_TIMEOUT).enqueue(new Callback() {
+    private void send(
+            Supplier<Request.Builder> request, RegisteredEndpoint engine, Consumer<Optional<Answer>> onAnswer) {
+        Call prepared;
+        try {
+            Request.Builder builder = request.get();
+            dialect.address(builder, engine.name(), ENGINE_TIMEOUT);
+            prepared = http.call(builder, new Transmission(), ENGINE_TIMEOUT);
+        } catch (IllegalArgumentException exception) {
+            LOGGER.warnf(
+                    "event=engine-call-not-sendable endpoint=%s reason=\"%s\"",
+                    engine.name(), SendableHeaders.escape(String.valueOf(exception.getMessage())));
+            onAnswer.accept(Optional.empty());
+            return;
+        }
+        prepared.enqueue(new Callback() {
 
             @Override
             public void onFailure(Call _call, IOException exception) {
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ScoringRunner.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ScoringRunner.java
@@ -18,7 +18,6 @@
 import java.util.concurrent.TimeUnit;
 import okhttp3.Call;
 import okhttp3.Response;
-import org.jboss.logging.Logger;
 
 /** Sends scoring requests to endpoints and reports the outcome of each attempt to the core. */
 final class ScoringRunner implements AutoCloseable {
@@ -32,9 +31,6 @@
     /** The status of an endpoint that failed while it ran the request. */
     private static final int INTERNAL_SERVER_ERROR = 500;
 
-    /** The logger. */
-    private static final Logger LOGGER = Logger.getLogger(ScoringRunner.class);
-
     /** Sends requests to endpoints. */
     private final EndpointAttempts attempts;
 
@@ -222,17 +218,8 @@
             EndpointHttp.ConnectionUse connection =
                     score.uncertain() ? EndpointHttp.ConnectionUse.NEW : EndpointHttp.ConnectionUse.KEPT;
             EndpointAttempts.Timeouts timeouts = new EndpointAttempts.Timeouts(score.timeLeft(), score.timeLeft());
-            try {
-                return attempts.open(
-                        request(score), score.endpoint(), timeouts, connection, Optional.empty(), this::attach);
-            } catch (IllegalArgumentException exception) {
-                LOGGER.warnf(
-                        "event=scoring-not-sent id=%s reason=\"%s\"",
-                        score.request().id(), exception);
-                return EndpointAttempts.OpenedAttempt.failed(
-                        score.endpoint(),
-                        new AttemptResult.NotRun(AttemptResult.NotRunCause.UNDELIVERED, "the request can't be sent"));
-            }
+            return attempts.open(
+                    request(score), score.endpoint(), timeouts, connection, Optional.empty(), this::attach);
         }
 
         /** Cancels the attempt. */
