Refuse requests of callers that have no single meaning

Forwarded before: a request with two identifiers, none, an empty one or one with spaces; with two X-Timeout-Ms; with 'Connection: X-Request-Id', 'Host' or 'X-Model'; headers that Connection lists; a body with the coding 'gzip, chunked', without the coding. A malformed chunk, GET and HEAD with a body, and an identifier that is not ASCII got 500.

Cause: the first of several values decided, the codings before chunked were left to the handler, Connection was not read, and exceptions of the server and client library for malformed bodies were not expected. The answer to a request without an identifier was not checked to belong to it.

Change: RequestValidation refuses such a request with 400 that names the header, before it is routed; a plain request needs one identifier of visible ASCII characters. Headers that Connection lists are dropped; one that concerns the whole request must not be listed.

Why it works: what two readers could read in two ways is refused by the first, so no endpoint gets it; the rest is compared at an engine that records bytes.

--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/CallerDialect.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/CallerDialect.java
@@ -22,6 +22,13 @@
      */
     String requestIdHeader();
 
+    /**
+     * Returns the headers with one value that this node or endpoints read.
+     *
+     * @return The names of the headers that a request bears at most once.
+     */
+    List<String> singleHeaders();
+
     /**
      * Reads how long a caller waits for its answer.
      *
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayServer.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayServer.java
@@ -20,6 +20,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -91,6 +92,9 @@
     /** The dialect of endpoints. */
     private final EndpointDialect endpoints;
 
+    /** Refuses requests without a single meaning. */
+    private final RequestValidation validation;
+
     /** The view of the core. */
     private final GatewayView view;
 
@@ -148,6 +152,7 @@
         this.settings = settings;
         callers = dialects.callers();
         endpoints = dialects.endpoints();
+        validation = new RequestValidation(callers);
         this.view = view;
         this.accounts = accounts;
         this.plain = plain;
@@ -367,6 +372,7 @@
             refuse(context, caller, routes.get(), path);
             return false;
         }
+        validation.requireValidHeaders(context.req());
         Optional<CallerDialect.BatchCall> call =
                 callers.batchCall(context.req().getMethod(), path, context::queryParam, context::header);
         if (call.isPresent()) {
@@ -394,6 +400,7 @@
             submit(context, caller, account.get(), path, body.get(), times);
             return true;
         }
+        validation.requireForwardable(context.req(), body.get().size());
         PlainRequest request = plainRequest(context, route.get(), account.get(), body.get(), arrivedAt);
         try (DisconnectWatch.WatchedRequest watched = disconnects.watch(connection)) {
             plain.serve(request, caller, watched);
@@ -503,8 +510,11 @@
      */
     private List<Map.Entry<String, String>> headersOf(Context context, ClientAccount account) {
         List<Map.Entry<String, String>> headers = new ArrayList<>();
+        Set<String> connectionHeaders = RequestValidation.connectionHeaders(context.req());
         for (String name : Collections.list(context.req().getHeaderNames())) {
-            if (endpoints.isForwarded(name) && !(account.isChecked() && endpoints.isAccountHeader(name))) {
+            if (endpoints.isForwarded(name)
+                    && !connectionHeaders.contains(name.toLowerCase(Locale.ROOT))
+                    && !(account.isChecked() && endpoints.isAccountHeader(name))) {
                 Collections.list(context.req().getHeaders(name))
                         .forEach(value -> headers.add(Map.entry(name, decoded(name, value))));
             }
@@ -540,8 +550,15 @@
      */
     private static Optional<Bytes> readBody(Context context, long maximumBytes) throws IOException {
         InputStream input = context.req().getInputStream();
-        byte[] body = input.readNBytes((int) Math.min(Integer.MAX_VALUE - 8, maximumBytes));
-        return input.read() < 0 ? Optional.of(Bytes.wrap(body)) : Optional.empty();
+        try {
+            byte[] body = input.readNBytes((int) Math.min(Integer.MAX_VALUE - 8, maximumBytes));
+            return input.read() < 0 ? Optional.of(Bytes.wrap(body)) : Optional.empty();
+        } catch (IOException exception) {
+            if (RequestValidation.isMalformed(exception)) {
+                throw RequestValidation.malformedBody();
+            }
+            throw exception;
+        }
     }
 
     /**
