Refuse targets that the client library would change

A caller's /plain/safe/%2e%2e/once/x selected the route of /plain/safe/ and reached the endpoint as /plain/once/x. Dot segments, also encoded ones, were removed; ' in a query, and characters such as | { and letters that are not ASCII, were encoded; a fragment was dropped; https:// was served as http. Paths of items were sent in the same way.

Cause: HttpUrl resolves and encodes what it parses. It has no other public constructor, its builders refuse dot segments, and the request line is written from it alone, so the library can't send such a target as it is.

One that would be changed gets 400 with the reason, at a submission with the item; so the path that selects the route is the one that is sent. An item of an earlier release with such a path ends as impossible; one whose engine has no valid address is interrupted, and no longer given up.

Open: a caller can't use ' in a query or dot segments.

Why it works: the comparison is made with the very parser that builds the request.

--- a/yuccaswitch-endpoint/src/main/java/io/yuccaswitch/endpoint/EndpointClient.java
+++ b/yuccaswitch-endpoint/src/main/java/io/yuccaswitch/endpoint/EndpointClient.java
@@ -208,7 +208,7 @@
     private Optional<okhttp3.Request.Builder> prepare(RequestEffect.Send send, boolean generates, String wireId) {
         Request request = send.request();
         HttpUrl url = HttpUrl.parse("http://" + send.address() + request.path());
-        if (url == null || !request.path().startsWith("/")) {
+        if (url == null || SendableTarget.flaw(request.path()).isPresent()) {
             return Optional.empty();
         }
         try {
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointAttempts.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointAttempts.java
@@ -10,6 +10,7 @@
 import io.yuccaswitch.endpoint.EndpointChecks;
 import io.yuccaswitch.endpoint.EndpointHttp;
 import io.yuccaswitch.endpoint.OneShotBody;
+import io.yuccaswitch.endpoint.SendableTarget;
 import io.yuccaswitch.endpoint.Transmission;
 import io.yuccaswitch.http.MalformedAnswerException;
 import java.io.IOException;
@@ -149,6 +150,9 @@
      */
     private Request.Builder build(
             OutgoingRequest request, RegisteredEndpoint endpoint, Timeouts timeouts, Optional<Long> lastEventId) {
+        SendableTarget.flaw(request.target()).ifPresent(flaw -> {
+            throw new IllegalArgumentException(flaw);
+        });
         Headers.Builder headers = new Headers.Builder();
         request.headers().forEach(header -> SendableHeaders.add(headers, header.getKey(), header.getValue()));
         Request.Builder builder = new Request.Builder()
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayServer.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayServer.java
@@ -400,7 +400,8 @@
             submit(context, caller, account.get(), path, body.get(), times);
             return true;
         }
-        validation.requireForwardable(context.req(), body.get().size());
+        validation.requireForwardable(
+                context.req(), targetOf(context), body.get().size());
         PlainRequest request = plainRequest(context, route.get(), account.get(), body.get(), arrivedAt);
         try (DisconnectWatch.WatchedRequest watched = disconnects.watch(connection)) {
             plain.serve(request, caller, watched);
@@ -464,12 +465,10 @@
      */
     private PlainRequest plainRequest(
             Context context, Route route, ClientAccount account, Bytes body, MonotonicTime arrivedAt) {
-        String query = context.req().getQueryString();
-        String target = context.req().getRequestURI() + (query == null ? "" : "?" + query);
         OutgoingRequest outgoing = new OutgoingRequest(
                 Optional.ofNullable(context.header(callers.requestIdHeader())).orElse(""),
                 context.req().getMethod(),
-                target,
+                targetOf(context),
                 headersOf(context, account),
                 account.name(),
                 body,
@@ -479,6 +478,17 @@
         return new PlainRequest(outgoing, route, arrivedAt.plus(requestTimeout(context, route)));
     }
 
+    /**
+     * Returns the target of a request.
+     *
+     * @param context The request.
+     * @return The path with the query, as the caller sent them.
+     */
+    private static String targetOf(Context context) {
+        String query = context.req().getQueryString();
+        return context.req().getRequestURI() + (query == null ? "" : "?" + query);
+    }
+
     /**
      * Returns the timeout of a request: that of its caller or that of its route, whichever is shorter.
      *
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ItemRunner.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ItemRunner.java
@@ -13,6 +13,7 @@
 import io.yuccaswitch.endpoint.EndpointChecks;
 import io.yuccaswitch.endpoint.EndpointHttp;
 import io.yuccaswitch.endpoint.OneShotBody;
+import io.yuccaswitch.endpoint.SendableTarget;
 import io.yuccaswitch.endpoint.Transmission;
 import io.yuccaswitch.http.MalformedAnswerException;
 import io.yuccaswitch.node.decision.DecisionLoop;
@@ -29,6 +30,7 @@
 import okhttp3.Call;
 import okhttp3.Callback;
 import okhttp3.Headers;
+import okhttp3.HttpUrl;
 import okhttp3.Request;
 import okhttp3.Response;
 
@@ -128,6 +130,11 @@
      * @param run The item to run.
      */
     private void start(BatchEffect.Run run) {
+        HttpUrl url = HttpUrl.parse("http://" + run.endpoint().address());
+        if (url == null) {
+            end(run, new AttemptOutcome.Interrupted("the engine has no valid address", true), ItemText.EMPTY);
+            return;
+        }
         Request.Builder request;
         try {
             request = request(run);
@@ -156,6 +163,9 @@
      */
     private Request.Builder request(BatchEffect.Run run) {
         BatchItem item = run.item();
+        SendableTarget.flaw(item.path()).ifPresent(flaw -> {
+            throw new IllegalArgumentException(flaw);
+        });
         Headers.Builder headers = new Headers.Builder();
         item.headers().forEach((name, value) -> {
             if (dialect.isForwarded(name) && !(run.id().isChecked() && dialect.isAccountHeader(name))) {
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/RequestValidation.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/RequestValidation.java
@@ -1,5 +1,6 @@
 package io.yuccaswitch.node.gateway;
 
+import io.yuccaswitch.endpoint.SendableTarget;
 import jakarta.servlet.http.HttpServletRequest;
 import java.util.Collections;
 import java.util.List;
@@ -7,7 +8,9 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.eclipse.jetty.ee10.servlet.ServletContextRequest;
 import org.eclipse.jetty.http.HttpException;
+import org.eclipse.jetty.http.HttpURI;
 
 /**
  * Refuses requests of callers that have no single meaning, such that an endpoint could read them in another way than
@@ -21,6 +24,9 @@
     /** The code of a request whose body can't be delimited. */
     private static final String MALFORMED_BODY = "malformed-body";
 
+    /** The code of a request whose target can't be sent unchanged. */
+    private static final String MALFORMED_TARGET = "malformed-target";
+
     /** The code of a request without a valid identifier. */
     private static final String MALFORMED_IDENTIFIER = "malformed-identifier";
 
@@ -78,10 +84,11 @@
      * Validates what can be forwarded of a plain request.
      *
      * @param request The request.
+     * @param target Its path with the query.
      * @param bodySize The size of its body in bytes.
      * @throws MalformedCallException If the request can't be forwarded unchanged.
      */
-    void requireForwardable(HttpServletRequest request, int bodySize) {
+    void requireForwardable(HttpServletRequest request, String target, int bodySize) {
         String id = Optional.ofNullable(request.getHeader(callers.requestIdHeader()))
                 .orElse("");
         if (!SendableHeaders.isIdentifier(id)) {
@@ -89,6 +96,12 @@
                     MALFORMED_IDENTIFIER,
                     "header " + callers.requestIdHeader() + ": not 1 to 256 visible ASCII characters");
         }
+        Optional<String> flaw = hasFragmentOrOtherScheme(request)
+                ? Optional.of("the target has a fragment or another scheme than http")
+                : SendableTarget.flaw(target);
+        if (flaw.isPresent()) {
+            throw new MalformedCallException(MALFORMED_TARGET, flaw.get());
+        }
         if (bodySize > 0 && BODILESS_METHODS.contains(request.getMethod())) {
             throw new MalformedCallException(
                     MALFORMED_BODY, "a request with method " + request.getMethod() + " can't have a body");
@@ -133,6 +146,17 @@
         return new MalformedCallException(MALFORMED_BODY, "the body is not framed as stated");
     }
 
+    /**
+     * Returns whether a target has a part that is not forwarded.
+     *
+     * @param request The request.
+     * @return {@code true} if it has a fragment, or states another scheme than that of the connection.
+     */
+    private static boolean hasFragmentOrOtherScheme(HttpServletRequest request) {
+        HttpURI target = ServletContextRequest.getServletContextRequest(request).getHttpURI();
+        return target.getFragment() != null || !request.getScheme().equals("http");
+    }
+
     /**
      * Requires that a caller does not declare a header to concern only its connection.
      *
--- a/yuccaswitch-node/src/test/java/io/yuccaswitch/node/gateway/UnsendableRequestTest.java
+++ b/yuccaswitch-node/src/test/java/io/yuccaswitch/node/gateway/UnsendableRequestTest.java
@@ -100,6 +100,18 @@
         requireImpossible(item("a\nb", "/x"));
         requireImpossible(item("\u00e9", "/x"));
         requireImpossible(item("item", ":x"));
+        requireImpossible(item("item", "/a/../x"));
+    }
+
+    @Test
+    void anItemIsNotGivenUpBecauseItsEngineHasNoValidAddress() throws InterruptedException {
+        loop.accept(new Start(run(item("item", "/x"), "127.0.0.1:99999")));
+
+        Event outcome = outcomes.poll(10, TimeUnit.SECONDS);
+
+        assertThat(uncaught).isEmpty();
+        assertThat(outcome).isInstanceOfSatisfying(BatchEvent.AttemptEnded.class, ended -> assertThat(ended.outcome())
+                .isInstanceOf(AttemptOutcome.Interrupted.class));
     }
 
     @Test
@@ -133,16 +145,7 @@
     }
 
     private void requireImpossible(BatchItem item) throws InterruptedException {
-        loop.accept(new Start(new BatchEffect.Run(
-                new BatchJobId("job"),
-                item,
-                1,
-                "site.example",
-                endpoint("127.0.0.1:1"),
-                0,
-                Duration.ofSeconds(10),
-                false,
-                OptionalInt.empty())));
+        loop.accept(new Start(run(item, "127.0.0.1:1")));
 
         Event outcome = outcomes.poll(10, TimeUnit.SECONDS);
 
@@ -153,6 +156,19 @@
                         .isInstanceOf(AttemptOutcome.Impossible.class));
     }
 
+    private static BatchEffect.Run run(BatchItem item, String address) {
+        return new BatchEffect.Run(
+                new BatchJobId("job"),
+                item,
+                1,
+                "site.example",
+                endpoint(address),
+                0,
+                Duration.ofSeconds(10),
+                false,
+                OptionalInt.empty());
+    }
+
     private static BatchItem item(String id, String path) {
         return new BatchItem(id, path, Map.of(), Bytes.EMPTY, "group", 1, Optional.empty());
     }
