Keep the first byte of a pipelined request

A caller's second request that arrived while the first one ran lost its first byte: POST became OST and got 404.

Cause: the check whether a caller has disconnected reads one byte from its connection and dropped it.

Change: the byte is kept, and given back to the server's connection before the answer ends. Nothing is read while the server has bytes of a further request in its buffer, so the byte is the first one of that request and there is room for it.

Why it works: the check runs while a request is served, when the server reads nothing, and stops before the server reads on; what it read comes first in the server's buffer.

The server library has no public question for what its connection has read, so this uses HttpConnection of its internal package, which the tests hold to.

Open: once a caller has sent bytes early, its disconnecting isn't seen until the answer, as before.

--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ClientConnection.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ClientConnection.java
@@ -2,8 +2,11 @@
 
 import jakarta.servlet.http.HttpServletRequest;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import org.eclipse.jetty.ee10.servlet.ServletContextRequest;
+import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.server.internal.HttpConnection;
 import org.eclipse.jetty.util.BufferUtil;
 
 /**
@@ -21,10 +24,10 @@
     /** Whether the caller has closed the connection. */
     private boolean disconnected;
 
-    /**
-     * Whether the caller sent bytes early. They were consumed by the check, so the connection can't serve further
-     * requests.
-     */
+    /** The first byte of the next request, if a check has read it, until the server gets it back. */
+    private final ByteBuffer earlyByte = BufferUtil.allocate(1);
+
+    /** Whether the caller has begun to send its next request, after which this class reads nothing. */
     private boolean receivedEarlyBytes;
 
     /**
@@ -58,8 +61,12 @@
         if (released || disconnected || receivedEarlyBytes) {
             return disconnected;
         }
+        if (!hasEmptyBuffer()) {
+            receivedEarlyBytes = true;
+            return false;
+        }
         try {
-            int read = endPoint.fill(BufferUtil.allocate(1));
+            int read = endPoint.fill(earlyByte);
             disconnected = read < 0;
             receivedEarlyBytes = read > 0;
         } catch (IOException _exception) {
@@ -69,13 +76,24 @@
     }
 
     /**
-     * Records that the answer is about to end, after which this class must not read from the connection.
-     *
-     * @return {@code true} if the connection can serve further requests.
+     * Records that the answer is about to end, after which this class must not read from the connection. The server
+     * gets back the byte that a check has read. Its buffer is empty then, so the byte is the first one of the next
+     * request.
      */
-    synchronized boolean release() {
+    synchronized void release() {
+        if (!released && earlyByte.hasRemaining() && endPoint.getConnection() instanceof Connection.UpgradeTo server) {
+            server.onUpgradeTo(earlyByte);
+        }
         released = true;
-        return !disconnected && !receivedEarlyBytes;
+    }
+
+    /**
+     * Returns whether the server has read nothing beyond the current request.
+     *
+     * @return {@code false} if it has, or if its connection has no buffer that could take back a byte.
+     */
+    private boolean hasEmptyBuffer() {
+        return endPoint.getConnection() instanceof HttpConnection server && server.isRequestBufferEmpty();
     }
 
     /** Closes the connection at once, so that the caller sees that a started answer is incomplete. */
