--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayServer.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayServer.java
@@ -20,6 +20,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -91,6 +92,9 @@
     /** The dialect of endpoints. */
     private final EndpointDialect endpoints;
 
+    /** Refuses requests without a single meaning. */
+    private final RequestValidation validation;
+
     /** The view of the core. */
     private final GatewayView view;
 
@@ -148,6 +152,7 @@
         this.settings = settings;
         callers = dialects.callers();
         endpoints = dialects.endpoints();
+        validation = new RequestValidation(callers);
         this.view = view;
         this.accounts = accounts;
         this.plain = plain;
@@ -367,6 +372,7 @@
             refuse(context, caller, routes.get(), path);
             return false;
         }
+        validation.requireValidHeaders(context.req());
         Optional<CallerDialect.BatchCall> call =
                 callers.batchCall(context.req().getMethod(), path, context::queryParam, context::header);
         if (call.isPresent()) {
@@ -394,6 +400,8 @@
             submit(context, caller, account.get(), path, body.get(), times);
             return true;
         }
+        validation.requireForwardable(
+                context.req(), targetOf(context), body.get().size());
         PlainRequest request = plainRequest(context, route.get(), account.get(), body.get(), arrivedAt);
         try (DisconnectWatch.WatchedRequest watched = disconnects.watch(connection)) {
             plain.serve(request, caller, watched);
@@ -457,12 +465,10 @@
      */
     private PlainRequest plainRequest(
             Context context, Route route, ClientAccount account, Bytes body, MonotonicTime arrivedAt) {
-        String query = context.req().getQueryString();
-        String target = context.req().getRequestURI() + (query == null ? "" : "?" + query);
         OutgoingRequest outgoing = new OutgoingRequest(
                 Optional.ofNullable(context.header(callers.requestIdHeader())).orElse(""),
                 context.req().getMethod(),
-                target,
+                targetOf(context),
                 headersOf(context, account),
                 account.name(),
                 body,
@@ -472,6 +478,17 @@
         return new PlainRequest(outgoing, route, arrivedAt.plus(requestTimeout(context, route)));
     }
 
+    /**
+     * Returns the target of a request.
+     *
+     * @param context The request.
+     * @return The path with the query, as the caller sent them.
+     */
+    private static String targetOf(Context context) {
+        String query = context.req().getQueryString();
+        return context.req().getRequestURI() + (query == null ? "" : "?" + query);
+    }
+
     /**
      * Returns the timeout of a request: that of its caller or that of its route, whichever is shorter.
      *
@@ -503,14 +520,36 @@
      */
     private List<Map.Entry<String, String>> headersOf(Context context, ClientAccount account) {
         List<Map.Entry<String, String>> headers = new ArrayList<>();
+        Set<String> connectionHeaders = RequestValidation.connectionHeaders(context.req());
         for (String name : Collections.list(context.req().getHeaderNames())) {
-            if (endpoints.isForwarded(name) && !(account.isChecked() && endpoints.isAccountHeader(name))) {
-                Collections.list(context.req().getHeaders(name)).forEach(value -> headers.add(Map.entry(name, value)));
+            if (endpoints.isForwarded(name)
+                    && !connectionHeaders.contains(name.toLowerCase(Locale.ROOT))
+                    && !(account.isChecked() && endpoints.isAccountHeader(name))) {
+                Collections.list(context.req().getHeaders(name))
+                        .forEach(value -> headers.add(Map.entry(name, decoded(name, value))));
             }
         }
         return headers;
     }
 
+    /**
+     * Decodes the value of a header, which the server decoded as ISO 8859-1.
+     *
+     * @param name The name.
+     * @param value The value, with each byte as one character.
+     * @return The text that is sent to endpoints as the same bytes.
+     * @throws MalformedCallException If the bytes can't be sent unchanged.
+     */
+    private static String decoded(String name, String value) {
+        Optional<String> text = SendableHeaders.decode(value);
+        Optional<String> flaw =
+                text.isEmpty() ? Optional.of("the value is not valid UTF-8") : SendableHeaders.flaw(name, text.get());
+        flaw.ifPresent(reason -> {
+            throw new MalformedCallException("malformed-header", "header " + name + ": " + reason);
+        });
+        return text.get();
+    }
+
     /**
      * Reads the body of a request.
      *
@@ -521,8 +560,15 @@
      */
     private static Optional<Bytes> readBody(Context context, long maximumBytes) throws IOException {
         InputStream input = context.req().getInputStream();
-        byte[] body = input.readNBytes((int) Math.min(Integer.MAX_VALUE - 8, maximumBytes));
-        return input.read() < 0 ? Optional.of(Bytes.wrap(body)) : Optional.empty();
+        try {
+            byte[] body = input.readNBytes((int) Math.min(Integer.MAX_VALUE - 8, maximumBytes));
+            return input.read() < 0 ? Optional.of(Bytes.wrap(body)) : Optional.empty();
+        } catch (IOException exception) {
+            if (RequestValidation.isMalformed(exception)) {
+                throw RequestValidation.malformedBody();
+            }
+            throw exception;
+        }
     }
 
     /**
