List queued requests in the order of their arrival

Seen: AdmissionReplayTest depended on the JVM. 30 JVMs that had computed 7, 14 ... 210 identity hash codes before the replay gave 30 different sequences of calls for (5,636 to 5,914 calls), one of them with a late call of a small account. With -XX:hashCode=2 (all identity hash codes equal) three such preludes gave the same 5,666 calls.

Cause: FairQueue kept its entries in a HashMap. The keys of the admission's queue are AdmissionRequest records, whose hash code includes that of their stage, an enum constant: an identity hash code. PoolAdmission.advance refuses requests in the order of these entries, callers take their return times in the order of the refusals, and so the JVM decided who returns when. A gateway's decisions depended on it in the same way.

Change: the entries are kept in the order of their arrival. The replay's stand-in also drew its random numbers in the iteration order of Map.of, which each JVM chooses at random; it sorts the accounts now.

Why it works: no other collection that the replay's decisions iterate over has keys with identity hash codes.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/admission/AdmissionQueue.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/admission/AdmissionQueue.java
@@ -122,7 +122,8 @@
     /**
      * Returns the queued requests.
      *
-     * @return The requests, the most urgent ones first.
+     * @return The requests, the most urgent ones first, and of these the ones that an endpoint refused, each in the
+     *     order of arrival.
      */
     List<AdmissionRequest> requests() {
         List<AdmissionRequest> requests = new ArrayList<>();
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/limit/FairQueue.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/limit/FairQueue.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.EnumMap;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -27,8 +26,8 @@
     /** The flows of each priority class. */
     private final Map<PriorityClass, FlowGroup<K>> classes = new EnumMap<>(PriorityClass.class);
 
-    /** The entries by their keys. */
-    private final Map<K, Entry<K>> entries = new HashMap<>();
+    /** The entries by their keys, in the order of their arrival: hash codes of keys may differ between JVMs. */
+    private final Map<K, Entry<K>> entries = new LinkedHashMap<>();
 
     /** The number of bytes of all entries. */
     private long bytes;
@@ -178,7 +177,7 @@
     /**
      * Returns the queued entries.
      *
-     * @return The entries, in no particular order.
+     * @return The entries in the order of their arrival.
      */
     public List<Entry<K>> entries() {
         return List.copyOf(entries.values());
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/admission/AdmissionReplay.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/admission/AdmissionReplay.java
@@ -68,7 +68,9 @@
 
     /** Runs the replay until a time. Each account sends at its rate, at nodes chosen at random. */
     void runUntil(long end, Map<String, Double> perSecond) {
-        runUntil(end, (account, _node, _at) -> perSecond.get(account) / nodes.size(), List.copyOf(perSecond.keySet()));
+        // The iteration order of immutable maps differs between JVMs, and the random numbers are drawn in this order.
+        List<String> accounts = perSecond.keySet().stream().sorted().toList();
+        runUntil(end, (account, _node, _at) -> perSecond.get(account) / nodes.size(), accounts);
     }
 
     /** Runs the replay until a time, with a rate for each account and node. */
@@ -117,6 +119,14 @@
                 .count();
     }
 
+    /** Returns a number that changes with the times, refusals and sends of any call. */
+    int digest() {
+        return calls.stream()
+                .map(call -> List.of(call.account, call.madeAt, call.answeredAt, call.refusals, call.sends))
+                .toList()
+                .hashCode();
+    }
+
     private int poisson(double mean) {
         double limit = Math.exp(-mean);
         int count = 0;
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/admission/PoolAdmissionTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/admission/PoolAdmissionTest.java
@@ -106,6 +106,21 @@
                 .isEqualTo("two");
     }
 
+    /** Guards against return times that are assigned in an order that differs between JVMs. */
+    @Test
+    void requestsWhoseWaitEndsTogetherAreRefusedInTheOrderOfTheirArrival() {
+        arrive("one", 1, TARGET, 1501);
+        List<Long> arrivals = new ArrayList<>();
+        for (int count = 0; count < 20; count++) {
+            assertThat(arrive("account-" + count % 3, 1, TARGET, 1501)).isEmpty();
+            arrivals.add(ids);
+        }
+        millis += 46;
+        assertThat(admission.advance(situation()))
+                .extracting(verdict -> verdict.request().id())
+                .containsExactlyElementsOf(arrivals);
+    }
+
     /** Guards against requests of one account that are served by arrival although a later one is due first. */
     @Test
     void requestsOfOneAccountAreServedByDeadline() {
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/limit/FairQueueTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/limit/FairQueueTest.java
@@ -138,4 +138,14 @@
             assertThat(ahead.get(key)).isBetween(position, position + 2);
         }
     }
+
+    /** Guards against decisions that depend on the hash codes of keys, which differ between JVMs for enums. */
+    @Test
+    void entriesAreListedInTheOrderOfTheirArrivalWhateverTheHashCodesOfTheirKeys() {
+        FairQueue<Integer> queue = new FairQueue<>();
+        List<Integer> arrivals = List.of(9, 3, 12, 1, 7, 0);
+        arrivals.forEach(key ->
+                queue.add(new FairQueue.Entry<>(key, new CallerName("c" + key % 2), 1, CLASSES.get(key % 3), 10)));
+        assertThat(queue.entries()).extracting(FairQueue.Entry::key).containsExactlyElementsOf(arrivals);
+    }
 }
