Forward each valid head of an answer, and escape what an answer states

An answer whose headers have more than about 8 KB left the caller without an answer (9,000 bytes: nothing until the caller's own timeout, while the log says answered; 20,000 bytes: the connection was closed without an answer); an endpoint could write its own fields and thousands of bytes into a log line by the identifier that it states; headers such as 'Upgrade: HTTP/2.0, HTTP/1.1' were rejected; a stream that had rejected a head read on at the next answer; bytes that the client library's own check found were not counted.

Cause: the server has 8 KiB for the headers of an answer, while 256 KiB were accepted of endpoints; the identifiers were put into the reason as they are; the search for a second status line matched a version alone.

Change: a head with its interim answers may have 16 KiB, and the server has 32 KiB for one. Identifiers are escaped and cut as all bytes of endpoints. A second status line needs a status. A stream that failed stays failed. A kept connection that its endpoint has closed is logged for debugging only, as it is usual; one that holds bytes is a warning; both are counted, whoever finds them.

--- a/yuccaswitch-http/src/main/java/io/yuccaswitch/http/AnswerHead.java
+++ b/yuccaswitch-http/src/main/java/io/yuccaswitch/http/AnswerHead.java
@@ -21,8 +21,11 @@
     private static final Pattern STATUS_LINE =
             Pattern.compile("HTTP/1\\.([01]) ([0-9]{3})(?: ([\\t\\x20-\\x7e\\x80-\\xff]*))?");
 
-    /** The beginning of a status line within another line. */
-    private static final Pattern EMBEDDED_STATUS_LINE = Pattern.compile("HTTP/1\\.[01](?: [0-9]{3}(?: |$)|$)");
+    /**
+     * The beginning of a status line within another line. If an endpoint breaks off within a line and starts another
+     * answer, the two are one line. A header that quotes a status line is rejected as well, as it looks the same.
+     */
+    private static final Pattern EMBEDDED_STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [0-9]{3}(?: |$)");
 
     /** The name of a header. */
     private static final Pattern HEADER_NAME = Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+");
@@ -124,9 +127,7 @@
         if (!matcher.matches()) {
             throw new MalformedAnswerException(AnswerFault.STATUS_LINE, line);
         }
-        if (EMBEDDED_STATUS_LINE.matcher(line.substring(1)).find()) {
-            throw new MalformedAnswerException(AnswerFault.SECOND_STATUS_LINE, line);
-        }
+        requireOneStatusLine(line, 1);
         int status = Integer.parseInt(matcher.group(2));
         if (status < LOWEST_STATUS || status > HIGHEST_STATUS || status == SWITCHING_PROTOCOLS) {
             throw new MalformedAnswerException(AnswerFault.STATUS_CODE, line);
@@ -162,9 +163,7 @@
      * @throws MalformedAnswerException If the line is not a header.
      */
     static int requireHeader(String line) throws MalformedAnswerException {
-        if (EMBEDDED_STATUS_LINE.matcher(line).find()) {
-            throw new MalformedAnswerException(AnswerFault.SECOND_STATUS_LINE, line);
-        }
+        requireOneStatusLine(line, 0);
         int colon = line.indexOf(':');
         if (colon < 0 || !HEADER_NAME.matcher(line.substring(0, colon)).matches()) {
             throw new MalformedAnswerException(AnswerFault.HEADER_NAME, line);
@@ -175,6 +174,20 @@
         return colon;
     }
 
+    /**
+     * Verifies that no further status line begins within a line.
+     *
+     * @param line The line.
+     * @param start The position from which the line is searched.
+     * @throws MalformedAnswerException If one begins.
+     */
+    private static void requireOneStatusLine(String line, int start) throws MalformedAnswerException {
+        int version = line.indexOf(VERSION_PREFIX, start);
+        if (version >= 0 && EMBEDDED_STATUS_LINE.matcher(line).find(version)) {
+            throw new MalformedAnswerException(AnswerFault.SECOND_STATUS_LINE, line);
+        }
+    }
+
     /**
      * Returns whether a final answer follows.
      *
--- a/yuccaswitch-http/src/main/java/io/yuccaswitch/http/AnswerInputStream.java
+++ b/yuccaswitch-http/src/main/java/io/yuccaswitch/http/AnswerInputStream.java
@@ -4,7 +4,7 @@
 import java.io.InputStream;
 import java.net.SocketTimeoutException;
 import java.util.Optional;
-import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import okio.Buffer;
@@ -19,7 +19,7 @@
 final class AnswerInputStream extends InputStream {
 
     /** The maximum size of a head with its interim answers, in bytes. */
-    private static final long MAXIMUM_HEAD_BYTES = 256 << 10;
+    static final long MAXIMUM_HEAD_BYTES = 16 << 10;
 
     /** The maximum number of interim answers before a final one. */
     private static final int MAXIMUM_INTERIM_ANSWERS = 16;
@@ -40,8 +40,11 @@
     /** The bytes that the peer sends. */
     private final LineReader reader;
 
-    /** Receives malformed answers. */
-    private final Consumer<MalformedAnswerException> observer;
+    /** Receives what is wrong with answers and the connection. */
+    private final AnswerObserver observer;
+
+    /** Returns the address of the peer, for the observer. */
+    private final Supplier<String> peer;
 
     /** The lines that were read and not yet handed over. */
     private final Buffer lines = new Buffer();
@@ -65,29 +68,27 @@
      * Creates a stream.
      *
      * @param source The bytes that the peer sends.
-     * @param observer Receives malformed answers.
+     * @param observer Receives what is wrong with answers and the connection.
+     * @param peer Returns the address of the peer, for the observer.
      */
-    AnswerInputStream(ByteSource source, Consumer<MalformedAnswerException> observer) {
+    AnswerInputStream(ByteSource source, AnswerObserver observer, Supplier<String> peer) {
         reader = new LineReader(source);
         this.observer = observer;
+        this.peer = peer;
     }
 
     /**
-     * Determines without waiting whether the connection can be used for a request. No answer is being read.
+     * Determines without waiting whether the connection can be used for a request, and reports it if not. No answer is
+     * being read.
      *
      * @return The condition of the connection.
      */
     ConnectionCondition condition() {
-        return reader.poll();
-    }
-
-    /**
-     * Returns the bytes that have arrived and belong to no answer.
-     *
-     * @return The bytes, escaped.
-     */
-    String unreadBytes() {
-        return EscapedBytes.of(reader.unread());
+        ConnectionCondition condition = reader.poll();
+        if (condition != ConnectionCondition.IDLE) {
+            observer.unusable(peer.get(), condition, EscapedBytes.of(reader.unread()));
+        }
+        return condition;
     }
 
     /**
@@ -115,6 +116,9 @@
         if (length == 0) {
             return 0;
         }
+        if (part == Part.FAILED) {
+            throw new IOException("an earlier answer was malformed");
+        }
         while (lines.exhausted()) {
             if (part == Part.NONE) {
                 return readNothing();
@@ -157,7 +161,8 @@
                 default -> readTrailer();
             }
         } catch (MalformedAnswerException exception) {
-            observer.accept(exception);
+            part = Part.FAILED;
+            observer.malformed(peer.get(), exception);
             throw exception;
         }
     }
@@ -316,6 +321,8 @@
         /** The lines after the last chunk. */
         TRAILER,
         /** Bytes that the end of the connection delimits. */
-        UNTIL_CLOSE
+        UNTIL_CLOSE,
+        /** Nothing, since an answer was malformed. */
+        FAILED
     }
 }
--- a/yuccaswitch-http/src/main/java/io/yuccaswitch/http/AnswerObserver.java
+++ b/yuccaswitch-http/src/main/java/io/yuccaswitch/http/AnswerObserver.java
@@ -23,7 +23,10 @@
      */
     void unusable(String peer, ConnectionCondition condition, String bytes);
 
-    /** Writes a log line and increments a counter for each observation. */
+    /**
+     * Increments a counter and writes a log line for each observation. A connection that the peer has closed is usual,
+     * so its line is for debugging only.
+     */
     final class Reporting implements AnswerObserver {
 
         /** The logger. */
@@ -60,23 +63,13 @@
         public void unusable(String peer, ConnectionCondition condition, String bytes) {
             metrics.counter(client + ".unusable-connections." + condition.label())
                     .inc();
-            LOGGER.infof(
+            LOGGER.logf(
+                    condition == ConnectionCondition.ENDED ? Logger.Level.DEBUG : Logger.Level.WARN,
                     "event=connection-unusable client=%s peer=%s condition=%s bytes=\"%s\"",
-                    client, peer, condition.label(), bytes);
+                    client,
+                    peer,
+                    condition.label(),
+                    bytes);
         }
     }
-
-    /** Ignores all observations. */
-    enum NoOp implements AnswerObserver {
-        /** The only instance. */
-        INSTANCE;
-
-        /** {@inheritDoc} */
-        @Override
-        public void malformed(String _peer, MalformedAnswerException _exception) {}
-
-        /** {@inheritDoc} */
-        @Override
-        public void unusable(String _peer, ConnectionCondition _condition, String _bytes) {}
-    }
 }
--- a/yuccaswitch-http/src/main/java/io/yuccaswitch/http/AnswerSocket.java
+++ b/yuccaswitch-http/src/main/java/io/yuccaswitch/http/AnswerSocket.java
@@ -8,7 +8,7 @@
 import java.net.SocketAddress;
 import java.net.SocketException;
 import java.nio.ByteBuffer;
-import java.nio.channels.AsynchronousCloseException;
+import java.nio.channels.ClosedChannelException;
 import java.nio.channels.SocketChannel;
 
 /**
@@ -26,9 +26,6 @@
     /** The answers. */
     private final AnswerInputStream answers;
 
-    /** Receives what is wrong with answers and the connection. */
-    private final AnswerObserver observer;
-
     /** Whether the connection has carried a request. */
     private volatile boolean isKept;
 
@@ -39,10 +36,9 @@
      * @throws IOException If no socket is available.
      */
     AnswerSocket(AnswerObserver observer) throws IOException {
-        this.observer = observer;
         channel = SocketChannel.open();
         delegate = channel.socket();
-        answers = new AnswerInputStream(new ChannelSource(), fault -> observer.malformed(peer(), fault));
+        answers = new AnswerInputStream(new ChannelSource(), observer, this::peer);
     }
 
     /**
@@ -51,11 +47,7 @@
      * @return The condition of the connection.
      */
     ConnectionCondition condition() {
-        ConnectionCondition condition = answers.condition();
-        if (condition != ConnectionCondition.IDLE) {
-            observer.unusable(peer(), condition, answers.unreadBytes());
-        }
-        return condition;
+        return answers.condition();
     }
 
     /**
@@ -233,7 +225,7 @@
      * @param cause The exception.
      * @return The exception with a reason, for logs.
      */
-    private static SocketException closedDuringRead(AsynchronousCloseException cause) {
+    private static SocketException closedDuringRead(ClosedChannelException cause) {
         SocketException exception = new SocketException("Socket closed");
         exception.initCause(cause);
         return exception;
@@ -247,7 +239,7 @@
         public int read(byte[] target, int offset, int length) throws IOException {
             try {
                 return delegate.getInputStream().read(target, offset, length);
-            } catch (AsynchronousCloseException exception) {
+            } catch (ClosedChannelException exception) {
                 throw closedDuringRead(exception);
             }
         }
--- a/yuccaswitch-http/src/main/java/io/yuccaswitch/http/EscapedBytes.java
+++ b/yuccaswitch-http/src/main/java/io/yuccaswitch/http/EscapedBytes.java
@@ -1,7 +1,7 @@
 package io.yuccaswitch.http;
 
-/** Makes received bytes safe for logs. */
-final class EscapedBytes {
+/** Makes received bytes safe for logs and messages. */
+public final class EscapedBytes {
 
     /** The maximum number of bytes that are shown. */
     private static final int MAXIMUM_BYTES = 80;
@@ -18,7 +18,7 @@
      * @param bytes The bytes, each as one character.
      * @return The text, in which all characters other than printable ASCII are escaped.
      */
-    static String of(String bytes) {
+    public static String of(String bytes) {
         StringBuilder text = new StringBuilder();
         for (int index = 0; index < Math.min(bytes.length(), MAXIMUM_BYTES); index++) {
             append(text, bytes.charAt(index));
--- a/yuccaswitch-http/src/test/java/io/yuccaswitch/http/AnswerInputStreamTest.java
+++ b/yuccaswitch-http/src/test/java/io/yuccaswitch/http/AnswerInputStreamTest.java
@@ -23,6 +23,19 @@
     private static final String CHUNKED = OK + "Transfer-Encoding: chunked\r\n\r\n";
 
     private final List<AnswerFault> faults = new ArrayList<>();
+    private final List<String> unusableConnections = new ArrayList<>();
+
+    private final AnswerObserver observer = new AnswerObserver() {
+        @Override
+        public void malformed(String _peer, MalformedAnswerException exception) {
+            faults.add(exception.fault());
+        }
+
+        @Override
+        public void unusable(String _peer, ConnectionCondition condition, String bytes) {
+            unusableConnections.add(condition + " " + bytes);
+        }
+    };
 
     @ParameterizedTest
     @ValueSource(ints = {1, 2, 3, 7, 4096})
@@ -55,7 +68,7 @@
         assertThat(read(stream, answer.length())).isEqualTo(answer);
         assertThat(stream.read()).isEqualTo(-1);
         assertThat(stream.condition()).isEqualTo(ConnectionCondition.UNREAD_BYTES);
-        assertThat(stream.unreadBytes()).isEqualTo("HTTP/1.1 500 Internal");
+        assertThat(unusableConnections).containsOnly("UNREAD_BYTES HTTP/1.1 500 Internal");
     }
 
     static Stream<Arguments> answersByMethod() {
@@ -148,6 +161,26 @@
         assertThatThrownBy(stream::read).isInstanceOf(SocketTimeoutException.class);
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"X-Request-Line: GET /x HTTP/1.1", "Upgrade: HTTP/2.0, HTTP/1.1", "Server: HTTP/1.1"})
+    void aHeaderThatNamesTheProtocolIsValid(String header) throws IOException {
+        String answer = OK + header + "\r\nContent-Length: 0\r\n\r\n";
+        AnswerInputStream stream = stream(ScriptedSource.open(answer, 4096));
+        stream.expectAnswer("GET");
+        assertThat(read(stream, answer.length())).isEqualTo(answer);
+    }
+
+    @Test
+    void aStreamThatFailedHandsOverNothingMore() {
+        AnswerInputStream stream =
+                stream(ScriptedSource.open("HTTP/1.1 600 No\r\n" + OK + "Content-Length: 3\r\n\r\nold", 4096));
+        stream.expectAnswer("GET");
+        assertThatThrownBy(stream::read).isInstanceOf(MalformedAnswerException.class);
+        assertThatThrownBy(stream::read).isInstanceOf(IOException.class);
+        stream.expectAnswer("GET");
+        assertThatThrownBy(stream::read).isInstanceOf(IOException.class);
+    }
+
     @Test
     void aHeadThatEndsAfterAnyOfItsBytesIsNoAnswer() {
         String head = "HTTP/1.1 100 Continue\r\n\r\n" + OK + "X-Request-Id: a\r\nContent-Length: 5\r\n\r\n";
@@ -240,7 +273,7 @@
     }
 
     private AnswerInputStream stream(ScriptedSource source) {
-        return new AnswerInputStream(source, exception -> faults.add(exception.fault()));
+        return new AnswerInputStream(source, observer, () -> "peer");
     }
 
     private static String read(AnswerInputStream stream, int length) throws IOException {
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointAttempts.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointAttempts.java
@@ -316,7 +316,7 @@
         if (!request.id().isEmpty() && !dialect.belongsTo(response.headers(), request.id())) {
             opened.discard();
             return opened.withFailure(unusableAnswer("status " + response.code() + " with identifiers "
-                    + response.headers(dialect.requestIdHeader()) + " does not belong to the request"));
+                    + dialect.describeIdentifiers(response.headers()) + " does not belong to the request"));
         }
         if (dialect.isNotRun(response.code(), response.headers()) || dialect.isMisdirected(response.code())) {
             response.close();
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointDialect.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointDialect.java
@@ -6,6 +6,7 @@
 import io.yuccaswitch.core.modelversion.OrderEffect;
 import io.yuccaswitch.core.modelversion.OrderOutcome;
 import io.yuccaswitch.core.proxy.ReportedLoad;
+import io.yuccaswitch.http.EscapedBytes;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
@@ -35,6 +36,16 @@
         return headers.values(requestIdHeader()).equals(List.of(requestId));
     }
 
+    /**
+     * Describes the identifiers that an answer states.
+     *
+     * @param headers The headers of the answer.
+     * @return The identifiers, escaped and of limited length.
+     */
+    default String describeIdentifiers(Headers headers) {
+        return EscapedBytes.of(headers.values(requestIdHeader()).toString());
+    }
+
     /**
      * Returns whether a header of a caller is forwarded to endpoints.
      *
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayServer.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayServer.java
@@ -47,6 +47,11 @@
     /** The maximum size of a request's headers, until a configuration sets one. */
     private static final int DEFAULT_MAXIMUM_HEADER_BYTES = 16 * 1024;
 
+    /**
+     * The maximum size of an answer's headers: of the largest head that an endpoint may send, and those of the gateway.
+     */
+    private static final int MAXIMUM_RESPONSE_HEADER_BYTES = 32 * 1024;
+
     /** The time after which an idle connection is closed, until a configuration sets one. */
     private static final Duration DEFAULT_IDLE_TIMEOUT = Duration.ofSeconds(15);
 
@@ -221,6 +226,8 @@
             http.setSendServerVersion(false);
             http.setSendDateHeader(false);
             http.setRequestHeaderSize(DEFAULT_MAXIMUM_HEADER_BYTES);
+            http.setResponseHeaderSize(MAXIMUM_RESPONSE_HEADER_BYTES);
+            http.setMaxResponseHeaderSize(MAXIMUM_RESPONSE_HEADER_BYTES);
         });
         for (String address : Set.of(
                 settings.entryAddress(),
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ItemRunner.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ItemRunner.java
@@ -379,7 +379,7 @@
             int status = response.code();
             if (!dialect.belongsTo(response.headers(), run.item().id())) {
                 throw new IOException("status " + status + " with identifiers "
-                        + response.headers(dialect.requestIdHeader()) + " does not belong to the item");
+                        + dialect.describeIdentifiers(response.headers()) + " does not belong to the item");
             }
             if (dialect.isNotRun(status, response.headers()) || dialect.isMisdirected(status)) {
                 return Optional.of(new AttemptOutcome.Refused("status " + status));
