--- a/yuccaswitch-http/src/test/java/io/yuccaswitch/http/AnswerInputStreamTest.java
+++ b/yuccaswitch-http/src/test/java/io/yuccaswitch/http/AnswerInputStreamTest.java
@@ -116,6 +116,20 @@
         assertThat(faults).isEmpty();
     }
 
+    @Test
+    void headersThatTheConnectionHeaderListsAreLeftOut() throws IOException {
+        String framing = "Content-Length: 5\r\n\r\nhello";
+        AnswerInputStream stream = stream(ScriptedSource.open(
+                OK + "x-hop: 1\r\nConnection: close,X-HOP , , content-length\r\nX-Kept: 1\r\nX-Hop: 2\r\n"
+                        + "connection: x-other, connection\r\nX-Other: 1\r\n" + framing,
+                4096));
+        stream.expectAnswer("GET");
+        String expected = OK + "Connection: close,X-HOP , , content-length\r\nX-Kept: 1\r\n"
+                + "connection: x-other, connection\r\n" + framing;
+        assertThat(read(stream, expected.length())).isEqualTo(expected);
+        assertThat(stream.condition()).isEqualTo(ConnectionCondition.IDLE);
+    }
+
     @Test
     void bytesOfHeadersThatAreNotAsciiAreKept() throws IOException {
         AnswerInputStream stream =
