--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/CallerResponse.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/CallerResponse.java
@@ -59,7 +59,7 @@
      */
     CallerResponse(Context context, ClientConnection connection, BooleanSupplier closing) {
         response = context.res();
-        isHead = context.method() == HandlerType.HEAD;
+        isHead = context.method().equals(HandlerType.HEAD);
         this.connection = connection;
         this.closing = closing;
     }
