--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/SendableHeaders.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/SendableHeaders.java
@@ -96,7 +96,8 @@
      */
     public static String escape(String text) {
         StringBuilder escaped = new StringBuilder();
-        for (char c : text.toCharArray()) {
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
             if (c >= ' ' && c <= '~') {
                 escaped.append(c);
             } else {
