Let the first refused caller of an account return before the later ones of others

Cause: the refused callers of the two large accounts reserve all return times of the next 500 ms, as the share of an account counts only the accounts that were refused by then. When a caller of a small account is refused, there is no free time within a third of its remaining time, so it is told that third (some 500 ms): its account has no reservation at all, and it still returns behind the many of the large ones.

Change: a caller avoids only the reservations of other accounts up to its own turn, so the first turn of each account comes before the second turn of any. Turns of the same number stay an interval apart, so first callers of many accounts don't return together. A time can be promised twice, but only to a later turn of another account; admission serves the account that is below its share first.

Not measured: loads of 51 nodes other than those that AdmissionReplayTest checks, which pass.

Why it works: the caller returns after at least 20 ms rather than 500 ms, within its target, and is then served by fair shares.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/admission/RetryReservations.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/admission/RetryReservations.java
@@ -11,8 +11,9 @@
 /**
  * Assigns the times at which refused callers return, so that they don't return together: one caller for each slot that
  * becomes free, in the order in which callers should be served. An account gets at most its share of the times, and
- * less urgent callers leave every second time to more urgent ones. A time is a hint: callers return to any node, and
- * are admitted like any other.
+ * less urgent callers leave every second time to more urgent ones. Times that were already told can't be moved for an
+ * account that had no refused caller before: its first caller may get a time that is reserved for a later turn of
+ * another account. A time is a hint: callers return to any node, and are admitted like any other.
  */
 public final class RetryReservations {
 
@@ -28,8 +29,8 @@
     /** The maximum number of reservations, some 10 s of the rate of 3 endpoints with 6 slots and 100 ms of work. */
     private static final int MAXIMUM_RESERVATIONS = 2048;
 
-    /** The reserved times in nanoseconds, with the priority of their callers. */
-    private final TreeMap<Long, Integer> reserved = new TreeMap<>();
+    /** The reserved times in nanoseconds, with their callers. */
+    private final TreeMap<Long, Caller> reserved = new TreeMap<>();
 
     /** The accounts of callers that were refused recently. */
     private final Map<CallerName, Flow> flows = new HashMap<>();
@@ -50,12 +51,14 @@
         flows.computeIfAbsent(caller.account(), _account -> new Flow()).refused(caller, now);
         Duration limit = remaining.isNegative() ? Duration.ZERO : remaining.dividedBy(REMAINING_TIME_DIVISOR);
         long time = firstFreeTime(
-                earliestTime(caller, capacity, now), capacity.interval().toNanos());
+                caller.account(),
+                earliestTime(caller, capacity, now),
+                capacity.interval().toNanos());
         Duration delay = new MonotonicTime(time).since(now);
         if (delay.compareTo(limit) > 0 || reserved.size() >= MAXIMUM_RESERVATIONS) {
             return Duration.ofNanos((long) (limit.toNanos() * (1 - JITTER * drawn)));
         }
-        reserved.put(time, caller.priority());
+        reserved.put(time, caller);
         flows.get(caller.account()).latest = time;
         Duration spread = RetryDelay.spread(delay, JITTER, drawn);
         return spread.compareTo(limit) < 0 ? spread : limit;
@@ -84,7 +87,7 @@
             return earliest;
         }
         long latest = reserved.entrySet().stream()
-                .filter(entry -> entry.getValue() >= caller.priority())
+                .filter(entry -> entry.getValue().priority() >= caller.priority())
                 .mapToLong(Map.Entry::getKey)
                 .max()
                 .orElse(now.nanoseconds());
@@ -92,22 +95,31 @@
     }
 
     /**
-     * Returns the first time that is at least an interval away from all reserved ones.
+     * Returns the first time that is at least an interval away from those that other accounts reserved up to the same
+     * turn. The first turn of each account comes before the second turn of any: otherwise two accounts with many
+     * refused callers reserve all times of the near future, and the only caller of a small account returns after a
+     * third of its time, when its latency target has passed.
      *
+     * @param account The account of the caller.
      * @param earliest The earliest time in nanoseconds.
      * @param interval The interval in nanoseconds.
-     * @return The time in nanoseconds.
+     * @return The time in nanoseconds, which is not reserved yet.
      */
-    private long firstFreeTime(long earliest, long interval) {
+    private long firstFreeTime(CallerName account, long earliest, long interval) {
+        long turn = 1
+                + reserved.values().stream()
+                        .filter(other -> other.account().equals(account))
+                        .count();
+        Map<CallerName, Integer> turns = new HashMap<>();
         long time = earliest;
-        Long before = reserved.floorKey(time);
-        if (before != null && time - before < interval) {
-            time = before + interval;
+        for (Map.Entry<Long, Caller> entry : reserved.entrySet()) {
+            int other = turns.merge(entry.getValue().account(), 1, Integer::sum);
+            if (other <= turn && Math.abs(entry.getKey() - time) < interval) {
+                time = entry.getKey() + interval;
+            }
         }
-        Long next = reserved.ceilingKey(time);
-        while (next != null && next - time < interval) {
-            time = next + interval;
-            next = reserved.ceilingKey(time);
+        while (reserved.containsKey(time)) {
+            time++;
         }
         return time;
     }
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/admission/AdmissionReplayTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/admission/AdmissionReplayTest.java
@@ -22,13 +22,16 @@
     /** Guards against large accounts that take the slots of all others. */
     @Test
     void smallAccountsAreServedWithinTheirTargetBesideTwoThatExceedTheirShareTenfold() {
-        AdmissionReplay replay = new AdmissionReplay(UNEVEN, 1, 3, 6, SEED);
-        Map<String, Double> rates = new HashMap<>(Map.of("large-0", 600.0, "large-1", 600.0));
-        IntStream.range(0, 8).forEach(index -> rates.put("small-" + index, 30.0));
-        replay.runUntil(4000, rates);
-        IntStream.range(0, 8).forEach(index -> assertThat(replay.servedInTarget("small-" + index, 0, 3500))
-                .isEqualTo(1));
-        assertThat(replay.calls).allSatisfy(call -> assertThat(call.longestWait).isLessThanOrEqualTo(184 * 3 / 4));
+        assertSmallAccountsAreServedWithinTheirTarget(SEED);
+    }
+
+    /**
+     * Guards against large accounts whose refused callers delay the return of the only refused one of a small account.
+     */
+    @Test
+    void refusedCallsOfSmallAccountsReturnWithinTheirTargetBesideLargeOnes() {
+        assertSmallAccountsAreServedWithinTheirTarget(6);
+        assertSmallAccountsAreServedWithinTheirTarget(29);
     }
 
     /** Guards against a queue that keeps requests which the remaining endpoints can't serve in time. */
@@ -65,6 +68,16 @@
         assertThat(replay.sends).isLessThan(crowded(1.5, true, 3000).sends / 2);
     }
 
+    private static void assertSmallAccountsAreServedWithinTheirTarget(long seed) {
+        AdmissionReplay replay = new AdmissionReplay(UNEVEN, 1, 3, 6, seed);
+        Map<String, Double> rates = new HashMap<>(Map.of("large-0", 600.0, "large-1", 600.0));
+        IntStream.range(0, 8).forEach(index -> rates.put("small-" + index, 30.0));
+        replay.runUntil(4000, rates);
+        IntStream.range(0, 8).forEach(index -> assertThat(replay.servedInTarget("small-" + index, 0, 3500))
+                .isEqualTo(1));
+        assertThat(replay.calls).allSatisfy(call -> assertThat(call.longestWait).isLessThanOrEqualTo(184 * 3 / 4));
+    }
+
     private static AdmissionReplay crowded(double load, boolean immediate, long millis) {
         AdmissionReplay replay = new AdmissionReplay(CROWDED, 51, 3, 6, SEED);
         replay.immediate = immediate;
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/admission/RetryReservationsTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/admission/RetryReservationsTest.java
@@ -72,6 +72,33 @@
         assertThat(reserve("large", 1)).isGreaterThan(Duration.ofMillis(400));
     }
 
+    /**
+     * Guards against large accounts that reserved all near times before the first caller of a small one was refused.
+     */
+    @Test
+    void firstCallerOfAnAccountReturnsBeforeTheManyOfLargeOnes() {
+        for (int index = 0; index < 100; index++) {
+            reserve("large-" + index % 2, 1);
+        }
+        assertThat(reserve("small", 1)).isLessThan(Duration.ofMillis(60));
+    }
+
+    /** Guards against first callers of many accounts that return together. */
+    @Test
+    void firstCallersOfManyAccountsReturnOneAfterTheOther() {
+        for (int index = 0; index < 100; index++) {
+            reserve("large-" + index % 2, 1);
+        }
+        List<Duration> delays = new ArrayList<>();
+        for (int index = 0; index < 20; index++) {
+            delays.add(reserve("small-" + index, 1));
+        }
+        for (int index = 1; index < delays.size(); index++) {
+            assertThat(delays.get(index).minus(delays.get(index - 1))).isGreaterThanOrEqualTo(Duration.ofMillis(5));
+        }
+        assertThat(delays.get(19)).isLessThanOrEqualTo(Duration.ofMillis(20 + 22 * 5));
+    }
+
     /** Guards against less urgent callers that take all times before those of urgent ones. */
     @Test
     void urgentCallerReturnsBeforeManyLessUrgentOnes() {
