List all objects if their changes together are too large

The watch now ends as if its history was gone: all objects are listed, which takes several answers.

An answer that can't be read at all, or a list that is too large, was counted and logged like a broken connection. It now has an outcome of its own, unreadable, with a counter by purpose and a warning that tells why, and the line of a late dispatch no longer claims that the platform is unreachable.

--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/DispatchCheck.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/DispatchCheck.java
@@ -64,8 +64,8 @@
         ages.update(age);
         if (!freshness.isFreshEnough(now)) {
             LOGGER.warnf(
-                    "event=dispatch-late id=%s endpoint=%s registryAgeMillis=%d limitMillis=%d reason=\"the platform is"
-                            + " unreachable\"",
+                    "event=dispatch-late id=%s endpoint=%s registryAgeMillis=%d limitMillis=%d reason=\"the platform"
+                            + " gives this node no answer that can be read\"",
                     request, endpoint, age, RegistryFreshness.MAXIMUM_DISPATCH_AGE.toMillis());
         }
         return true;
--- a/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/HttpTransport.java
+++ b/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/HttpTransport.java
@@ -272,14 +272,14 @@
          *
          * @param call The call.
          * @param response The response.
-         * @return The answer, or a failure if it was truncated or too large.
+         * @return The answer, a report that it is too large, or a failure if it was truncated.
          */
         private static Reply read(Call call, Response response) {
             try (response) {
                 BufferedSource source = response.body().source();
                 if (source.request(MAXIMUM_ANSWER_BYTES + 1)) {
                     call.cancel();
-                    return new Reply.Failed("answer exceeds the maximum size", true, false);
+                    return new Reply.Oversized();
                 }
                 return new Reply.Answered(
                         response.code(),
--- a/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/Outcome.java
+++ b/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/Outcome.java
@@ -14,6 +14,8 @@
     REJECTED(true, false),
     /** The platform failed, or no valid answer was received. */
     FAILED(false, true),
+    /** The platform answered, but its answer can't be read. */
+    UNREADABLE(false, true),
     /** The call was not sent because the client's rate limit was reached. */
     BUDGET_EXHAUSTED(true, false),
     /** The call was not sent because the circuit is open. */
--- a/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/PlatformClient.java
+++ b/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/PlatformClient.java
@@ -401,9 +401,13 @@
     private Attempt finish(PlatformEffect effect, Attempt attempt) {
         metrics.recordOutcome(effect.purpose(), attempt.outcome());
         if (attempt.event() instanceof PlatformEvent.Unavailable unavailable) {
-            LOGGER.debugf(
+            LOGGER.logf(
+                    attempt.outcome() == Outcome.UNREADABLE ? Logger.Level.WARN : Logger.Level.DEBUG,
                     "event=platform-unavailable purpose=%s outcome=%s maybeApplied=%s reason=\"%s\"",
-                    effect.purpose(), attempt.outcome().label(), unavailable.maybeApplied(), unavailable.reason());
+                    effect.purpose(),
+                    attempt.outcome().label(),
+                    unavailable.maybeApplied(),
+                    unavailable.reason());
         }
         return attempt;
     }
--- a/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/PlatformReplies.java
+++ b/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/PlatformReplies.java
@@ -3,6 +3,7 @@
 import io.yuccaswitch.core.platform.PlatformEffect;
 import io.yuccaswitch.core.platform.PlatformEvent;
 import java.io.IOException;
+import java.util.List;
 import java.util.Optional;
 
 /** Converts replies of the object API to the events that answer calls. */
@@ -61,6 +62,9 @@
         if (reply instanceof Reply.Failed failed) {
             return Attempt.unavailable(effect.token(), changes && failed.sent(), failed.reason(), Outcome.FAILED);
         }
+        if (reply instanceof Reply.Oversized) {
+            return oversized(effect);
+        }
         Reply.Answered answer = (Reply.Answered) reply;
         Optional<Attempt> rejection = rejection(dialect, effect, answer.status());
         if (rejection.isPresent()) {
@@ -70,8 +74,26 @@
             return decodeAnswer(dialect, effect, answer);
         } catch (IOException | IllegalArgumentException exception) {
             return Attempt.unavailable(
-                    effect.token(), changes, "undecodable answer: " + exception.getMessage(), Outcome.FAILED);
+                    effect.token(), changes, "undecodable answer: " + LogText.reason(exception), Outcome.UNREADABLE);
+        }
+    }
+
+    /**
+     * Returns the result for an answer that exceeds the maximum size. The changes since a version may do so together
+     * although each object is within its limits. They are never read then, so all objects are to be listed instead,
+     * which takes several answers.
+     *
+     * @param effect The call.
+     * @return The result.
+     */
+    private static Attempt oversized(PlatformEffect effect) {
+        if (effect instanceof PlatformEffect.Watch watch) {
+            return new Attempt(
+                    new PlatformEvent.ObjectsListed(watch.token(), List.of(), watch.afterVersion(), true),
+                    Outcome.ANSWERED);
         }
+        return Attempt.unavailable(
+                effect.token(), changes(effect), "answer exceeds the maximum size", Outcome.UNREADABLE);
     }
 
     /**
--- a/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/Reply.java
+++ b/yuccaswitch-platform/src/main/java/io/yuccaswitch/platform/Reply.java
@@ -15,6 +15,9 @@
      */
     record Answered(int status, Optional<String> version, Bytes body) implements Reply {}
 
+    /** An answer was received only in part, as it exceeds the maximum size. */
+    record Oversized() implements Reply {}
+
     /**
      * No complete answer was received.
      *
--- a/yuccaswitch-platform/src/test/java/io/yuccaswitch/platform/EndlessAnswerTest.java
+++ b/yuccaswitch-platform/src/test/java/io/yuccaswitch/platform/EndlessAnswerTest.java
@@ -7,6 +7,7 @@
 import io.yuccaswitch.core.platform.PlatformEvent;
 import io.yuccaswitch.testkit.http.EndlessServer;
 import java.time.Duration;
+import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -47,6 +48,16 @@
         assertUnavailable((16L << 20) + SOCKET_BUFFERS);
     }
 
+    /** Guards against a node that never follows changes again, as they are too large together. */
+    @Test
+    void changesBeyondTheMaximumSizeRequireANewList() {
+        server = new EndlessServer(BODY, _part -> "xxxxxxxx", Duration.ZERO);
+        int port = Integer.parseInt(server.address().substring(server.address().indexOf(':') + 1));
+        try (PlatformClient client = new PlatformClient(Calls.settings(port), new MetricRegistry())) {
+            assertThat(new Calls(client).watch(7)).isEqualTo(new PlatformEvent.ObjectsListed(1, List.of(), 7, true));
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"", BODY})
     void anAnswerThatDripsIsBrokenOffAtItsTimeout(String beginning) {
