Count the objects of others that can't be read

The log line alone gives no figure to alert on. The readers of endpoints, configurations and versions now count by kind what they refuse.

--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
@@ -159,7 +159,7 @@
         http = new EndpointHttp(ENDPOINT_CLIENT_SETTINGS, metrics);
         Member self = self(settings);
         LongSupplier timeOfDay = new SteadyTimeOfDay(System::currentTimeMillis, System::nanoTime);
-        core = new GatewayCore(self, settings, dialects, view, timeOfDay);
+        core = new GatewayCore(self, settings, dialects.counted(metrics), view, timeOfDay);
         loop = new DecisionLoop(
                 core.core(),
                 () -> Runtime.getRuntime().halt(EXIT_BROKEN_INVARIANT),
