--- a/yuccaswitch-http/src/main/java/io/yuccaswitch/http/AnswerObserver.java
+++ b/yuccaswitch-http/src/main/java/io/yuccaswitch/http/AnswerObserver.java
@@ -72,4 +72,18 @@
                     bytes);
         }
     }
+
+    /** Ignores all observations. */
+    enum NoOp implements AnswerObserver {
+        /** The only instance. */
+        INSTANCE;
+
+        /** {@inheritDoc} */
+        @Override
+        public void malformed(String _peer, MalformedAnswerException _exception) {}
+
+        /** {@inheritDoc} */
+        @Override
+        public void unusable(String _peer, ConnectionCondition _condition, String _bytes) {}
+    }
 }
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/CloudCaller.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/CloudCaller.java
@@ -9,6 +9,7 @@
 import io.yuccaswitch.endpoint.EndpointHttp;
 import io.yuccaswitch.endpoint.Transmission;
 import io.yuccaswitch.node.decision.DecisionLoop;
+import io.yuccaswitch.platform.LogText;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.function.Consumer;
@@ -98,9 +99,7 @@
         try {
             prepared = http.call(request.get(), new Transmission(), CLOUD_TIMEOUT);
         } catch (IllegalArgumentException exception) {
-            LOGGER.warnf(
-                    "event=cloud-call-not-sendable reason=\"%s\"",
-                    SendableHeaders.escape(String.valueOf(exception.getMessage())));
+            LOGGER.warnf("event=cloud-call-not-sendable reason=\"%s\"", LogText.reason(exception));
             onOutcome.accept(DutyOutcome.UNANSWERED);
             return;
         }
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointAttempts.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointAttempts.java
@@ -13,6 +13,7 @@
 import io.yuccaswitch.endpoint.SendableTarget;
 import io.yuccaswitch.endpoint.Transmission;
 import io.yuccaswitch.http.MalformedAnswerException;
+import io.yuccaswitch.platform.LogText;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.time.Duration;
@@ -111,7 +112,7 @@
         try {
             builder = build(request, endpoint, timeouts, lastEventId);
         } catch (IllegalArgumentException exception) {
-            String reason = "it can't be sent: " + SendableHeaders.escape(String.valueOf(exception.getMessage()));
+            String reason = "it can't be sent: " + LogText.reason(exception);
             LOGGER.warnf(
                     "event=request-not-sendable endpoint=%s id=%s reason=\"%s\"",
                     endpoint.name(), request.id(), reason);
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ItemRunner.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/ItemRunner.java
@@ -17,6 +17,7 @@
 import io.yuccaswitch.endpoint.Transmission;
 import io.yuccaswitch.http.MalformedAnswerException;
 import io.yuccaswitch.node.decision.DecisionLoop;
+import io.yuccaswitch.platform.LogText;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -140,7 +141,7 @@
             request = request(run);
         } catch (IllegalArgumentException exception) {
             // Submissions are checked, so this item was accepted by an earlier release.
-            String reason = "it can't be sent: " + SendableHeaders.escape(String.valueOf(exception.getMessage()));
+            String reason = "it can't be sent: " + LogText.reason(exception);
             end(run, new AttemptOutcome.Impossible(reason), ItemText.EMPTY);
             return;
         }
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/OrderCaller.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/OrderCaller.java
@@ -11,6 +11,7 @@
 import io.yuccaswitch.endpoint.EndpointHttp;
 import io.yuccaswitch.endpoint.Transmission;
 import io.yuccaswitch.node.decision.DecisionLoop;
+import io.yuccaswitch.platform.LogText;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Optional;
@@ -130,7 +131,7 @@
         } catch (IllegalArgumentException exception) {
             LOGGER.warnf(
                     "event=engine-call-not-sendable endpoint=%s reason=\"%s\"",
-                    engine.name(), SendableHeaders.escape(String.valueOf(exception.getMessage())));
+                    engine.name(), LogText.reason(exception));
             onAnswer.accept(Optional.empty());
             return;
         }
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/SendableHeaders.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/SendableHeaders.java
@@ -88,25 +88,6 @@
         }
     }
 
-    /**
-     * Returns a text of a caller for messages and logs.
-     *
-     * @param text The text.
-     * @return The text with all characters other than visible ASCII characters and spaces escaped.
-     */
-    public static String escape(String text) {
-        StringBuilder escaped = new StringBuilder();
-        for (int i = 0; i < text.length(); i++) {
-            char c = text.charAt(i);
-            if (c >= ' ' && c <= '~') {
-                escaped.append(c);
-            } else {
-                escaped.append(String.format("\\u%04x", (int) c));
-            }
-        }
-        return escaped.toString();
-    }
-
     /**
      * Removes the spaces and tabs around a value, which don't belong to it.
      *
