Set the bound of a chunk's line where the line is read

The bound was set at the start of each body as well, where only the line of a chunk uses it, and that sets it itself. The maximum size of a head is used in its class alone, so it is private. No behaviour changes.

--- a/yuccaswitch-http/src/main/java/io/yuccaswitch/http/AnswerInputStream.java
+++ b/yuccaswitch-http/src/main/java/io/yuccaswitch/http/AnswerInputStream.java
@@ -19,7 +19,7 @@
 final class AnswerInputStream extends InputStream {
 
     /** The maximum size of a head with its interim answers, in bytes. */
-    static final long MAXIMUM_HEAD_BYTES = 16 << 10;
+    private static final long MAXIMUM_HEAD_BYTES = 16 << 10;
 
     /** The maximum number of interim answers before a final one. */
     private static final int MAXIMUM_INTERIM_ANSWERS = 16;
@@ -212,7 +212,6 @@
             case CHUNKED -> Part.CHUNK_LINE;
             case UNTIL_CLOSE -> Part.UNTIL_CLOSE;
         };
-        remainingLineBytes = MAXIMUM_CHUNK_LINE_BYTES;
     }
 
     /**
