Add a review case: large posts leave accepted items at no engine, or end the whole gateway

Bodies within the configured limit fill the heap; an OutOfMemoryError in the thread that reads an item's answer is never reported to the core, and one in another thread ends all service of a running process.

--- a/review/standin-2/Engine.java
+++ b/review/standin-2/Engine.java
@@ -18,6 +18,8 @@
     final String service;
     final Wire.Server server;
     final List<Run> runs = new ArrayList<>();
+    /** The end of the latest run of each item, in milliseconds since the epoch, or Long.MAX_VALUE while it runs. */
+    final Map<String, Long> ends = new java.util.concurrent.ConcurrentHashMap<>();
     private final Site site;
     private final String model;
     private final int slots;
@@ -143,7 +145,12 @@
                     + " ms");
             return;
         }
-        stream(request, head, out);
+        ends.put(requestId, Long.MAX_VALUE);
+        try {
+            stream(request, head, out);
+        } finally {
+            ends.put(requestId, System.currentTimeMillis());
+        }
     }
 
     /** Works on a request, and stops when its connection is closed. */
@@ -189,6 +196,11 @@
         site.record("engine " + id + " finished " + requestId);
     }
 
+    /** Returns the number of items that run. */
+    long running() {
+        return ends.values().stream().filter(end -> end == Long.MAX_VALUE).count();
+    }
+
     /** Returns the runs of a request. */
     long runsOf(String requestId) {
         synchronized (runs) {
