--- a/review/standin-2/Gateway.java
+++ b/review/standin-2/Gateway.java
@@ -1,15 +1,20 @@
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /** A gateway as its own process, started with the command of the deploy file and settings as its template gives them. */
 final class Gateway {
+    private static final int LOWEST_PORT = 12_000;
+    private static final int HIGHEST_PORT = 30_000;
+
     final String name;
     final List<String> addresses = new ArrayList<>();
     final Proxy platform;
@@ -26,7 +31,7 @@
         platform = new Proxy(site.store.address());
         List<ServerSocket> sockets = new ArrayList<>();
         for (int i = 0; i < 5; i++) {
-            ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+            ServerSocket socket = free();
             sockets.add(socket);
             addresses.add("127.0.0.1:" + socket.getLocalPort());
         }
@@ -35,6 +40,18 @@
         }
     }
 
+    /** Binds a free port below those that the system gives to connections, so that it is still free at the start. */
+    private static ServerSocket free() throws Exception {
+        while (true) {
+            int port = ThreadLocalRandom.current().nextInt(LOWEST_PORT, HIGHEST_PORT);
+            try {
+                return new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"));
+            } catch (BindException taken) {
+                // Another port is tried.
+            }
+        }
+    }
+
     String entry() {
         return addresses.get(0);
     }
--- a/review/standin-2/LargePosts.java
+++ b/review/standin-2/LargePosts.java
@@ -16,6 +16,9 @@
 final class LargePosts {
     private static final int POSTERS = 6;
     private static final int POST_BYTES = 16_000_000;
+    /** The deadline of a large post, after which its client closes the connection. */
+    private static final int POST_TIMEOUT_MILLIS = 8_000;
+
     private static final long POSTING_MILLIS = 40_000;
     private static final int ITEMS = 48;
     private static final int ENGINES = 8;
@@ -154,9 +157,13 @@
     private static String post(String entry, String id) {
         try (Socket socket = new Socket()) {
             socket.connect(Wire.parse(entry), 1000);
-            socket.setSoTimeout(8000);
+            socket.setSoTimeout(POST_TIMEOUT_MILLIS);
+            Wire.thread("poster-timeout", () -> {
+                Thread.sleep(POST_TIMEOUT_MILLIS);
+                socket.close();
+            });
             OutputStream out = socket.getOutputStream();
-            out.write(("POST /post/x HTTP/1.1\r\n" + Site.headers(id, 8000) + "Content-Length: " + POST_BYTES
+            out.write(("POST /post/x HTTP/1.1\r\n" + Site.headers(id, POST_TIMEOUT_MILLIS) + "Content-Length: " + POST_BYTES
                             + "\r\n\r\n")
                     .getBytes());
             byte[] chunk = new byte[80_000];
