Stop machines in turn in the case of the planned stop, and give the final counts

On a quiet machine the directories may drop a stopping gateway before a caller asks; the next one is stopped then.

--- a/review/standin-2/LateInStop.java
+++ b/review/standin-2/LateInStop.java
@@ -1,6 +1,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -15,6 +16,9 @@
     /** The grace time, and the start of its last sixth. */
     private static final long GRACE_MILLIS = 8000;
 
+    /** How many machines are stopped in turn, until a directory answer is late enough for the case. */
+    private static final int ATTEMPTS = 4;
+
     private static final int EVENTS = 100;
     private static final int EVENT_MILLIS = 45;
     private static final int TIMEOUT_MILLIS = 10_000;
@@ -33,12 +37,35 @@
         route.put("streaming", true);
         route.put("sticky", true);
         site.configure(3, List.of(route), List.of(Site.modelService("sampler", "m0")));
-        Gateway stopped = site.gateway("edge-salt-lake-1", 0.75);
-        Gateway other = site.gateway("edge-new-town-1", 0.75);
-        Gateway third = site.gateway("edge-howrah-1", 0.75);
+        site.gateway("edge-salt-lake-1", 0.75);
+        site.gateway("edge-new-town-1", 0.75);
+        site.gateway("edge-howrah-1", 0.75);
         Site.require(site.start(), "the gateways are not ready");
         Thread.sleep(5000);
-        site.record("warm up: " + stream(site, stopped, "w0") + "; " + stream(site, other, "w1"));
+        for (Gateway gateway : site.gateways) {
+            site.record("warm up: " + stream(site, gateway, "w" + gateway.name));
+        }
+        for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
+            Gateway stopped = site.gateways.get(attempt % site.gateways.size());
+            Gateway other = site.gateways.get((attempt + 1) % site.gateways.size());
+            Gateway third = site.gateways.get((attempt + 2) % site.gateways.size());
+            int[] counts = stop(site, trouble, attempt, stopped, other, third);
+            if (counts[0] > 0) {
+                return counts[1] == 0;
+            }
+            site.record("no caller was told to use the machine late enough; the next machine is stopped");
+            if (trouble) {
+                stopped.process.waitFor(10, TimeUnit.SECONDS);
+                stopped.start(site.gateways.stream().map(Gateway::peer).toList());
+                Thread.sleep(6000);
+            }
+        }
+        throw new IllegalStateException("no caller was told to use a stopping machine");
+    }
+
+    /** Stops a machine; returns how many callers sent requests late, and how many of these got no complete answer. */
+    private static int[] stop(
+            Site site, boolean trouble, int attempt, Gateway stopped, Gateway other, Gateway third) throws Exception {
         long stop = System.currentTimeMillis();
         if (trouble) {
             stopped.signal("TERM");
@@ -50,7 +77,7 @@
             // A caller every 10 ms resolves the host at one of the other machines, and keeps the answer.
             long resolved = System.currentTimeMillis();
             long validity = validity(i % 2 == 0 ? other : third, stopped);
-            String id = "s" + i;
+            String id = "s" + attempt + "x" + i;
             long start = resolved + 3 * validity - 60;
             boolean late = start > stop + EXCUSED_MILLIS + 20 && start < stop + EXCUSED_MILLIS + 290;
             if (validity > 0 && late && sent.get() < 6) {
@@ -75,9 +102,11 @@
             caller.join(12_000);
         }
         Thread.sleep(Math.max(0, stop + GRACE_MILLIS - System.currentTimeMillis()));
-        Site.require(sent.get() > 0, "no caller was told to use the stopping machine");
-        site.record(broken.get() + " of " + sent.get() + " requests were read and passed on, and got no complete answer");
-        return broken.get() == 0;
+        if (sent.get() > 0) {
+            site.record(broken.get() + " of " + sent.get()
+                    + " requests were read and passed on, and got no complete answer");
+        }
+        return new int[] {sent.get(), broken.get()};
     }
 
     /** Returns how long a directory answer that lists a machine is valid, in milliseconds, or 0 if it doesn't. */
