--- a/review/standin-2/LastMachine.java
+++ b/review/standin-2/LastMachine.java
@@ -72,7 +72,7 @@
                     .max()
                     .orElse(0);
             long since = Math.max(end, removedAt + CONTACT_MILLIS);
-            if (trouble && end != Long.MAX_VALUE && now - since >= IDLE_MILLIS) {
+            if (end != Long.MAX_VALUE && now - since >= IDLE_MILLIS) {
                 idle++;
                 site.record("item " + item + " has been at no engine for " + (now - end) + " ms, " + (now - since)
                         + " ms of them steady");
