--- a/review/standin-2/Gateway.java
+++ b/review/standin-2/Gateway.java
@@ -5,6 +5,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -14,6 +16,7 @@
 final class Gateway {
     private static final int LOWEST_PORT = 12_000;
     private static final int HIGHEST_PORT = 30_000;
+    private static final Set<Integer> TAKEN = ConcurrentHashMap.newKeySet();
 
     final String name;
     final List<String> addresses = new ArrayList<>();
@@ -40,10 +43,16 @@
         }
     }
 
-    /** Binds a free port below those that the system gives to connections, so that it is still free at the start. */
+    /**
+     * Binds a free port below those that the system gives to connections, so that it is still free at the start. No two
+     * gateways get the same one.
+     */
     private static ServerSocket free() throws Exception {
         while (true) {
             int port = ThreadLocalRandom.current().nextInt(LOWEST_PORT, HIGHEST_PORT);
+            if (!TAKEN.add(port)) {
+                continue;
+            }
             try {
                 return new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"));
             } catch (BindException taken) {
