Start a batch job only under the configuration in which it was accepted

Cause: a runner whose configuration was older than the one under which a job was accepted took the job's route for a removed one and gave up all items, or ran them at the pool from which the route had been moved. Nothing said under which configuration a job was accepted. Change: a job states that version. JobLoader, through which handed-over, claimed and loaded jobs start, holds a job until the node's configuration is at least as recent. A resubmitted job keeps the version of its first submission.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchAdmissionSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchAdmissionSystem.java
@@ -113,7 +113,7 @@
             finish(tick, submission, new BatchAnswer.Mismatch(), "the identifier belongs to a different job");
             return;
         }
-        createEntry(tick, submission.asWrittenBefore());
+        createEntry(tick, submission.asWrittenBefore(written.orElseGet(submission::job)));
     }
 
     /**
@@ -324,10 +324,11 @@
         /**
          * Returns this submission, marked as one whose job was written by an earlier submission.
          *
+         * @param stored The job as the earlier submission wrote it.
          * @return The submission.
          */
-        private Submission asWrittenBefore() {
-            return new Submission(ticket, job, deadline, true);
+        private Submission asWrittenBefore(BatchJob stored) {
+            return new Submission(ticket, stored, deadline, true);
         }
     }
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchJob.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchJob.java
@@ -17,6 +17,8 @@
  * @param submittedAt When it was first submitted, in milliseconds since the epoch.
  * @param items The items.
  * @param wantedGroups The number of complete groups after which the trainer ends the job, if it specified one.
+ * @param configurationVersion The version of the route configuration under which it was accepted, or
+ *     {@link #UNKNOWN_CONFIGURATION}.
  */
 public record BatchJob(
         BatchJobId id,
@@ -26,7 +28,11 @@
         long minimumVersion,
         long submittedAt,
         List<BatchItem> items,
-        OptionalInt wantedGroups) {
+        OptionalInt wantedGroups,
+        long configurationVersion) {
+
+    /** The configuration version of a job that was accepted by a node of a release that did not state it. */
+    public static final long UNKNOWN_CONFIGURATION = 0;
 
     /** Copies the items and validates that their identifiers are unique. */
     public BatchJob {
@@ -40,7 +46,7 @@
     }
 
     /**
-     * Creates a job of which all groups are wanted.
+     * Creates a job of which all groups are wanted, without the version of its configuration.
      *
      * @param id The identifier.
      * @param host The host of its route.
@@ -58,7 +64,7 @@
             long minimumVersion,
             long submittedAt,
             List<BatchItem> items) {
-        this(id, host, path, model, minimumVersion, submittedAt, items, OptionalInt.empty());
+        this(id, host, path, model, minimumVersion, submittedAt, items, OptionalInt.empty(), UNKNOWN_CONFIGURATION);
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchOwnershipSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchOwnershipSystem.java
@@ -150,6 +150,9 @@
             orphanedSince.remove(id);
             return;
         }
+        if (!own) {
+            loader.drop(id);
+        }
         if (state.running().contains(id)) {
             if (!own) {
                 state.stop(tick, id, "taken over by " + entry.runner());
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
@@ -388,13 +388,26 @@
     /**
      * Returns the current route of a job.
      *
-     * @param job The job.
+     * @param job A job whose configuration this node has.
      * @return The route, or empty if it no longer exists.
      */
     Optional<Route> route(BatchJob job) {
         return routes.find(job.host(), job.path());
     }
 
+    /**
+     * Returns whether this node's configuration is at least as recent as the one under which a job was accepted. Until
+     * then, a route that the node lacks may be one that it does not know yet, and one that it has may have changed.
+     *
+     * @param job The job.
+     * @return {@code true} if the node's routes apply to the job.
+     */
+    boolean hasConfigurationOf(BatchJob job) {
+        return routes.active()
+                .filter(configuration -> configuration.version() >= job.configurationVersion())
+                .isPresent();
+    }
+
     /**
      * Processes listed results: their items no longer need to run at this node.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchSystem.java
@@ -68,6 +68,7 @@
                 new JobHandOverSystem(state, loader),
                 new BatchOwnershipSystem(state, loader),
                 new BatchEndSystem(state),
+                loader,
                 new LoadSharingSystem(state),
                 new LoadNoticeSystem(state),
                 new RestartedEngineSystem(state),
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/JobLoader.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/JobLoader.java
@@ -1,5 +1,6 @@
 package io.yuccaswitch.core.batch;
 
+import io.yuccaswitch.core.decision.DecisionSystem;
 import io.yuccaswitch.core.decision.Tick;
 import io.yuccaswitch.core.platform.PlatformEffect;
 import io.yuccaswitch.core.platform.PlatformEvent;
@@ -9,6 +10,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -18,9 +20,10 @@
 /**
  * Starts jobs at this node, with at most one run of a job at a time. A job whose entry this node or the sender of a
  * message has created starts without results. Every other job may have listed results, so they are read before it
- * starts.
+ * starts. No job starts under an older configuration than the one under which it was accepted: its route might seem to
+ * be missing, or might still lead to another pool.
  */
-final class JobLoader {
+final class JobLoader implements DecisionSystem {
 
     /** The delay after a failed claim or load. By its end the index shows the changes of other nodes. */
     private static final Duration FAILURE_DELAY = Duration.ofMillis(600);
@@ -34,6 +37,9 @@
     /** The jobs that are being loaded. */
     private final Set<BatchJobId> loading = new HashSet<>();
 
+    /** The jobs that are ready to run, but were accepted under a later configuration than this node has. */
+    private final Map<BatchJobId, PreparedJob> awaitingConfiguration = new LinkedHashMap<>();
+
     /** The time until which a job that could not be claimed or loaded is skipped. */
     private final Map<BatchJobId, MonotonicTime> excludedUntil = new HashMap<>();
 
@@ -48,14 +54,43 @@
         this.jobTimeouts = jobTimeouts;
     }
 
+    /** Starts the jobs whose configuration has arrived. */
+    @Override
+    public void run(Tick tick) {
+        if (awaitingConfiguration.isEmpty()) {
+            return;
+        }
+        awaitingConfiguration.keySet().removeIf(state.finished()::contains);
+        List<PreparedJob> ready = awaitingConfiguration.values().stream()
+                .filter(prepared -> state.hasConfigurationOf(prepared.job()))
+                .toList();
+        for (PreparedJob prepared : ready) {
+            awaitingConfiguration.remove(prepared.job().id());
+            start(tick, prepared);
+        }
+    }
+
     /**
      * Returns whether a job must not be started.
      *
      * @param id The job.
-     * @return {@code true} if the job runs at this node, was finished or ended, or is being loaded.
+     * @return {@code true} if the job runs at this node, was finished or ended, is being loaded, or waits for its
+     *     configuration.
      */
     boolean isStarted(BatchJobId id) {
-        return state.running().contains(id) || state.finished().contains(id) || loading.contains(id);
+        return state.running().contains(id)
+                || state.finished().contains(id)
+                || loading.contains(id)
+                || awaitingConfiguration.containsKey(id);
+    }
+
+    /**
+     * Drops a job that waits for its configuration, as another node runs it.
+     *
+     * @param id The job.
+     */
+    void drop(BatchJobId id) {
+        awaitingConfiguration.remove(id);
     }
 
     /**
@@ -96,7 +131,7 @@
      */
     void startCreated(Tick tick, BatchJob job, JobStart cause) {
         if (!isStarted(job.id())) {
-            start(tick, job, cause, new StoredTexts());
+            startOnceConfigured(tick, new PreparedJob(job, cause, new StoredTexts(), 0));
         }
     }
 
@@ -223,25 +258,40 @@
         if (ended) {
             return;
         }
-        start(tick, job, cause, texts);
         int last = lastTextObject
                 .map(BatchObjects::number)
                 .orElseGet(OptionalInt::empty)
                 .orElse(-1);
-        state.running().find(job.id()).ifPresent(started -> started.skipTextObjects(last + 1));
+        startOnceConfigured(tick, new PreparedJob(job, cause, texts, last + 1));
+    }
+
+    /**
+     * Runs a job, or retains it until this node has the configuration under which the job was accepted.
+     *
+     * @param tick The tick.
+     * @param prepared The job.
+     */
+    private void startOnceConfigured(Tick tick, PreparedJob prepared) {
+        BatchJob job = prepared.job();
+        if (state.hasConfigurationOf(job)) {
+            start(tick, prepared);
+            return;
+        }
+        awaitingConfiguration.put(job.id(), prepared);
+        state.trace().awaitsConfiguration(tick, job, state.routes().active(), prepared.cause());
     }
 
     /**
      * Runs a job.
      *
      * @param tick The tick.
-     * @param job The job.
-     * @param cause Why this node runs it.
-     * @param texts The texts that an earlier runner stored.
+     * @param prepared The job.
      */
-    private void start(Tick tick, BatchJob job, JobStart cause, StoredTexts texts) {
+    private void start(Tick tick, PreparedJob prepared) {
+        BatchJob job = prepared.job();
         ResultLog log = state.log(job.id(), job.items().size(), tick.now());
-        state.run(tick, job, log, jobTimeouts.deadline(job, tick.now()), texts, cause);
+        state.run(tick, job, log, jobTimeouts.deadline(job, tick.now()), prepared.texts(), prepared.cause());
+        state.running().find(job.id()).ifPresent(started -> started.skipTextObjects(prepared.nextTextObject()));
     }
 
     /**
@@ -279,4 +329,14 @@
         loading.remove(id);
         state.trace().loadEnded(tick, id, outcome, state.logs().find(id));
     }
+
+    /**
+     * A job that is ready to run.
+     *
+     * @param job The job.
+     * @param cause Why this node runs it.
+     * @param texts The texts that an earlier runner stored.
+     * @param nextTextObject The number of the next object with texts.
+     */
+    private record PreparedJob(BatchJob job, JobStart cause, StoredTexts texts, int nextTextObject) {}
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/JobTrace.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/JobTrace.java
@@ -5,6 +5,7 @@
 import io.yuccaswitch.core.decision.Tick;
 import io.yuccaswitch.core.membership.MembershipView;
 import io.yuccaswitch.core.platform.StoredObject;
+import io.yuccaswitch.core.route.RouteConfiguration;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -126,6 +127,25 @@
         write(tick, LOAD, id, "begun", start + ", " + describe(log));
     }
 
+    /**
+     * Records that a job waits until this node has the configuration under which the job was accepted.
+     *
+     * @param tick The tick.
+     * @param job The job.
+     * @param active The configuration of this node, if it has one.
+     * @param start Why this node is to run the job.
+     */
+    void awaitsConfiguration(Tick tick, BatchJob job, Optional<RouteConfiguration> active, JobStart start) {
+        String version = active.map(configuration -> Long.toString(configuration.version()))
+                .orElse("none");
+        write(
+                tick,
+                JOB,
+                job.id(),
+                "wait",
+                start + ", accepted under configuration " + job.configurationVersion() + ", this node has " + version);
+    }
+
     /**
      * Records that a load ended.
      *
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSite.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSite.java
@@ -25,6 +25,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.Function;
 
 /** Simulates a site whose nodes run batch jobs at two engines, and have outputs scored at three endpoints. */
@@ -57,6 +58,7 @@
     private boolean singleVersion;
     private List<Route.PoolShare> pools = List.of(new Route.PoolShare(POOL, 1));
     private boolean scoringRoute = true;
+    private final Set<String> addedRoutes = new TreeSet<>();
     private long tickets;
 
     BatchSite() {
@@ -86,6 +88,28 @@
         pools = List.of(new Route.PoolShare(POOL, weight), new Route.PoolShare(OTHER_POOL, otherWeight));
     }
 
+    /** Sends the jobs of all routes to the second pool, and writes a version of the configuration. */
+    void moveRoutes(int version) {
+        pools = List.of(new Route.PoolShare(OTHER_POOL, 1));
+        configure(version);
+    }
+
+    /** Adds a route for jobs to the configuration. */
+    void addRoute(String pathPrefix, int version) {
+        addedRoutes.add(pathPrefix);
+        configure(version);
+    }
+
+    /** Removes a route from the configuration that was added to it. */
+    void removeRoute(String pathPrefix, int version) {
+        addedRoutes.remove(pathPrefix);
+        configure(version);
+    }
+
+    private void configure(int version) {
+        site.platform().put(RouteConfigurationSystem.KIND, "main", Integer.toString(version));
+    }
+
     void registerScorer(String name) {
         site.platform().put(EndpointRegistrySystem.KIND, name, "0");
     }
@@ -98,7 +122,7 @@
     /** Removes the route of scoring requests from the configuration, or adds it again. */
     void routeScoring(boolean present, int version) {
         scoringRoute = present;
-        site.platform().put(RouteConfigurationSystem.KIND, "main", Integer.toString(version));
+        configure(version);
     }
 
     /** Sets the behaviour of the scoring endpoints: the outcome of an attempt, or empty if it stays in progress. */
@@ -161,6 +185,21 @@
         return new BatchJob(new BatchJobId(id), "site.example", "/rollouts/x", MODEL, minimumVersion, 1000, list);
     }
 
+    /** Creates a job that was submitted under a path when a version of the configuration was active. */
+    static BatchJob job(String id, int items, String path, long configurationVersion) {
+        BatchJob plain = job(id, items);
+        return new BatchJob(
+                plain.id(),
+                plain.host(),
+                path,
+                plain.model(),
+                plain.minimumVersion(),
+                plain.submittedAt(),
+                plain.items(),
+                plain.wantedGroups(),
+                configurationVersion);
+    }
+
     /** Creates a job whose items need scores, with two items in each group. */
     static BatchJob scoredJob(String id, int items) {
         BatchJob plain = job(id, items);
@@ -314,20 +353,9 @@
     }
 
     private Optional<RouteConfiguration> configuration(StoredObject object) {
-        Route route = new Route(
-                "rollouts",
-                "site.example",
-                "/rollouts/",
-                RequestKind.BATCH,
-                pools,
-                Duration.ofSeconds(10),
-                Duration.ofMillis(400),
-                3,
-                1,
-                false,
-                true,
-                Optional.of(new Route.BatchTerms(Duration.ofSeconds(7), Duration.ofSeconds(40), singleVersion)),
-                false);
+        List<Route> routes = new ArrayList<>();
+        routes.add(batchRoute("/rollouts/"));
+        addedRoutes.forEach(prefix -> routes.add(batchRoute(prefix)));
         Route scoring = new Route(
                 "scoring",
                 "site.example",
@@ -342,10 +370,30 @@
                 false,
                 Optional.empty(),
                 false);
+        if (scoringRoute) {
+            routes.add(scoring);
+        }
         return Optional.of(new RouteConfiguration(
                 Long.parseLong(object.value().toUtf8()),
-                scoringRoute ? List.of(route, scoring) : List.of(route),
+                routes,
                 Map.of(POOL, Set.of(MODEL), OTHER_POOL, Set.of(MODEL)),
                 new RouteConfiguration.CallerLimits(16384, 1 << 20, Duration.ofSeconds(15))));
     }
+
+    private Route batchRoute(String pathPrefix) {
+        return new Route(
+                "route of " + pathPrefix,
+                "site.example",
+                pathPrefix,
+                RequestKind.BATCH,
+                pools,
+                Duration.ofSeconds(10),
+                Duration.ofMillis(400),
+                3,
+                1,
+                false,
+                true,
+                Optional.of(new Route.BatchTerms(Duration.ofSeconds(7), Duration.ofSeconds(40), singleVersion)),
+                false);
+    }
 }
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/StepSite.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/StepSite.java
@@ -124,7 +124,8 @@
                 1,
                 epochMillis() - age,
                 items,
-                OptionalInt.of(wanted));
+                OptionalInt.of(wanted),
+                BatchJob.UNKNOWN_CONFIGURATION);
         jobs.put(model, job);
         node.accept(new BatchEvent.Submitted(1, job, site.now().plus(Duration.ofSeconds(2))));
         return job;
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/site/TestSite.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/site/TestSite.java
@@ -7,6 +7,7 @@
 import io.yuccaswitch.core.membership.MemberCondition;
 import io.yuccaswitch.core.peer.PeerEffect;
 import io.yuccaswitch.core.peer.PeerEvent;
+import io.yuccaswitch.core.peer.PeerMessage;
 import io.yuccaswitch.core.platform.PlatformTokens;
 import io.yuccaswitch.core.time.MonotonicTime;
 import java.time.Duration;
@@ -35,6 +36,7 @@
     private Consumer<TestSite> everyStep = _site -> {};
     private boolean connected;
     private BiPredicate<String, String> disconnected = (_from, _to) -> false;
+    private BiPredicate<String, PeerMessage> lost = (_to, _message) -> false;
     private BiFunction<String, String, Duration> delay = (_from, _to) -> Duration.ZERO;
     private final List<MessageInTransit> messagesInTransit = new ArrayList<>();
     private MonotonicTime now = new MonotonicTime(Duration.ofSeconds(100).toNanos());
@@ -94,6 +96,11 @@
         disconnected = disconnects;
     }
 
+    /** Loses the messages to a node that match. */
+    public void loseMessages(BiPredicate<String, PeerMessage> condition) {
+        lost = condition;
+    }
+
     /** Delays the messages between two nodes. */
     public void delayMessages(BiFunction<String, String, Duration> between) {
         delay = between;
@@ -120,7 +127,7 @@
             return;
         }
         String target = send.target().value();
-        if (!disconnected.test(from, target)) {
+        if (!disconnected.test(from, target) && !lost.test(target, send.message())) {
             MessageInTransit message = new MessageInTransit(
                     target,
                     new PeerEvent.Received(member(from).identity(), send.message()),
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/CallerDialect.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/CallerDialect.java
@@ -100,8 +100,10 @@
      * @param host The host.
      * @param path The path.
      * @param submittedAt When it arrived, in milliseconds since the epoch.
+     * @param configurationVersion The version of the route configuration under which it is accepted.
      */
-    record Envelope(String id, ClientAccount account, String host, String path, long submittedAt) {}
+    record Envelope(
+            String id, ClientAccount account, String host, String path, long submittedAt, long configurationVersion) {}
 
     /** A call about an accepted batch job. */
     sealed interface BatchCall {
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayServer.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayServer.java
@@ -404,7 +404,10 @@
         }
         if (route.get().kind() == RequestKind.BATCH) {
             BatchHandler.CallTimes times = new BatchHandler.CallTimes(arrivedAt, requestTimeout(context, route.get()));
-            submit(context, caller, account.get(), path, body.get(), times);
+            CallerDialect.Envelope envelope =
+                    envelope(context, account.get(), path, routes.get().version());
+            BatchJob job = callers.readJob(envelope, body.get().unsafeArray());
+            batches.submit(context, caller, job, times, inProgress::decrementAndGet);
             return true;
         }
         validation.requireForwardable(
@@ -436,28 +439,20 @@
     }
 
     /**
-     * Serves the submission of a batch job.
+     * Reads the properties of the submission of a batch job outside its body.
      *
      * @param context The request.
-     * @param caller Writes the answer.
      * @param account The account of the job.
      * @param path The path.
-     * @param body The body.
-     * @param times When the submission arrived, and how long it may take.
+     * @param configurationVersion The version of the configuration that has the job's route.
+     * @return The properties.
      */
-    private void submit(
-            Context context,
-            CallerResponse caller,
-            ClientAccount account,
-            String path,
-            Bytes body,
-            BatchHandler.CallTimes times) {
+    private CallerDialect.Envelope envelope(
+            Context context, ClientAccount account, String path, long configurationVersion) {
         String host = Optional.ofNullable(context.header("Host")).orElse("");
         String id =
                 Optional.ofNullable(context.header(callers.requestIdHeader())).orElse("");
-        BatchJob job = callers.readJob(
-                new CallerDialect.Envelope(id, account, host, path, System.currentTimeMillis()), body.unsafeArray());
-        batches.submit(context, caller, job, times, inProgress::decrementAndGet);
+        return new CallerDialect.Envelope(id, account, host, path, System.currentTimeMillis(), configurationVersion);
     }
 
     /**
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/JsonBatchCodec.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/JsonBatchCodec.java
@@ -63,7 +63,8 @@
                                 item.promptTokens(),
                                 item.scoring().map(JsonBatchCodec::document).orElse(null)))
                         .toList(),
-                job.wantedGroups().orElse(0)));
+                job.wantedGroups().orElse(0),
+                job.configurationVersion()));
     }
 
     @Override
@@ -87,7 +88,8 @@
                                         item.promptTokens(),
                                         Optional.ofNullable(item.scoring()).map(JsonBatchCodec::scoringOf)))
                                 .toList(),
-                        document.wantedGroups() > 0 ? OptionalInt.of(document.wantedGroups()) : OptionalInt.empty()));
+                        document.wantedGroups() > 0 ? OptionalInt.of(document.wantedGroups()) : OptionalInt.empty(),
+                        document.configurationVersion()));
     }
 
     @Override
@@ -282,6 +284,8 @@
      * @param submittedAt When it was submitted, in milliseconds since the epoch.
      * @param items The items.
      * @param wantedGroups The number of wanted groups, or 0 if all are wanted.
+     * @param configurationVersion The version of the route configuration under which it was accepted, absent in jobs of
+     *     earlier releases.
      */
     private record JobDocument(
             String id,
@@ -291,7 +295,8 @@
             long minimumVersion,
             long submittedAt,
             List<ItemDocument> items,
-            int wantedGroups) {}
+            int wantedGroups,
+            long configurationVersion) {}
 
     /**
      * An item.
--- a/yuccaswitch-node/src/test/java/io/yuccaswitch/node/gateway/JsonBatchCodecTest.java
+++ b/yuccaswitch-node/src/test/java/io/yuccaswitch/node/gateway/JsonBatchCodecTest.java
@@ -35,6 +35,29 @@
         assertThat(codec.readJob(codec.writeJob(job))).contains(job);
     }
 
+    @Test
+    void jobKeepsTheConfigurationUnderWhichItWasAccepted() {
+        BatchJob job = new BatchJob(
+                new BatchJobId("job"),
+                "site.example",
+                "/rollouts/x",
+                "m",
+                3,
+                1000,
+                List.of(item("a", Optional.empty())),
+                OptionalInt.of(1),
+                12);
+        assertThat(codec.readJob(codec.writeJob(job))).contains(job);
+    }
+
+    @Test
+    void readsJobOfEarlierReleaseWithoutItsConfiguration() {
+        Bytes stored = Bytes.ofUtf8("{\"id\":\"job\",\"host\":\"site.example\",\"path\":\"/rollouts/x\","
+                + "\"model\":\"m\",\"minimumVersion\":3,\"submittedAt\":1000,\"items\":[],\"wantedGroups\":0}");
+        assertThat(codec.readJob(stored).orElseThrow().configurationVersion())
+                .isEqualTo(BatchJob.UNKNOWN_CONFIGURATION);
+    }
+
     @Test
     void resultsKeepTheirScores() {
         List<BatchResult> results = List.of(
