End the trial of an engine with the attempt that was the trial

Cause: a trial was a mark apart from the load of its attempt. BatchState.cancel ended the load only, so a gateway never again used an engine that had refused an item if a job was ended, taken over, listed elsewhere, overdue or without its route while its next item waited there. Change: EngineLoads.begin returns the load of an attempt, which holds its trial; the item keeps the load, and one call ends both. The simulated sites of the batch tests check after each tick that loads, trials and scoring attempts belong to attempts in progress.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchRunSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchRunSystem.java
@@ -145,9 +145,7 @@
                 || violatesSingleVersion(route, item, engine, job.job().model())) {
             item.discardText();
         }
-        int attempt = item.begin(engine.name());
-        state.loads().begin(engine.name());
-        state.loads().startTrial(engine.name(), job.job().model());
+        int attempt = item.begin(state.loads().begin(engine.name(), job.job().model()));
         job.setLastEngine(item.item().group(), engine.name());
         order.recordStart(share);
         tick.emit(new BatchEffect.Run(
@@ -234,10 +232,10 @@
         if (item.isEmpty()) {
             return;
         }
-        EndpointName engine = item.get().stop().orElseThrow();
-        state.loads().end(engine);
-        String model = job.get().job().model();
-        state.loads().endTrial(engine, model);
+        EngineLoads.Load load = item.get().stop().orElseThrow();
+        state.loads().end(load);
+        EndpointName engine = load.engine();
+        String model = load.model();
         ended.text().versions().stream().max(Comparator.naturalOrder()).ifPresent(version -> state.registry()
                 .recordVersion(tick, engine, model, version));
         item.get().appendText(ended.text());
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
@@ -3,7 +3,6 @@
 import io.yuccaswitch.core.decision.Decision;
 import io.yuccaswitch.core.decision.EntityTable;
 import io.yuccaswitch.core.decision.Tick;
-import io.yuccaswitch.core.identity.EndpointName;
 import io.yuccaswitch.core.identity.NodeName;
 import io.yuccaswitch.core.membership.MembershipView;
 import io.yuccaswitch.core.platform.ObjectKey;
@@ -311,12 +310,12 @@
      */
     boolean cancel(Tick tick, BatchJobId id, RunningItem item) {
         cancelScoring(tick, id, item);
-        Optional<EndpointName> engine = item.stop();
-        engine.ifPresent(running -> {
+        Optional<EngineLoads.Load> load = item.stop();
+        load.ifPresent(ended -> {
             tick.emit(new BatchEffect.Cancel(id, item.item().id(), item.attempt()));
-            loads.end(running);
+            loads.end(ended);
         });
-        return engine.isPresent();
+        return load.isPresent();
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchSystem.java
@@ -122,4 +122,13 @@
     public int runningJobs() {
         return state.running().size();
     }
+
+    /**
+     * Returns the tables of this system.
+     *
+     * @return The tables.
+     */
+    BatchState state() {
+        return state;
+    }
 }
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/EngineLoads.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/EngineLoads.java
@@ -4,11 +4,13 @@
 import io.yuccaswitch.core.time.MonotonicTime;
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 
-/** The number of items that this node runs at each engine, and the engines that are temporarily excluded. */
+/**
+ * The loads of the attempts in progress at each engine, and the engines that are temporarily excluded. Whatever an
+ * attempt holds at an engine belongs to its load, so that one call ends all of it, however the attempt ends.
+ */
 final class EngineLoads {
 
     /** The exclusion after the first refusal: about a sixth of the time that loading a version takes. */
@@ -23,14 +25,17 @@
     /** The number of starts and ends of items. */
     private long changes;
 
+    /** The number of the last load. */
+    private long lastLoad;
+
     /** The time until which an engine is excluded, by engine and model. */
     private final Map<Key, MonotonicTime> excludedUntil = new HashMap<>();
 
     /** The numbers of consecutive refusals. */
     private final Map<Key, Integer> refusals = new HashMap<>();
 
-    /** The engines that are being tried with one item after a refusal. */
-    private final Set<Key> trials = new HashSet<>();
+    /** The loads of the attempts with which engines are being tried after a refusal. */
+    private final Map<Key, Load> trials = new HashMap<>();
 
     /**
      * Returns the number of starts and ends of items.
@@ -61,23 +66,41 @@
     }
 
     /**
-     * Counts an item that starts.
+     * Counts an attempt that starts, which is a trial if the engine refused the last one.
      *
-     * @param endpoint The engine.
+     * @param engine The engine.
+     * @param model The model.
+     * @return The load, which {@link #end} ends.
      */
-    void begin(EndpointName endpoint) {
+    Load begin(EndpointName engine, String model) {
         changes++;
-        running.merge(endpoint, 1, Integer::sum);
+        lastLoad++;
+        Load load = new Load(engine, model, lastLoad);
+        running.merge(engine, 1, Integer::sum);
+        if (refusals.containsKey(load.key())) {
+            trials.putIfAbsent(load.key(), load);
+        }
+        return load;
     }
 
     /**
-     * Counts an item that ended.
+     * Counts an attempt that ended, and ends its trial if it was one.
      *
-     * @param endpoint The engine.
+     * @param load The load of the attempt.
      */
-    void end(EndpointName endpoint) {
+    void end(Load load) {
         changes++;
-        running.computeIfPresent(endpoint, (_endpoint, count) -> count > 1 ? count - 1 : null);
+        running.computeIfPresent(load.engine(), (_engine, count) -> count > 1 ? count - 1 : null);
+        trials.remove(load.key(), load);
+    }
+
+    /**
+     * Returns the loads of the attempts with which engines are being tried.
+     *
+     * @return The loads.
+     */
+    Set<Load> trials() {
+        return Set.copyOf(trials.values());
     }
 
     /**
@@ -103,7 +126,6 @@
      */
     void refuse(EndpointName endpoint, String model, MonotonicTime now) {
         Key key = new Key(endpoint, model);
-        trials.remove(key);
         if (isExcluded(endpoint, model, now)) {
             return;
         }
@@ -128,29 +150,6 @@
         trials.remove(key);
     }
 
-    /**
-     * Records that an item is sent to an engine, which is a trial if the engine refused the last one.
-     *
-     * @param endpoint The engine.
-     * @param model The model.
-     */
-    void startTrial(EndpointName endpoint, String model) {
-        Key key = new Key(endpoint, model);
-        if (refusals.containsKey(key)) {
-            trials.add(key);
-        }
-    }
-
-    /**
-     * Records that an attempt ended without showing whether the engine accepts items.
-     *
-     * @param endpoint The engine.
-     * @param model The model.
-     */
-    void endTrial(EndpointName endpoint, String model) {
-        trials.remove(new Key(endpoint, model));
-    }
-
     /**
      * Returns whether an engine is excluded.
      *
@@ -172,7 +171,26 @@
      * @return {@code true} if it gets no further item until the trial has ended.
      */
     boolean isOnTrial(EndpointName endpoint, String model) {
-        return trials.contains(new Key(endpoint, model));
+        return trials.containsKey(new Key(endpoint, model));
+    }
+
+    /**
+     * The load of an attempt at an engine.
+     *
+     * @param engine The engine.
+     * @param model The model.
+     * @param number The number of the load, which differs from those of all others.
+     */
+    record Load(EndpointName engine, String model, long number) {
+
+        /**
+         * Returns the engine and the model.
+         *
+         * @return Both.
+         */
+        private Key key() {
+            return new Key(engine, model);
+        }
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningItem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/RunningItem.java
@@ -24,8 +24,8 @@
     /** The losses of attempts under which engines may have ended. */
     private final LossBackoff losses = new LossBackoff();
 
-    /** The engine that runs it, if any. */
-    private Optional<EndpointName> endpoint = Optional.empty();
+    /** The load of the attempt in progress, if any. */
+    private Optional<EngineLoads.Load> load = Optional.empty();
 
     /** Whether the attempt in progress is being cancelled so that the item resumes at another engine. */
     private boolean moving;
@@ -85,17 +85,17 @@
      * @return {@code true} if it neither runs, nor is being scored, nor has a result.
      */
     boolean isWaiting() {
-        return endpoint.isEmpty() && scoring.isEmpty() && result.isEmpty();
+        return load.isEmpty() && scoring.isEmpty() && result.isEmpty();
     }
 
     /**
      * Starts an attempt.
      *
-     * @param chosen The engine.
+     * @param begun The load of the attempt.
      * @return The number of the attempt.
      */
-    int begin(EndpointName chosen) {
-        endpoint = Optional.of(chosen);
+    int begin(EngineLoads.Load begun) {
+        load = Optional.of(begun);
         moving = false;
         eventsRead = 0;
         durationRead = Duration.ZERO;
@@ -106,11 +106,11 @@
     /**
      * Ends the attempt in progress.
      *
-     * @return The engine that ran it.
+     * @return Its load, which the caller ends, or empty if no attempt was in progress.
      */
-    Optional<EndpointName> stop() {
-        Optional<EndpointName> before = endpoint;
-        endpoint = Optional.empty();
+    Optional<EngineLoads.Load> stop() {
+        Optional<EngineLoads.Load> before = load;
+        load = Optional.empty();
         return before;
     }
 
@@ -121,7 +121,7 @@
      * @return {@code true} if it is.
      */
     boolean isCurrent(int attempt) {
-        return endpoint.isPresent() && attempts == attempt;
+        return load.isPresent() && attempts == attempt;
     }
 
     /**
@@ -153,7 +153,7 @@
      * @return {@code true} if it is.
      */
     boolean isMoving() {
-        return moving && endpoint.isPresent();
+        return moving && load.isPresent();
     }
 
     /**
@@ -186,7 +186,7 @@
      * @return The number.
      */
     long receivedEvents() {
-        return text.lastEventId() + (endpoint.isPresent() ? eventsRead : 0);
+        return text.lastEventId() + (load.isPresent() ? eventsRead : 0);
     }
 
     /**
@@ -221,7 +221,16 @@
      * @return The engine, or empty while it waits.
      */
     Optional<EndpointName> endpoint() {
-        return endpoint;
+        return load.map(EngineLoads.Load::engine);
+    }
+
+    /**
+     * Returns the load of the attempt in progress.
+     *
+     * @return The load, or empty while the item waits.
+     */
+    Optional<EngineLoads.Load> load() {
+        return load;
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ScoringLoads.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ScoringLoads.java
@@ -7,6 +7,7 @@
 import io.yuccaswitch.core.time.MonotonicTime;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
@@ -54,6 +55,15 @@
         return selection.choose(free, Set.of(), now);
     }
 
+    /**
+     * Returns the numbers of attempts in progress.
+     *
+     * @return The numbers, for endpoints with at least one.
+     */
+    Map<EndpointName, Integer> running() {
+        return selection.running();
+    }
+
     /**
      * Counts an attempt that starts.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/proxy/EndpointSelection.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/proxy/EndpointSelection.java
@@ -140,6 +140,18 @@
         return row(endpoint).running;
     }
 
+    /**
+     * Returns the numbers of this node's requests in flight.
+     *
+     * @return The numbers, for endpoints with requests in flight.
+     */
+    public Map<EndpointName, Integer> running() {
+        Map<EndpointName, Integer> running = new HashMap<>();
+        rows.forEach((endpoint, row) -> running.put(endpoint, row.running));
+        running.values().removeIf(count -> count == 0);
+        return running;
+    }
+
     /**
      * Records that a request was sent.
      *
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSite.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/BatchSite.java
@@ -151,7 +151,7 @@
                     routes,
                     registry,
                     quarantine,
-                    new BatchSystem(
+                    new CheckedBatchSystem(new BatchSystem(
                             node,
                             watches,
                             registry,
@@ -160,7 +160,7 @@
                             tokens,
                             quarantine,
                             SchedulingOptions.NONE,
-                            () -> 1000));
+                            () -> 1000)));
         });
         started.accept(new MembershipEvent.SelfJoined(false));
         nodes.add(started);
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/LoadSite.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/LoadSite.java
@@ -105,7 +105,14 @@
                     self, watches, registry, routes, codec, tokens, quarantine, options, this::epochMillis);
             VersionSystems versions =
                     new VersionSystems(self, registry, routes, tokens, LoadSite::version, lease, batches.modelDemand());
-            return List.of(routes, registry, lease, new LeaseRelaySystem(tokens), versions, quarantine, batches);
+            return List.of(
+                    routes,
+                    registry,
+                    lease,
+                    new LeaseRelaySystem(tokens),
+                    versions,
+                    quarantine,
+                    new CheckedBatchSystem(batches));
         });
         node.accept(new MembershipEvent.SelfJoined(false));
         nodes.add(node);
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/MemorySite.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/MemorySite.java
@@ -281,7 +281,8 @@
                     routes,
                     registry,
                     quarantine,
-                    new BatchSystem(self, watches, registry, routes, codec, tokens, quarantine, options, () -> 1000));
+                    new CheckedBatchSystem(new BatchSystem(
+                            self, watches, registry, routes, codec, tokens, quarantine, options, () -> 1000)));
         });
     }
 
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/SimulatedEngines.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/SimulatedEngines.java
@@ -215,7 +215,8 @@
                     routes,
                     registry,
                     quarantine,
-                    new BatchSystem(self, watches, registry, routes, codec, tokens, quarantine, options, () -> 1000));
+                    new CheckedBatchSystem(new BatchSystem(
+                            self, watches, registry, routes, codec, tokens, quarantine, options, () -> 1000)));
         });
     }
 
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/SimultaneousJobsTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/SimultaneousJobsTest.java
@@ -89,7 +89,7 @@
                     routes,
                     registry,
                     quarantine,
-                    new BatchSystem(
+                    new CheckedBatchSystem(new BatchSystem(
                             self,
                             watches,
                             registry,
@@ -98,7 +98,7 @@
                             tokens,
                             quarantine,
                             SchedulingOptions.NONE,
-                            () -> 1000));
+                            () -> 1000)));
         });
     }
 
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/StepSite.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/StepSite.java
@@ -79,8 +79,8 @@
                     routes,
                     registry,
                     quarantine,
-                    new BatchSystem(
-                            self, watches, registry, routes, codec, tokens, quarantine, options, this::epochMillis));
+                    new CheckedBatchSystem(new BatchSystem(
+                            self, watches, registry, routes, codec, tokens, quarantine, options, this::epochMillis)));
         });
         started.accept(new MembershipEvent.SelfJoined(false));
         nodes.put(name, started);
