Refuse requests late in a stop if the stop may cut them

Cause: a stopping gateway took each request until 3.3 to 4.1 s after the signal, whatever its deadline, and ended all work at 7.1 s. A longer request was cut, though another gateway had time for it. Change: from 2.7 s on, a request that no endpoint has received is sent only if its deadline is before the end of all work; others get 503 at once, not run, with a Retry-After of 0. The check is made before each attempt, and again for requests that wait for a slot. A call for results doesn't wait beyond the end. A leaving gateway leaves its own directory at once.

--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/BatchHandler.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/BatchHandler.java
@@ -58,6 +58,9 @@
     /** The logger. */
     private static final Logger LOGGER = Logger.getLogger("io.yuccaswitch.batch");
 
+    /** The view of the core. */
+    private final GatewayView view;
+
     /** The calls that wait for the core. */
     private final PendingReplies replies;
 
@@ -70,11 +73,13 @@
     /**
      * Creates a handler.
      *
+     * @param view The view of the core.
      * @param replies The calls that wait for the core.
      * @param dialect The dialect of callers.
      * @param metrics The metrics.
      */
-    BatchHandler(PendingReplies replies, CallerDialect dialect, MetricRegistry metrics) {
+    BatchHandler(GatewayView view, PendingReplies replies, CallerDialect dialect, MetricRegistry metrics) {
+        this.view = view;
         this.replies = replies;
         this.dialect = dialect;
         this.metrics = metrics;
@@ -111,8 +116,10 @@
      */
     void serve(Context context, CallerResponse caller, CallerDialect.BatchCall call, CallTimes times, Runnable onDone) {
         if (call instanceof CallerDialect.BatchCall.ReadResults read) {
-            MonotonicTime until = times.arrivedAt().plus(read.waitTime());
-            MonotonicTime deadline = times.deadline(read.waitTime().plus(READ_MARGIN));
+            boolean mayWait = view.admits(times.deadline(read.waitTime().plus(READ_MARGIN)));
+            Duration waitTime = mayWait ? read.waitTime() : Duration.ZERO;
+            MonotonicTime until = times.arrivedAt().plus(waitTime);
+            MonotonicTime deadline = times.deadline(waitTime.plus(READ_MARGIN));
             PendingCall pending = new PendingCall("read", read.id().value(), deadline, onDone);
             request(
                     context,
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointAssignment.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/EndpointAssignment.java
@@ -49,6 +49,9 @@
     /** Notes that the working endpoints have changed. */
     default void endpointsChanged() {}
 
+    /** Refuses the waiting requests that a planned stop of this node may cut. */
+    default void stopLimited() {}
+
     /**
      * A request that needs an endpoint for its next attempt.
      *
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/Gateway.java
@@ -200,7 +200,7 @@
                 view,
                 new AccountCheck(metrics),
                 new PlainRequestHandler(view, attempts, dialects.endpoints(), assignment, gate, usage, metrics),
-                new BatchHandler(replies, dialects.callers(), metrics),
+                new BatchHandler(view, replies, dialects.callers(), metrics),
                 new MetricsText(metrics),
                 new QuarantineRoutes(loop));
         registerGauges(metrics);
@@ -264,18 +264,20 @@
 
     /**
      * Stops the node gracefully: leaves the directory, serves callers that still use an earlier answer of the
-     * directory, refuses further requests once none is in progress or the time is short, waits for requests and items
-     * in progress, and hands the remaining jobs over to other nodes.
+     * directory, refuses requests that the stop may cut, and further ones once none is in progress or the time is
+     * short, waits for requests and items in progress, and hands the remaining jobs over to other nodes.
      */
     public void stopGracefully() {
         long startedAt = System.nanoTime();
         LOGGER.infof("event=stop-begun node=%s", settings.name());
-        view.markLeaving();
+        Duration workTime = settings.stopTime().minus(STOP_MARGIN);
+        view.beginStop(new PlannedStop(DecisionLoop.now(), workTime));
         loop.accept(new MembershipEvent.LeaveRequested());
         loop.accept(new BatchEvent.Leaving());
         try {
+            sleepUntil(startedAt, PlannedStop.FULL_SERVICE_DURATION);
+            assignment.stopLimited();
             sleepUntil(startedAt, LINGER_DURATION);
-            Duration workTime = settings.stopTime().minus(STOP_MARGIN);
             awaitIdle(startedAt, workTime.minus(ANSWER_TIME));
             server.stopAccepting();
             awaitIdle(startedAt, workTime);
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayServer.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayServer.java
@@ -323,6 +323,9 @@
      */
     private void answerDirectory(Context context) {
         List<String> addresses = new ArrayList<>(view.addresses());
+        if (view.isLeaving()) {
+            addresses.remove(settings.entryAddress());
+        }
         if (addresses.isEmpty()) {
             context.status(UNAVAILABLE);
             return;
@@ -435,7 +438,8 @@
         boolean submits = routes.find(host, path)
                 .filter(route -> route.kind() == RequestKind.BATCH)
                 .isPresent();
-        caller.answerText(submits ? GATEWAY_TIMEOUT : UNAVAILABLE, "this node is stopping", Optional.of(Duration.ZERO));
+        caller.answerText(
+                submits ? GATEWAY_TIMEOUT : UNAVAILABLE, UnservedRequests.STOPPING, Optional.of(Duration.ZERO));
     }
 
     /**
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayView.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/GatewayView.java
@@ -37,8 +37,8 @@
     /** The entry addresses of the nodes that accept requests. */
     private volatile List<String> addresses = List.of();
 
-    /** Whether this node is about to stop. */
-    private volatile boolean leaving;
+    /** The planned stop of this node, once it has begun. */
+    private volatile Optional<PlannedStop> stop = Optional.empty();
 
     /**
      * Returns a system that updates the entry addresses of the nodes that accept requests.
@@ -136,9 +136,13 @@
                 .anyMatch(endpoint -> endpoint.name().equals(name));
     }
 
-    /** Marks this node as about to stop. */
-    void markLeaving() {
-        leaving = true;
+    /**
+     * Records that this node is about to stop.
+     *
+     * @param begun The stop.
+     */
+    void beginStop(PlannedStop begun) {
+        stop = Optional.of(begun);
     }
 
     /**
@@ -147,7 +151,17 @@
      * @return {@code true} if it is.
      */
     boolean isLeaving() {
-        return leaving;
+        return stop.isPresent();
+    }
+
+    /**
+     * Returns whether a request that no endpoint has received yet may be sent to one.
+     *
+     * @param deadline The request's deadline.
+     * @return {@code false} if a planned stop of this node may cut it.
+     */
+    boolean admits(MonotonicTime deadline) {
+        return stop.map(begun -> begun.admits(deadline, DecisionLoop.now())).orElse(true);
     }
 
     /**
@@ -191,7 +205,7 @@
 
     @Override
     public boolean isReady() {
-        return routes.isPresent() && endpoints.isPresent() && !leaving;
+        return routes.isPresent() && endpoints.isPresent() && !isLeaving();
     }
 
     @Override
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/PlainRequestHandler.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/PlainRequestHandler.java
@@ -242,6 +242,9 @@
                 if (timeLeft.compareTo(MINIMUM_ATTEMPT_TIME) < 0) {
                     return answerUnserved("time is up", UnservedRequests.GATEWAY_TIMEOUT);
                 }
+                if (mayBeCut()) {
+                    return UnservedRequests.answerStopping(caller);
+                }
                 if (!awaitFreshness(timeLeft)) {
                     return answerUnserved("what is known of endpoints is too old", UnservedRequests.BAD_GATEWAY);
                 }
@@ -251,6 +254,9 @@
                 }
                 EndpointAssignment.Claim claim = claim();
                 EndpointAssignment.Assigned assigned = assignment.assign(claim);
+                if (assigned instanceof EndpointAssignment.Assigned.None && mayBeCut()) {
+                    return UnservedRequests.answerStopping(caller);
+                }
                 if (assigned instanceof EndpointAssignment.Assigned.None none) {
                     return answerUnserved(none.reason(), UnservedRequests.BAD_GATEWAY);
                 }
@@ -284,6 +290,15 @@
             }
         }
 
+        /**
+         * Returns whether a planned stop of this node may cut the request although no endpoint has received it.
+         *
+         * @return {@code true} if another node must serve it.
+         */
+        private boolean mayBeCut() {
+            return progress() == UnservedRequests.Progress.NOT_RUN && !view.admits(request.deadline());
+        }
+
         /**
          * Waits until the state of endpoints is fresh enough for an attempt.
          *
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/QueuedAssignment.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/QueuedAssignment.java
@@ -202,6 +202,16 @@
         }
     }
 
+    @Override
+    public void stopLimited() {
+        lock.lock();
+        try {
+            waiters.values().forEach(waiter -> waiter.changed.signal());
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /**
      * Blocks until there is a decision on a request.
      *
@@ -218,6 +228,12 @@
                     log(waiter, "caller-gone", "the caller disconnected", Optional.empty());
                     return new Assigned.CallerGone();
                 }
+                if (waiter.claim.stage() != AdmissionRequest.Stage.MAY_HAVE_RUN
+                        && !view.admits(waiter.claim.request().deadline())) {
+                    withdraw(pool, waiter);
+                    log(waiter, "refused", UnservedRequests.STOPPING, Optional.empty());
+                    return new Assigned.None(UnservedRequests.STOPPING);
+                }
                 Duration pause;
                 PoolSituation before = situation(pool);
                 synchronized (selection) {
@@ -235,7 +251,7 @@
             Thread.currentThread().interrupt();
             if (waiter.verdict.isEmpty()) {
                 withdraw(pool, waiter);
-                return new Assigned.None("the node is stopping");
+                return new Assigned.None(UnservedRequests.STOPPING);
             }
         } finally {
             waiter.claim.watched().onDisconnect(() -> {});
--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/UnservedRequests.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/UnservedRequests.java
@@ -16,6 +16,9 @@
     /** The status of a request that may have run before its time elapsed. */
     static final int GATEWAY_TIMEOUT = 504;
 
+    /** The reason if this node is about to end. */
+    static final String STOPPING = "this node is stopping";
+
     /** Determines when callers return. */
     private final EndpointAssignment assignment;
 
@@ -54,6 +57,19 @@
         return progress.outcome() + ", endpoints ended under it";
     }
 
+    /**
+     * Answers a request that no endpoint has received, because a planned stop of this node may cut it. Other nodes can
+     * serve it at once.
+     *
+     * @param caller The caller.
+     * @return The outcome, for logs.
+     * @throws IOException If the caller has disconnected.
+     */
+    static String answerStopping(CallerResponse caller) throws IOException {
+        caller.answerText(UNAVAILABLE, "the request has not run: " + STOPPING, Optional.of(Duration.ZERO));
+        return Progress.NOT_RUN.outcome() + ", " + STOPPING;
+    }
+
     /**
      * Answers a request that gets no further attempt.
      *
--- a/yuccaswitch-node/src/test/java/io/yuccaswitch/node/gateway/QueuedAssignmentTest.java
+++ b/yuccaswitch-node/src/test/java/io/yuccaswitch/node/gateway/QueuedAssignmentTest.java
@@ -176,6 +176,26 @@
         assertThat(first).succeedsWithin(Duration.ofSeconds(20));
     }
 
+    /** Guards against requests that wait until a planned stop cuts them, although another node could serve them. */
+    @Test
+    void waitingRequestThatAPlannedStopMayCutIsRefusedAsNotRun() {
+        CompletableFuture<HttpResponse<String>> first = call("request-1");
+        await(() -> running.get() == 1);
+        CompletableFuture<HttpResponse<String>> second = call("request-2");
+        await(() -> assignment.waiting() == 1);
+        view.beginStop(new PlannedStop(
+                DecisionLoop.now().plus(PlannedStop.FULL_SERVICE_DURATION.negated()), Duration.ofSeconds(7)));
+        assignment.stopLimited();
+        assertThat(second).succeedsWithin(Duration.ofSeconds(20)).satisfies(answer -> {
+            assertThat(answer.statusCode()).isEqualTo(503);
+            assertThat(answer.body()).isEqualTo("the request has not run: this node is stopping");
+            assertThat(answer.headers().firstValue("Retry-After")).contains("0.00");
+        });
+        assertThat(running).hasValue(1);
+        release.countDown();
+        assertThat(first).succeedsWithin(Duration.ofSeconds(20));
+    }
+
     private CompletableFuture<HttpResponse<String>> call(String id) {
         return client.sendAsync(
                 HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + gateway.port() + "/x"))
