Take an answer without a length as broken off if its request could not be sent

Cause: the operating system reports a reset once. During an upload the writer gets it, and the reader sees an orderly end, so a part of an answer that the end of its connection delimits counted as whole. Change: the sockets of all clients retain the failure of the writer. An answer without a length that ends after it is broken off, with that failure as the cause. A test of the gateway's clients says that status 000 and malformed header names are no answer to any of them, as before.

--- a/yuccaswitch-http/src/main/java/io/yuccaswitch/http/AnswerInputStream.java
+++ b/yuccaswitch-http/src/main/java/io/yuccaswitch/http/AnswerInputStream.java
@@ -40,6 +40,9 @@
     /** The bytes that the peer sends. */
     private final LineReader reader;
 
+    /** Returns why a request could not be written, if that failed. */
+    private final Supplier<Optional<IOException>> sendingFailure;
+
     /** Receives what is wrong with answers and the connection. */
     private final AnswerObserver observer;
 
@@ -68,11 +71,17 @@
      * Creates a stream.
      *
      * @param source The bytes that the peer sends.
+     * @param sendingFailure Returns why a request could not be written, if that failed.
      * @param observer Receives what is wrong with answers and the connection.
      * @param peer Returns the address of the peer, for the observer.
      */
-    AnswerInputStream(ByteSource source, AnswerObserver observer, Supplier<String> peer) {
+    AnswerInputStream(
+            ByteSource source,
+            Supplier<Optional<IOException>> sendingFailure,
+            AnswerObserver observer,
+            Supplier<String> peer) {
         reader = new LineReader(source);
+        this.sendingFailure = sendingFailure;
         this.observer = observer;
         this.peer = peer;
     }
@@ -127,7 +136,7 @@
                 return readContent(target, offset, length);
             }
             if (part == Part.UNTIL_CLOSE) {
-                return reader.read(target, offset, length);
+                return readUntilClose(target, offset, length);
             }
             readLines();
         }
@@ -303,6 +312,25 @@
         return count;
     }
 
+    /**
+     * Reads bytes that the end of the connection delimits. If the request could not be written, the end is that of a
+     * broken connection, and the answer may be cut.
+     *
+     * @param target Receives the bytes.
+     * @param offset The position of the first byte.
+     * @param length The maximum number of bytes.
+     * @return The number of bytes, or -1 if the connection ended in order.
+     * @throws IOException If the connection failed.
+     */
+    private int readUntilClose(byte[] target, int offset, int length) throws IOException {
+        int count = reader.read(target, offset, length);
+        Optional<IOException> failure = count < 0 ? sendingFailure.get() : Optional.empty();
+        if (failure.isPresent()) {
+            throw new IOException("the connection failed while the request was sent", failure.get());
+        }
+        return count;
+    }
+
     /** The parts of an answer. */
     private enum Part {
         /** No answer is expected. */
--- a/yuccaswitch-http/src/main/java/io/yuccaswitch/http/AnswerSocket.java
+++ b/yuccaswitch-http/src/main/java/io/yuccaswitch/http/AnswerSocket.java
@@ -10,6 +10,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.ClosedChannelException;
 import java.nio.channels.SocketChannel;
+import java.util.Optional;
 
 /**
  * A socket whose input consists of valid answers only. It is based on a channel, since only a channel can be read
@@ -26,6 +27,9 @@
     /** The answers. */
     private final AnswerInputStream answers;
 
+    /** The requests, once the socket is connected. */
+    private volatile Optional<RequestOutputStream> requests = Optional.empty();
+
     /** Whether the connection has carried a request. */
     private volatile boolean isKept;
 
@@ -38,7 +42,7 @@
     AnswerSocket(AnswerObserver observer) throws IOException {
         channel = SocketChannel.open();
         delegate = channel.socket();
-        answers = new AnswerInputStream(new ChannelSource(), observer, this::peer);
+        answers = new AnswerInputStream(new ChannelSource(), this::sendingFailure, observer, this::peer);
     }
 
     /**
@@ -69,6 +73,15 @@
         return isKept;
     }
 
+    /**
+     * Returns why a request could not be written.
+     *
+     * @return The failure, or empty if there was none.
+     */
+    private Optional<IOException> sendingFailure() {
+        return requests.flatMap(RequestOutputStream::failure);
+    }
+
     /**
      * Returns the address of the peer.
      *
@@ -135,8 +148,11 @@
     }
 
     @Override
-    public OutputStream getOutputStream() throws IOException {
-        return delegate.getOutputStream();
+    public synchronized OutputStream getOutputStream() throws IOException {
+        if (requests.isEmpty()) {
+            requests = Optional.of(new RequestOutputStream(delegate.getOutputStream()));
+        }
+        return requests.get();
     }
 
     @Override
--- a/yuccaswitch-http/src/test/java/io/yuccaswitch/http/AnswerInputStreamTest.java
+++ b/yuccaswitch-http/src/test/java/io/yuccaswitch/http/AnswerInputStreamTest.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -25,6 +26,8 @@
     private final List<AnswerFault> faults = new ArrayList<>();
     private final List<String> unusableConnections = new ArrayList<>();
 
+    private Optional<IOException> sendingFailure = Optional.empty();
+
     private final AnswerObserver observer = new AnswerObserver() {
         @Override
         public void malformed(String _peer, MalformedAnswerException exception) {
@@ -60,6 +63,18 @@
         assertThat(faults).isEmpty();
     }
 
+    @Test
+    void anAnswerThatTheConnectionDelimitsIsNotWholeIfItsRequestCouldNotBeSent() throws IOException {
+        String answer = OK + "\r\nhello";
+        AnswerInputStream stream = stream(ScriptedSource.ended(answer));
+        stream.expectAnswer("POST");
+        sendingFailure = Optional.of(new IOException("broken pipe"));
+        assertThat(read(stream, answer.length())).isEqualTo(answer);
+        assertThatThrownBy(stream::read)
+                .hasMessage("the connection failed while the request was sent")
+                .hasRootCauseMessage("broken pipe");
+    }
+
     @ParameterizedTest
     @MethodSource("answersByMethod")
     void noByteAfterTheEndOfAnAnswerIsHandedOver(String method, String answer) throws IOException {
@@ -287,7 +302,7 @@
     }
 
     private AnswerInputStream stream(ScriptedSource source) {
-        return new AnswerInputStream(source, observer, () -> "peer");
+        return new AnswerInputStream(source, () -> sendingFailure, observer, () -> "peer");
     }
 
     private static String read(AnswerInputStream stream, int length) throws IOException {
--- a/yuccaswitch-node/src/test/java/io/yuccaswitch/node/gateway/CutAnswerTest.java
+++ b/yuccaswitch-node/src/test/java/io/yuccaswitch/node/gateway/CutAnswerTest.java
@@ -47,10 +47,12 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
- * Tests that an answer that ends within its head or its body is never taken for a complete one, nor for the statement
- * that the request has not run. Each byte is the last one once, on new and on kept connections.
+ * Tests that an answer that ends within its head or its body, or whose head is malformed, is never taken for a complete
+ * one, nor for the statement that the request has not run. Each byte is the last one once, on new and on kept
+ * connections.
  */
 final class CutAnswerTest {
 
@@ -235,6 +237,32 @@
         assertThat(((UsageEvent.Reported) run(report)).outcome()).isEqualTo(DutyOutcome.DONE);
     }
 
+    /** Guards against heads without a single meaning, whichever client reads them. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 000 None\r\n",
+                "HTTP/1.1 000\r\n",
+                OK + "X A: 1\r\n",
+                OK + "X-A : 1\r\n",
+                OK + "X\tA: 1\r\n",
+                OK + "X\u0001A: 1\r\n",
+                OK + "X\u007fA: 1\r\n"
+            })
+    void aMalformedHeadIsNoAnswerForAnyClient(String head) {
+        server.answer(head + LABELS + "Content-Length: 5\r\n\r\nhello");
+        assertThat(attempt("GET")).isInstanceOf(AttemptResult.MayHaveRun.class);
+        assertThat(attempt("POST")).isInstanceOf(AttemptResult.MayHaveRun.class);
+        assertThat(((BatchEvent.AttemptEnded) run(item())).outcome()).isInstanceOf(AttemptOutcome.Interrupted.class);
+        assertThat(((BatchEvent.ScoringEnded) run(score())).outcome()).isInstanceOf(ScoringOutcome.Interrupted.class);
+        assertThat(((OrderEvent.ReportRead) run(new OrderEffect.ReadReport(endpoint()))).report())
+                .isEmpty();
+        OrderEffect order = new OrderEffect.LoadVersion(endpoint(), "m", 2, false, new NodeName("node-1"), 1, 0);
+        assertThat(((OrderEvent.Ordered) run(order)).outcome()).isEqualTo(OrderOutcome.UNANSWERED);
+        UsageEffect report = new UsageEffect.Report(1, Map.of(), new NodeName("node-1"), 1);
+        assertThat(((UsageEvent.Reported) run(report)).outcome()).isEqualTo(DutyOutcome.UNANSWERED);
+    }
+
     /** Runs a check for each number of missing bytes from one on, on a new and on a kept connection. */
     private void forEachCut(String answer, CutServer.End end, java.util.function.Consumer<String> check) {
         for (int missing = 1; missing <= answer.length(); missing++) {
