Bound the time of a whole greeting between nodes

Cause: each byte renewed the time within which a node waits for the greeting of a peer, so a peer that dripped bytes held its connection without end. Change: the time counts from the accepted connection. Measured: PeerTransportTest 17 of 17; its new test fails without the change.

--- a/yuccaswitch-protocol/src/main/java/io/yuccaswitch/protocol/IncomingPeer.java
+++ b/yuccaswitch-protocol/src/main/java/io/yuccaswitch/protocol/IncomingPeer.java
@@ -30,6 +30,9 @@
     /** The peer's identity, once its greeting was accepted. */
     private Optional<NodeIdentity> sender = Optional.empty();
 
+    /** The monotonic time in nanoseconds at which the connection was accepted. */
+    private final long acceptedAt;
+
     /** The monotonic time in nanoseconds at which bytes were last received. */
     private long lastReceived;
 
@@ -46,6 +49,7 @@
             throws IOException {
         this.context = context;
         this.onEnd = onEnd;
+        acceptedAt = now;
         lastReceived = now;
         this.channel = new PeerChannel(context, channel, SelectionKey.OP_READ, this);
     }
@@ -72,13 +76,15 @@
     }
 
     /**
-     * Closes the connection if the greeting is late or the connection has been idle for too long.
+     * Closes the connection if the greeting is late or the connection has been idle for too long. A greeting that
+     * arrives byte by byte is late as well.
      *
      * @param now The monotonic time in nanoseconds.
      */
     void sweep(long now) {
         long silence = now - lastReceived;
-        if (sender.isEmpty() && silence > context.settings().connectTimeout().toNanos()) {
+        if (sender.isEmpty()
+                && now - acceptedAt > context.settings().connectTimeout().toNanos()) {
             context.recordViolation(FrameViolation.UNWELCOME, this);
             end("no greeting");
         } else if (silence > IDLE_FACTOR * context.settings().idleTimeout().toNanos()) {
--- a/yuccaswitch-protocol/src/test/java/io/yuccaswitch/protocol/PeerTransportTest.java
+++ b/yuccaswitch-protocol/src/test/java/io/yuccaswitch/protocol/PeerTransportTest.java
@@ -29,6 +29,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -39,6 +40,8 @@
             .register(PeerMessageRange.REQUEST, 40, Text.class)
             .build();
 
+    private static final long DRIP_INTERVAL_MILLIS = 100;
+
     private final Map<NodeName, InetSocketAddress> addresses = new ConcurrentHashMap<>();
     private final List<Node> nodes = new ArrayList<>();
 
@@ -238,6 +241,33 @@
         assertThat(b.counter("peer.cut-off.unwelcome")).isEqualTo(1);
     }
 
+    /** Guards against peers that hold a connection by sending a greeting byte by byte. */
+    @Test
+    void aPeerWhoseGreetingDripsIsDisconnectedAtTheTimeout() throws IOException, InterruptedException {
+        Node b = node("b", 1, PeerTransportTest::withShortTimeouts);
+        byte[] greeting = new PeerMessageCodec(REGISTRY, 1000)
+                .encode(new Greeting(new NodeIdentity(new NodeName("x"), 1), "padma", "secret"))
+                .unsafeArray();
+        long startedAt = System.nanoTime();
+        try (Socket socket = new Socket(
+                b.transport.localAddress().getAddress(),
+                b.transport.localAddress().getPort())) {
+            for (byte next : greeting) {
+                if (b.counter("peer.cut-off.unwelcome") > 0) {
+                    break;
+                }
+                socket.getOutputStream().write(next);
+                TimeUnit.MILLISECONDS.sleep(DRIP_INTERVAL_MILLIS);
+            }
+        } catch (SocketException _exception) {
+            // The node has closed the connection.
+        }
+        assertThat(b.counter("peer.cut-off.unwelcome")).isEqualTo(1);
+        assertThat(Duration.ofNanos(System.nanoTime() - startedAt))
+                .as("the time of the greeting if it were awaited")
+                .isLessThan(Duration.ofMillis(DRIP_INTERVAL_MILLIS * greeting.length));
+    }
+
     @Test
     void anIdleConnectionIsClosedAndReopenedWhenNeeded() {
         Node a = node("a", 1, PeerTransportTest::withShortTimeouts);
