Wait for a dropped scoring route until the deadline of the job

Cause: an item whose scoring request had no route for 5 s was given up, though the route may be added again and the job had time left. Change: such an item waits until the deadline of its job.

--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ItemScoring.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ItemScoring.java
@@ -41,9 +41,6 @@
     /** When the next attempt may start. */
     private MonotonicTime nextAt;
 
-    /** The time since which no route serves the request, if none does. */
-    private Optional<MonotonicTime> withoutRouteSince = Optional.empty();
-
     /**
      * Creates a scoring without attempts.
      *
@@ -192,18 +189,6 @@
         return losses;
     }
 
-    /**
-     * Records whether a route serves the request.
-     *
-     * @param served Whether one does.
-     * @param now The current time.
-     * @return The time since which none does, or empty if one does.
-     */
-    Optional<MonotonicTime> updateRoute(boolean served, MonotonicTime now) {
-        withoutRouteSince = served ? Optional.empty() : Optional.of(withoutRouteSince.orElse(now));
-        return withoutRouteSince;
-    }
-
     /**
      * An attempt in progress.
      *
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ScoringSystem.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/ScoringSystem.java
@@ -7,7 +7,6 @@
 import io.yuccaswitch.core.identity.PoolName;
 import io.yuccaswitch.core.registry.RegisteredEndpoint;
 import io.yuccaswitch.core.route.Route;
-import io.yuccaswitch.core.time.MonotonicTime;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -37,12 +36,6 @@
      */
     private static final int MAXIMUM_ATTEMPTS_IN_PROGRESS = 3;
 
-    /**
-     * How long the route of a scoring request may be missing before its item is abandoned: the time within which a
-     * configuration becomes active at all nodes.
-     */
-    private static final Duration MISSING_ROUTE_TIMEOUT = Duration.ofSeconds(5);
-
     /**
      * The backoff before the third consecutive attempt, which doubles with each further one. The second attempt is made
      * immediately.
@@ -118,14 +111,8 @@
         ItemScoring scoring = entry.scoring();
         Optional<Route> route =
                 state.routes().find(scoring.request().host(), scoring.request().routePath());
-        Optional<MonotonicTime> missing = scoring.updateRoute(route.isPresent(), tick.now());
-        if (missing.isPresent()) {
-            if (tick.now().since(missing.get()).compareTo(MISSING_ROUTE_TIMEOUT) >= 0) {
-                abandon(tick, entry, "no route serves the scoring request");
-            }
-            return;
-        }
-        if (!isDue(tick, entry, route.get())) {
+        // A missing route may be added again, so its item waits for it until the deadline of the job.
+        if (route.isEmpty() || !isDue(tick, entry, route.get())) {
             return;
         }
         Duration left = entry.job().deadline().since(tick.now());
