Close the answer of a cloud whose outcome can't be determined

Cause: since an exception of the dialect or of the receiver of the outcome left the answer of a call to the cloud open, and with it its connection. Change: the answer is closed in each case, as before. No test brings such an exception about.

--- a/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/CloudCaller.java
+++ b/yuccaswitch-node/src/main/java/io/yuccaswitch/node/gateway/CloudCaller.java
@@ -114,8 +114,10 @@
 
             @Override
             public void onResponse(Call call, Response response) {
-                onOutcome.accept(dialect.outcome(response.code()));
-                http.discard(call, response);
+                try (response) {
+                    onOutcome.accept(dialect.outcome(response.code()));
+                    http.discard(call, response);
+                }
             }
         });
     }
