--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/BatchState.java
@@ -269,8 +269,9 @@
      * @param deadline The deadline of the job.
      * @param texts The texts that an earlier runner stored.
      * @param start Why this node runs it.
+     * @return The running job.
      */
-    void run(Tick tick, BatchJob job, ResultLog log, MonotonicTime deadline, StoredTexts texts, JobStart start) {
+    RunningJob run(Tick tick, BatchJob job, ResultLog log, MonotonicTime deadline, StoredTexts texts, JobStart start) {
         int earlierRuns = runs.merge(job.id(), 1, Integer::sum) - 1;
         int attemptBase = earlierRuns * MAXIMUM_ATTEMPTS_PER_RUN;
         RunningJob started = new RunningJob(job, log, tick.now(), deadline, attemptBase);
@@ -279,6 +280,7 @@
                 .count();
         running.put(job.id(), started);
         trace.started(tick, started, log, start, texts.all().size(), resumed);
+        return started;
     }
 
     /**
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/EngineLoads.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/EngineLoads.java
@@ -25,9 +25,6 @@
     /** The number of starts and ends of items. */
     private long changes;
 
-    /** The number of the last load. */
-    private long lastLoad;
-
     /** The time until which an engine is excluded, by engine and model. */
     private final Map<Key, MonotonicTime> excludedUntil = new HashMap<>();
 
@@ -74,8 +71,7 @@
      */
     Load begin(EndpointName engine, String model) {
         changes++;
-        lastLoad++;
-        Load load = new Load(engine, model, lastLoad);
+        Load load = new Load(engine, model, changes);
         running.merge(engine, 1, Integer::sum);
         if (refusals.containsKey(load.key())) {
             trials.putIfAbsent(load.key(), load);
--- a/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/JobLoader.java
+++ b/yuccaswitch-core/src/main/java/io/yuccaswitch/core/batch/JobLoader.java
@@ -290,8 +290,8 @@
     private void start(Tick tick, PreparedJob prepared) {
         BatchJob job = prepared.job();
         ResultLog log = state.log(job.id(), job.items().size(), tick.now());
-        state.run(tick, job, log, jobTimeouts.deadline(job, tick.now()), prepared.texts(), prepared.cause());
-        state.running().find(job.id()).ifPresent(started -> started.skipTextObjects(prepared.nextTextObject()));
+        state.run(tick, job, log, jobTimeouts.deadline(job, tick.now()), prepared.texts(), prepared.cause())
+                .skipTextObjects(prepared.nextTextObject());
     }
 
     /**
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/EndedTrialTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/EndedTrialTest.java
@@ -76,28 +76,28 @@
     }
 
     private void end(Ending ending) {
-        if (ending == Ending.JOB_ENDED) {
-            site.end(node, EARLIER_JOB);
-        } else if (ending == Ending.TAKEN_OVER) {
-            site.site.markGone("node-1");
-            site.run(1500);
-            site.site.markBack("node-1");
-        } else if (ending == Ending.LISTED) {
-            site.list(
-                    EARLIER_JOB,
-                    0,
-                    site.started.stream()
-                            .limit(ITEMS)
-                            .map(run -> BatchResult.abandoned(run.item().id()))
-                            .toList());
-            // The node reads the other node's results when it lists one of its own.
-            node.accept(BatchSite.completed(site.started.get(ITEMS), 1));
-        } else if (ending == Ending.DEADLINE) {
-            site.run(41_000);
-        } else if (ending == Ending.ROUTE_REMOVED) {
-            site.removeRoute("/added/", 3);
-        } else {
-            List.of("engine-1", "engine-2").forEach(engine -> restart(engine, ending));
+        switch (ending) {
+            case JOB_ENDED -> site.end(node, EARLIER_JOB);
+            case TAKEN_OVER -> {
+                site.site.markGone("node-1");
+                site.run(1500);
+                site.site.markBack("node-1");
+            }
+            case LISTED -> {
+                site.list(
+                        EARLIER_JOB,
+                        0,
+                        site.started.stream()
+                                .limit(ITEMS)
+                                .map(run -> BatchResult.abandoned(run.item().id()))
+                                .toList());
+                // The node reads the other node's results when it lists one of its own.
+                node.accept(BatchSite.completed(site.started.get(ITEMS), 1));
+            }
+            case DEADLINE -> site.run(41_000);
+            case ROUTE_REMOVED -> site.removeRoute("/added/", 3);
+            case ENGINE_RESTARTED, ENGINE_GONE ->
+                List.of("engine-1", "engine-2").forEach(engine -> restart(engine, ending));
         }
         site.run(1000);
     }
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/OlderConfigurationTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/OlderConfigurationTest.java
@@ -7,7 +7,6 @@
 import io.yuccaswitch.core.route.RouteConfigurationSystem;
 import io.yuccaswitch.core.site.TestNode;
 import java.util.Optional;
-import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -42,9 +41,7 @@
     @EnumSource(Disruption.class)
     void aJobOnANewRouteIsCompletedThroughARunnerThatMissedTheRoute(Disruption disruption) {
         begin(disruption);
-        site.addRoute("/added/", 2);
-        site.run(PROPAGATION_MILLIS);
-        long ticket = site.submit(weak, BatchSite.job("job", ITEMS, "/added/x", 2));
+        long ticket = submitOnAddedRoute();
         site.run(2000);
         end(disruption);
         site.run(6000);
@@ -73,9 +70,7 @@
     @Test
     void aJobStartsAsSoonAsItsRunnerHasItsConfiguration() {
         withholdConfigurationOf("strong");
-        site.addRoute("/added/", 2);
-        site.run(PROPAGATION_MILLIS);
-        site.submit(weak, BatchSite.job("job", ITEMS, "/added/x", 2));
+        submitOnAddedRoute();
         site.run(3000);
         assertThat(site.started).isEmpty();
         assertThat(waits(strong)).isTrue();
@@ -89,9 +84,7 @@
         start("weak-2", 36);
         site.engines(_run -> Optional.empty());
         withholdConfigurationOf("weak-2");
-        site.addRoute("/added/", 2);
-        site.run(PROPAGATION_MILLIS);
-        site.submit(weak, BatchSite.job("job", ITEMS, "/added/x", 2));
+        submitOnAddedRoute();
         site.run(1000);
         site.kill(strong);
         site.kill(weak);
@@ -106,9 +99,7 @@
     @Test
     void aJobThatIsEndedWhileItWaitsForItsConfigurationDoesNotStart() {
         withholdConfigurationOf("strong");
-        site.addRoute("/added/", 2);
-        site.run(PROPAGATION_MILLIS);
-        site.submit(weak, BatchSite.job("job", ITEMS, "/added/x", 2));
+        submitOnAddedRoute();
         site.run(500);
         long ticket = site.end(weak, "job");
         site.run(500);
@@ -122,9 +113,7 @@
     @Test
     void aJobThatWaitsForItsConfigurationIsDroppedOnceAnotherNodeRunsIt() {
         begin(Disruption.FREEZE);
-        site.addRoute("/added/", 2);
-        site.run(PROPAGATION_MILLIS);
-        site.submit(weak, BatchSite.job("job", ITEMS, "/added/x", 2));
+        submitOnAddedRoute();
         site.run(100);
         site.site.markGone("strong");
         site.run(3000);
@@ -142,9 +131,7 @@
     @Test
     void aJobWhoseRouteIsRemovedAfterItWasAcceptedIsAbandoned() {
         site.engines(_run -> Optional.empty());
-        site.addRoute("/added/", 2);
-        site.run(PROPAGATION_MILLIS);
-        site.submit(weak, BatchSite.job("job", ITEMS, "/added/x", 2));
+        submitOnAddedRoute();
         site.run(500);
         site.removeRoute("/added/", 3);
         site.run(PROPAGATION_MILLIS);
@@ -157,9 +144,7 @@
                 .platform()
                 .failWhere((_node, call) -> call instanceof PlatformEffect.Write write
                         && write.key().kind().equals(BatchObjects.INDEX));
-        site.addRoute("/added/", 2);
-        site.run(PROPAGATION_MILLIS);
-        site.submit(weak, BatchSite.job("job", ITEMS, "/added/x", 2));
+        submitOnAddedRoute();
         site.run(PROPAGATION_MILLIS);
         site.site.platform().failWhere((_node, _call) -> false);
         begin(Disruption.PARTITION);
@@ -171,21 +156,26 @@
         assertThat(site.started).hasSize(ITEMS);
     }
 
-    private void begin(Disruption disruption) {
-        apply(disruption, () -> disconnect("strong"), () -> strong.freeze(true), TestNode::suspend);
+    /** Submits a job as soon as the undisturbed nodes have its route, and returns the ticket of the call. */
+    private long submitOnAddedRoute() {
+        site.addRoute("/added/", 2);
+        site.run(PROPAGATION_MILLIS);
+        return site.submit(weak, BatchSite.job("job", ITEMS, "/added/x", 2));
     }
 
-    private void end(Disruption disruption) {
-        apply(disruption, () -> disconnect(""), () -> strong.freeze(false), TestNode::resume);
+    private void begin(Disruption disruption) {
+        switch (disruption) {
+            case PARTITION -> disconnect("strong");
+            case FREEZE -> strong.freeze(true);
+            case SUSPENSION -> strong.suspend();
+        }
     }
 
-    private void apply(Disruption disruption, Runnable partition, Runnable freeze, Consumer<TestNode> suspension) {
-        if (disruption == Disruption.PARTITION) {
-            partition.run();
-        } else if (disruption == Disruption.FREEZE) {
-            freeze.run();
-        } else {
-            suspension.accept(strong);
+    private void end(Disruption disruption) {
+        switch (disruption) {
+            case PARTITION -> disconnect("");
+            case FREEZE -> strong.freeze(false);
+            case SUSPENSION -> strong.resume();
         }
     }
 
--- a/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/ScoringSystemTest.java
+++ b/yuccaswitch-core/src/test/java/io/yuccaswitch/core/batch/ScoringSystemTest.java
@@ -8,6 +8,8 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Tests the scoring of outputs with a simulated platform, engines and scoring endpoints. */
 final class ScoringSystemTest {
@@ -202,28 +204,17 @@
                 .isFalse());
     }
 
-    @Test
-    void aScoringRouteThatIsAddedAgainShortlyBeforeTheDeadlineIsUsed() {
-        TestNode node = site.node("node-1");
-        site.routeScoring(false, 2);
-        site.run(1000);
-        site.submit(node, BatchSite.scoredJob("job", 1));
-        site.run(38_000);
-        site.routeScoring(true, 3);
-        site.run(1500);
-        assertThat(site.results("job")).hasSize(1).allSatisfy(result -> assertThat(result.completed())
-                .isTrue());
-    }
-
-    @Test
-    void aScoringRouteThatIsAddedAgainIsUsed() {
+    /** The jobs have 40 s. */
+    @ParameterizedTest
+    @CsvSource({"1500,3000", "38000,1500"})
+    void aScoringRouteThatIsAddedAgainIsUsed(int missingMillis, int scoredWithinMillis) {
         TestNode node = site.node("node-1");
         site.routeScoring(false, 2);
         site.run(1000);
         site.submit(node, BatchSite.scoredJob("job", 1));
-        site.run(1500);
+        site.run(missingMillis);
         site.routeScoring(true, 3);
-        site.run(3000);
+        site.run(scoredWithinMillis);
         assertThat(site.results("job")).hasSize(1).allSatisfy(result -> assertThat(result.completed())
                 .isTrue());
     }
--- a/yuccaswitch-node/src/test/java/io/yuccaswitch/node/gateway/JsonBatchCodecTest.java
+++ b/yuccaswitch-node/src/test/java/io/yuccaswitch/node/gateway/JsonBatchCodecTest.java
@@ -24,29 +24,16 @@
     @Test
     void jobKeepsScoringRequestsOfItsItems() {
         ScoringRequest scoring = new ScoringRequest("s1", "site.example", "/score/x?y=1", Bytes.ofUtf8("judge"));
-        BatchJob job = new BatchJob(
-                new BatchJobId("job"),
-                "site.example",
-                "/rollouts/x",
-                "m",
-                3,
-                1000,
-                List.of(item("a", Optional.of(scoring)), item("b", Optional.empty())));
+        BatchJob job = job(
+                List.of(item("a", Optional.of(scoring)), item("b", Optional.empty())),
+                OptionalInt.empty(),
+                BatchJob.UNKNOWN_CONFIGURATION);
         assertThat(codec.readJob(codec.writeJob(job))).contains(job);
     }
 
     @Test
     void jobKeepsTheConfigurationUnderWhichItWasAccepted() {
-        BatchJob job = new BatchJob(
-                new BatchJobId("job"),
-                "site.example",
-                "/rollouts/x",
-                "m",
-                3,
-                1000,
-                List.of(item("a", Optional.empty())),
-                OptionalInt.of(1),
-                12);
+        BatchJob job = job(List.of(item("a", Optional.empty())), OptionalInt.of(1), 12);
         assertThat(codec.readJob(codec.writeJob(job))).contains(job);
     }
 
@@ -101,6 +88,19 @@
         assertThat(codec.readJob(Bytes.ofUtf8("[]"))).isEmpty();
     }
 
+    private static BatchJob job(List<BatchItem> items, OptionalInt wantedGroups, long configurationVersion) {
+        return new BatchJob(
+                new BatchJobId("job"),
+                "site.example",
+                "/rollouts/x",
+                "m",
+                3,
+                1000,
+                items,
+                wantedGroups,
+                configurationVersion);
+    }
+
     private static BatchItem item(String id, Optional<ScoringRequest> scoring) {
         return new BatchItem(id, "/rollouts/x", Map.of("X-Model", "m"), Bytes.ofUtf8("body"), "g", 5, scoring);
     }
